Lay out the repository: design page, interfaces, clock, kernel, contract schema

Cause: the repository was empty and several parts are to be built in parallel. Conclusion: parts can be written and tested against the fakes.

--- /dev/null
+++ b/clock/mod.ts
@@ -0,0 +1,6 @@
+/** Time in milliseconds: the system clock and a fake clock for tests. */
+export type { CancelTask, Clock } from './clock.ts';
+export type { FakeClock } from './fake_clock.ts';
+export { createSystemClock } from './system_clock.ts';
+export { createFakeClock } from './fake_clock.ts';
+export { createPausableClock, type PausableClock } from './pausable_clock.ts';
--- /dev/null
+++ b/command/mod.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export { main } from './main.ts';
--- /dev/null
+++ b/contract/compile_contracts.ts
@@ -0,0 +1,121 @@
+import { createHash } from 'node:crypto';
+import type { Contract, Route, ServiceDefinition } from './contract.ts';
+
+/** The parts of a request that select its route. */
+export interface RequestTarget {
+  readonly host: string;
+  /** Path without the query. */
+  readonly path: string;
+  readonly method: string;
+}
+
+/** A route and the path parameters that the request gave. */
+export interface RouteMatch {
+  readonly route: Route;
+  readonly service: ServiceDefinition;
+  readonly parameters: ReadonlyMap<string, string>;
+}
+
+/** Contracts in the form that requests are matched against. */
+export interface CompiledContracts {
+  readonly findCustomer: (token: string) => Contract | undefined;
+  readonly findRoute: (contract: Contract, target: RequestTarget) => RouteMatch | undefined;
+  readonly findService: (service: string) => ServiceDefinition | undefined;
+  /**
+   * Services that several contracts define differently; the first contract by customer name counts.
+   */
+  readonly conflicts: readonly string[];
+}
+
+interface CompiledRoute {
+  readonly route: Route;
+  readonly service: ServiceDefinition;
+  readonly parts: readonly string[];
+}
+
+const hashToken = (token: string) => createHash('sha256').update(token).digest('hex');
+
+const decodePart = (part: string): string | undefined => {
+  try {
+    return decodeURIComponent(part);
+  } catch {
+    return undefined;
+  }
+};
+
+const matchParts = (
+  pattern: readonly string[],
+  path: readonly string[],
+): ReadonlyMap<string, string> | undefined => {
+  const parameters = new Map<string, string>();
+  for (const [index, expected] of pattern.entries()) {
+    if (expected === '*' && index === pattern.length - 1) return parameters;
+    const actual = path[index];
+    if (actual === undefined) return undefined;
+    if (expected.startsWith(':')) {
+      const value = decodePart(actual);
+      if (value === undefined || value === '') return undefined;
+      parameters.set(expected.slice(1), value);
+    } else if (expected !== actual) return undefined;
+  }
+  return pattern.length === path.length ? parameters : undefined;
+};
+
+const withoutPort = (host: string) => host.replace(/:\d+$/u, '').toLowerCase();
+
+const compileRoutes = (contract: Contract): readonly CompiledRoute[] => {
+  const services = new Map(contract.services.map((service) => [service.name, service]));
+  return contract.routes.flatMap((route) => {
+    const service = services.get(route.service);
+    return service === undefined ? [] : [{ route, service, parts: route.path.split('/') }];
+  });
+};
+
+/**
+ * Prepares contracts for matching requests.
+ *
+ * @param contracts The contracts in force, one per customer.
+ * @returns Lookups by token, route and service.
+ *
+ * @example
+ * const compiled = compileContracts([contract]);
+ * const customer = compiled.findCustomer('secret');
+ */
+export const compileContracts = (contracts: readonly Contract[]): CompiledContracts => {
+  const byHash = new Map<string, Contract>();
+  const routes = new Map<Contract, readonly CompiledRoute[]>();
+  const services = new Map<string, ServiceDefinition>();
+  const conflicts: string[] = [];
+  const sorted = [...contracts]
+    .sort((left, right) => (left.customer < right.customer ? -1 : 1));
+  for (const contract of sorted) {
+    for (const hash of contract.tokenHashes) byHash.set(hash, contract);
+    for (const service of contract.services) {
+      const known = services.get(service.name);
+      if (known === undefined) services.set(service.name, service);
+      else if (JSON.stringify(known) !== JSON.stringify(service)) conflicts.push(service.name);
+    }
+    routes.set(contract, compileRoutes(contract));
+  }
+
+  const findRoute: CompiledContracts['findRoute'] = (contract, target) => {
+    const pathParts = target.path.split('/');
+    const host = withoutPort(target.host);
+    for (const { route, service, parts } of routes.get(contract) ?? []) {
+      if (route.host !== '*' && route.host.toLowerCase() !== host) continue;
+      if (!route.methods.includes(target.method)) continue;
+      const parameters = matchParts(parts, pathParts);
+      if (parameters !== undefined) {
+        return { route, service: services.get(service.name) ?? service, parameters };
+      }
+    }
+    return undefined;
+  };
+
+  return {
+    findCustomer: (token) => byHash.get(hashToken(token)),
+    findRoute,
+    findService: (service) => services.get(service),
+    conflicts,
+  };
+};
--- /dev/null
+++ b/contract/parse_contract.ts
@@ -0,0 +1,103 @@
+import { err, ok, type Result } from 'neverthrow';
+import { ContractError } from '../errors/mod.ts';
+import {
+  type Contract, contractSchema, type Route, type ServiceDefinition,
+} from './contract.ts';
+
+const STEP = 'contract.parse';
+
+interface FieldProblem {
+  readonly field: string;
+  readonly reason: string;
+}
+
+const parameterNames = (path: string) => path.split('/')
+  .filter((part) => part.startsWith(':'))
+  .map((part) => part.slice(1));
+
+const checkRoute = (
+  route: Route,
+  service: ServiceDefinition | undefined,
+): FieldProblem | undefined => {
+  if (service === undefined) {
+    return { field: 'service', reason: `'${route.service}' is not in services` };
+  }
+  if (service.keyed && route.key === undefined) {
+    return { field: 'key', reason: `service '${service.name}' is divided by key` };
+  }
+  if (route.key?.from === 'path' && !parameterNames(route.path).includes(route.key.name)) {
+    return { field: 'key.name', reason: `the path has no parameter ':${route.key.name}'` };
+  }
+  if (route.class === 'submission' && (route.retries > 0 || route.hedge)) {
+    return { field: 'retries', reason: 'a submission is never retried or hedged' };
+  }
+  return undefined;
+};
+
+const findRouteProblem = (contract: Contract): FieldProblem | undefined => {
+  const services = new Map(contract.services.map((service) => [service.name, service]));
+  for (const [index, route] of contract.routes.entries()) {
+    const problem = checkRoute(route, services.get(route.service));
+    if (problem) return { field: `routes.${index}.${problem.field}`, reason: problem.reason };
+  }
+  return undefined;
+};
+
+const findServiceProblem = (contract: Contract): FieldProblem | undefined => {
+  for (const [index, service] of contract.services.entries()) {
+    if (service.keyed && service.slotCount === undefined) {
+      const reason = 'a service divided by key needs a slot count';
+      return { field: `services.${index}.slotCount`, reason };
+    }
+  }
+  return undefined;
+};
+
+const findDuplicate = (field: string, names: readonly string[]): FieldProblem | undefined => {
+  const seen = new Set<string>();
+  for (const [index, value] of names.entries()) {
+    if (seen.has(value)) {
+      return { field: `${field}.${index}.name`, reason: `'${value}' is given twice` };
+    }
+    seen.add(value);
+  }
+  return undefined;
+};
+
+const findProblem = (contract: Contract): FieldProblem | undefined => (
+  findDuplicate('services', contract.services.map((service) => service.name))
+  ?? findDuplicate('routes', contract.routes.map((route) => route.name))
+  ?? findServiceProblem(contract)
+  ?? findRouteProblem(contract)
+);
+
+/**
+ * Checks a contract in JSON.
+ *
+ * @param text The contract as JSON text.
+ * @param source Where the text comes from, named in the error.
+ * @returns The contract, or an error that names the field at fault.
+ *
+ * @example
+ * const contract = parseContract(await readFile('samples/contract.json', 'utf8'),
+ * 'samples/contract.json');
+ */
+export const parseContract = (text: string, source = ''): Result<Contract, ContractError> => {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (cause) {
+    const options = { step: STEP, peer: source, cause };
+    return err(new ContractError('(root)', 'is not valid JSON', options));
+  }
+  const parsed = contractSchema.safeParse(json);
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues;
+    const field = issue && issue.path.length > 0 ? issue.path.join('.') : '(root)';
+    const reason = issue?.message ?? 'is invalid';
+    return err(new ContractError(field, reason, { step: STEP, peer: source }));
+  }
+  const problem = findProblem(parsed.data);
+  if (problem === undefined) return ok(parsed.data);
+  return err(new ContractError(problem.field, problem.reason, { step: STEP, peer: source }));
+};
--- /dev/null
+++ b/membership/mod.ts
@@ -0,0 +1,2 @@
+/** Membership of the fleet by gossip. */
+export type { MemberDescription, Membership } from './membership.ts';
--- /dev/null
+++ b/peer/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Control messages between nodes: the transport interface, its gRPC implementation and a fake
+ * network.
+ */
+export type {
+  ControlHandler, PeerRequestOptions, PeerTransport, Sender,
+} from './peer_transport.ts';
+export {
+  createFakeNetwork, type FakeNetwork, type FakeNetworkCounters, type FakeNetworkOptions,
+} from './fake_network.ts';
--- /dev/null
+++ b/relay/mod.ts
@@ -0,0 +1,2 @@
+/** Spreads new versions of contracts and placement records over the fleet. */
+export type { EntryListener, Relay } from './relay.ts';
