Add settings, operator interface, command line and upstream stand-in

Cause: the node needs checked settings and operators need a way to change contracts before the parts of the request path can be assembled. Change: daemon settings (zod), table of announcements, contracts with compare-and-swap and settling of lost replies, operator interface (hono), command line, stand-in upstream and fleet, bench frame, sample contracts and the operators' page. The node itself is not assembled yet. Conclusion: the parts under work can be joined behind these interfaces.

--- /dev/null
+++ b/bench/_benches.ts
@@ -0,0 +1,4 @@
+import type { Bench } from './bench.ts';
+
+/** Measurements by name; each module is loaded only when it is run. */
+export const benches: Readonly<Record<string, () => Promise<Bench>>> = {};
--- /dev/null
+++ b/command/_run_node.ts
@@ -0,0 +1,16 @@
+import { createSystemClock } from '../clock/mod.ts';
+import { type Settings, startNode } from '../daemon/mod.ts';
+import { exitStatuses } from './_output.ts';
+
+const waitForStopSignal = () => new Promise<void>((resolve) => {
+  process.once('SIGTERM', () => resolve());
+  process.once('SIGINT', () => resolve());
+});
+
+/** Runs a node until it is told to stop, then drains it. */
+export const runNode = async (settings: Settings): Promise<number> => {
+  const node = await startNode(settings, { clock: createSystemClock() });
+  await waitForStopSignal();
+  await node.stop();
+  return exitStatuses.ok;
+};
--- a/command/main.ts
+++ b/command/main.ts
@@ -1,33 +1,116 @@
+import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
+import { commands } from './_commands.ts';
+import { createOperatorClient } from './_operator_client.ts';
+import { exitStatuses, type Output, processOutput } from './_output.ts';
+
+const DEFAULT_OPERATOR_URL = 'http://127.0.0.1:8380';
 
 const HELP = `Usage: marjoramhollow COMMAND [OPTIONS]
 
-  node --settings FILE   runs a node
-`;
+Commands
+  node --settings FILE               runs a node
+  contract list                      lists the contracts in force
+  contract get CUSTOMER              prints a contract
+  contract check FILE                checks a contract without applying it
+  contract diff FILE                 compares a contract with the one in force
+  contract apply FILE --revision N   applies a contract that was based on revision N (0: new)
+  contract status CUSTOMER           prints the revision in force on each node
+  placement show SERVICE             prints owners and their slots
+  placement confirm-lost SERVICE OWNER
+                                     confirms that an owner is lost when its witnesses are too
+  drain                              starts a planned stop of the node
+  status                             prints the state of each node
+  settings check FILE                checks a settings file
+
+Options
+  --operator URL           operator address of a node (default ${DEFAULT_OPERATOR_URL})
+  --credential-file FILE   file that holds the operator credential; otherwise the environment
+                           variable MARJORAMHOLLOW_OPERATOR_CREDENTIAL is used
+  --revision N             revision that a contract is based on
+  --json                   prints JSON
+  -h, --help               prints this text
+
+Exit status: 0 success, 1 failure, 2 wrong usage or an invalid file, 3 conflict.`;
+
+const readOptions = (args: readonly string[]) => parseArgs({
+  args: [...args],
+  allowPositionals: true,
+  options: {
+    help: { type: 'boolean', short: 'h', default: false },
+    json: { type: 'boolean', default: false },
+    settings: { type: 'string' },
+    operator: { type: 'string', default: DEFAULT_OPERATOR_URL },
+    'credential-file': { type: 'string' },
+    revision: { type: 'string' },
+  },
+});
 
-const EXIT_OK = 0;
-const EXIT_USAGE = 2;
+const tryReadOptions = (args: readonly string[], output: Output) => {
+  try {
+    return readOptions(args);
+  } catch (error) {
+    output.error((error as Error).message);
+    return undefined;
+  }
+};
+
+const readCredential = async (file: string | undefined): Promise<string> => {
+  if (file === undefined) return process.env.MARJORAMHOLLOW_OPERATOR_CREDENTIAL ?? '';
+  return (await readFile(file, 'utf8')).trim();
+};
+
+const splitCommand = (words: readonly string[]) => {
+  const [first = '', second = ''] = words;
+  const pair = `${first} ${second}`;
+  if (commands[pair] !== undefined) return { command: commands[pair], args: words.slice(2) };
+  return { command: commands[first], args: words.slice(1) };
+};
 
 /**
  * Runs the command line.
  *
  * @param args Arguments after the program name.
- * @returns The exit status.
+ * @param output Where text goes; the process's own streams by default.
+ * @returns The exit status: 0 success, 1 failure, 2 wrong usage or an invalid file, 3 conflict.
  *
  * @example
- * process.exitCode = await main(['--help']);
+ * process.exitCode = await main(['contract', 'list']);
  */
-export const main = async (args: readonly string[]): Promise<number> => {
-  const { values } = parseArgs({
-    args: [...args],
-    allowPositionals: true,
-    strict: false,
-    options: { help: { type: 'boolean', short: 'h' } },
-  });
+export const main = async (
+  args: readonly string[],
+  output: Output = processOutput,
+): Promise<number> => {
+  const options = tryReadOptions(args, output);
+  if (options === undefined) return exitStatuses.usage;
+  const { values, positionals } = options;
   if (values.help) {
-    process.stdout.write(HELP);
-    return EXIT_OK;
+    output.out(HELP);
+    return exitStatuses.ok;
+  }
+  const { command, args: rest } = splitCommand(positionals);
+  if (command === undefined) {
+    output.error(positionals.length === 0 ? HELP : `unknown command: ${positionals.join(' ')}`);
+    return exitStatuses.usage;
   }
-  process.stderr.write(HELP);
-  return EXIT_USAGE;
+  const revision = values.revision === undefined ? undefined : Number(values.revision);
+  if (revision !== undefined && (!Number.isInteger(revision) || revision < 0)) {
+    output.error('--revision must be a whole number');
+    return exitStatuses.usage;
+  }
+  let credential: string;
+  try {
+    credential = await readCredential(values['credential-file']);
+  } catch {
+    output.error(`cannot read ${values['credential-file']}`);
+    return exitStatuses.usage;
+  }
+  return command({
+    args: rest,
+    settingsFile: values.settings,
+    revision,
+    json: values.json,
+    client: createOperatorClient(values.operator, credential),
+    output,
+  });
 };
--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -12,3 +12,4 @@
 export {
   type CompiledContracts, compileContracts, type RequestTarget, type RouteMatch,
 } from './compile_contracts.ts';
+export { type ContractDifference, diffContracts } from './diff_contracts.ts';
--- /dev/null
+++ b/daemon/mod.ts
@@ -0,0 +1,9 @@
+/** A node: its settings and the services that it starts. */
+export { parseSettings, type Settings } from './settings.ts';
+export {
+  type Announcement, type Announcements, ANNOUNCEMENT_LIFETIME_MS, createAnnouncements,
+} from './announcements.ts';
+export {
+  CONTRACT_PREFIX, ContractConflict, type ContractRevision, type Contracts, createContracts,
+} from './contracts.ts';
+export { createOperatorApi, type NodeStatus, type OperatorBackend } from './operator_api.ts';
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,8 @@
       'import-x/prefer-default-export': 'off',
       'import-x/extensions': ['error', 'always', { ignorePackages: true, checkTypeImports: true }],
       'import-x/no-cycle': ['error', { maxDepth: Infinity }],
+      // Names that neverthrow gives to the accessors used in tests.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       // The error classes of one family stand in one file.
       'max-classes-per-file': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
--- /dev/null
+++ b/standins/fleet.ts
@@ -0,0 +1,139 @@
+import type { Clock } from '../clock/mod.ts';
+import { parseSettings, type RunningNode, startNode } from '../daemon/mod.ts';
+import { type Announcer, startAnnouncer } from './announcer.ts';
+import { startStoreServer, type StoreServer } from './store_server.ts';
+import {
+  startUpstreamServer, type UpstreamBehaviour, type UpstreamServer,
+} from './upstream_server.ts';
+
+/** One host of a stand-in fleet: a node and an upstream instance beside it. */
+export interface FleetHostPlan {
+  readonly node: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly instance: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly connections: number;
+  readonly behaviour?: Partial<UpstreamBehaviour>;
+}
+
+/** A running host. */
+export interface FleetHost {
+  readonly plan: FleetHostPlan;
+  readonly node: RunningNode;
+  readonly upstream: UpstreamServer;
+  readonly announcer: Announcer;
+  /** Ends node and upstream at once, as the loss of the host does. */
+  readonly kill: () => Promise<void>;
+}
+
+/** A fleet on loopback: store, nodes and upstreams in one process. */
+export interface Fleet {
+  readonly store: StoreServer;
+  readonly hosts: readonly FleetHost[];
+  readonly addHost: (plan: FleetHostPlan) => Promise<FleetHost>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Options of a fleet. */
+export interface FleetOptions {
+  readonly clock: Clock;
+  /** Destination of the nodes' log lines. */
+  readonly logStream: NodeJS.WritableStream;
+  readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
+}
+
+/** Credentials of the stand-in fleet; they guard nothing but loopback sockets. */
+export const fleetCredentials = {
+  fleet: 'stand-in-fleet-credential',
+  operator: 'stand-in-operator-credential',
+  announce: 'stand-in-announce-credential',
+} as const;
+
+const ANY_PORT = '127.0.0.1:0';
+
+const settingsFor = (plan: FleetHostPlan, storeUrl: string, seeds: readonly string[], level: string) => {
+  const parsed = parseSettings(JSON.stringify({
+    node: plan.node,
+    region: plan.region,
+    failureDomain: plan.failureDomain,
+    listen: { caller: ANY_PORT, peer: ANY_PORT, control: ANY_PORT, operator: ANY_PORT },
+    store: { url: storeUrl, callsPerSecond: 50 },
+    seeds,
+    credentials: fleetCredentials,
+    log: { level },
+  }), plan.node);
+  if (parsed.isErr()) throw parsed.error;
+  return parsed.value;
+};
+
+/**
+ * Starts a fleet on loopback.
+ *
+ * @param plans The hosts.
+ * @param options Clock and log destination.
+ * @returns The running fleet.
+ *
+ * @example
+ * const fleet = await startFleet(plans, { clock: createSystemClock(), logStream });
+ */
+export const startFleet = async (
+  plans: readonly FleetHostPlan[],
+  options: FleetOptions,
+): Promise<Fleet> => {
+  const { clock, logStream } = options;
+  const store = await startStoreServer({ clock });
+  const hosts: FleetHost[] = [];
+
+  const addHost: Fleet['addHost'] = async (plan) => {
+    const seeds = hosts.slice(0, 3).map((host) => host.node.addresses.control);
+    const settings = settingsFor(plan, store.url, seeds, options.logLevel ?? 'info');
+    const node = await startNode(settings, { clock, logStream });
+    const upstream = await startUpstreamServer({
+      clock,
+      instance: plan.instance,
+      behaviour: { slots: plan.slots, ...plan.behaviour },
+    });
+    const announcer = await startAnnouncer({
+      instance: plan.instance,
+      service: plan.service,
+      url: upstream.url,
+      slots: plan.slots,
+      connections: plan.connections,
+      weight: plan.slots,
+    }, {
+      clock,
+      operatorUrl: `http://${node.addresses.operator}`,
+      credential: fleetCredentials.announce,
+    });
+    const host: FleetHost = {
+      plan,
+      node,
+      upstream,
+      announcer,
+      kill: async () => {
+        announcer.stop();
+        hosts.splice(hosts.indexOf(host), 1);
+        await Promise.all([node.kill(), upstream.kill()]);
+      },
+    };
+    hosts.push(host);
+    return host;
+  };
+
+  for (const plan of plans) await addHost(plan);
+
+  return {
+    store,
+    hosts,
+    addHost,
+    stop: async () => {
+      const running = [...hosts];
+      for (const host of running) host.announcer.stop();
+      await Promise.all(running.map((host) => host.node.kill()));
+      await Promise.all(running.map((host) => host.upstream.kill()));
+      await store.close();
+    },
+  };
+};
