Add the pure changes of placement records

Cause: leases, takeover and the placer change records and must keep the same invariants. Change: owners, takeover, planned moves, witnesses and hot keys as pure functions; each returns a record of the next version, or undefined when nothing differs.

--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -3,3 +3,21 @@
   HotKey, Owner, OwnerId, OwnerState, PlacementRecord, SlotState, WitnessReference,
 } from './placement_record.ts';
 export type { PlacementChange, PlacementListener, Placements } from './placements.ts';
+export {
+  addOwner, createRecord, isReferenced, removeOwner, startLeaving,
+} from './owner_changes.ts';
+export { beginTakeover, clearPredecessors } from './takeover.ts';
+export {
+  completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, startMoves,
+} from './moves.ts';
+export {
+  acknowledgeWitnesses,
+  chooseWitnesses,
+  replaceWitnesses,
+  WITNESS_COUNT,
+  type WitnessCandidate,
+  type WitnessChoiceOptions,
+} from './witnesses.ts';
+export {
+  dropHotKey, MAX_HOT_KEY_BYTES, MAX_HOT_KEYS, setHotKey,
+} from './hot_keys.ts';
--- /dev/null
+++ b/placement/owner_changes.ts
@@ -0,0 +1,132 @@
+import {
+  findOwner, mapHotKeys, mapSlots, nextRecord, replaceOwner, replaceSlots, unowned, withoutMovesTo,
+} from './_change.ts';
+import { createOwnerChooser, type OwnerChooser } from './_owner_chooser.ts';
+import type {
+  HotKey, Owner, OwnerId, PlacementRecord, SlotState,
+} from './placement_record.ts';
+
+/**
+ * Creates a record without owners. Its version is 0, so that the first write makes version 1.
+ *
+ * @param service Name of the service.
+ * @param slotCount Number of slots, a power of two.
+ * @returns The record.
+ *
+ * @example
+ * const record = createRecord('turn-ledger', 64);
+ */
+export const createRecord = (service: string, slotCount: number): PlacementRecord => ({
+  service,
+  version: 0,
+  slotCount,
+  owners: [],
+  slots: Array.from({ length: slotCount }, () => unowned),
+  hotKeys: [],
+  writer: '',
+});
+
+const assign = (state: SlotState, chooser: OwnerChooser, token: number): SlotState => {
+  const owner = chooser.next();
+  return owner === undefined ? state : { ...state, owner, token };
+};
+
+const assignSlots = (record: PlacementRecord, chooser: OwnerChooser, token: number) => {
+  const replacements = new Map<number, SlotState>();
+  for (const [slot, state] of record.slots.entries()) {
+    if (state.owner !== undefined) continue;
+    const assigned = assign(state, chooser, token);
+    if (assigned !== state) replacements.set(slot, assigned);
+  }
+  return replaceSlots(record.slots, replacements);
+};
+
+const assignHotKeys = (record: PlacementRecord, chooser: OwnerChooser, token: number) => (
+  mapHotKeys(record.hotKeys, (state) => (
+    state.owner === undefined ? assign(state, chooser, token) : state
+  ))
+);
+
+/**
+ * Adds an owner and assigns the slots and hot keys that nobody owns to the active owners by weight.
+ * Slots that have an owner stay; `planRebalance` moves them.
+ *
+ * @param record The record to change.
+ * @param owner The new owner, with its witnesses.
+ * @returns The changed record, or `undefined` when an owner with this identifier was there before.
+ *
+ * @example
+ * const changed = addOwner(record, owner);
+ */
+export const addOwner = (record: PlacementRecord, owner: Owner): PlacementRecord | undefined => {
+  if (findOwner(record, owner.id) !== undefined) return undefined;
+  const owners = [...record.owners, owner];
+  const token = record.version + 1;
+  const chooser = createOwnerChooser({ ...record, owners });
+  const slots = assignSlots(record, chooser, token);
+  return nextRecord(record, { owners, slots, hotKeys: assignHotKeys(record, chooser, token) });
+};
+
+/**
+ * Marks an active owner as leaving. Planned moves towards it are dropped; it keeps its slots until
+ * they are moved away.
+ *
+ * @param record The record to change.
+ * @param ownerId The owner that leaves.
+ * @returns The changed record, or `undefined` when the owner is not active.
+ *
+ * @example
+ * const changed = startLeaving(record, 'host-1#a');
+ */
+export const startLeaving = (
+  record: PlacementRecord,
+  ownerId: OwnerId,
+): PlacementRecord | undefined => {
+  const owner = findOwner(record, ownerId);
+  if (owner?.state !== 'active') return undefined;
+  return nextRecord(record, {
+    owners: replaceOwner(record, { ...owner, state: 'leaving' }),
+    slots: mapSlots(record.slots, withoutMovesTo(ownerId)),
+    hotKeys: mapHotKeys(record.hotKeys, withoutMovesTo(ownerId)),
+  });
+};
+
+const refersTo = (state: SlotState, ownerId: OwnerId) => (
+  state.owner === ownerId || state.movingTo === ownerId || state.predecessors.includes(ownerId)
+);
+
+/**
+ * Tells whether a slot or a hot key names an owner, as owner, destination or predecessor.
+ *
+ * @param record The record to search.
+ * @param ownerId The owner to look for.
+ * @returns Whether the record still needs the owner.
+ *
+ * @example
+ * if (!isReferenced(record, 'host-1#a')) forget('host-1#a');
+ */
+export const isReferenced = (record: PlacementRecord, ownerId: OwnerId): boolean => {
+  const states: Iterable<SlotState> = new Set(record.slots);
+  for (const state of states) if (refersTo(state, ownerId)) return true;
+  return record.hotKeys.some((hotKey: HotKey) => refersTo(hotKey.state, ownerId));
+};
+
+/**
+ * Forgets an owner that is leaving or removed and that nothing refers to.
+ *
+ * @param record The record to change.
+ * @param ownerId The owner to forget.
+ * @returns The changed record, or `undefined` when the owner is unknown, active or still needed.
+ *
+ * @example
+ * const changed = removeOwner(record, 'host-1#a');
+ */
+export const removeOwner = (
+  record: PlacementRecord,
+  ownerId: OwnerId,
+): PlacementRecord | undefined => {
+  const owner = findOwner(record, ownerId);
+  if (owner === undefined || owner.state === 'active') return undefined;
+  if (isReferenced(record, ownerId)) return undefined;
+  return nextRecord(record, { owners: record.owners.filter(({ id }) => id !== ownerId) });
+};
