Add the record codec and the slot function

Cause: records are kept in the store as one value of at most 1 MB. Change: JSON text with owners and witnesses in tables, slots grouped as ranges by owner and token in base 36; reading checks the form with zod and names the field at fault.

--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -21,3 +21,6 @@
 export {
   dropHotKey, MAX_HOT_KEY_BYTES, MAX_HOT_KEYS, setHotKey,
 } from './hot_keys.ts';
+export { createSlotOfKey, type SlotOfKey } from './slot_of_key.ts';
+export { encodeRecord } from './encode_record.ts';
+export { decodeRecord } from './decode_record.ts';
