Add the HTTP store client, its stand-in server, the guard and updateEntry

Cause: nodes reach the store over HTTP, its calls are counted, and a write's reply may be lost after the write took effect. Change: createHttpStore (get, list, compare-and-swap, long-poll watch), startStoreServer over the memory store, createGuardedStore (deadline, token bucket, jittered backoff), updateEntry (settles a lost reply by the writer identifier). Conclusion: a transport failure of a write is unavailable only when the connection was never made; everything later is unknown.

--- /dev/null
+++ b/standins/mod.ts
@@ -0,0 +1,2 @@
+/** Small fakes of outside systems, for tests and for the demonstration. */
+export { startStoreServer, type StoreServer, type StoreServerOptions } from './store_server.ts';
--- /dev/null
+++ b/standins/store_server_test.ts
@@ -0,0 +1,92 @@
+import type { Result } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import type { StoreError } from '../errors/mod.ts';
+import { createHttpStore, type HttpStore } from '../store/mod.ts';
+import { startStoreServer, type StoreServer } from './mod.ts';
+
+const kindOf = (outcome: Result<unknown, StoreError>) => (
+  outcome.isErr() ? outcome.error.kind : 'ok'
+);
+
+const clock = createSystemClock();
+
+const withServer = async (run: (server: StoreServer, store: HttpStore) => Promise<void>) => {
+  const server = await startStoreServer({ clock, credential: 'c' });
+  const store = createHttpStore({
+    clock, url: server.url, credential: 'c', callTimeoutMs: 300, watchWaitMs: 100,
+  });
+  try {
+    await run(server, store);
+  } finally {
+    await store.close();
+    await server.close();
+  }
+};
+
+test('a write with an outdated revision is a conflict and changes nothing', () => (
+  withServer(async (_server, store) => {
+    const first = (await store.compareAndSwap('a/1', 0, 'é "quoted"')).unwrapOr(0);
+    assert.is(kindOf(await store.compareAndSwap('a/1', 0, 'other')), 'conflict');
+    const entry = { key: 'a/1', revision: first, value: 'é "quoted"' };
+    assert.equal((await store.get('a/1')).unwrapOr(undefined), entry);
+    assert.equal((await store.list('a/')).unwrapOr([]), [entry]);
+    assert.is((await store.get('a/2')).unwrapOr(entry), undefined);
+  })
+));
+
+test('a lost reply is unknown, although the write took effect', () => (
+  withServer(async (server, store) => {
+    server.store.loseReplies(1);
+    assert.is(kindOf(await store.compareAndSwap('a', 0, 'v')), 'unknown');
+    assert.is((await store.get('a')).unwrapOr(undefined)?.value, 'v');
+  })
+));
+
+test('a slow store: a read is unavailable and a write is unknown at the time limit', () => (
+  withServer(async (server, store) => {
+    server.store.setDelay(600);
+    const [read, write] = await Promise.all([store.get('a'), store.compareAndSwap('a', 0, 'v')]);
+    assert.is(kindOf(read), 'unavailable');
+    assert.is(kindOf(write), 'unknown');
+  })
+));
+
+test('a store that is down, gone or refuses the credential is unavailable, never unknown', () => (
+  withServer(async (server, store) => {
+    server.store.setDown(true);
+    assert.is(kindOf(await store.compareAndSwap('a', 0, 'v')), 'unavailable');
+    const stranger = createHttpStore({ clock, url: server.url, credential: 'wrong' });
+    assert.is(kindOf(await stranger.compareAndSwap('a', 0, 'v')), 'unavailable');
+    await stranger.close();
+    await server.close();
+    assert.is(kindOf(await store.compareAndSwap('a', 0, 'v')), 'unavailable');
+  })
+));
+
+test('a value of 1 MB passes and a larger one is refused', () => (
+  withServer(async (_server, store) => {
+    const value = 'x'.repeat(1024 * 1024);
+    assert.ok((await store.compareAndSwap('a', 0, value)).isOk());
+    assert.is((await store.get('a')).unwrapOr(undefined)?.value.length, value.length);
+    const larger = await store.compareAndSwap('b', 0, `${value}x`);
+    assert.is(kindOf(larger), 'too-large');
+  })
+));
+
+test('a watch outlives the wait of one poll, sees the write, and ends when aborted', () => (
+  withServer(async (_server, store) => {
+    const watch = store.watch('a/', 0);
+    await clock.sleep(250);
+    await store.compareAndSwap('b', 0, 'other');
+    await store.compareAndSwap('a/1', 0, 'v');
+    assert.equal((await watch).unwrapOr([]).map(({ key }) => key), ['a/1']);
+    const abort = new AbortController();
+    const aborted = store.watch('c/', 0, { signal: abort.signal });
+    abort.abort();
+    assert.equal((await aborted).unwrapOr(undefined), []);
+  })
+));
+
+test.run();
--- /dev/null
+++ b/store/create_guarded_store_test.ts
@@ -0,0 +1,70 @@
+import type { Result } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import type { StoreError } from '../errors/mod.ts';
+import { createGuardedStore, createMemoryStore } from './mod.ts';
+
+const kindOf = (outcome: Result<unknown, StoreError>) => (
+  outcome.isErr() ? outcome.error.kind : 'ok'
+);
+
+const setUp = () => {
+  const clock = createFakeClock();
+  const memory = createMemoryStore(clock);
+  const store = createGuardedStore(memory, {
+    clock, deadlineMs: 1000, callsPerSecond: 4, burst: 2, random: () => 0.5,
+  });
+  return { clock, memory, store };
+};
+
+test('a call without a response ends at its deadline', async () => {
+  const { clock, memory, store } = setUp();
+  memory.setDelay(5000);
+  const read = store.get('a');
+  const write = store.compareAndSwap('a', 0, 'v');
+  await clock.advance(1000);
+  assert.is(kindOf(await read), 'unavailable');
+  assert.is(kindOf(await write), 'unknown');
+});
+
+test('calls beyond the budget wait, and those that cannot start in time are not sent', async () => {
+  const { clock, memory, store } = setUp();
+  const reads = Array.from({ length: 20 }, () => store.get('a'));
+  await clock.advance(1000);
+  const sent = (await Promise.all(reads)).filter((outcome) => outcome.isOk()).length;
+  assert.ok(sent >= 5 && sent <= 6, `${sent} calls were sent`);
+  assert.is(memory.counters().reads, sent);
+  assert.equal(store.counters(), { sent, refused: 20 - sent, failed: 0 });
+});
+
+test('failures back off up to the limit, and one success ends the backoff', async () => {
+  const { clock, memory, store } = setUp();
+  memory.setDown(true);
+  for (let second = 0; second < 60; second += 1) {
+    const read = store.get('a');
+    await clock.advance(1000);
+    await read;
+  }
+  const callsWhileDown = memory.counters().reads;
+  assert.ok(callsWhileDown <= 14, `${callsWhileDown} calls in 60 s of outage`);
+  memory.setDown(false);
+  await clock.advance(10_000);
+  const first = store.get('a');
+  await clock.advance(0);
+  assert.ok((await first).isOk());
+  const second = store.get('a');
+  await clock.advance(0);
+  assert.ok((await second).isOk());
+});
+
+test('a waiting watch counts as one call and has no deadline', async () => {
+  const { clock, memory, store } = setUp();
+  const watch = store.watch('a', 0);
+  await clock.advance(60_000);
+  await memory.compareAndSwap('a', 0, 'v');
+  assert.is((await watch).unwrapOr([]).length, 1);
+  assert.is(store.counters().sent, 1);
+});
+
+test.run();
--- /dev/null
+++ b/store/create_http_store.ts
@@ -0,0 +1,206 @@
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, errors, request } from 'undici';
+import { z } from 'zod';
+import type { Clock } from '../clock/mod.ts';
+import { StoreError, type StoreErrorKind } from '../errors/mod.ts';
+import type { Store } from './store.ts';
+
+/** Options of the HTTP store client. */
+export interface HttpStoreOptions {
+  readonly clock: Clock;
+  /** Base address, for example `http://127.0.0.1:7000`. */
+  readonly url: string;
+  /** Bearer token sent with every call. */
+  readonly credential?: string;
+  /** Longest duration of a call that does not wait, in ms. */
+  readonly callTimeoutMs?: number;
+  /** How long the server may hold one watch call, in ms. */
+  readonly watchWaitMs?: number;
+}
+
+/** A store over HTTP. */
+export interface HttpStore extends Store {
+  /** Closes the connections; waiting watches end with `unavailable`. */
+  readonly close: () => Promise<void>;
+}
+
+interface Call {
+  readonly step: string;
+  readonly method: 'GET' | 'PUT';
+  readonly path: string;
+  readonly query: Readonly<Record<string, string | number>>;
+  readonly body?: string;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+const DEFAULT_CALL_TIMEOUT_MS = 2000;
+const DEFAULT_WATCH_WAIT_MS = 30_000;
+const WATCH_MARGIN_MS = 2000;
+const MAX_CONNECTIONS = 8;
+
+const entrySchema = z.object({ key: z.string(), revision: z.number(), value: z.string() });
+const getSchema = z.object({ entry: entrySchema.nullable() });
+const listSchema = z.object({ entries: z.array(entrySchema) });
+const swapSchema = z.object({ revision: z.number() });
+const failureSchema = z.object({
+  kind: z.enum(['conflict', 'unavailable', 'unknown', 'too-large']),
+  reason: z.string(),
+});
+
+/** Causes that arise before any byte of the request is sent. */
+const UNSENT_CODES = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN',
+  new errors.ConnectTimeoutError().code,
+]);
+
+const transportKind = (call: Call, cause: unknown): StoreErrorKind => {
+  if (call.method === 'GET') return 'unavailable';
+  const code = (cause as { readonly code?: unknown } | undefined)?.code;
+  return typeof code === 'string' && UNSENT_CODES.has(code) ? 'unavailable' : 'unknown';
+};
+
+/** A write that a client-side status refuses has had no effect; a 5xx leaves it open. */
+const statusKind = (call: Call, status: number): StoreErrorKind => (
+  call.method === 'PUT' && status >= 500 ? 'unknown' : 'unavailable'
+);
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+/**
+ * Creates the client of a key-value service that speaks the project's HTTP protocol:
+ * `GET /v1/entry?key`, `GET /v1/entries?prefix`, `PUT /v1/entry?key&expected` with the value as
+ * body, and the long poll `GET /v1/watch?prefix&after&wait`.
+ *
+ * @param options Address, credential and time limits in ms.
+ * @returns The store. A write whose transport fails after it may have been sent is `unknown`.
+ *
+ * @example
+ * const store = createHttpStore({ clock, url: 'http://127.0.0.1:7000' });
+ * const entry = await store.get('contracts/acme');
+ */
+export const createHttpStore = (options: HttpStoreOptions): HttpStore => {
+  const { clock, url } = options;
+  const callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  const watchWaitMs = options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
+  const dispatcher = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 });
+  // Waiting watches use connections of their own, so that they never hold up other calls.
+  const watchDispatcher = new Agent({ pipelining: 1 });
+  const headers = {
+    'content-type': 'text/plain; charset=utf-8',
+    ...(options.credential === undefined
+      ? {}
+      : { authorization: `Bearer ${options.credential}` }),
+  };
+
+  const fail = (call: Call, kind: StoreErrorKind, reason: string, cause?: unknown) => (
+    err(new StoreError(kind, reason, { step: call.step, peer: url, cause }))
+  );
+
+  const exchange = async (call: Call, signal: AbortSignal) => {
+    const query = new URLSearchParams(
+      Object.entries(call.query).map(([name, value]): [string, string] => [name, String(value)]),
+    );
+    const response = await request(`${url}${call.path}?${query.toString()}`, {
+      method: call.method,
+      headers,
+      body: call.body ?? null,
+      signal,
+      // The abort signal limits the time of the call.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      dispatcher: call.path === '/v1/watch' ? watchDispatcher : dispatcher,
+    });
+    return { status: response.statusCode, text: await response.body.text() };
+  };
+
+  const perform = async <T>(call: Call, schema: z.ZodType<T>): Promise<Result<T, StoreError>> => {
+    const abort = new AbortController();
+    const onAbort = () => abort.abort();
+    const cancelTimeout = clock.schedule(call.timeoutMs, onAbort);
+    call.signal?.addEventListener('abort', onAbort, { once: true });
+    if (call.signal?.aborted) onAbort();
+    try {
+      const { status, text } = await exchange(call, abort.signal);
+      const json = parseJson(text);
+      if (status === 200) {
+        const parsed = schema.safeParse(json);
+        if (parsed.success) return ok(parsed.data);
+        const kind = call.method === 'PUT' ? 'unknown' : 'unavailable';
+        return fail(call, kind, 'the response does not follow the protocol', parsed.error);
+      }
+      const failure = failureSchema.safeParse(json);
+      if (failure.success) return fail(call, failure.data.kind, failure.data.reason);
+      return fail(call, statusKind(call, status), `the store responded with status ${status}`);
+    } catch (cause) {
+      const reason = abort.signal.aborted
+        ? `no response within ${call.timeoutMs} ms`
+        : `the call failed: ${cause instanceof Error ? cause.message : String(cause)}`;
+      return fail(call, transportKind(call, cause), reason, cause);
+    } finally {
+      cancelTimeout();
+      call.signal?.removeEventListener('abort', onAbort);
+    }
+  };
+
+  const watch: Store['watch'] = async (prefix, afterRevision, { signal } = {}) => {
+    while (!signal?.aborted) {
+      const outcome = await perform({
+        step: 'store.watch',
+        method: 'GET',
+        path: '/v1/watch',
+        query: { prefix, after: afterRevision, wait: watchWaitMs },
+        timeoutMs: watchWaitMs + WATCH_MARGIN_MS,
+        signal,
+      }, listSchema);
+      if (signal?.aborted) break;
+      if (outcome.isErr()) return err(outcome.error);
+      if (outcome.value.entries.length > 0) return ok(outcome.value.entries);
+    }
+    return ok([]);
+  };
+
+  return {
+    get: async (key) => {
+      const outcome = await perform({
+        step: 'store.get',
+        method: 'GET',
+        path: '/v1/entry',
+        query: { key },
+        timeoutMs: callTimeoutMs,
+      }, getSchema);
+      return outcome.map(({ entry }) => entry ?? undefined);
+    },
+    list: async (prefix) => {
+      const outcome = await perform({
+        step: 'store.list',
+        method: 'GET',
+        path: '/v1/entries',
+        query: { prefix },
+        timeoutMs: callTimeoutMs,
+      }, listSchema);
+      return outcome.map(({ entries }) => entries);
+    },
+    compareAndSwap: async (key, expectedRevision, value) => {
+      const outcome = await perform({
+        step: 'store.compareAndSwap',
+        method: 'PUT',
+        path: '/v1/entry',
+        query: { key, expected: expectedRevision },
+        body: value,
+        timeoutMs: callTimeoutMs,
+      }, swapSchema);
+      return outcome.map(({ revision }) => revision);
+    },
+    watch,
+    close: async () => {
+      await Promise.all([dispatcher.destroy(), watchDispatcher.destroy()]);
+    },
+  };
+};
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -3,3 +3,11 @@
 export {
   createMemoryStore, MAX_VALUE_BYTES, type MemoryStore, type StoreCounters, type StoreFaults,
 } from './memory_store.ts';
+export { createHttpStore, type HttpStore, type HttpStoreOptions } from './create_http_store.ts';
+export {
+  createGuardedStore,
+  type GuardedStore,
+  type GuardedStoreCounters,
+  type GuardedStoreOptions,
+} from './create_guarded_store.ts';
+export { type EntryChange, updateEntry, type UpdateEntryOptions } from './update_entry.ts';
