Add the gRPC transport of control messages

Cause: control messages travel over one long-lived stream per pair of peers, which may go silent, be refused, or carry malformed messages. Change: createGrpcTransport with a bounded queue and one writing task per peer, jittered reconnection, closing of silent and of idle streams, a constant-time check of the fleet credential, mutual TLS from files, and traffic counters. The fake network no longer answers messages that carry no identifier: a message without a handler made two nodes answer each other's failures without end. A handler that throws is answered by a failure there, too.

--- /dev/null
+++ b/peer/create_grpc_transport_test.ts
@@ -0,0 +1,199 @@
+import { Client, credentials, Metadata } from '@grpc/grpc-js';
+import { once } from 'node:events';
+import {
+  type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { type ControlBody, ControlService, Envelope } from '../proto/mod.ts';
+import { silentLogger } from '../telemetry/mod.ts';
+import { createGrpcTransport, type GrpcTransport, type GrpcTransportOptions } from './mod.ts';
+
+const clock = createSystemClock();
+const MEGABYTE = 1024 * 1024;
+const TIMEOUT = { timeoutMs: 2000 };
+
+const fetchKey = (key: string): ControlBody => ({ $case: 'fetch', value: { key } });
+
+const fetched = (key: string, value: Buffer): ControlBody => ({
+  $case: 'fetched',
+  value: {
+    key, revision: 1, value, found: true,
+  },
+});
+
+const start = async (
+  node: string,
+  options: Partial<GrpcTransportOptions> = {},
+): Promise<GrpcTransport> => {
+  const transport = await createGrpcTransport({
+    clock,
+    logger: silentLogger,
+    self: { node, incarnation: '1' },
+    listenAddress: '127.0.0.1:0',
+    credential: 'fleet',
+    ...options,
+  });
+  transport.handle('fetch', ({ key }, sender) => (
+    fetched(`${key} for ${sender.node} by ${node}`, Buffer.alloc(key === 'large' ? MEGABYTE : 1))
+  ));
+  return transport;
+};
+
+const keyOf = async (transport: GrpcTransport, address: string, key = 'k') => {
+  const outcome = await transport.request(address, fetchKey(key), TIMEOUT);
+  if (outcome.isErr()) return outcome.error.message;
+  return outcome.value.$case === 'fetched' ? outcome.value.value.key : outcome.value.$case;
+};
+
+/** Forwards TCP; `silence` stops the open connections without closing them. */
+const startProxy = async (target: string) => {
+  const sockets: Socket[] = [];
+  const server = createServer((inner) => {
+    const outer = connect(Number(target.split(':')[1]), '127.0.0.1');
+    for (const socket of [inner, outer]) {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+    }
+    inner.pipe(outer).pipe(inner);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    silence: () => {
+      for (const socket of sockets) socket.unpipe().pause();
+    },
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+};
+
+test('both sides send requests on the stream that one of them opened', async () => {
+  const [a, b] = await Promise.all([start('a'), start('b')]);
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  assert.is(await keyOf(b, a.address), 'k for b by a');
+  assert.is(a.counters().streamsOpened + b.counters().streamsOpened, 1);
+  assert.is(a.counters().bytesSent, b.counters().bytesReceived);
+  await Promise.all([a.close(), b.close()]);
+});
+
+test('a record of 1 MB passes, and a message above the limit fails at the sender', async () => {
+  const [a, b] = await Promise.all([start('a'), start('b')]);
+  const outcome = await a.request(b.address, fetchKey('large'), TIMEOUT);
+  const { value } = outcome.unwrapOr(fetchKey(''));
+  assert.is('value' in value ? value.value.length : 0, MEGABYTE);
+  assert.match(await keyOf(a, b.address, 'x'.repeat(3 * MEGABYTE)), 'too large');
+  await Promise.all([a.close(), b.close()]);
+});
+
+test('a peer without the fleet credential is refused', async () => {
+  const [a, b] = await Promise.all([start('a', { credential: 'guess' }), start('b')]);
+  assert.match(await keyOf(a, b.address), 'wrong fleet credential');
+  assert.is(b.counters().messagesReceived, 0);
+  await Promise.all([a.close(), b.close()]);
+});
+
+test('malformed messages are dropped, unknown kinds answered, the stream stays open', async () => {
+  const b = await start('b');
+  const client = new Client(b.address, credentials.createInsecure());
+  const metadata = new Metadata();
+  metadata.set('authorization', 'Bearer fleet');
+  const same = (value: Buffer) => value;
+  const { path } = ControlService.exchange;
+  const stream = client.makeBidiStreamRequest<Buffer, Buffer>(path, same, same, metadata);
+  stream.on('error', () => undefined);
+  const ask = async (body?: ControlBody) => {
+    stream.write(Buffer.from(Envelope.encode({
+      fromNode: 'x', fromIncarnation: '1', id: 7, replyTo: 0, body,
+    }).finish()));
+    const [answer] = await once(stream, 'data');
+    return Envelope.decode(answer).body?.$case;
+  };
+  stream.write(Buffer.from([0xff, 0xff, 0xff]));
+  assert.is(await ask(), 'failure');
+  assert.is(await ask({ $case: 'statusQuery', value: {} }), 'failure');
+  assert.is(await ask(fetchKey('k')), 'fetched');
+  assert.is(b.counters().malformed, 1);
+  stream.cancel();
+  client.close();
+  await b.close();
+});
+
+test('a handler that throws answers with a failure that names the step', async () => {
+  const [a, b] = await Promise.all([start('a'), start('b')]);
+  b.handle('renew', () => {
+    throw new Error('fault');
+  });
+  const renew: ControlBody = { $case: 'renew', value: { service: 's', owner: 'o', witness: 'w' } };
+  const outcome = await a.request(b.address, renew, TIMEOUT);
+  assert.is(outcome.isErr() && outcome.error.step, 'peer.renew');
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  await Promise.all([a.close(), b.close()]);
+});
+
+test('a lost peer fails requests in flight at once and is reached after its restart', async () => {
+  const [a, b] = await Promise.all([start('a'), start('b')]);
+  const held = new AbortController();
+  b.handle('statusQuery', () => clock.sleep(20_000, held.signal).then(() => undefined));
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  const query: ControlBody = { $case: 'statusQuery', value: {} };
+  const startedAtMs = clock.now();
+  const inFlight = a.request(b.address, query, { timeoutMs: 20_000 });
+  await clock.sleep(50);
+  await b.close();
+  assert.ok((await inFlight).isErr());
+  assert.ok(clock.now() - startedAtMs < 5000);
+  assert.not.match(await keyOf(a, b.address), 'for a by');
+  const again = await start('b2', { listenAddress: b.address });
+  assert.is(await keyOf(a, b.address), 'k for a by b2');
+  held.abort();
+  await Promise.all([a.close(), again.close()]);
+});
+
+test('a stream that went silent is replaced while new connections work', async () => {
+  const [a, b] = await Promise.all([start('a'), start('b')]);
+  const proxy = await startProxy(b.address);
+  assert.is(await keyOf(a, proxy.address), 'k for a by b');
+  proxy.silence();
+  const lost = await a.request(proxy.address, fetchKey('k'), { timeoutMs: 350 });
+  assert.ok(lost.isErr());
+  assert.is(await keyOf(a, proxy.address), 'k for a by b');
+  assert.is(a.counters().silentStreams, 1);
+  await Promise.all([a.close(), b.close()]);
+  proxy.close();
+});
+
+test('a full queue drops messages, fails requests, and memory stays bounded', async () => {
+  const mute = createServer((socket) => socket.on('error', () => undefined).resume());
+  mute.listen(0, '127.0.0.1');
+  await once(mute, 'listening');
+  const address = `127.0.0.1:${(mute.address() as AddressInfo).port}`;
+  const a = await start('a', { maxQueuedMessages: 10 });
+  for (let count = 0; count < 100; count += 1) a.send(address, fetchKey('k'));
+  assert.match(await keyOf(a, address), 'queue to the peer is full');
+  assert.ok(a.counters().dropped >= 90);
+  await a.close();
+  mute.close();
+});
+
+test('a malformed address from gossip fails the request and nothing else', async () => {
+  const a = await start('a');
+  const outcome = await a.request('http://[bad', fetchKey('k'), { timeoutMs: 200 });
+  assert.ok(outcome.isErr());
+  await a.close();
+});
+
+test('an idle stream is closed and opened again on use', async () => {
+  const [a, b] = await Promise.all([start('a', { idleMs: 100 }), start('b')]);
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  await clock.sleep(300);
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  assert.is(a.counters().streamsOpened, 2);
+  await Promise.all([a.close(), b.close()]);
+});
+
+test.run();
--- a/peer/fake_network.ts
+++ b/peer/fake_network.ts
@@ -51,6 +51,15 @@
   value: { step: 'peer.handle', reason: `no handler for ${kind}` },
 });
 
+const runHandler = async (handler: AnyHandler, body: ControlBody, sender: Sender) => {
+  try {
+    return await handler(body.value, sender);
+  } catch (error) {
+    const value = { step: `peer.${body.$case}`, reason: String(error) };
+    return { $case: 'failure', value } satisfies ControlBody;
+  }
+};
+
 const link = (from: string, to: string) => `${from} ${to}`;
 
 /**
@@ -112,8 +121,9 @@
       const sender = { node: envelope.fromNode, incarnation: envelope.fromIncarnation };
       const reply = handler === undefined
         ? noHandler(body.$case)
-        : await handler(body.value, sender);
-      if (reply !== undefined) post(from, 0, envelope.id, reply);
+        : await runHandler(handler, body, sender);
+      // A message without an identifier expects no answer.
+      if (reply !== undefined && envelope.id !== 0) post(from, 0, envelope.id, reply);
     };
 
     const endpoint: Endpoint = {
--- a/peer/mod.ts
+++ b/peer/mod.ts
@@ -8,3 +8,8 @@
 export {
   createFakeNetwork, type FakeNetwork, type FakeNetworkCounters, type FakeNetworkOptions,
 } from './fake_network.ts';
+export { createGrpcTransport } from './create_grpc_transport.ts';
+export type {
+  GrpcTransport, GrpcTransportCounters, GrpcTransportOptions,
+} from './grpc_transport.ts';
+export type { PeerTlsFiles } from './_grpc_credentials.ts';
