Add a first admission and router

Cause: nodes need a working admission and router before the data path can be joined up. Change: createAdmission (adaptive limit, reserves, fair queues, early refusal), createRetryBudget and createRouter (keyed routes, power of two choices, slow start, outlier ejection, subsets).

--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -3,3 +3,18 @@
   Admission, AdmissionLoad, AdmissionRequest, Permit, PermitOutcome,
 } from './admission.ts';
 export type { CustomerLimits, LimitTicket, RetryBudget } from './customer_limits.ts';
+export { type AdmissionOptions, createAdmission } from './create_admission.ts';
+export {
+  type ConcurrencyLimit,
+  type ConcurrencyLimitOptions,
+  createConcurrencyLimit,
+  type LatencySample,
+} from './concurrency_limit.ts';
+export { createFairQueue, type FairQueue, type FairQueueEntry } from './fair_queue.ts';
+export { createRetryBudget, type RetryBudgetOptions } from './create_retry_budget.ts';
+export { rendezvousOrder } from './rendezvous.ts';
+export {
+  createRotatingHistogram,
+  type RotatingHistogram,
+  type RotatingHistogramOptions,
+} from './rotating_histogram.ts';
--- /dev/null
+++ b/routing/_test_support.ts
@@ -0,0 +1,63 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { Membership } from '../membership/mod.ts';
+import {
+  type InstanceInfo, InstanceState, MemberState, type MemberUpdate,
+} from '../proto/mod.ts';
+
+/** Uniform numbers from 0 to less than 1 from a fixed seed. */
+export const createRandom = (seed: number) => {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+};
+
+/** Describes one instance of service `s`. */
+export const instance = (name: string, change: Partial<InstanceInfo> = {}): InstanceInfo => ({
+  instance: name,
+  service: 's',
+  slots: 6,
+  connections: 100,
+  weight: 1,
+  state: InstanceState.INSTANCE_STATE_READY,
+  ...change,
+});
+
+/** Describes one member. */
+export const member = (
+  node: string,
+  instances: readonly InstanceInfo[] = [],
+  failureDomain = 'd',
+): MemberUpdate => ({
+  node,
+  incarnation: '1',
+  counter: 0,
+  state: MemberState.MEMBER_STATE_ALIVE,
+  region: 'r',
+  failureDomain,
+  controlAddress: `${node}:1`,
+  peerAddress: `${node}:2`,
+  instances,
+});
+
+/** A membership whose list a test replaces; the first member is the node itself. */
+export const createFakeMembership = (first: readonly MemberUpdate[]) => {
+  let members = first;
+  const listeners = new Set<(changed: MemberUpdate) => void>();
+  const membership: Membership = {
+    self: () => first[0]!,
+    members: () => members,
+    find: (node) => members.find((candidate) => candidate.node === node),
+    updateInstances: () => undefined,
+    onChange: (listener) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    leave: async () => undefined,
+    stop: async () => undefined,
+  };
+  const replace = (next: readonly MemberUpdate[]) => {
+    members = next;
+    for (const listener of listeners) listener(first[0]!);
+  };
+  return { membership, replace };
+};
--- /dev/null
+++ b/routing/choose_instance.ts
@@ -0,0 +1,89 @@
+/** What is known of an instance when a request is to be sent. */
+export interface InstanceView {
+  readonly instance: string;
+  /** 0: own failure domain, 1: own region, 2: another region. */
+  readonly distance: number;
+  /** Estimated requests in flight and queued at the instance. */
+  readonly load: number;
+  /** Measured requests per second that the instance can serve; 0 when unknown. */
+  readonly serviceRate: number;
+  /** Fraction of its usual traffic that the instance gets, for slow start and after sheds. */
+  readonly acceptance: number;
+  readonly ejected: boolean;
+}
+
+/** Options of a choice. */
+export interface ChooseOptions {
+  /** Uniform numbers from 0 to less than 1. */
+  readonly random: () => number;
+}
+
+/** A chosen instance and why it was chosen. */
+export interface InstanceChoice<View extends InstanceView> {
+  readonly view: View;
+  readonly reason: string;
+}
+
+/** A farther instance is chosen when the nearer one's expected wait is this many times its own. */
+const FAR_MARGIN = 1.5;
+/** Round trip to another failure domain. */
+const FAR_COST_MS = 1;
+const MS_PER_SECOND = 1000;
+/** Rate assumed while no instance has a measured one; only ratios matter then. */
+const NOMINAL_RATE = 100;
+
+const typicalRate = (views: readonly InstanceView[]) => {
+  const known = views.map(({ serviceRate }) => serviceRate).filter((rate) => rate > 0);
+  known.sort((left, right) => left - right);
+  return known[Math.floor(known.length / 2)] ?? NOMINAL_RATE;
+};
+
+const pickOne = <View extends InstanceView>(
+  views: readonly View[],
+  random: () => number,
+): View | undefined => {
+  const view = views[Math.floor(random() * views.length)];
+  if (view === undefined || view.acceptance >= 1 || random() < view.acceptance) return view;
+  const others = views.filter((other) => other !== view && other.acceptance >= 1);
+  return others[Math.floor(random() * others.length)] ?? view;
+};
+
+/**
+ * Chooses an instance: the better of two random ones in the nearest failure domain, unless the
+ * better of two random ones farther away is less busy by a margin. When all are ejected, ejection
+ * is ignored.
+ *
+ * @param views The instances that may be chosen.
+ * @param options Random source.
+ * @returns The choice, or `undefined` without instances.
+ *
+ * @example
+ * const choice = chooseInstance(views, { random: Math.random });
+ */
+export const chooseInstance = <View extends InstanceView>(
+  views: readonly View[],
+  options: ChooseOptions,
+): InstanceChoice<View> | undefined => {
+  const { random } = options;
+  const sound = views.filter(({ ejected }) => !ejected);
+  const usable = sound.length > 0 ? sound : views;
+  if (usable.length === 0) return undefined;
+  const nominal = typicalRate(usable);
+  const waitMs = ({ load, serviceRate }: View) => (
+    ((load + 1) * MS_PER_SECOND) / (serviceRate > 0 ? serviceRate : nominal)
+  );
+  const pickBetter = (candidates: readonly View[]) => {
+    const first = pickOne(candidates, random);
+    const second = pickOne(candidates, random);
+    if (first === undefined || second === undefined) return first ?? second;
+    return waitMs(second) < waitMs(first) ? second : first;
+  };
+  const nearest = Math.min(...usable.map(({ distance }) => distance));
+  const near = pickBetter(usable.filter(({ distance }) => distance === nearest))!;
+  const far = pickBetter(usable.filter(({ distance }) => distance > nearest));
+  if (far !== undefined && waitMs(far) * FAR_MARGIN + FAR_COST_MS < waitMs(near)) {
+    return { view: far, reason: 'less busy than the nearest failure domain' };
+  }
+  const reason = sound.length > 0 ? 'less busy of two' : 'all instances are ejected';
+  return { view: near, reason };
+};
