Keep the test of early refusal off the edge of its resolution

It expected a request whose expected time equals the time left, while measured times are rounded by up to 1 %. Change: the deadline leaves 20 ms; the expected number of refusals stays the same.

--- a/admission/create_admission_test.ts
+++ b/admission/create_admission_test.ts
@@ -107,10 +107,11 @@
     await clock.advance(100);
     asked.permit?.release('success');
   }
-  const deadlineAt = clock.now() + 500;
+  const deadlineAt = clock.now() + 520;
   const asked = Array.from({ length: 10 }, () => ask(admission, 'lookup', { deadlineAt }));
   await clock.advance(1);
-  // One slot serves a request in 100 ms: one runs, four can wait, five cannot be served in time.
+  // One slot serves a request in 100 ms, measured within 1 %: one runs, four can wait, and five
+  // cannot be served in time.
   const refused = asked.filter(({ status, outcome, retry }) => (
     status === 503 && outcome === 'not run' && retry === 1
   ));
