Add the HTTP path of a request: forward and proxy

Cause: no part of the router carried requests yet. Change: forward/ sends a request to the local instance or to a peer, with a ledger of received requests, a table of idempotency keys and the grants of the upstream; proxy/ has the caller listener, the peer listener and the local dispatch that both use.

--- /dev/null
+++ b/proxy/_response_sink.ts
@@ -0,0 +1,27 @@
+import type { ServerResponse } from 'node:http';
+import type { AnswerSink } from '../forward/mod.ts';
+
+/** Writes an answer to an HTTP response; `addHeaders` appends to its headers. */
+export const createResponseSink = (
+  response: ServerResponse,
+  addHeaders: (headers: string[]) => void,
+): AnswerSink => ({
+  start: (status, headers) => {
+    if (response.destroyed) return 'cancel';
+    addHeaders(headers);
+    try {
+      response.writeHead(status, headers);
+    } catch {
+      // The upstream sent a header that HTTP does not allow.
+      return 'cancel';
+    }
+    return 'deliver';
+  },
+  write: (chunk) => response.write(chunk),
+  onDrain: (resume) => {
+    response.once('drain', resume);
+  },
+  end: () => {
+    response.end();
+  },
+});
--- /dev/null
+++ b/proxy/caller_listener.ts
@@ -0,0 +1,192 @@
+import { randomBytes } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { CustomerLimits, RetryBudget } from '../admission/mod.ts';
+import type { Clock } from '../clock/mod.ts';
+import type { CompiledContracts, Contract, RouteMatch } from '../contract/mod.ts';
+import { type Outcome, RefusalError } from '../errors/mod.ts';
+import { endToEndHeaders, type Forwarder, REQUEST_ID_HEADER } from '../forward/mod.ts';
+import type { Router } from '../routing/mod.ts';
+import { type Logger, metricNames, type Metrics } from '../telemetry/mod.ts';
+import { type CallerRequest, createAttempts } from './_attempts.ts';
+import { createHttpServer, type Expectation, type HttpListener } from './_http_server.ts';
+import { renderProblem, sendProblem } from './_problem.ts';
+import { createRequestBody, hasBody, type RequestBody } from './_request_body.ts';
+import { findKey, findRequestProblem, parseTarget } from './_request_check.ts';
+import { createResponseSink } from './_response_sink.ts';
+import type { LocalDispatch } from './local_dispatch.ts';
+
+/** Collaborators and limits of the caller listener. */
+export interface CallerListenerOptions {
+  readonly clock: Clock;
+  readonly address: string;
+  readonly contracts: () => CompiledContracts;
+  readonly limits: CustomerLimits;
+  readonly router: Router;
+  readonly forwarder: Forwarder;
+  readonly dispatch: LocalDispatch;
+  readonly retryBudget: RetryBudget;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly maxHeaderBytes?: number;
+  readonly maxWaiting?: number;
+  readonly idleGraceMs?: number;
+}
+
+/** What the checks of a request found. */
+interface CheckedRequest {
+  readonly contract: Contract;
+  readonly match: RouteMatch;
+  readonly key: string | undefined;
+}
+
+const STEP = 'ingress.check';
+const DEFAULT_MAX_HEADER_BYTES = 16_384;
+const DEFAULT_MAX_WAITING = 1000;
+const DEFAULT_IDLE_GRACE_MS = 500;
+/** The customer's token is for the router; the identifier is set anew. */
+const CALLER_HEADERS = new Set(['authorization', REQUEST_ID_HEADER]);
+
+const refusal = (status: number, reason: string, outcome: Outcome = 'not run') => (
+  new RefusalError(reason, { step: STEP, status, outcome })
+);
+
+/**
+ * Creates the listener for callers' requests.
+ *
+ * @param options Collaborators, address and limits.
+ * @returns The listener.
+ *
+ * @example
+ * const listener = createCallerListener({ clock, address: '127.0.0.1:8080', ...parts });
+ * const address = await listener.listen();
+ */
+export const createCallerListener = (options: CallerListenerOptions): HttpListener => {
+  const {
+    clock, contracts, limits, logger, metrics,
+  } = options;
+  const runAttempts = createAttempts({
+    ...options, maxWaiting: options.maxWaiting ?? DEFAULT_MAX_WAITING,
+  });
+  const idPrefix = randomBytes(8).toString('hex');
+  let nextId = 0;
+
+  const createRequestId = () => {
+    nextId += 1;
+    return `${idPrefix}-${nextId.toString(36)}`;
+  };
+
+  const findCustomer = (message: IncomingMessage): Contract | undefined => {
+    const { authorization } = message.headers;
+    if (authorization === undefined || !/^bearer /iu.test(authorization)) return undefined;
+    return contracts().findCustomer(authorization.slice('bearer '.length).trim());
+  };
+
+  const check = (message: IncomingMessage, expect: Expectation): CheckedRequest | RefusalError => {
+    const problem = findRequestProblem(message);
+    if (problem !== undefined) return refusal(400, problem);
+    if (expect === 'other') return refusal(417, 'the expectation is not supported');
+    const target = parseTarget(message.url ?? '');
+    if (target === undefined) return refusal(400, 'the request target is invalid');
+    const contract = findCustomer(message);
+    if (contract === undefined) return refusal(401, 'no valid bearer token');
+    const match = contracts().findRoute(contract, {
+      host: message.headers.host ?? '', path: target.path, method: message.method ?? '',
+    });
+    if (match === undefined) return refusal(404, 'no route matches');
+    const key = findKey(match, target.query, message.rawHeaders);
+    if (match.service.keyed && key === undefined) return refusal(400, 'the key is missing');
+    if (Number(message.headers['content-length'] ?? 0) > match.route.maxBodyBytes) {
+      return refusal(413, 'the body is larger than the route allows');
+    }
+    return { contract, match, key };
+  };
+
+  const answerRefusal = (response: ServerResponse, error: RefusalError, requestId: string) => {
+    metrics.increment(metricNames.requestsRefused);
+    logger.debug({ request: requestId, err: error }, `refused with status ${error.status}`);
+    if (response.destroyed) return;
+    if (response.headersSent) response.destroy();
+    else sendProblem(response, error, requestId, clock);
+  };
+
+  const run = async (
+    request: CallerRequest,
+    body: RequestBody | undefined,
+    response: ServerResponse,
+  ) => {
+    const { requestId } = request;
+    const startedAt = clock.now();
+    const sink = createResponseSink(response, (headers) => {
+      headers.push(REQUEST_ID_HEADER, requestId);
+    });
+    const end = await runAttempts(request, sink);
+    body?.stream.destroy();
+    if (end.kind === 'answered') {
+      metrics.increment(metricNames.requestsAnswered);
+      metrics.timing(metricNames.requestDurationMs, clock.now() - startedAt);
+    } else if (end.kind === 'truncated') {
+      logger.warn({ request: requestId, err: end.error }, 'the answer was truncated');
+      response.destroy();
+    } else if (body?.exceeded()) {
+      const { outcome } = end.refusal;
+      const error = refusal(413, 'the body is larger than the route allows', outcome);
+      answerRefusal(response, error, requestId);
+    } else answerRefusal(response, end.refusal, requestId);
+  };
+
+  const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
+    const requestId = createRequestId();
+    const checked = check(message, expect);
+    if (checked instanceof RefusalError) {
+      answerRefusal(response, checked, requestId);
+      return;
+    }
+    const { contract, match, key } = checked;
+    const admitted = limits.admit(contract);
+    if (admitted.isErr()) {
+      answerRefusal(response, admitted.error, requestId);
+      return;
+    }
+    if (expect === 'continue') response.writeContinue();
+    const abort = new AbortController();
+    response.once('close', () => {
+      admitted.value.release();
+      if (!response.writableFinished) abort.abort();
+    });
+    const body = hasBody(message)
+      ? createRequestBody(message, match.route.maxBodyBytes)
+      : undefined;
+    const request: CallerRequest = {
+      requestId,
+      contract,
+      match,
+      customer: contract.customer,
+      share: contract.share,
+      requestClass: match.route.class,
+      service: match.service.name,
+      key,
+      deadlineAt: clock.now() + match.route.deadlineMs,
+      method: message.method ?? '',
+      path: message.url ?? '',
+      headers: endToEndHeaders(message.rawHeaders, CALLER_HEADERS),
+      body: body?.stream ?? null,
+      signal: abort.signal,
+    };
+    run(request, body, response).catch((error: unknown) => {
+      logger.error({ request: requestId, err: error }, 'a request failed in an unexpected way');
+      response.destroy();
+    });
+  };
+
+  return createHttpServer({
+    clock,
+    address: options.address,
+    maxHeaderBytes: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
+    idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
+    handle,
+    renderMalformed: (status, dispatched) => renderProblem(
+      refusal(status, 'the request is not valid HTTP', dispatched ? 'unknown' : 'not run'),
+      createRequestId(),
+    ),
+  });
+};
--- /dev/null
+++ b/proxy/mod.ts
@@ -0,0 +1,11 @@
+/** The listeners for requests: of callers and of other nodes. */
+export type { HttpListener } from './_http_server.ts';
+export { type CallerListenerOptions, createCallerListener } from './caller_listener.ts';
+export {
+  createLocalDispatch,
+  type LocalDispatch,
+  type LocalDispatchOptions,
+  type LocalUpstream,
+  OWNERSHIP_STEP,
+} from './local_dispatch.ts';
+export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
--- /dev/null
+++ b/proxy/peer_listener.ts
@@ -0,0 +1,204 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { CancelTask, Clock } from '../clock/mod.ts';
+import { requestClasses } from '../contract/mod.ts';
+import { RefusalError } from '../errors/mod.ts';
+import {
+  attemptId, endToEndHeaders, findHeader, formatLoad, HOP_PROGRESS_TIMEOUT_MS, hopHeaders,
+  type HopRequest, type ProgressTimeouts, refusalHeaders, type RequestLedger,
+} from '../forward/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+import { createHttpServer, type HttpListener } from './_http_server.ts';
+import { createRequestBody, hasBody } from './_request_body.ts';
+import { createResponseSink } from './_response_sink.ts';
+import type { LocalDispatch, LocalUpstream } from './local_dispatch.ts';
+
+/** Collaborators and limits of the peer listener. */
+export interface PeerListenerOptions {
+  readonly clock: Clock;
+  readonly address: string;
+  readonly credential: string;
+  readonly ledger: RequestLedger;
+  readonly dispatch: LocalDispatch;
+  readonly findUpstream: (instance: string) => LocalUpstream | undefined;
+  readonly logger: Logger;
+  readonly progressTimeouts?: ProgressTimeouts;
+  readonly idleGraceMs?: number;
+}
+
+const STEP = 'peer.receive';
+const CANCEL_PATH = '/v1/cancel/';
+const DEFAULT_IDLE_GRACE_MS = 500;
+/** Callers' limit and room for the headers that the ingress adds. */
+const MAX_HEADER_BYTES = 32_768;
+const INTERIM_ANSWERS_PER_TIMEOUT = 3;
+const FLEET_HEADERS = new Set(['authorization']);
+
+const digest = (text: string) => createHash('sha256').update(text).digest();
+
+const reply = (response: ServerResponse, status: number, body: string) => {
+  response.writeHead(status, [
+    'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body)),
+  ]);
+  response.end(body);
+};
+
+const parseHop = (
+  message: IncomingMessage,
+  nowMs: number,
+  body: Readable | null,
+  signal: AbortSignal,
+): HopRequest | undefined => {
+  const raw = message.rawHeaders;
+  const text = (name: string) => findHeader(raw, name) ?? '';
+  const requestClass = requestClasses.find((name) => name === text(hopHeaders.requestClass));
+  const attempt = Number(text(hopHeaders.attempt));
+  const remainingMs = Number(text(hopHeaders.remainingMs));
+  const share = Number(text(hopHeaders.share));
+  const key = findHeader(raw, hopHeaders.key);
+  const requestId = text(hopHeaders.request);
+  if (requestClass === undefined || requestId === '') return undefined;
+  if (!Number.isInteger(attempt) || !Number.isFinite(remainingMs) || !(share > 0)) return undefined;
+  try {
+    return {
+      requestId,
+      attempt,
+      customer: text(hopHeaders.customer),
+      share,
+      requestClass,
+      service: text(hopHeaders.service),
+      key: key === undefined ? undefined : decodeURIComponent(key),
+      instance: text(hopHeaders.instance),
+      version: Number(text(hopHeaders.version)),
+      deadlineAt: nowMs + remainingMs,
+      method: message.method ?? '',
+      path: message.url ?? '',
+      headers: endToEndHeaders(raw, FLEET_HEADERS),
+      body,
+      signal,
+    };
+  } catch {
+    return undefined;
+  }
+};
+
+/**
+ * Creates the listener for requests of other nodes.
+ *
+ * @param options Collaborators, address and fleet credential.
+ * @returns The listener.
+ *
+ * @example
+ * const listener = createPeerListener({ clock, address: '127.0.0.1:0', credential, ...parts });
+ * const address = await listener.listen();
+ */
+export const createPeerListener = (options: PeerListenerOptions): HttpListener => {
+  const { clock, ledger, logger } = options;
+  const expectedDigest = digest(`Bearer ${options.credential}`);
+  const silenceMs = options.progressTimeouts ?? HOP_PROGRESS_TIMEOUT_MS;
+
+  const isAuthorized = (message: IncomingMessage) => (
+    timingSafeEqual(digest(message.headers.authorization ?? ''), expectedDigest)
+  );
+
+  const cancel = (message: IncomingMessage, response: ServerResponse) => {
+    const ageMs = Number(message.headers[hopHeaders.ageMs] ?? Number.NaN);
+    const id = (message.url ?? '').slice(CANCEL_PATH.length);
+    if (!Number.isFinite(ageMs) || !/^[\w.-]+$/u.test(id)) {
+      reply(response, 400, '{"reply":"malformed"}');
+      return;
+    }
+    const state = ledger.cancel(id, ageMs);
+    logger.info({ request: id, state }, 'a peer cancelled a request');
+    reply(response, 200, JSON.stringify({ reply: state }));
+  };
+
+  const refuse = (response: ServerResponse, id: string, refusal: RefusalError, load?: string) => {
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    const headers = [
+      ...refusalHeaders(refusal), hopHeaders.request, id, 'content-length', '0',
+    ];
+    if (load !== undefined) headers.push(hopHeaders.load, load);
+    response.writeHead(refusal.status, headers);
+    response.end();
+  };
+
+  const run = async (request: HopRequest, response: ServerResponse, id: string) => {
+    let cancelInterim: CancelTask = () => undefined;
+    const intervalMs = silenceMs[request.requestClass] / INTERIM_ANSWERS_PER_TIMEOUT;
+    const sendInterim = () => {
+      if (response.headersSent || response.destroyed) return;
+      response.writeProcessing();
+      cancelInterim = clock.schedule(intervalMs, sendInterim);
+    };
+    cancelInterim = clock.schedule(intervalMs, sendInterim);
+    const sink = createResponseSink(response, (headers) => {
+      const load = options.findUpstream(request.instance)?.admission.load();
+      headers.push(hopHeaders.request, id);
+      if (load !== undefined) headers.push(hopHeaders.load, formatLoad(load));
+    });
+    try {
+      const end = await options.dispatch(request, sink);
+      if (end.kind === 'truncated') response.destroy();
+      else if (end.kind === 'refused') {
+        refuse(response, id, end.refusal, end.load && formatLoad(end.load));
+      }
+    } finally {
+      cancelInterim();
+      ledger.finish(id);
+    }
+  };
+
+  const handle = (message: IncomingMessage, response: ServerResponse) => {
+    if (!isAuthorized(message)) {
+      reply(response, 401, '{"reply":"unauthorized"}');
+      return;
+    }
+    const requestId = findHeader(message.rawHeaders, hopHeaders.request);
+    if (requestId === undefined && message.url?.startsWith(CANCEL_PATH)) {
+      cancel(message, response);
+      return;
+    }
+    const abort = new AbortController();
+    const body = hasBody(message)
+      ? createRequestBody(message, Number.POSITIVE_INFINITY).stream
+      : null;
+    const request = parseHop(message, clock.now(), body, abort.signal);
+    if (request === undefined) {
+      refuse(response, requestId ?? '', new RefusalError('malformed request between nodes', {
+        step: STEP, status: 400, outcome: 'not run',
+      }));
+      return;
+    }
+    const id = attemptId(request.requestId, request.attempt);
+    const begun = ledger.begin(id, () => abort.abort());
+    if (begun !== 'begun') {
+      refuse(response, id, new RefusalError(`the request was ${begun}`, {
+        step: STEP, status: 409, outcome: begun === 'refused' ? 'not run' : 'unknown',
+      }));
+      return;
+    }
+    response.once('close', () => {
+      if (!response.writableFinished) abort.abort();
+    });
+    run(request, response, id).catch((error: unknown) => {
+      logger.error({ request: id, err: error }, 'a request failed in an unexpected way');
+      response.destroy();
+    });
+  };
+
+  return createHttpServer({
+    clock,
+    address: options.address,
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
+    handle,
+    renderMalformed: (status) => (
+      `HTTP/1.1 ${status} Malformed\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+    ),
+  });
+};
