--- /dev/null
+++ b/daemon/_local_upstreams.ts
@@ -0,0 +1,71 @@
+import { createAdmission } from '../admission/mod.ts';
+import type { Clock } from '../clock/mod.ts';
+import { createUpstreamClient } from '../forward/mod.ts';
+import type { LocalUpstream } from '../proxy/mod.ts';
+import type { Announcement, Announcements } from './announcements.ts';
+
+/** Clients and admission of the instances beside this node. */
+export interface LocalUpstreams {
+  readonly find: (instance: string) => LocalUpstream | undefined;
+  readonly inFlight: () => number;
+  readonly stop: () => Promise<void>;
+}
+
+interface Entry extends LocalUpstream {
+  readonly url: string;
+  readonly connections: number;
+}
+
+/** Keeps a client and an admission for each announced instance. */
+export const createLocalUpstreams = (
+  options: { readonly clock: Clock; readonly announcements: Announcements },
+): LocalUpstreams => {
+  const { clock, announcements } = options;
+  const entries = new Map<string, Entry>();
+
+  const open = (announcement: Announcement): Entry => {
+    const { instance, url, connections } = announcement;
+    return {
+      url,
+      connections,
+      client: createUpstreamClient(new URL(url).host, { clock, connections }),
+      admission: createAdmission({
+        clock,
+        instance,
+        announcedSlots: () => announcements.find(instance)?.slots ?? announcement.slots,
+      }),
+    };
+  };
+
+  const close = (instance: string) => {
+    const entry = entries.get(instance);
+    entries.delete(instance);
+    entry?.client.stop();
+  };
+
+  announcements.onChange((instance, announcement) => {
+    const known = entries.get(instance);
+    if (announcement === undefined) {
+      close(instance);
+      return;
+    }
+    if (known?.url === announcement.url && known.connections === announcement.connections) return;
+    close(instance);
+    entries.set(instance, open(announcement));
+  });
+
+  return {
+    find: (instance) => entries.get(instance),
+    inFlight: () => {
+      let total = 0;
+      for (const { admission } of entries.values()) {
+        const { inFlight, queued } = admission.load();
+        total += inFlight + queued;
+      }
+      return total;
+    },
+    stop: async () => {
+      await Promise.all([...entries.values()].map(({ client }) => client.stop()));
+    },
+  };
+};
--- /dev/null
+++ b/daemon/_owner_service.ts
@@ -0,0 +1,133 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Clock } from '../clock/mod.ts';
+import type { ServiceDefinition } from '../contract/mod.ts';
+import { createUpstreamGrants } from '../forward/mod.ts';
+import {
+  createLeaseHolder, type LeaseHolder, type NodeOwnership,
+} from '../lease/mod.ts';
+import type { PeerTransport } from '../peer/mod.ts';
+import type { Placements, Placer } from '../placement/mod.ts';
+import type { Logger, Metrics } from '../telemetry/mod.ts';
+import type { Announcement, Announcements } from './announcements.ts';
+import type { Contracts } from './contracts.ts';
+
+/** Makes this node an owner of the keyed services whose instances stand beside it. */
+export interface OwnerService {
+  readonly holders: () => readonly LeaseHolder[];
+  /** Hands all slots over and resolves when this node owns none. */
+  readonly drain: () => Promise<void>;
+  readonly stop: () => void;
+}
+
+/** What the owner service works with. */
+export interface OwnerServiceOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly transport: PeerTransport;
+  readonly placements: Placements;
+  readonly placer: Placer;
+  readonly ownership: NodeOwnership;
+  readonly announcements: Announcements;
+  readonly contracts: Contracts;
+  readonly random: RandomGenerator;
+}
+
+const RECONCILE_INTERVAL_MS = 500;
+
+interface OwnedInstance {
+  readonly instance: string;
+  readonly service: string;
+  readonly holder: LeaseHolder;
+}
+
+/** Starts the task that joins, leaves and joins again after a removal. */
+export const startOwnerService = (options: OwnerServiceOptions): OwnerService => {
+  const {
+    clock, logger, placer, ownership, announcements, contracts,
+  } = options;
+  const owned = new Map<string, OwnedInstance>();
+  const stopping = new AbortController();
+  let wake = new AbortController();
+  let draining = false;
+
+  const forget = (service: string) => {
+    owned.get(service)?.holder.stop();
+    owned.delete(service);
+    ownership.detach(service);
+  };
+
+  const hold = (definition: ServiceDefinition, announcement: Announcement, ownerId: string) => {
+    const { instance } = announcement;
+    const holder = createLeaseHolder({
+      clock,
+      logger: logger.forPart('lease'),
+      metrics: options.metrics,
+      transport: options.transport,
+      placements: options.placements,
+      service: definition.name,
+      ownerId,
+      random: options.random,
+      onRemoved: () => {
+        logger.warn({ owner: ownerId }, 'the owner was removed; joining with a new incarnation');
+        forget(definition.name);
+        wake.abort();
+      },
+    });
+    owned.set(definition.name, { instance, service: definition.name, holder });
+    ownership.attach(holder, {
+      instance,
+      ...(definition.checksGrants
+        ? { grants: createUpstreamGrants(new URL(announcement.url).host, { clock }) }
+        : {}),
+    });
+  };
+
+  const join = async (announcement: Announcement) => {
+    const definition = contracts.compiled().findService(announcement.service);
+    if (!definition?.keyed || owned.has(definition.name)) return;
+    const joined = await placer.join(definition, announcement);
+    if (joined.isErr()) {
+      logger.warn({ error: joined.error.message }, 'could not join as an owner; trying again');
+      return;
+    }
+    if (!stopping.signal.aborted) hold(definition, announcement, joined.value);
+  };
+
+  const reconcile = async () => {
+    for (const { instance } of announcements.instances()) {
+      const announcement = announcements.find(instance);
+      if (announcement === undefined || draining) continue;
+      if (announcement.state === 'draining') await placer.drain();
+      else await join(announcement);
+    }
+  };
+
+  const run = async () => {
+    while (!stopping.signal.aborted) {
+      await reconcile();
+      wake = new AbortController();
+      await clock.sleep(RECONCILE_INTERVAL_MS, AbortSignal.any([wake.signal, stopping.signal]));
+    }
+  };
+
+  announcements.onChange((instance, announcement) => {
+    if (announcement === undefined) {
+      for (const entry of owned.values()) if (entry.instance === instance) forget(entry.service);
+    }
+    wake.abort();
+  });
+  run().catch((error: unknown) => logger.error({ err: error }, 'the owner task ended'));
+
+  return {
+    holders: () => [...owned.values()].map(({ holder }) => holder),
+    drain: async () => {
+      draining = true;
+      await placer.drain();
+    },
+    stop: () => {
+      stopping.abort();
+      for (const service of [...owned.keys()]) forget(service);
+    },
+  };
+};
--- a/daemon/mod.ts
+++ b/daemon/mod.ts
@@ -7,3 +7,5 @@
   CONTRACT_PREFIX, ContractConflict, type ContractRevision, type Contracts, createContracts,
 } from './contracts.ts';
 export { createOperatorApi, type NodeStatus, type OperatorBackend } from './operator_api.ts';
+export { type NodeOptions, type RunningNode, startNode } from './start_node.ts';
+export type { NodeAddresses } from './_control_services.ts';
--- a/daemon/start_node.ts
+++ b/daemon/start_node.ts
@@ -1,1 +1,129 @@
-export {};
+import type { Clock } from '../clock/mod.ts';
+import { createKernel } from '../kernel/mod.ts';
+import type { Membership } from '../membership/mod.ts';
+import type { GrpcTransport } from '../peer/mod.ts';
+import type { Status } from '../proto/mod.ts';
+import {
+  createLogger, createMetrics, type Logger, type Metrics, silentMetrics,
+} from '../telemetry/mod.ts';
+import type { Announcements } from './announcements.ts';
+import {
+  createIncarnation, type NodeAddresses, registerControlServices,
+} from './_control_services.ts';
+import { type NodeStatusSource, registerStatus } from './_node_status.ts';
+import { type OperatorListener, registerOperatorServices } from './_operator_services.ts';
+import type { OwnerService } from './_owner_service.ts';
+import { registerOwnershipServices } from './_ownership_services.ts';
+import { type BoundListener, registerRequestServices } from './_request_services.ts';
+import type { Settings } from './settings.ts';
+
+/** Options of a node. */
+export interface NodeOptions {
+  readonly clock: Clock;
+  /** Destination of the log lines; standard output by default. */
+  readonly logStream?: NodeJS.WritableStream;
+}
+
+/** A running node. */
+export interface RunningNode {
+  readonly addresses: NodeAddresses;
+  readonly status: () => Status;
+  /** Hands all slots over; the node goes on answering and passing on requests. */
+  readonly drain: () => Promise<void>;
+  /** Planned stop: drains, finishes what is in flight and stops. */
+  readonly stop: () => Promise<void>;
+  /** Stops at once without handing anything over, as the loss of the process does. */
+  readonly kill: () => Promise<void>;
+}
+
+/** A planned stop does not wait longer than this for its slots to move. */
+const DRAIN_TIMEOUT_MS = 60_000;
+/** Peers learn within this time that the instances of a node are draining. */
+const SPREAD_TIME_MS = 2000;
+
+/**
+ * Starts a node.
+ *
+ * @param settings Checked settings.
+ * @param options Clock and destination of log lines.
+ * @returns The node, once all its listeners are bound.
+ * @throws {StepError} when an address cannot be bound or a key file cannot be read.
+ *
+ * @example
+ * const node = await startNode(settings, { clock: createSystemClock() });
+ * await node.stop();
+ */
+export const startNode = async (settings: Settings, options: NodeOptions): Promise<RunningNode> => {
+  const { clock } = options;
+  const kernel = createKernel();
+  const incarnation = createIncarnation(clock);
+  const logger = createLogger('node', {
+    level: settings.log.level,
+    node: settings.node,
+    ...(options.logStream === undefined ? {} : { stream: options.logStream }),
+  });
+  let draining = false;
+
+  const drain = async () => {
+    draining = true;
+    kernel.find<Announcements>('announcements').drainAll();
+    const timeout = new AbortController();
+    await Promise.race([
+      kernel.find<OwnerService>('owner').drain(),
+      clock.sleep(DRAIN_TIMEOUT_MS, timeout.signal),
+    ]);
+    timeout.abort();
+  };
+
+  kernel.register<Clock>({ name: 'clock', needs: [], start: () => ({ service: clock }) });
+  kernel.register<Logger>({ name: 'logger', needs: [], start: () => ({ service: logger }) });
+  kernel.register<Metrics>({
+    name: 'metrics',
+    needs: [],
+    start: () => {
+      const metrics = settings.metrics === undefined
+        ? silentMetrics
+        : createMetrics({ ...settings.metrics, node: settings.node });
+      return { service: metrics, stop: metrics.close };
+    },
+  });
+  registerControlServices(kernel, settings, incarnation);
+  registerOwnershipServices(kernel, settings.node, incarnation);
+  registerRequestServices(kernel, settings);
+  registerStatus(kernel, settings.node, incarnation, () => draining);
+  registerOperatorServices(kernel, settings, drain);
+  try {
+    await kernel.start();
+  } catch (error) {
+    await kernel.stop();
+    throw error;
+  }
+
+  const membership = kernel.find<Membership>('membership');
+  const announcements = kernel.find<Announcements>('announcements');
+  announcements.onChange(() => membership.updateInstances(announcements.instances()));
+
+  const addresses: NodeAddresses = {
+    caller: kernel.find<BoundListener>('caller-listener').address,
+    peer: kernel.find<BoundListener>('peer-listener').address,
+    control: kernel.find<GrpcTransport>('transport').address,
+    operator: kernel.find<OperatorListener>('operator-listener').address,
+  };
+  logger.info({ addresses, incarnation }, 'started');
+
+  return {
+    addresses,
+    status: kernel.find<NodeStatusSource>('status').own,
+    drain,
+    stop: async () => {
+      await drain();
+      await clock.sleep(SPREAD_TIME_MS);
+      await kernel.find<BoundListener>('caller-listener').stop();
+      await kernel.find<BoundListener>('peer-listener').stop();
+      await membership.leave();
+      await kernel.stop();
+      logger.info({}, 'stopped');
+    },
+    kill: () => kernel.stop(),
+  };
+};
--- a/kernel/kernel.ts
+++ b/kernel/kernel.ts
@@ -21,6 +21,7 @@
 export interface Kernel {
   readonly register: <T>(definition: ServiceDefinition<T>) => void;
   readonly find: FindService;
+  readonly isRunning: (name: string) => boolean;
   readonly start: () => Promise<void>;
   /**
    * Stops the started services in reverse order; a failing stop does not keep the others from
@@ -95,6 +96,7 @@
       definitions.set(definition.name, definition);
     },
     find,
+    isRunning: (name) => running.has(name),
     start: async () => {
       for (const name of definitions.keys()) await startService(name);
     },
