--- /dev/null
+++ b/lease/ownership_test.ts
@@ -0,0 +1,121 @@
+import { ok } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { setHotKey, startMoves } from '../placement/mod.ts';
+import { createCluster } from './_test_cluster.ts';
+import { SERVICE } from './_test_placements.ts';
+import type { GrantRequest, UpstreamGrants } from './mod.ts';
+
+type Cluster = Awaited<ReturnType<typeof createCluster>>;
+
+const reasonAt = (cluster: Cluster, node: string, key: string) => (
+  cluster.at(node).ownership.enter(SERVICE, key).match(() => 'entered', ({ reason }) => reason)
+);
+
+test('a pause between check and dispatch cancels the request and refuses the next', async () => {
+  const cluster = await createCluster();
+  const key = cluster.keysOf('n1')[0] ?? '';
+  const ticket = cluster.hold('n1', key);
+  cluster.freeze('n1');
+  await cluster.advance(500);
+  cluster.resume('n1');
+  assert.ok(ticket.signal.aborted);
+  assert.is(reasonAt(cluster, 'n1', key), 'lapsed');
+  await cluster.advance(500);
+  assert.is(reasonAt(cluster, 'n1', key), 'entered');
+  assert.ok(ticket.signal.aborted, 'a ticket of a lapsed lease stays cancelled');
+});
+
+test('a lease that lapses during a pause is not valid before a renewal sent after it', async () => {
+  const cluster = await createCluster();
+  const keys = cluster.keysOf('n1');
+  cluster.store.setDown(true);
+  cluster.freeze('n1');
+  await cluster.advance(1_500);
+  cluster.resume('n1');
+  for (const key of keys) assert.is(reasonAt(cluster, 'n1', key), 'lapsed');
+  await cluster.advance(500);
+  for (const key of keys) assert.is(reasonAt(cluster, 'n1', key), 'entered');
+});
+
+test('a lease lapses without a majority of witnesses and aborts its tickets in time', async () => {
+  const cluster = await createCluster();
+  cluster.store.setDown(true);
+  const ticket = cluster.hold('n1', cluster.keysOf('n1')[0] ?? '');
+  for (const witness of ['n2', 'n4']) cluster.setCut('n1', witness);
+  await cluster.advance(600);
+  assert.not(ticket.signal.aborted);
+  await cluster.advance(310);
+  assert.ok(ticket.signal.aborted);
+});
+
+const createRecorder = () => {
+  const calls: string[] = [];
+  const record = (call: string) => async ({ instance, slots, hotKeys }: GrantRequest) => {
+    calls.push(`${call} ${instance} ${[...slots, ...hotKeys]}`);
+    return ok(undefined);
+  };
+  const grants: UpstreamGrants = { grant: record('grant'), revoke: record('revoke') };
+  return { calls, grants };
+};
+
+test('a planned move waits for the requests in flight and revokes before it grants', async () => {
+  const { calls, grants } = createRecorder();
+  const cluster = await createCluster({ grants });
+  const key = cluster.keysOf('n1')[0] ?? '';
+  const slot = Number(key.slice(1));
+  const ticket = cluster.hold('n1', key);
+  const to = cluster.at('n2').id;
+  calls.length = 0;
+  const move = { kind: 'slot', slot, to } as const;
+  await cluster.update('n0', (record) => record && startMoves(record, [move]));
+  await cluster.advance(1_500);
+  assert.is(reasonAt(cluster, 'n1', key), 'moving');
+  assert.is(reasonAt(cluster, 'n2', key), 'not-owner');
+  assert.not(ticket.signal.aborted);
+  assert.equal(calls, []);
+  ticket.release();
+  assert.ok(await cluster.advanceUntilServed(200, [key]) < 200);
+  assert.is(reasonAt(cluster, 'n2', key), 'entered');
+  assert.equal(calls, [`revoke n1-instance ${slot}`, `grant n2-instance ${slot}`]);
+});
+
+test('a key that becomes hot moves away only after its own requests have ended', async () => {
+  const cluster = await createCluster();
+  const key = cluster.keysOf('n1')[0] ?? '';
+  const slot = Number(key.slice(1));
+  const neighbour = `k${slot + 10}`;
+  const ticket = cluster.hold('n1', key);
+  const other = cluster.hold('n1', neighbour);
+  const to = cluster.at('n2').id;
+  await cluster.update('n0', (record) => record && setHotKey(record, key, slot, to));
+  await cluster.advance(200);
+  assert.is(reasonAt(cluster, 'n1', key), 'moving');
+  ticket.release();
+  await cluster.advance(200);
+  assert.is(reasonAt(cluster, 'n2', key), 'entered');
+  assert.is(reasonAt(cluster, 'n1', neighbour), 'entered');
+  assert.not(other.signal.aborted);
+});
+
+test('a planned move whose write loses its reply never serves at both ends', async () => {
+  const cluster = await createCluster();
+  const key = cluster.keysOf('n1')[0] ?? '';
+  const move = { kind: 'slot', slot: Number(key.slice(1)), to: cluster.at('n2').id } as const;
+  await cluster.update('n0', (record) => record && startMoves(record, [move]));
+  cluster.store.loseReplies(1);
+  assert.ok(await cluster.advanceUntilServed(2_000, [key]) < 2_000);
+  assert.is(reasonAt(cluster, 'n2', key), 'entered');
+});
+
+test('an owner lost during a planned move is taken over', async () => {
+  const cluster = await createCluster();
+  const key = cluster.keysOf('n1')[0] ?? '';
+  cluster.hold('n1', key);
+  const move = { kind: 'slot', slot: Number(key.slice(1)), to: cluster.at('n2').id } as const;
+  await cluster.update('n0', (record) => record && startMoves(record, [move]));
+  cluster.kill('n1');
+  assert.ok(await cluster.advanceUntilServed(2_000) < 2_000);
+});
+
+test.run();
