Read and write slot ranges with fewer allocations

Cause: decoding the worst record at the two-year size took 131 to 153 ms in a warm process. Change: ranges are scanned by character, and settled slots are grouped by owner without a string.

--- a/placement/_slot_ranges.ts
+++ b/placement/_slot_ranges.ts
@@ -1,5 +1,5 @@
 const RADIX = 36;
-const NUMBER = /^[0-9a-z]{1,10}$/u;
+const MAX_DIGITS = 10;
 
 /** Slots that share one token. */
 export interface TokenSlots {
@@ -28,36 +28,48 @@
   .map(({ token, slots }) => `${token.toString(RADIX)}:${formatSlots(slots)}`)
   .join(';');
 
-const parseNumber = (text: string | undefined) => (
-  text !== undefined && NUMBER.test(text) ? Number.parseInt(text, RADIX) : undefined
-);
+/** Consecutive slots with one token. */
+export interface TokenRange {
+  readonly token: number;
+  readonly first: number;
+  readonly last: number;
+}
 
-const parseSlots = (text: string, slotCount: number): readonly number[] | undefined => {
-  const slots: number[] = [];
-  for (const range of text.split(',')) {
-    const [start, end, ...rest] = range.split('-');
-    const first = parseNumber(start);
-    const last = end === undefined ? first : parseNumber(end);
-    if (first === undefined || last === undefined || rest.length > 0) return undefined;
-    if (last < first || last >= slotCount) return undefined;
-    for (let slot = first; slot <= last; slot += 1) slots.push(slot);
-  }
-  return slots;
+const digitOf = (code: number) => {
+  if (code >= 48 && code <= 57) return code - 48;
+  return code >= 97 && code <= 122 ? code - 87 : undefined;
 };
 
-/** Reads what `formatRanges` wrote; `undefined` when the text is malformed. */
-export const parseRanges = (
-  text: string,
-  slotCount: number,
-): readonly TokenSlots[] | undefined => {
-  const groups: TokenSlots[] = [];
-  for (const part of text.split(';')) {
-    const [tokenText, slotsText, ...rest] = part.split(':');
-    const token = parseNumber(tokenText);
-    if (token === undefined || slotsText === undefined || rest.length > 0) return undefined;
-    const slots = parseSlots(slotsText, slotCount);
-    if (slots === undefined) return undefined;
-    groups.push({ token, slots });
+/**
+ * Reads what `formatRanges` wrote; `undefined` when the text is malformed. It scans characters
+ * instead of splitting the text, because a record may hold a range for each of 32,768 slots.
+ */
+export const parseRanges = (text: string, slotCount: number): readonly TokenRange[] | undefined => {
+  const ranges: TokenRange[] = [];
+  let token: number | undefined;
+  let first: number | undefined;
+  let value = 0;
+  let digits = 0;
+  for (let position = 0; position <= text.length; position += 1) {
+    const digit = position < text.length ? digitOf(text.charCodeAt(position)) : undefined;
+    if (digit !== undefined) {
+      value = value * RADIX + digit;
+      digits += 1;
+      continue;
+    }
+    if (digits === 0 || digits > MAX_DIGITS) return undefined;
+    const separator = text[position] ?? ';';
+    if (separator === ':' && token === undefined) token = value;
+    else if (separator === '-' && token !== undefined && first === undefined) first = value;
+    else if ((separator === ',' || separator === ';') && token !== undefined) {
+      const start = first ?? value;
+      if (value < start || value >= slotCount) return undefined;
+      ranges.push({ token, first: start, last: value });
+      first = undefined;
+      if (separator === ';') token = undefined;
+    } else return undefined;
+    value = 0;
+    digits = 0;
   }
-  return groups;
+  return ranges;
 };
--- a/placement/decode_record.ts
+++ b/placement/decode_record.ts
@@ -82,9 +82,15 @@
     if (holder.isErr()) return err(holder.error);
     const ranges = parseRanges(group.ranges, json.slotCount);
     if (ranges === undefined) return err({ field: `${field}.ranges`, reason: 'is malformed' });
-    for (const { token, slots: members } of ranges) {
-      const state: SlotState = { ...holder.value, token };
-      for (const slot of members) {
+    const { owner, predecessors, movingTo } = holder.value;
+    let state: SlotState | undefined;
+    for (const { token, first, last } of ranges) {
+      if (state?.token !== token) {
+        state = {
+          owner, token, predecessors, movingTo,
+        };
+      }
+      for (let slot = first; slot <= last; slot += 1) {
         if (slots[slot] !== undefined) {
           return err({ field: `${field}.ranges`, reason: `slot ${slot} is given twice` });
         }
--- a/placement/encode_record.ts
+++ b/placement/encode_record.ts
@@ -52,32 +52,36 @@
 };
 
 interface SlotGroup {
-  readonly holder: HolderJson;
+  readonly state: SlotState;
   readonly byToken: Map<number, number[]>;
 }
 
+/** Settled slots, nearly all of a record, are grouped by their owner without building a string. */
+const groupIdOf = ({ owner, predecessors, movingTo }: SlotState) => (
+  predecessors.length === 0 && movingTo === undefined
+    ? owner
+    : ` ${owner} ${movingTo} ${predecessors.join(' ')}`
+);
+
 const encodeSlots = (
   slots: readonly SlotState[],
   encodeHolder: (state: SlotState) => HolderJson,
 ): SlotGroupJson[] => {
-  const groups = new Map<string, SlotGroup>();
-  const groupOf = new Map<SlotState, SlotGroup>();
+  const groups = new Map<string | undefined, SlotGroup>();
   for (const [slot, state] of slots.entries()) {
-    let group = groupOf.get(state);
+    const id = groupIdOf(state);
+    let group = groups.get(id);
     if (group === undefined) {
-      const holder = encodeHolder(state);
-      const id = JSON.stringify(holder);
-      group = groups.get(id) ?? { holder, byToken: new Map() };
+      group = { state, byToken: new Map() };
       groups.set(id, group);
-      groupOf.set(state, group);
     }
     const sameToken = group.byToken.get(state.token);
     if (sameToken === undefined) group.byToken.set(state.token, [slot]);
     else sameToken.push(slot);
   }
-  return [...groups.values()].map(({ holder, byToken }) => {
+  return [...groups.values()].map(({ state, byToken }) => {
     const tokens = [...byToken].map(([token, members]) => ({ token, slots: members }));
-    return { ...holder, ranges: formatRanges(tokens) };
+    return { ...encodeHolder(state), ranges: formatRanges(tokens) };
   });
 };
 
