--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -24,3 +24,6 @@
 export { createSlotOfKey, type SlotOfKey } from './slot_of_key.ts';
 export { encodeRecord } from './encode_record.ts';
 export { decodeRecord } from './decode_record.ts';
+export {
+  DEFAULT_HYSTERESIS, DEFAULT_MAX_MOVES, planRebalance, type RebalanceOptions,
+} from './plan_rebalance.ts';
