Find hot keys and plan owners of their own

Cause: the hottest keys change within minutes and may overload their slot's owner. Conclusion: moving slots off the owner of a key that is too hot to move is not planned yet.

--- /dev/null
+++ b/placement/hot_keys_test.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  completeMoves, createHotKeySketch, planHotKeys, setHotKey,
+} from './mod.ts';
+import { testOwner, testRecord } from './_test_owners.ts';
+
+const SEED = 20_264;
+
+test('guards against a hot key that the sketch misses, against exact counts', () => {
+  const stream = fc.array(fc.integer({ min: 0, max: 30 }), { maxLength: 400, size: 'max' });
+  fc.assert(fc.property(stream, fc.integer({ min: 1, max: 12 }), (keys, capacity) => {
+    const sketch = createHotKeySketch(capacity);
+    const exact = new Map<string, number>();
+    for (const key of keys) {
+      sketch.add(`${key}`);
+      exact.set(`${key}`, (exact.get(`${key}`) ?? 0) + 1);
+    }
+    const found = new Map(sketch.top(capacity).map((entry) => [entry.key, entry]));
+    assert.ok(found.size <= capacity);
+    for (const [key, count] of exact) {
+      const entry = found.get(key);
+      assert.ok(entry !== undefined || count <= keys.length / capacity, `missed ${key}`);
+      if (entry === undefined) continue;
+      assert.ok(entry.count >= count && entry.count - entry.error <= count, key);
+    }
+  }), { seed: SEED, numRuns: 300 });
+});
+
+test('guards against former hot keys that hide new ones', () => {
+  const sketch = createHotKeySketch(2);
+  for (let request = 0; request < 64; request += 1) sketch.add('old');
+  for (let period = 0; period < 7; period += 1) sketch.halve();
+  for (let request = 0; request < 3; request += 1) sketch.add('new');
+  assert.equal(sketch.top(2), [{ key: 'new', count: 3, error: 0 }]);
+  sketch.add('other');
+  sketch.add('third');
+  assert.equal(sketch.top(2)[1], { key: 'third', count: 2, error: 1 });
+});
+
+const owners = [0, 1, 2, 3].map((value) => testOwner(value));
+const record = testRecord(64, owners);
+const slot = record.slots.findIndex((state) => state.owner === 'n0#a');
+
+const rates = (first: number, others: number) => new Map(owners.map(({ id }, index) => (
+  [id, index === 0 ? first : others + index])));
+
+test('guards against a hot key that overloads its owner for good', () => {
+  const keyRates = [{ key: 'k', slot, requestsPerSecond: 600 }];
+  const plan = planHotKeys(record, { ownerRates: rates(1000, 100), keyRates });
+  assert.equal(plan, { set: [{ key: 'k', slot, to: 'n1#a' }], drop: [] });
+});
+
+test('guards against a key that moves back and forth or only shifts the overload', () => {
+  const keyRates = [{ key: 'k', slot, requestsPerSecond: 950 }];
+  const plan = planHotKeys(record, { ownerRates: rates(1000, 100), keyRates });
+  assert.equal(plan, { set: [], drop: [] });
+  const even = planHotKeys(record, { ownerRates: rates(105, 100), keyRates });
+  assert.equal(even.set, []);
+});
+
+test('guards against entries that stay after their key has cooled', () => {
+  const hot = completeMoves(setHotKey(record, 'k', slot, 'n1#a')!, 'n0#a', [], ['k'])!;
+  const load = { ownerRates: rates(100, 100), keyRates: [] };
+  assert.equal(planHotKeys(hot, load).drop, ['k']);
+  const warm = [{ key: 'k', slot, requestsPerSecond: 9 }];
+  assert.equal(planHotKeys(hot, { ...load, keyRates: warm }).drop, []);
+});
+
+test.run();
--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -27,3 +27,14 @@
 export {
   DEFAULT_HYSTERESIS, DEFAULT_MAX_MOVES, planRebalance, type RebalanceOptions,
 } from './plan_rebalance.ts';
+export { createHotKeySketch, type HotKeyCount, type HotKeySketch } from './hot_key_sketch.ts';
+export {
+  COOL_KEY_SHARE,
+  HOT_KEY_SHARE,
+  HOT_OWNER_EXCESS,
+  type HotKeyPlan,
+  type HotKeyPlanOptions,
+  type KeyRate,
+  planHotKeys,
+  type ServiceLoad,
+} from './plan_hot_keys.ts';
