Divide customer limits over the fleet by demand

Cause: a customer's limit counts for the whole fleet, while each node sees only its own requests. Change: createCustomerLimits reports demand to the customer's allotment node, which grants parts by max-min division that expire; without a grant a node uses an even split. Reports follow changes of demand.

--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -11,6 +11,15 @@
   type LatencySample,
 } from './concurrency_limit.ts';
 export { createFairQueue, type FairQueue, type FairQueueEntry } from './fair_queue.ts';
+export {
+  type AllotmentTable,
+  createAllotmentTable,
+  type DemandReport,
+  type GrantedPart,
+  type LimitPart,
+} from './allotment_table.ts';
+export { createCustomerLimits, type CustomerLimitsOptions } from './create_customer_limits.ts';
+export { divideMaxMin } from './divide_max_min.ts';
 export { createRetryBudget, type RetryBudgetOptions } from './create_retry_budget.ts';
 export { rendezvousOrder } from './rendezvous.ts';
 export {
