Add the SWIM membership, the directory of nodes and rendezvous choice

Cause: nodes need to know each other without a list of hosts, with the store down, and across partitions, at a low and steady number of bytes. Change: createMembership (probes through 3 others, suspicion, refutation, pushes under a byte budget, anti-entropy, retry of lost members and seeds, directory entry written on join and leave), rendezvousRank, chooseByRendezvous.

--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -1,2 +1,5 @@
-/** Membership of the fleet by gossip. */
+/** Membership of the fleet by gossip, and placement of duties by rendezvous hash. */
 export type { MemberDescription, Membership } from './membership.ts';
+export { createMembership, type MembershipOptions } from './create_membership.ts';
+export type { MembershipTimings } from './_timings.ts';
+export { chooseByRendezvous, rendezvousRank } from './rendezvous.ts';
