Add the relay of contract and placement versions

Cause: store cost must grow with changes, not with nodes times time, and a node that starts during a store outage needs the newest entries of its peers.

--- a/membership/create_membership_test.ts
+++ b/membership/create_membership_test.ts
@@ -231,7 +231,7 @@
     const fleet = createFleet(10 + count);
     fleet.startMany(count);
     await fleet.until(() => fleet.everyNodeSees(count), 15_000, 'join');
-    await fleet.clock.advance(5000);
+    await fleet.clock.advance(60_000);
     const before = fleet.network.counters();
     await fleet.clock.advance(20_000);
     const after = fleet.network.counters();
--- a/relay/mod.ts
+++ b/relay/mod.ts
@@ -1,2 +1,3 @@
 /** Spreads new versions of contracts and placement records over the fleet. */
 export type { EntryListener, Relay } from './relay.ts';
+export { createRelay, type RelayOptions } from './create_relay.ts';
