--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -38,3 +38,6 @@
   planHotKeys,
   type ServiceLoad,
 } from './plan_hot_keys.ts';
+export {
+  createPlacements, type PlacementsOptions, type RunningPlacements,
+} from './create_placements.ts';
