Add the placer of a node

Cause: joins, drains, lost witnesses and imbalance have to change records without an operator. Change: a pass a second on each node; the first active owner by rendezvous hash that membership shows replaces witnesses, forgets owners, plans hot keys and starts moves in one write.

--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -6,9 +6,9 @@
 export {
   addOwner, createRecord, isReferenced, removeOwner, startLeaving,
 } from './owner_changes.ts';
-export { beginTakeover, clearPredecessors } from './takeover.ts';
+export { beginTakeover, clearPredecessors, confirmLostOwner } from './takeover.ts';
 export {
-  completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, startMoves,
+  completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, sourceOf, startMoves,
 } from './moves.ts';
 export {
   acknowledgeWitnesses,
@@ -41,3 +41,6 @@
 export {
   createPlacements, type PlacementsOptions, type RunningPlacements,
 } from './create_placements.ts';
+export { combineChanges, type RecordChange } from './combine_changes.ts';
+export { type DrainOptions, type JoiningInstance, type Placer } from './placer.ts';
+export { createPlacer, type PlacerOptions } from './create_placer.ts';
--- a/placement/moves.ts
+++ b/placement/moves.ts
@@ -25,6 +25,22 @@
   state.owner !== undefined && state.movingTo === undefined && state.predecessors.length === 0
 );
 
+/**
+ * Finds the owner that a planned move starts from.
+ *
+ * @param record The record of the plan.
+ * @param move The planned move.
+ * @returns The owner, or `undefined` when the slot or the hot key has none.
+ *
+ * @example
+ * const from = sourceOf(record, { kind: 'slot', slot: 7, to: 'host-2#b' });
+ */
+export const sourceOf = (record: PlacementRecord, move: PlannedMove): OwnerId | undefined => (
+  move.kind === 'slot'
+    ? record.slots[move.slot]?.owner
+    : record.hotKeys.find(({ key }) => key === move.key)?.state.owner
+);
+
 /**
  * Marks slots and hot keys as moving. A move is left out when its destination is not active, when
  * the slot is there or moving already, or while the slot still has predecessors to clear.
--- a/placement/takeover.ts
+++ b/placement/takeover.ts
@@ -77,3 +77,32 @@
     hotKeys: mapHotKeys(record.hotKeys, clear),
   });
 };
+
+/**
+ * Takes over from an owner that an operator has confirmed as lost. Nothing is left to be cleared,
+ * so it also ends a takeover whose witnesses cannot answer.
+ *
+ * @param record The record to change.
+ * @param ownerId The owner whose process no longer runs.
+ * @returns The changed record, or `undefined` when the owner is unknown or nothing refers to it.
+ *
+ * @example
+ * const changed = confirmLostOwner(record, 'host-1#a');
+ */
+export const confirmLostOwner = (
+  record: PlacementRecord,
+  ownerId: OwnerId,
+): PlacementRecord | undefined => {
+  const clear = (state: SlotState): SlotState => (
+    state.predecessors.includes(ownerId)
+      ? { ...state, predecessors: state.predecessors.filter((id) => id !== ownerId) }
+      : state
+  );
+  const taken = beginTakeover(record, ownerId);
+  const { owners, slots, hotKeys } = taken ?? record;
+  return nextRecord(record, {
+    owners,
+    slots: mapSlots(slots, clear),
+    hotKeys: mapHotKeys(hotKeys, clear),
+  });
+};
