Let a takeover avoid owners that are probably lost too

Cause: the loss of a failure domain would hand slots from one lost owner to the next. Conclusion: the lease part can name the owners that membership no longer shows.

--- a/placement/_owner_chooser.ts
+++ b/placement/_owner_chooser.ts
@@ -43,11 +43,17 @@
 
 /**
  * Chooses, among the active owners below their bound, one in the failure domain with the least load
- * for its weight, and there the owner with the least load for its weight.
+ * for its weight, and there the owner with the least load for its weight. Owners to avoid are
+ * chosen only when there is no other.
  */
-export const createOwnerChooser = (record: PlacementRecord): OwnerChooser => {
+export const createOwnerChooser = (
+  record: PlacementRecord,
+  avoid: readonly OwnerId[] = [],
+): OwnerChooser => {
   const counts = countSlots(record);
-  const active = record.owners.filter((owner) => owner.state === 'active');
+  const allActive = record.owners.filter((owner) => owner.state === 'active');
+  const preferred = allActive.filter((owner) => !avoid.includes(owner.id));
+  const active = preferred.length > 0 ? preferred : allActive;
   const totalWeight = active.reduce((sum, owner) => sum + owner.weight, 0);
   const domains = new Map<string, DomainLoad>();
   const loads = active.map((owner): OwnerLoad => {
--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -6,7 +6,9 @@
 export {
   addOwner, createRecord, isReferenced, removeOwner, startLeaving,
 } from './owner_changes.ts';
-export { beginTakeover, clearPredecessors, confirmLostOwner } from './takeover.ts';
+export {
+  beginTakeover, clearPredecessors, confirmLostOwner, type TakeoverOptions,
+} from './takeover.ts';
 export {
   completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, sourceOf, startMoves,
 } from './moves.ts';
--- a/placement/takeover.ts
+++ b/placement/takeover.ts
@@ -4,6 +4,15 @@
 import { createOwnerChooser } from './_owner_chooser.ts';
 import type { OwnerId, PlacementRecord, SlotState } from './placement_record.ts';
 
+/** Options of a takeover. */
+export interface TakeoverOptions {
+  /**
+   * Owners that are probably lost too. They get nothing while there is another active owner, so
+   * that the loss of a failure domain does not hand slots from one lost owner to the next.
+   */
+  readonly avoid?: readonly OwnerId[];
+}
+
 /**
  * Removes an owner and gives its slots and hot keys to the active owners, each with the removed
  * owner as a predecessor to be cleared. Without an active owner they stay unowned, with their
@@ -11,6 +20,7 @@
  *
  * @param record The record to change.
  * @param ownerId The owner that its witnesses no longer hear.
+ * @param options Owners that should get nothing.
  * @returns The changed record, or `undefined` when the owner is unknown or removed before.
  *
  * @example
@@ -19,6 +29,7 @@
 export const beginTakeover = (
   record: PlacementRecord,
   ownerId: OwnerId,
+  options: TakeoverOptions = {},
 ): PlacementRecord | undefined => {
   const owner = findOwner(record, ownerId);
   if (owner === undefined || owner.state === 'removed') return undefined;
@@ -30,7 +41,7 @@
     slots: mapSlots(record.slots, dropMoves),
     hotKeys: mapHotKeys(record.hotKeys, dropMoves),
   };
-  const chooser = createOwnerChooser(settled);
+  const chooser = createOwnerChooser(settled, options.avoid);
   const reassign = (state: SlotState): SlotState => ({
     owner: chooser.next(),
     token: record.version + 1,
