--- a/command/_output.ts
+++ b/command/_output.ts
@@ -23,7 +23,8 @@
   rows: readonly (readonly string[])[],
 ): string => {
   const all = [header, ...rows];
-  const widths = header.map((_, column) => Math.max(...all.map((row) => (row[column] ?? '').length)));
+  const widthOf = (column: number) => Math.max(...all.map((row) => (row[column] ?? '').length));
+  const widths = header.map((_, column) => widthOf(column));
   const formatRow = (row: readonly string[]) => row
     .map((cell, column) => cell.padEnd(widths[column] ?? 0))
     .join('  ')
--- a/daemon/_control_services.ts
+++ b/daemon/_control_services.ts
@@ -1,9 +1,10 @@
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomUUID } from 'node:crypto';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { Clock } from '../clock/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { createMembership, type Membership } from '../membership/mod.ts';
 import { createGrpcTransport, type GrpcTransport } from '../peer/mod.ts';
-import { createPlacements, type Placements } from '../placement/mod.ts';
+import { createPlacements, type RunningPlacements } from '../placement/mod.ts';
 import type { HttpListener } from '../proxy/mod.ts';
 import { createRelay, type Relay } from '../relay/mod.ts';
 import { createGuardedStore, createHttpStore, type Store } from '../store/mod.ts';
@@ -102,17 +103,19 @@
     },
   });
 
-  register<Placements>({
+  register<RunningPlacements>({
     name: 'placements',
-    needs: ['clock', 'logger', 'relay', 'store'],
+    needs: ['clock', 'logger', 'relay', 'store', 'random'],
     start: (find) => {
       const placements = createPlacements({
         clock: find<Clock>('clock'),
         logger: find<Logger>('logger').forPart('placement'),
         relay: find<Relay>('relay'),
         store: find<Store>('store'),
+        random: find<RandomGenerator>('random'),
+        createWriterId: randomUUID,
       });
-      return { service: placements };
+      return { service: placements, stop: placements.stop };
     },
   });
 
--- a/daemon/_ownership_services.ts
+++ b/daemon/_ownership_services.ts
@@ -41,12 +41,13 @@
   register<Announcements>({
     name: 'announcements',
     needs: ['clock', 'logger'],
-    start: (find) => ({
-      service: createAnnouncements({
+    start: (find) => {
+      const announcements = createAnnouncements({
         clock: find<Clock>('clock'),
         logger: find<Logger>('logger').forPart('announce'),
-      }),
-    }),
+      });
+      return { service: announcements, stop: announcements.stop };
+    },
   });
 
   register<Witness>({
@@ -101,13 +102,14 @@
 
   register<Placer>({
     name: 'placer',
-    needs: ['clock', 'logger', 'placements', 'membership', 'random'],
+    needs: ['clock', 'logger', 'placements', 'membership', 'random', 'slot-of-key'],
     start: (find) => {
       const placer = createPlacer({
         clock: find<Clock>('clock'),
         logger: find<Logger>('logger').forPart('placement'),
         placements: find<Placements>('placements'),
         membership: find<Membership>('membership'),
+        slotOfKey: find<SlotOfKey>('slot-of-key'),
         random: find<RandomGenerator>('random'),
       });
       return { service: placer, stop: placer.stop };
@@ -128,6 +130,7 @@
         ownership: find<NodeOwnership>('ownership'),
         announcements: find<Announcements>('announcements'),
         contracts: find<Contracts>('contracts'),
+        ownerId: `${node}#${incarnation}`,
         random: find<RandomGenerator>('random'),
       });
       return { service: owner, stop: owner.stop };
--- a/daemon/announcements.ts
+++ b/daemon/announcements.ts
@@ -38,6 +38,8 @@
   /** Marks all instances as draining, as a planned stop of the node does. */
   readonly drainAll: () => void;
   readonly onChange: (listener: AnnouncementListener) => void;
+  /** Cancels the expiry of announcements. */
+  readonly stop: () => void;
 }
 
 const stateCodes: Readonly<Record<Announcement['state'], InstanceState>> = {
@@ -122,5 +124,9 @@
     onChange: (listener) => {
       listeners.push(listener);
     },
+    stop: () => {
+      for (const cancelExpiry of expiries.values()) cancelExpiry();
+      expiries.clear();
+    },
   };
 };
--- a/daemon/start_node.ts
+++ b/daemon/start_node.ts
@@ -124,6 +124,10 @@
       await kernel.stop();
       logger.info({}, 'stopped');
     },
-    kill: () => kernel.stop(),
+    kill: async () => {
+      kernel.find<BoundListener>('caller-listener').kill();
+      kernel.find<BoundListener>('peer-listener').kill();
+      await kernel.stop();
+    },
   };
 };
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -35,6 +35,7 @@
 } from './request_ledger.ts';
 export {
   createUpstreamClient,
+  FENCING_SLOT_HEADER,
   FENCING_TOKEN_HEADER,
   REMAINING_HEADER,
   type UpstreamClient,
--- a/forward/upstream_client.ts
+++ b/forward/upstream_client.ts
@@ -18,6 +18,8 @@
   readonly deadlineAt: number;
   /** Fencing token under which a keyed request runs. */
   readonly token: number | undefined;
+  /** Placement slot of the key of a keyed request. */
+  readonly slot?: number;
   readonly signal: AbortSignal;
   /** Aborts when the right to run the request lapses. */
   readonly lapse?: AbortSignal;
@@ -46,10 +48,15 @@
 /** Fencing token of the grant under which the request runs, sent to the upstream. */
 export const FENCING_TOKEN_HEADER = 'x-fencing-token';
 
+/** Placement slot of the request's key, sent to the upstream beside the fencing token. */
+export const FENCING_SLOT_HEADER = 'x-fencing-slot';
+
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 60_000;
 
-const REPLACED = new Set([REQUEST_ID_HEADER, REMAINING_HEADER, FENCING_TOKEN_HEADER]);
+const REPLACED = new Set([
+  REQUEST_ID_HEADER, REMAINING_HEADER, FENCING_TOKEN_HEADER, FENCING_SLOT_HEADER,
+]);
 
 const withoutReplaced = (headers: readonly string[]): string[] => {
   const kept: string[] = [];
@@ -89,6 +96,7 @@
     const headers = withoutReplaced(request.headers);
     headers.push(REQUEST_ID_HEADER, requestId, REMAINING_HEADER, String(remainingMs));
     if (request.token !== undefined) headers.push(FENCING_TOKEN_HEADER, String(request.token));
+    if (request.slot !== undefined) headers.push(FENCING_SLOT_HEADER, String(request.slot));
     return exchange(pool, {
       method: request.method, path: request.path, headers, body: request.body,
     }, sink, {
--- a/proxy/_http_server.ts
+++ b/proxy/_http_server.ts
@@ -8,6 +8,8 @@
   readonly listen: () => Promise<string>;
   /** Accepts nothing new, finishes what is in flight, closes idle connections and resolves. */
   readonly stop: () => Promise<void>;
+  /** Cuts all connections at once, as the loss of the process does. */
+  readonly kill: () => void;
 }
 
 export interface HttpServerOptions {
@@ -137,5 +139,11 @@
     server.close(() => undefined);
   };
 
-  return { listen, stop };
+  const kill = () => {
+    stopping = true;
+    server.close(() => undefined);
+    server.closeAllConnections();
+  };
+
+  return { listen, stop, kill };
 };
--- a/proxy/local_dispatch.ts
+++ b/proxy/local_dispatch.ts
@@ -132,6 +132,7 @@
       body: request.body,
       deadlineAt: request.deadlineAt,
       token: ticket?.token,
+      slot: ticket?.slot,
       signal: request.signal,
       lapse: ticket?.signal,
       beforeWrite: ticket === undefined
--- a/standins/upstream_server.ts
+++ b/standins/upstream_server.ts
@@ -142,8 +142,8 @@
   };
 
   const run = async (request: IncomingMessage, response: ServerResponse) => {
-    const slot = numberHeader(request, 'x-marjoramhollow-slot') ?? -1;
-    const token = numberHeader(request, 'x-marjoramhollow-fencing-token') ?? 0;
+    const slot = numberHeader(request, 'x-fencing-slot') ?? -1;
+    const token = numberHeader(request, 'x-fencing-token') ?? 0;
     if (behaviour.checksGrants && !grants.allows(slot, token)) {
       sendJson(response, HTTP_CONFLICT, { error: 'no grant', slot, token });
       return;
