Replace an owner that its witnesses hear but cannot renew

Cause: runs with faults at random found an owner that stayed without a lease for ever. During a joint change most witnesses of one set had restarted, while the other set still heard the owner, so that there was neither a majority to renew nor a majority to remove it. Change: unconfirmed_ms of a renewal also counts the time without a valid lease. A witness reads a missing record from the store once for all fences that wait for it. Conclusion: a witness counts an owner as silent when it gets no majority for one lease.

--- a/lease/_test_cluster.ts
+++ b/lease/_test_cluster.ts
@@ -212,6 +212,11 @@
     cuts.add(`${from} ${to}`);
   };
 
+  const healAll = () => {
+    network.healAll();
+    cuts.clear();
+  };
+
   const hold = (node: string, key: string): OwnershipTicket => {
     const process = at(node);
     const entered = process.ownership.enter(SERVICE, key);
@@ -254,8 +259,6 @@
   if (!KEYS.every(isServed)) throw new Error('the fleet does not serve all keys at the start');
 
   return {
-    base,
-    network,
     store,
     at,
     start,
@@ -263,14 +266,13 @@
     freeze,
     resume,
     setCut,
+    healAll,
     hold,
     keysOf,
     update,
     advance,
     advanceUntilServed,
     isServed,
-    checkOverlap,
-    nodesThatEnter,
     witnessesOf,
     record: () => at(names.find((name) => !at(name).isFrozen) ?? 'n0').placements.current(SERVICE),
   };
--- a/lease/lease_holder.ts
+++ b/lease/lease_holder.ts
@@ -68,11 +68,12 @@
   } = options;
   const logger = options.logger ?? silentLogger.forPart('lease');
   const metrics = options.metrics ?? silentMetrics;
-  const startedMs = clock.now();
   const firstSentMs = new Map<OwnerId, number>();
   const confirmedMs = new Map<OwnerId, number>();
   let period: AbortController | undefined;
   let validUntilMs = -Infinity;
+  /** Since when there is no valid lease, while there is none. */
+  let lapsedMs = clock.now();
   let inFlight = 0;
   let seen = false;
   let removed = false;
@@ -88,6 +89,7 @@
     if (!period) return;
     const ended = period;
     period = undefined;
+    lapsedMs = clock.now();
     ended.abort();
     metrics.increment(metricNames.leaseLapses, { service });
     logger.warn({ service, owner: ownerId, inFlight }, `the lease ended: ${reason}`);
@@ -131,8 +133,13 @@
 
   const acknowledgement = createWitnessAcknowledgement({ ...options, logger, renewedMs });
 
+  /**
+   * Time without an answer of the witness or without a lease. An owner that some witnesses hear but
+   * that gets no majority would otherwise neither serve nor be replaced.
+   */
   const unconfirmedMs = (witness: OwnerId): number => {
-    const sinceMs = confirmedMs.get(witness) ?? firstSentMs.get(witness) ?? startedMs;
+    const answeredMs = confirmedMs.get(witness) ?? firstSentMs.get(witness) ?? clock.now();
+    const sinceMs = Math.min(answeredMs, period ? Infinity : lapsedMs);
     return clock.now() - Math.max(sinceMs, detector.lastPauseMs());
   };
 
@@ -198,6 +205,7 @@
       return;
     }
     const isNew = current && allWitnesses(current).some(({ id }) => !firstSentMs.has(id));
+    if (current && !seen) lapsedMs = clock.now();
     seen ||= current !== undefined;
     refresh();
     if (isNew) renewals.wake();
--- /dev/null
+++ b/lease/random_faults_test.ts
@@ -0,0 +1,103 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type PlacementChange, replaceWitnesses, setHotKey, startMoves,
+} from '../placement/mod.ts';
+import { createCluster, KEYS } from './_test_cluster.ts';
+import { SERVICE } from './_test_placements.ts';
+
+const ROUNDS = 40;
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const SERVED_AFTER_HEAL_MS = 10_000;
+
+const runFaults = async (seed: number) => {
+  const cluster = await createCluster({ nodes: 7 });
+  const random = xoroshiro128plus(seed);
+  const below = (limit: number) => uniformInt(random, 0, limit - 1);
+  const anyNode = () => `n${below(7)}`;
+  const anyOwner = () => {
+    const owners = cluster.record()?.owners.filter(({ state }) => state === 'active') ?? [];
+    return owners[below(owners.length || 1)]?.id ?? '';
+  };
+  const killed = new Set<string>();
+  const frozen = new Set<string>();
+
+  const restart = async (node: string) => {
+    killed.delete(node);
+    cluster.start(node).join();
+  };
+
+  const resume = (node: string) => {
+    frozen.delete(node);
+    cluster.resume(node);
+  };
+
+  const change = (update: PlacementChange) => {
+    const node = anyNode();
+    if (!frozen.has(node) && !killed.has(node)) cluster.at(node).placements.update(SERVICE, update);
+  };
+
+  const faults: readonly (() => void)[] = [
+    () => {
+      const node = anyNode();
+      if (killed.has(node)) restart(node);
+      else if (!frozen.has(node) && killed.size < 2) {
+        killed.add(node);
+        cluster.kill(node);
+      }
+    },
+    () => {
+      const node = anyNode();
+      if (frozen.has(node)) resume(node);
+      else if (!killed.has(node)) {
+        frozen.add(node);
+        cluster.freeze(node);
+      }
+    },
+    () => cluster.setCut(anyNode(), anyNode()),
+    () => cluster.healAll(),
+    () => cluster.store.setDown(below(3) === 0),
+    () => cluster.store.loseReplies(1 + below(2)),
+    () => cluster.store.setDelay(below(120)),
+    () => {
+      const [slot, to] = [below(10), anyOwner()];
+      change((record) => record && startMoves(record, [{ kind: 'slot', slot, to }]));
+    },
+    () => {
+      const [slot, to] = [below(10), anyOwner()];
+      change((record) => record && setHotKey(record, `k${slot}`, slot, to));
+    },
+    () => {
+      const [owner, set] = [anyOwner(), cluster.witnessesOf(anyNode())];
+      change((record) => record && replaceWitnesses(record, owner, set));
+    },
+    () => {
+      const node = anyNode();
+      const key = cluster.keysOf(node)[0];
+      if (key === undefined || frozen.has(node)) return;
+      const ticket = cluster.hold(node, key);
+      cluster.at(node).clock.schedule(below(1_500), ticket.release);
+    },
+  ];
+
+  for (let round = 0; round < ROUNDS; round += 1) {
+    faults[below(faults.length)]?.();
+    await cluster.advance(10 * (1 + below(60)));
+  }
+  cluster.healAll();
+  cluster.store.setDown(false);
+  cluster.store.setDelay(2);
+  for (const node of [...frozen]) resume(node);
+  for (const node of [...killed]) restart(node);
+  return cluster.advanceUntilServed(SERVED_AFTER_HEAL_MS, KEYS);
+};
+
+for (const seed of SEEDS) {
+  test(`faults at random never let two nodes serve one key, seed ${seed}`, async () => {
+    assert.ok(await runFaults(seed) < SERVED_AFTER_HEAL_MS, 'all keys are served again');
+  });
+}
+
+test.run();
--- a/lease/witness.ts
+++ b/lease/witness.ts
@@ -77,6 +77,7 @@
   const startedMs = clock.now();
   const observations = new Map<string, Observation>();
   const watched = new Map<string, readonly WitnessedOwner[]>();
+  const reads = new Map<string, Promise<PlacementRecord | undefined>>();
   const detector = createPauseDetector(clock, () => undefined);
 
   const roleFor = (owner: Owner): Role | undefined => {
@@ -128,7 +129,7 @@
     const observation = observe(service, ownerId);
     const heardMs = observation.renewedMs ?? observation.sinceMs;
     const quietMs = nowMs - Math.max(heardMs, detector.lastPauseMs());
-    // The owner is heard, but does not hear the answers.
+    // The owner is heard, but does not hear the answers or gets no majority.
     return observation.unconfirmedMs >= LEASE_DURATION_MS
       ? Math.max(quietMs, observation.unconfirmedMs)
       : quietMs;
@@ -170,18 +171,31 @@
     };
   });
 
-  /** Newest record that the store or this node has at `version` or later. */
-  const recordAt = async (service: string, version: number) => {
-    const known = placements.current(service);
-    if (known && known.version >= version) return known;
-    let read: PlacementRecord | undefined;
-    await placements.update(service, (record) => {
-      read = record;
+  /** Reads the record from the store; repeated fences during an outage share one call. */
+  const readRecord = (service: string): Promise<PlacementRecord | undefined> => {
+    const pending = reads.get(service);
+    if (pending) return pending;
+    let found: PlacementRecord | undefined;
+    const read = placements.update(service, (record) => {
+      found = record;
       return undefined;
+    }).then(() => {
+      reads.delete(service);
+      return found;
     });
+    reads.set(service, read);
+    return read;
+  };
+
+  /** A record of `version` or later, from memory or from the store. */
+  const recordAt = async (service: string, version: number) => {
+    const isRecent = (record: PlacementRecord | undefined) => (record?.version ?? 0) >= version;
+    const known = placements.current(service);
+    if (isRecent(known)) return known;
+    const read = await readRecord(service);
     const current = placements.current(service);
-    const newest = (current?.version ?? 0) >= (read?.version ?? 0) ? current : read;
-    return newest && newest.version >= version ? newest : undefined;
+    if (isRecent(current)) return current;
+    return isRecent(read) ? read : undefined;
   };
 
   transport.handle('fence', async ({
