--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -6,9 +6,11 @@
 export {
   addOwner, createRecord, isReferenced, removeOwner, startLeaving,
 } from './owner_changes.ts';
-export { beginTakeover, clearPredecessors } from './takeover.ts';
 export {
-  completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, startMoves,
+  beginTakeover, clearPredecessors, confirmLostOwner, type TakeoverOptions,
+} from './takeover.ts';
+export {
+  completeMoves, type HotKeyMove, type PlannedMove, type SlotMove, sourceOf, startMoves,
 } from './moves.ts';
 export {
   acknowledgeWitnesses,
@@ -21,3 +23,26 @@
 export {
   dropHotKey, MAX_HOT_KEY_BYTES, MAX_HOT_KEYS, setHotKey,
 } from './hot_keys.ts';
+export { createSlotOfKey, type SlotOfKey } from './slot_of_key.ts';
+export { encodeRecord } from './encode_record.ts';
+export { decodeRecord } from './decode_record.ts';
+export {
+  DEFAULT_HYSTERESIS, DEFAULT_MAX_MOVES, planRebalance, type RebalanceOptions,
+} from './plan_rebalance.ts';
+export { createHotKeySketch, type HotKeyCount, type HotKeySketch } from './hot_key_sketch.ts';
+export {
+  COOL_KEY_SHARE,
+  HOT_KEY_SHARE,
+  HOT_OWNER_EXCESS,
+  type HotKeyPlan,
+  type HotKeyPlanOptions,
+  type KeyRate,
+  planHotKeys,
+  type ServiceLoad,
+} from './plan_hot_keys.ts';
+export {
+  createPlacements, type PlacementsOptions, type RunningPlacements,
+} from './create_placements.ts';
+export { combineChanges, type RecordChange } from './combine_changes.ts';
+export { type DrainOptions, type JoiningInstance, type Placer } from './placer.ts';
+export { createPlacer, type PlacerOptions } from './create_placer.ts';
