Test the leases over createPlacements

Cause: the tests used a stand-in for the placements of a node. Change: the test fleet uses createPlacements with a relay per process; a takeover avoids giving slots to owners that the acting witness does not hear either.

--- a/lease/_silence.ts
+++ b/lease/_silence.ts
@@ -74,6 +74,11 @@
     current !== undefined && current.state === owner.state && sameWitnesses(current, owner)
   );
 
+  /** Other owners that this process does not hear; they should get no slots. */
+  const silentOwners = (service: string) => witness.witnessed()
+    .filter((witnessed) => witnessed.service === service && isSilent(service, witnessed.owner.id))
+    .map(({ owner }) => owner.id);
+
   const remove = async ({ service, owner }: WitnessedOwner): Promise<boolean> => {
     let settled = false;
     let changed = false;
@@ -82,7 +87,7 @@
       settled = !isUnchanged(owner, current) || !isSilent(service, owner.id);
       changed = false;
       if (!record || settled) return undefined;
-      const next = beginTakeover(record, owner.id);
+      const next = beginTakeover(record, owner.id, { avoid: silentOwners(service) });
       changed = next !== undefined;
       return next;
     });
--- a/lease/_test_cluster.ts
+++ b/lease/_test_cluster.ts
@@ -2,17 +2,19 @@
 import { createFakeClock, createPausableClock, type PausableClock } from '../clock/mod.ts';
 import { createFakeNetwork, type PeerTransport } from '../peer/mod.ts';
 import {
-  addOwner, createRecord, type Owner, type OwnerId, type PlacementChange,
+  addOwner, createPlacements, createRecord, type Owner, type OwnerId, type PlacementChange,
   type Placements, type WitnessReference,
 } from '../placement/mod.ts';
 import { createMemoryStore, type StoreEntry } from '../store/mod.ts';
-import { createTestPlacements, SERVICE } from './_test_placements.ts';
+import { silentLogger } from '../telemetry/mod.ts';
+import { createTestRelay } from './_test_relay.ts';
 import {
   createLeaseHolder, createOwnership, createTakeover, createWitness, type LeaseHolder,
   type NodeOwnership, type OwnershipTicket, type UpstreamGrants,
 } from './mod.ts';
 
-const SLOT_COUNT = 10;
+export const SERVICE = 'turn-ledger';
+export const SLOT_COUNT = 16;
 const STEP_MS = 10;
 const RELAY_DELAY_MS = 3;
 
@@ -85,12 +87,24 @@
     const clock = createPausableClock(base);
     const random = xoroshiro128plus(sequence);
     const transport = network.connect(node, { node, incarnation });
-    const { placements, accept } = createTestPlacements(store, clock, (entry) => {
+    const { relay, accept } = createTestRelay(store, clock, (entry) => {
       for (const other of processes.values()) {
         if (other.node === node || cuts.has(`${node} ${other.node}`)) continue;
         base.schedule(RELAY_DELAY_MS, () => other.deliver(entry));
       }
     });
+    let writes = 0;
+    const placements = createPlacements({
+      store,
+      relay,
+      clock,
+      random,
+      logger: silentLogger,
+      createWriterId: () => {
+        writes += 1;
+        return `${node}#${incarnation}-${writes}`;
+      },
+    });
     const shared = {
       clock, transport, placements, random,
     };
