--- a/placement/_test_relay.ts
+++ b/placement/_test_relay.ts
@@ -4,22 +4,22 @@
 /** Relays of several nodes in one process; an entry reaches all of them at once. */
 export const createTestRelay = (): Relay => {
   const entries = new Map<string, StoreEntry>();
-  const listeners = new Set<(entry: StoreEntry) => void>();
+  const listeners = new Set<{ prefix: string; listener: (entry: StoreEntry) => void }>();
   return {
     current: (key) => entries.get(key),
     list: (prefix) => [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
     publish: (entry) => {
       if (entry.revision <= (entries.get(entry.key)?.revision ?? 0)) return;
       entries.set(entry.key, entry);
-      for (const listener of [...listeners]) listener(entry);
+      for (const { prefix, listener } of [...listeners]) {
+        if (entry.key.startsWith(prefix)) listener(entry);
+      }
     },
     onChange: (prefix, listener) => {
-      const filtered = (entry: StoreEntry) => {
-        if (entry.key.startsWith(prefix)) listener(entry);
-      };
-      listeners.add(filtered);
+      const added = { prefix, listener };
+      listeners.add(added);
       return () => {
-        listeners.delete(filtered);
+        listeners.delete(added);
       };
     },
     stop: async () => undefined,
