Test mutual TLS and judge silence over all streams of a peer

Cause: mutual TLS had only been tried by hand, and a peer that answers on another stream than the newest one was taken for silent after a time-out. Change: certificates for a test, and silence now means that nothing arrived on any stream of the peer. Conclusion: a peer of another authority and one without TLS are refused.

--- a/peer/_peer_link.ts
+++ b/peer/_peer_link.ts
@@ -11,8 +11,8 @@
   /** Called when a stream of the link has ended. */
   readonly ended: (channel: Channel) => void;
   /**
-   * Called when a request was not answered in time. Closes the stream when nothing has arrived on
-   * it since the request was posted.
+   * Called when a request was not answered in time. Closes the newest stream when nothing has
+   * arrived from the peer since the request was posted.
    */
   readonly expired: (requestId: number, postedAtMs: number) => void;
   /** Closes streams without traffic; returns true when the link can be forgotten. */
@@ -87,8 +87,11 @@
     expired: (requestId, postedAtMs) => {
       outbox.remove(requestId);
       const channel = newest();
-      if (channel === undefined || channel.lastReceivedMs() > postedAtMs) return;
-      const silentMs = clock.now() - channel.lastReceivedMs();
+      if (channel === undefined) return;
+      // The peer may answer on another stream than the newest.
+      const lastReceivedMs = Math.max(...channels.map((other) => other.lastReceivedMs()));
+      if (lastReceivedMs > postedAtMs) return;
+      const silentMs = clock.now() - lastReceivedMs;
       if (silentMs < options.silenceMs) return;
       options.onSilent(silentMs);
       channel.close();
--- a/peer/create_grpc_transport_test.ts
+++ b/peer/create_grpc_transport_test.ts
@@ -3,6 +3,7 @@
 import {
   type AddressInfo, connect, createServer, type Socket,
 } from 'node:net';
+import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
@@ -180,6 +181,26 @@
   mute.close();
 });
 
+const tlsFiles = (name: string) => {
+  const fileOf = (file: string) => fileURLToPath(new URL(`testdata/${file}`, import.meta.url));
+  return {
+    keyFile: fileOf(`${name}_key.pem`),
+    certificateFile: fileOf(`${name}.pem`),
+    authorityFile: fileOf('authority.pem'),
+  };
+};
+
+test('mutual TLS refuses a peer of another authority or without a certificate', async () => {
+  const node = { tls: tlsFiles('node') };
+  const [a, b, stranger, plain] = await Promise.all([
+    start('a', node), start('b', node), start('c', { tls: tlsFiles('stranger') }), start('d'),
+  ]);
+  assert.is(await keyOf(a, b.address), 'k for a by b');
+  assert.not.match(await keyOf(stranger, b.address), 'by b');
+  assert.not.match(await keyOf(plain, b.address), 'by b');
+  await Promise.all([a, b, stranger, plain].map((transport) => transport.close()));
+});
+
 test('a malformed address from gossip fails the request and nothing else', async () => {
   const a = await start('a');
   const outcome = await a.request('http://[bad', fetchKey('k'), { timeoutMs: 200 });
