Sync early after the start of a node

Cause: where many nodes start together, the byte budget of pushed news held the news of the members back. Change: a node syncs 1, 3, 7 s and so on after its start before it falls to the low rate; what it learns in its first 30 s is not passed on as news.

--- a/membership/_anti_entropy.ts
+++ b/membership/_anti_entropy.ts
@@ -18,11 +18,16 @@
 export interface AntiEntropy {
   /** Returns whether the node at the address answered. */
   readonly syncWith: (address: string) => Promise<boolean>;
-  /** Syncs with one random member at a low rate until the signal aborts. */
+  /**
+   * Syncs with one random member, often after the start and then at a low rate, until the signal
+   * aborts.
+   */
   readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
 const SYNC_TIMEOUT_MS = 2000;
+const FIRST_SYNC_INTERVAL_MS = 1000;
+const JOIN_DURATION_MS = 30_000;
 const MAX_UPDATES_PER_MESSAGE = 256;
 const MAX_CLAIMS_PER_SYNC = 32;
 
@@ -37,6 +42,8 @@
     clock, transport, table, timings, random,
   } = options;
 
+  const startedAtMs = clock.now();
+
   /** Tells a member that it is called lost, so that it refutes this if it is alive. */
   const passOn = (claims: readonly MemberUpdate[]) => {
     for (const claim of sample(claims, MAX_CLAIMS_PER_SYNC, random)) {
@@ -76,7 +83,7 @@
 
   const syncWith: AntiEntropy['syncWith'] = async (address) => {
     // A node that joins learns of all members; this is no news to the others.
-    const isJoining = table.reachable().length === 1;
+    const isJoining = clock.now() - startedAtMs < JOIN_DURATION_MS;
     const digests = table.all().map(digestOf);
     const outcome = await transport.request(
       address,
@@ -97,12 +104,16 @@
   return {
     syncWith,
     run: async (signal) => {
+      // Where many nodes start together, the byte budget holds the news of them back. Early syncs
+      // let them find each other nevertheless.
+      let earlyIntervalMs = FIRST_SYNC_INTERVAL_MS;
       while (!signal.aborted) {
-        const members = table.reachable();
-        const intervalMs = Math.max(
+        const steadyIntervalMs = Math.max(
           timings.minSyncIntervalMs,
-          members.length * timings.syncIntervalMsPerMember,
+          table.reachable().length * timings.syncIntervalMsPerMember,
         );
+        const intervalMs = Math.min(steadyIntervalMs, earlyIntervalMs);
+        earlyIntervalMs *= 2;
         await clock.sleep(intervalMs * (0.5 + random()), signal);
         const [partner] = sample(
           table.reachable().filter(({ node }) => node !== table.self().node),
