--- a/admission/create_admission.ts
+++ b/admission/create_admission.ts
@@ -87,6 +87,8 @@
     });
   };
 
+  const queuedOf = (requestClass: RequestClass) => states.get(requestClass)!.queue.size();
+
   const measureUse = (): SlotUse => {
     const now = clock.now();
     let long = 0;
@@ -101,17 +103,14 @@
       announced: announcedSlots(),
       inFlight: running.size,
       long,
+      bulk: states.get('bulk')!.inFlight,
+      checks: states.get('check')!.inFlight,
       longChecks,
+      shortQueued: queuedOf('lookup') + queuedOf('submission'),
       hasShort: now - lastShortAt < SHORT_MEMORY_MS,
     };
   };
 
-  const queuedTotal = () => {
-    let total = 0;
-    for (const { queue } of states.values()) total += queue.size();
-    return total;
-  };
-
   /** Expected wait in the queue, from the measured rate of the class and the shares queued. */
   const estimateWaitMs = (waiting: Waiting, use: SlotUse) => {
     const { requestClass } = waiting;
@@ -288,7 +287,7 @@
       const meanMs = times.overallMeanMs();
       return {
         inFlight: running.size,
-        queued: queuedTotal(),
+        queued: requestClasses.reduce((total, name) => total + queuedOf(name), 0),
         limit: slots,
         serviceRate: meanMs === 0 ? 0 : (slots * 1000) / meanMs,
       };
--- /dev/null
+++ b/admission/fair_queue_test.ts
@@ -0,0 +1,100 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFairQueue, type FairQueueEntry } from './mod.ts';
+
+const SHARES: Readonly<Record<string, number>> = { a: 1, b: 2, c: 5 };
+
+type Step = { readonly kind: 'push'; readonly customer: string; readonly deadlineAt: number }
+  | { readonly kind: 'pop' };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({
+    kind: fc.constant('push' as const),
+    customer: fc.constantFrom('a', 'b', 'c'),
+    deadlineAt: fc.nat(1000),
+  }),
+  fc.constant({ kind: 'pop' as const }),
+);
+
+/** Start-time fair queueing by sorting everything at each step. */
+const createNaive = () => {
+  const waiting: (FairQueueEntry & { readonly sequence: number })[] = [];
+  const nextStart = new Map<string, number>();
+  const backloggedSince = new Map<string, number>();
+  let virtualTime = 0;
+  let sequence = 0;
+  return {
+    push: (entry: FairQueueEntry) => {
+      if (!waiting.some(({ customer }) => customer === entry.customer)) {
+        const start = Math.max(virtualTime, nextStart.get(entry.customer) ?? 0);
+        nextStart.set(entry.customer, start);
+        backloggedSince.set(entry.customer, sequence);
+      }
+      waiting.push({ ...entry, sequence });
+      sequence += 1;
+    },
+    pop: () => {
+      waiting.sort((left, right) => (
+        nextStart.get(left.customer)! - nextStart.get(right.customer)!
+        || backloggedSince.get(left.customer)! - backloggedSince.get(right.customer)!
+        || left.deadlineAt - right.deadlineAt
+        || left.sequence - right.sequence
+      ));
+      const first = waiting.shift();
+      if (first === undefined) return undefined;
+      virtualTime = nextStart.get(first.customer)!;
+      nextStart.set(first.customer, virtualTime + 1 / first.share);
+      return first;
+    },
+  };
+};
+
+test('the order agrees with sorting all entries by virtual start and deadline', () => {
+  fc.assert(fc.property(fc.array(stepArbitrary, { maxLength: 200 }), (steps) => {
+    const queue = createFairQueue<FairQueueEntry>();
+    const naive = createNaive();
+    for (const step of steps) {
+      if (step.kind === 'push') {
+        const { customer, deadlineAt } = step;
+        const entry = { customer, share: SHARES[customer]!, deadlineAt };
+        queue.push(entry);
+        naive.push(entry);
+      } else {
+        const expected = naive.pop();
+        const actual = queue.pop();
+        assert.equal(
+          [actual?.customer, actual?.deadlineAt],
+          [expected?.customer, expected?.deadlineAt],
+        );
+      }
+    }
+  }), { seed: 21, numRuns: 300 });
+});
+
+test('a customer that sends ten times its share does not hold up a quiet one', () => {
+  const queue = createFairQueue<FairQueueEntry>();
+  const push = (customer: string, count: number) => {
+    for (let index = 0; index < count; index += 1) {
+      queue.push({ customer, share: 1, deadlineAt: index });
+    }
+  };
+  push('flood', 1000);
+  for (let index = 0; index < 100; index += 1) queue.pop();
+  push('quiet', 100);
+  const served = Array.from({ length: 200 }, () => queue.pop()!.customer);
+  assert.is(served.filter((customer) => customer === 'quiet').length, 100);
+  assert.ok(served.indexOf('quiet') <= 1);
+});
+
+test('an entry that is removed is not charged to its customer', () => {
+  const queue = createFairQueue<FairQueueEntry>();
+  const entries = [1, 2, 3].map((deadlineAt) => ({ customer: 'a', share: 1, deadlineAt }));
+  for (const entry of entries) queue.push(entry);
+  queue.push({ customer: 'b', share: 1, deadlineAt: 0 });
+  assert.ok(queue.remove(entries[0]!) && queue.remove(entries[1]!));
+  assert.not.ok(queue.remove(entries[0]!));
+  assert.equal([queue.pop()?.customer, queue.pop()?.customer, queue.size()], ['a', 'b', 0]);
+});
+
+test.run();
--- /dev/null
+++ b/admission/load_run_test.ts
@@ -0,0 +1,225 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock, type FakeClock } from '../clock/mod.ts';
+import type { RequestClass } from '../contract/mod.ts';
+import { createAdmission } from './mod.ts';
+import { createRandom } from './_test_support.ts';
+
+const SLOTS = 6;
+
+interface Arrival {
+  readonly at: number;
+  readonly requestClass: RequestClass;
+  readonly customer: string;
+  readonly share: number;
+  readonly serviceMs: number;
+  readonly deadlineAt: number;
+}
+
+/** Answered at `endedAt`; `undefined` when refused. */
+interface Answered {
+  readonly arrival: Arrival;
+  readonly endedAt: number | undefined;
+}
+
+interface Stream {
+  readonly requestClass: RequestClass;
+  readonly perSecond: number;
+  readonly meanMs: number;
+  readonly deadlineMs: number;
+  readonly customer?: string;
+  readonly share?: number;
+  /** Fraction of requests that run 30 times longer. */
+  readonly stragglers?: number;
+  readonly fromMs?: number;
+  readonly toMs: number;
+}
+
+/** Poisson arrivals with service times of 0.5 to 1.5 of the mean. */
+const generate = (seed: number, streams: readonly Stream[]): readonly Arrival[] => {
+  const random = createRandom(seed);
+  const arrivals = streams.flatMap((stream) => {
+    const found: Arrival[] = [];
+    const {
+      requestClass, customer = 'a', share = 1, meanMs,
+    } = stream;
+    let at = stream.fromMs ?? 0;
+    for (;;) {
+      at += (-Math.log(1 - random()) * 1000) / stream.perSecond;
+      if (at >= stream.toMs) return found;
+      const stretch = random() < (stream.stragglers ?? 0) ? 30 : 1;
+      const serviceMs = meanMs * (0.5 + random()) * stretch;
+      found.push({
+        at, requestClass, customer, share, serviceMs, deadlineAt: at + stream.deadlineMs,
+      });
+    }
+  });
+  return arrivals.sort((left, right) => left.at - right.at);
+};
+
+/** Six workers that serve in order of arrival, as the upstream does. */
+const createWorkers = () => {
+  const freeAt = Array.from({ length: SLOTS }, () => 0);
+  return (now: number, serviceMs: number) => {
+    const first = freeAt.indexOf(Math.min(...freeAt));
+    freeAt[first] = Math.max(now, freeAt[first]!) + serviceMs;
+    return freeAt[first];
+  };
+};
+
+/** One first-come queue in front of the workers, without limits. */
+const runNaive = (arrivals: readonly Arrival[]): readonly Answered[] => {
+  const serve = createWorkers();
+  return arrivals.map((arrival) => (
+    { arrival, endedAt: serve(arrival.at, arrival.serviceMs) }
+  ));
+};
+
+const runAdmission = async (arrivals: readonly Arrival[]) => {
+  const clock: FakeClock = createFakeClock();
+  const admission = createAdmission({ clock, announcedSlots: () => SLOTS });
+  const serve = createWorkers();
+  const answered: Answered[] = [];
+  const send = async (arrival: Arrival) => {
+    const permit = await admission.acquire({ ...arrival, signal: new AbortController().signal });
+    if (permit.isErr()) {
+      answered.push({ arrival, endedAt: undefined });
+      return;
+    }
+    const endedAt = serve(clock.now(), arrival.serviceMs);
+    clock.schedule(endedAt - clock.now(), () => {
+      answered.push({ arrival, endedAt });
+      permit.value.release('success');
+    });
+  };
+  for (const arrival of arrivals) {
+    await clock.advance(arrival.at - clock.now());
+    send(arrival);
+  }
+  await clock.advance(60_000);
+  assert.is(answered.length, arrivals.length);
+  return answered;
+};
+
+const percentile = (values: readonly number[], percent: number) => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.ceil((sorted.length * percent) / 100) - 1] ?? 0;
+};
+
+const ofClass = (answered: readonly Answered[], requestClass: RequestClass) => (
+  answered.filter(({ arrival }) => arrival.requestClass === requestClass)
+);
+
+const p99 = (answered: readonly Answered[], requestClass: RequestClass) => percentile(
+  ofClass(answered, requestClass)
+    .map(({ arrival, endedAt }) => (endedAt === undefined ? Infinity : endedAt - arrival.at)),
+  99,
+);
+
+const inTime = (answered: readonly Answered[]) => answered.filter(({ arrival, endedAt }) => (
+  endedAt !== undefined && endedAt <= arrival.deadlineAt
+));
+
+const round = (value: number) => Math.round(value * 1000) / 1000;
+
+const HOL_MS = 60_000;
+const checks: Stream = {
+  requestClass: 'check', perSecond: 100, meanMs: 2, deadlineMs: 1000, toMs: HOL_MS,
+};
+const lookups: Stream = {
+  requestClass: 'lookup',
+  perSecond: 100,
+  meanMs: 10,
+  deadlineMs: 2000,
+  stragglers: 0.02,
+  toMs: HOL_MS,
+};
+const bulk: Stream = {
+  requestClass: 'bulk', perSecond: 3.4, meanMs: 1000, deadlineMs: 30_000, toMs: HOL_MS,
+};
+
+test('checks do not wait behind bulk requests and stragglers', async () => {
+  const idle = p99(await runAdmission(generate(1, [checks])), 'check');
+  const load = generate(1, [checks, lookups, bulk]);
+  const product = await runAdmission(load);
+  const naive = runNaive(load);
+  const goodput = inTime(ofClass(product, 'bulk')).length / inTime(ofClass(naive, 'bulk')).length;
+  console.log('head-of-line', {
+    idleP99: round(idle),
+    naiveP99: round(p99(naive, 'check')),
+    p99: round(p99(product, 'check')),
+    naiveLookupP99: round(p99(naive, 'lookup')),
+    lookupP99: round(p99(product, 'lookup')),
+    bulkGoodput: round(goodput),
+  });
+  assert.ok(p99(product, 'check') <= 2 * idle);
+  assert.ok(goodput >= 0.9);
+});
+
+const CREST_FROM_MS = 5000;
+const CREST_TO_MS = 15_000;
+
+const crest = (seed: number, stragglers: number) => {
+  const stream = (customer: string, share: number, perSecond: number): Stream => ({
+    requestClass: 'lookup',
+    customer,
+    share,
+    perSecond,
+    meanMs: 10,
+    deadlineMs: 250,
+    stragglers,
+    toMs: CREST_TO_MS,
+  });
+  const rise = (customer: string, share: number, perSecond: number): Stream => (
+    { ...stream(customer, share, perSecond), fromMs: CREST_FROM_MS }
+  );
+  // Capacity is 600 requests a second; the crest brings 1800 and 80 of the quiet customer.
+  return generate(seed, [
+    stream('a', 1, 200), stream('b', 2, 100), stream('quiet', 1, 80),
+    rise('a', 1, 1000), rise('b', 2, 500),
+  ]);
+};
+
+const reportCrest = async (name: string, stragglers: number) => {
+  const load = crest(2, stragglers);
+  const isCrest = ({ arrival }: Answered) => (
+    arrival.at >= CREST_FROM_MS + 1000 && arrival.at < CREST_TO_MS - 1000
+  );
+  const product = (await runAdmission(load)).filter(isCrest);
+  const naive = runNaive(load).filter(isCrest);
+  const seconds = (CREST_TO_MS - CREST_FROM_MS - 2000) / 1000;
+  // Capacity counts the work that ran, since a few stragglers more or less change it by 5 %.
+  const ran = product.filter(({ endedAt }) => endedAt !== undefined);
+  const meanMs = ran.reduce((sum, { arrival }) => sum + arrival.serviceMs, 0) / ran.length;
+  const capacity = (SLOTS * 1000) / meanMs;
+  const rateOf = (answered: readonly Answered[], customer?: string) => inTime(answered)
+    .filter(({ arrival }) => customer === undefined || arrival.customer === customer)
+    .length / seconds;
+  const figures = {
+    capacity: round(capacity),
+    goodput: round(rateOf(product) / capacity),
+    naiveGoodput: round(rateOf(naive) / capacity),
+    a: round(rateOf(product, 'a')),
+    b: round(rateOf(product, 'b')),
+    quiet: round(rateOf(product, 'quiet')),
+  };
+  console.log(name, figures);
+  return figures;
+};
+
+test('at three times the capacity, answers in time and shares hold', async () => {
+  const figures = await reportCrest('crest', 0);
+  assert.ok(figures.goodput >= 0.95);
+  // The quiet customer gets all it asks for; the others divide the rest by share.
+  const rest = figures.a + figures.b;
+  assert.ok(figures.quiet >= 80 * 0.95);
+  assert.ok(Math.abs(figures.a / (rest / 3) - 1) <= 0.05);
+  assert.ok(Math.abs(figures.b / ((rest * 2) / 3) - 1) <= 0.05);
+});
+
+test('stragglers at the crest do not take the goodput away', async () => {
+  const figures = await reportCrest('crest with stragglers', 0.02);
+  assert.ok(figures.goodput >= 0.95);
+});
+
+test.run();
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -157,7 +157,9 @@
 
   const views: ServiceView['views'] = (excluded) => {
     const found: PlacedView[] = [];
-    for (const { instance, member, distance } of refresh()) {
+    for (const {
+      instance, member, info, distance,
+    } of refresh()) {
       const entry = tracked.get(instance);
       if (entry === undefined || excluded.has(instance)) continue;
       found.push({
@@ -166,6 +168,7 @@
         peerAddress: member.peerAddress,
         distance,
         load: loadOf(entry),
+        slots: entry.load?.limit ?? Math.max(1, info.slots),
         serviceRate: entry.load?.serviceRate ?? 0,
         acceptance: acceptanceOf(instance, entry),
         ejected: ejection.isEjected(instance),
--- a/routing/choose_instance.ts
+++ b/routing/choose_instance.ts
@@ -5,6 +5,8 @@
   readonly distance: number;
   /** Estimated requests in flight and queued at the instance. */
   readonly load: number;
+  /** Requests that the instance runs at a time. */
+  readonly slots: number;
   /** Measured requests per second that the instance can serve; 0 when unknown. */
   readonly serviceRate: number;
   /** Fraction of its usual traffic that the instance gets, for slow start and after sheds. */
@@ -26,6 +28,8 @@
 
 /** A farther instance is chosen when the nearer one's expected wait is this many times its own. */
 const FAR_MARGIN = 1.5;
+/** Below this use of its slots, an instance answers without a wait, so distance alone counts. */
+const MIN_NEAR_UTILISATION = 0.5;
 /** Round trip to another failure domain. */
 const FAR_COST_MS = 1;
 const MS_PER_SECOND = 1000;
@@ -81,7 +85,9 @@
   const nearest = Math.min(...usable.map(({ distance }) => distance));
   const near = pickBetter(usable.filter(({ distance }) => distance === nearest))!;
   const far = pickBetter(usable.filter(({ distance }) => distance > nearest));
-  if (far !== undefined && waitMs(far) * FAR_MARGIN + FAR_COST_MS < waitMs(near)) {
+  const isNearUsed = near.load >= near.slots * MIN_NEAR_UTILISATION;
+  const isFarLess = far !== undefined && waitMs(far) * FAR_MARGIN + FAR_COST_MS < waitMs(near);
+  if (isNearUsed && isFarLess) {
     return { view: far, reason: 'less busy than the nearest failure domain' };
   }
   const reason = sound.length > 0 ? 'less busy of two' : 'all instances are ejected';
