Test the failure cases of the HTTP path and repair what they found

Cause: the path had one test; the graceful stop closed idle connections after the first answer that ended during its grace period, which cut requests on their way (ECONNRESET at callers). Change: idle connections are closed only after the grace period; a body over its limit is refused as not run before dispatch; a retry no longer waits for the cancellation at a silent peer; a slow consumer is not taken for a stalled upstream. A listener that closes still resets connections that wait in the kernel's accept queue.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -50,6 +50,10 @@
 
 const MAX_DRAINED_BYTES = 65_536;
 const FIRST_FINAL_STATUS = 200;
+const LATE_WATCH_MS = 250;
+
+/** A slow consumer empties its socket buffers seldom, so it is given long. */
+const CONSUMER_STALL_MS = 300_000;
 
 /** The ingress sets the identifier of the answer. */
 const DROPPED = new Set([REQUEST_ID_HEADER]);
@@ -76,6 +80,7 @@
   let cause: FailureCause = 'connection';
   let settled = false;
   let progressAt = clock.now();
+  let dueAt = Number.POSITIVE_INFINITY;
   let cancelWatch: CancelTask = () => undefined;
   let removeListeners = () => undefined as void;
 
@@ -97,9 +102,15 @@
   };
   const onAbort = () => fail('cancelled', new Error('the request was cancelled'));
   const onLapse = () => fail('lapsed', new Error('the lease of the key lapsed'));
+  const progressLimitMs = () => {
+    if (use === undefined) return options.silenceMs;
+    return controller?.paused ? CONSUMER_STALL_MS : options.stallMs;
+  };
   const watch = () => {
     const now = clock.now();
-    const silentAt = progressAt + (use === undefined ? options.silenceMs : options.stallMs);
+    // A late run means that this process was paused; bytes may be waiting to be read.
+    if (now - dueAt > LATE_WATCH_MS) progressAt = now;
+    const silentAt = progressAt + progressLimitMs();
     if (now >= silentAt) {
       fail(use === undefined ? 'silent' : 'stall', new Error('no progress in time'));
       return;
@@ -108,7 +119,7 @@
       fail('deadline', new Error('no answer within the deadline'));
       return;
     }
-    const dueAt = use === undefined ? Math.min(silentAt, options.deadlineAt) : silentAt;
+    dueAt = use === undefined ? Math.min(silentAt, options.deadlineAt) : silentAt;
     cancelWatch = clock.schedule(Math.ceil(dueAt - now), watch);
   };
   const goOn = () => {
@@ -166,7 +177,13 @@
       status = statusCode;
       const decided = sink.start(statusCode, endToEndHeaders(raw, DROPPED));
       if (decided === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
-      else use = decided;
+      else {
+        use = decided;
+        if (dueAt > progressAt + options.stallMs) {
+          cancelWatch();
+          watch();
+        }
+      }
     },
     onResponseData: (current, chunk) => {
       if (settled) return;
--- /dev/null
+++ b/forward/forward_test.ts
@@ -0,0 +1,132 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock, createSystemClock } from '../clock/mod.ts';
+import { RefusalError } from '../errors/mod.ts';
+import {
+  createIdempotencyTable, createRequestLedger, createUpstreamGrants, endToEndHeaders,
+  type FirstAttempt, parseLoad, readRefusal, refusalHeaders,
+} from './mod.ts';
+
+test('the ledger refuses a request that was cancelled before it arrived', async () => {
+  const clock = createFakeClock();
+  const ledger = createRequestLedger({ clock });
+  await clock.advance(5000);
+  assert.is(ledger.cancel('r1.1', 100), 'never seen');
+  assert.is(ledger.begin('r1.1', () => undefined), 'refused');
+  assert.is(ledger.cancel('r1.1', 100), 'never seen');
+});
+
+test('the ledger cancels a running request once and knows a finished one', async () => {
+  const clock = createFakeClock();
+  const ledger = createRequestLedger({ clock });
+  let cancelled = 0;
+  assert.is(ledger.begin('r1.1', () => {
+    cancelled += 1;
+  }), 'begun');
+  assert.is(ledger.begin('r1.1', () => undefined), 'repeated');
+  assert.is(ledger.cancel('r1.1', 0), 'running');
+  assert.is(ledger.cancel('r1.1', 0), 'finished');
+  assert.is(cancelled, 1);
+  ledger.begin('r2.1', () => undefined);
+  ledger.finish('r2.1');
+  assert.is(ledger.cancel('r2.1', 0), 'finished');
+});
+
+test('the ledger never says `never seen` of what it may have forgotten', async () => {
+  const clock = createFakeClock();
+  const ledger = createRequestLedger({ clock, maxEntries: 2, retentionMs: 10_000 });
+  assert.is(ledger.cancel('sent-to-the-former-process', 100), 'forgotten');
+  await clock.advance(20_000);
+  for (const id of ['a', 'b', 'c']) {
+    ledger.begin(id, () => undefined);
+    ledger.finish(id);
+  }
+  assert.is(ledger.size(), 2);
+  assert.is(ledger.cancel('a', 0), 'forgotten');
+  await clock.advance(12_000);
+  assert.is(ledger.cancel('a', 12_000), 'forgotten');
+  assert.is(ledger.cancel('new', 1000), 'never seen');
+});
+
+const answer = (size: number) => ({
+  kind: 'kept', answer: { status: 200, headers: [], body: Buffer.alloc(size) },
+} as const);
+
+test('the idempotency table bounds its answers and keeps keys for the retention', async () => {
+  const clock = createFakeClock();
+  const table = createIdempotencyTable({
+    clock, maxKeptBytes: 150, maxEntries: 3, retentionMs: 1000,
+  });
+  for (const key of ['a', 'b']) {
+    (table.enter('mesh', 's', key) as FirstAttempt).settle(answer(100));
+  }
+  assert.is(table.keptBytes(), 100);
+  const dropped = table.enter('mesh', 's', 'a');
+  assert.is(dropped.kind === 'repeat' && (await dropped.end).kind, 'unknown');
+  const kept = table.enter('mesh', 's', 'b');
+  assert.is(kept.kind === 'repeat' && (await kept.end).kind, 'kept');
+  assert.is(table.enter('other', 's', 'a').kind, 'first');
+  assert.is(table.enter('mesh', 's', 'c').kind, 'full');
+  await clock.advance(1001);
+  assert.is(table.enter('mesh', 's', 'a').kind, 'first');
+  assert.is(table.keptBytes(), 0);
+});
+
+test('a key whose first attempt did not run may run again', () => {
+  const table = createIdempotencyTable({ clock: createFakeClock() });
+  const refusal = new RefusalError('full', { step: 's', status: 503, outcome: 'not run' });
+  (table.enter('mesh', 's', 'a') as FirstAttempt).settle({ kind: 'not run', refusal });
+  assert.is(table.enter('mesh', 's', 'a').kind, 'first');
+});
+
+test('headers named by Connection are removed, framing headers are not', () => {
+  const raw = ['Connection', 'X-A, Content-Length', 'X-a', '1', 'Content-Length', '3', 'B', '2'];
+  assert.equal(endToEndHeaders(raw), ['Content-Length', '3', 'B', '2']);
+});
+
+test('a refusal keeps its outcome, step and peer between nodes', () => {
+  const refusal = new RefusalError('ünavailable\r\n', {
+    step: 'a', peer: 'p', status: 503, outcome: 'not run', retryAfterSeconds: 2,
+  });
+  const read = readRefusal(503, refusalHeaders(refusal), 'address');
+  const fields = ['reason', 'step', 'peer', 'status', 'outcome', 'retryAfterSeconds'] as const;
+  for (const name of fields) {
+    assert.is(read?.[name], refusal[name]);
+  }
+  assert.is(readRefusal(200, ['content-type', 'text/plain'], 'address'), undefined);
+  assert.is(parseLoad('1,2,x,4'), undefined);
+});
+
+test('grants are put and deleted at the upstream; a refused or lost one is an error', async () => {
+  const received: string[] = [];
+  let status = 204;
+  const server = createServer((request, response) => {
+    request.setEncoding('utf8').on('data', (text: string) => {
+      received.push(`${request.method} ${request.url} ${text}`);
+      if (status > 0) response.writeHead(status).end();
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const grants = createUpstreamGrants(address, { clock: createSystemClock(), timeoutMs: 200 });
+  const request = {
+    service: 's', instance: 'i', owner: 'n#1', token: 3, slots: [1], hotKeys: ['k'],
+  };
+  assert.ok((await grants.grant(request)).isOk());
+  assert.ok((await grants.revoke(request)).isOk());
+  const body = JSON.stringify(request);
+  assert.equal(received, [`PUT /v1/grants ${body}`, `DELETE /v1/grants ${body}`]);
+  status = 409;
+  assert.ok((await grants.grant(request)).isErr());
+  status = 0;
+  assert.ok((await grants.grant(request)).isErr());
+  await grants.stop();
+  server.closeAllConnections();
+  server.close();
+});
+
+test.run();
--- a/forward/forwarder.ts
+++ b/forward/forwarder.ts
@@ -28,7 +28,9 @@
   readonly progressTimeouts?: ProgressTimeouts;
 }
 
-const STEP = 'forward.send';
+/** Step of a refusal that arose on the way to a peer. */
+export const FORWARD_STEP = 'forward.send';
+
 const DEFAULT_CONNECTIONS = 256;
 const CONNECT_TIMEOUT_MS = 500;
 const CANCEL_TIMEOUT_MS = 1000;
@@ -139,7 +141,7 @@
     const late = end.cause === 'deadline' || end.cause === 'silent';
     const status = late ? 504 : 503;
     const refusal = new RefusalError(reason, {
-      step: STEP,
+      step: FORWARD_STEP,
       peer: address,
       cause: end.error,
       status: outcome === 'unknown' && !late ? 502 : status,
@@ -159,11 +161,16 @@
     if (end.begun) {
       if (end.cause === 'stall') cancelAtPeer(address, request, sentAt).catch(() => undefined);
       const reason = `the answer broke off: ${end.error.message}`;
-      const error = new StepError(reason, { step: STEP, peer: address, cause: end.error });
+      const error = new StepError(reason, { step: FORWARD_STEP, peer: address, cause: end.error });
       return { kind: 'truncated', error };
     }
     if (!end.written) return refuse(address, 'not run', `not sent: ${end.error.message}`, end);
     if (end.cause === 'cancelled') return refuse(address, 'unknown', end.error.message, end);
+    if (request.requestClass !== 'submission') {
+      // Another attempt need not wait for this cancellation, which only frees the receiver's slot.
+      if (end.cause === 'silent') cancelAtPeer(address, request, sentAt).catch(() => undefined);
+      return refuse(address, 'unknown', end.error.message, end);
+    }
     const reply = await cancelAtPeer(address, request, sentAt);
     if (reply === 'never seen') {
       return refuse(address, 'not run', 'the peer never received the request', end);
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -1,7 +1,7 @@
 /** A request over one hop: to the local instance or to a peer. */
 export type { ExchangeEnd, FailureCause } from './_exchange.ts';
 export {
-  attemptId, createForwarder, type Forwarder, type ForwarderOptions,
+  attemptId, createForwarder, FORWARD_STEP, type Forwarder, type ForwarderOptions,
 } from './forwarder.ts';
 export {
   endToEndHeaders, findHeader, hopHeaders, REQUEST_ID_HEADER,
--- a/forward/upstream_client.ts
+++ b/forward/upstream_client.ts
@@ -47,7 +47,8 @@
 export const FENCING_TOKEN_HEADER = 'x-fencing-token';
 
 const CONNECT_TIMEOUT_MS = 1000;
-const KEEP_ALIVE_MS = 60_000;
+/** Below the usual idle time-out of servers, which could close a connection under a request. */
+const KEEP_ALIVE_MS = 4000;
 
 const REPLACED = new Set([REQUEST_ID_HEADER, REMAINING_HEADER, FENCING_TOKEN_HEADER]);
 
--- a/proxy/_attempts.ts
+++ b/proxy/_attempts.ts
@@ -2,8 +2,9 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Contract, RouteMatch } from '../contract/mod.ts';
 import { RefusalError } from '../errors/mod.ts';
-import type {
-  AnswerSink, AttemptEnd, Forwarder, HopRequest, RefusedEnd,
+import {
+  type AnswerSink, type AttemptEnd, FORWARD_STEP, type Forwarder, type HopRequest,
+  type RefusedEnd,
 } from '../forward/mod.ts';
 import type {
   AttemptReport, Router, RouteTarget, RoutingDecision,
@@ -64,6 +65,12 @@
   body === null || (!body.readableDidRead && !body.destroyed)
 );
 
+/** A submission that never reached the peer may be sent once more; others follow the contract. */
+const maxRetries = (request: CallerRequest, refusal: RefusalError): number => {
+  if (request.requestClass !== 'submission') return request.match.route.retries;
+  return refusal.step === FORWARD_STEP && refusal.outcome === 'not run' ? 1 : 0;
+};
+
 const outcomeOf = (end: AttemptEnd, signal: AbortSignal): AttemptReport['outcome'] => {
   if (end.kind === 'answered') return end.status >= 500 ? 'failure' : 'success';
   if (signal.aborted) return 'cancelled';
@@ -158,6 +165,7 @@
     const launch = async (to: RouteTarget) => {
       const abort = new AbortController();
       aborts.push(abort);
+      if (request.signal.aborted) abort.abort();
       running += 1;
       context.attempts += 1;
       const end = await attempt(request, to, context.attempts, abort.signal, {
@@ -220,11 +228,11 @@
       await waitForRecord(request, target.version, REDIRECTION_WAIT_MS);
       return true;
     }
-    if (request.requestClass === 'submission') return false;
-    if (context.retries >= request.match.route.retries) return false;
+    if (context.retries >= maxRetries(request, refusal)) return false;
     if (!retryBudget.withdraw(request.customer)) return false;
     context.retries += 1;
-    context.excluded.add(target.instance);
+    // The one owner of a key may be tried again, as the refusal says that it did not run.
+    if (request.requestClass !== 'submission') context.excluded.add(target.instance);
     metrics.increment(metricNames.retries);
     return true;
   };
--- a/proxy/_http_server.ts
+++ b/proxy/_http_server.ts
@@ -51,6 +51,7 @@
   /** Answers in flight by connection; a connection without one is idle. */
   const connections = new Map<Socket, Set<ServerResponse>>();
   let stopping = false;
+  let graceEnded = false;
 
   const server = createServer({
     maxHeaderSize: options.maxHeaderBytes,
@@ -65,6 +66,14 @@
   // Node drops headers beyond this count silently; the size limit bounds them already.
   server.maxHeadersCount = 0;
 
+  const closeIdle = () => {
+    server.closeIdleConnections();
+    // Node counts a connection that has not sent a byte as active.
+    for (const socket of connections.keys()) {
+      if (socket.bytesRead === 0) socket.destroy();
+    }
+  };
+
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const active = connections.get(socket);
@@ -72,7 +81,7 @@
     if (stopping) response.shouldKeepAlive = false;
     response.once('close', () => {
       active?.delete(response);
-      if (stopping) setImmediate(() => server.closeIdleConnections());
+      if (graceEnded) setImmediate(closeIdle);
     });
     options.handle(request, response, expect);
   };
@@ -111,14 +120,6 @@
     });
   });
 
-  const closeIdle = () => {
-    server.closeIdleConnections();
-    // Node counts a connection that has not sent a byte as active.
-    for (const socket of connections.keys()) {
-      if (socket.bytesRead === 0) socket.destroy();
-    }
-  };
-
   const stop = async () => {
     if (stopping || !server.listening) return;
     stopping = true;
@@ -131,7 +132,10 @@
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
-    const cancelGrace = clock.schedule(options.idleGraceMs, closeIdle);
+    const cancelGrace = clock.schedule(options.idleGraceMs, () => {
+      graceEnded = true;
+      closeIdle();
+    });
     await closed;
     cancelGrace();
     server.close(() => undefined);
--- a/proxy/_request_body.ts
+++ b/proxy/_request_body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 
 /** A request's body as a stream of its own, so that a failed hop does not end the connection. */
 export interface RequestBody {
@@ -8,6 +9,26 @@
   readonly exceeded: () => boolean;
 }
 
+/** Ends a wait for a body. */
+interface BodyWait {
+  readonly signal: AbortSignal;
+  /** Monotonic time in ms. */
+  readonly deadlineAt: number;
+}
+
+/** Bytes of an unread body that are ignored at most, so that the connection can be used again. */
+const MAX_IGNORED_BYTES = 262_144;
+
+const ignoreRest = (message: IncomingMessage) => {
+  if (message.complete || message.destroyed) return;
+  let ignoredBytes = 0;
+  message.on('data', (chunk: Buffer) => {
+    ignoredBytes += chunk.length;
+    if (ignoredBytes > MAX_IGNORED_BYTES) message.destroy();
+  });
+  message.resume();
+};
+
 /** Tells whether a request announces a body. */
 export const hasBody = (message: IncomingMessage): boolean => (
   message.headers['transfer-encoding'] !== undefined
@@ -44,6 +65,7 @@
       message.off('data', onData);
       message.off('end', onEnd);
       message.off('close', onClose);
+      ignoreRest(message);
       done(error);
     },
   });
@@ -55,21 +77,27 @@
  * Waits until a body has its first bytes or its end, so that they are written in the same
  * event-loop turn as the request's head.
  */
-export const waitForBody = (body: Readable, signal: AbortSignal): Promise<void> => (
+export const waitForBody = (
+  body: Readable,
+  { signal, deadlineAt }: BodyWait,
+  clock: Clock,
+): Promise<void> => (
   new Promise((resolve) => {
-    const isSettled = () => body.readableLength > 0 || body.readableEnded || body.destroyed;
-    if (isSettled() || signal.aborted) {
+    if (body.readableLength > 0 || body.readableEnded || body.destroyed || signal.aborted) {
       resolve();
       return;
     }
+    let cancelDeadline: CancelTask = () => undefined;
     const finish = () => {
       body.off('readable', finish);
       body.off('close', finish);
       signal.removeEventListener('abort', finish);
+      cancelDeadline();
       resolve();
     };
     body.on('readable', finish);
     body.on('close', finish);
     signal.addEventListener('abort', finish);
+    cancelDeadline = clock.schedule(Math.max(0, deadlineAt - clock.now()), finish);
   })
 );
--- a/proxy/_response_sink.ts
+++ b/proxy/_response_sink.ts
@@ -25,3 +25,11 @@
     response.end();
   },
 });
+
+/**
+ * Ends a truncated answer. A reset cannot be taken for the end of an answer without a length.
+ */
+export const resetConnection = (response: ServerResponse): void => {
+  response.socket?.resetAndDestroy();
+  response.destroy();
+};
--- a/proxy/_test_node.ts
+++ b/proxy/_test_node.ts
@@ -1,8 +1,11 @@
 import { once } from 'node:events';
 import {
-  createServer, type IncomingMessage, request as httpRequest, type RequestListener, type Server,
+  type Agent, createServer, type IncomingMessage, request as httpRequest, type RequestListener,
+  type ServerResponse,
 } from 'node:http';
-import { type AddressInfo, connect, type Socket } from 'node:net';
+import {
+  type AddressInfo, connect, type Server, type Socket,
+} from 'node:net';
 import { createHash } from 'node:crypto';
 import { err, ok } from 'neverthrow';
 import type { Admission, PermitOutcome } from '../admission/mod.ts';
@@ -49,7 +52,7 @@
   })),
 });
 
-export const listen = async (server: Server | ReturnType<typeof createServer>) => {
+export const listen = async (server: Server) => {
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -148,7 +151,7 @@
     findUpstream,
     logger: silentLogger,
     progressTimeouts,
-    idleGraceMs: 10,
+    idleGraceMs: 200,
   });
   const forwarder = createForwarder({ clock, credential: CREDENTIAL, progressTimeouts });
   const caller = createCallerListener({
@@ -183,7 +186,7 @@
     logger: silentLogger,
     metrics: silentMetrics,
     maxWaiting: options.maxWaiting,
-    idleGraceMs: 10,
+    idleGraceMs: 200,
   });
   const peerAddress = await peer.listen();
   const callerAddress = await caller.listen();
@@ -222,10 +225,21 @@
   };
 };
 
+/** Records the requests that reach the upstream and leaves their answers to the test. */
+export const createHeldUpstream = () => {
+  const held: { request: IncomingMessage; response: ServerResponse }[] = [];
+  const listener: RequestListener = (request, response) => {
+    held.push({ request, response });
+  };
+  return { held, listener };
+};
+
 export interface CallOptions {
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Keeps connections open between calls; by default each call has its own. */
+  readonly agent?: Agent;
 }
 
 /** Starts a request of a caller and resolves when the head of its answer has arrived. */
@@ -233,8 +247,9 @@
   const request = httpRequest(`http://${address}${path}`, {
     method: options.method ?? 'GET',
     headers: { authorization: `Bearer ${TOKEN}`, ...options.headers },
-    agent: false,
+    agent: options.agent ?? false,
   });
+  request.on('error', () => undefined);
   request.end(options.body);
   const [response] = await once(request, 'response') as [IncomingMessage];
   return { request, response };
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -10,9 +10,11 @@
 import { type CallerRequest, createAttempts } from './_attempts.ts';
 import { createHttpServer, type Expectation, type HttpListener } from './_http_server.ts';
 import { renderProblem, sendProblem } from './_problem.ts';
-import { createRequestBody, hasBody, type RequestBody } from './_request_body.ts';
+import {
+  createRequestBody, hasBody, type RequestBody, waitForBody,
+} from './_request_body.ts';
 import { findKey, findRequestProblem, parseTarget } from './_request_check.ts';
-import { createResponseSink } from './_response_sink.ts';
+import { createResponseSink, resetConnection } from './_response_sink.ts';
 import type { LocalDispatch } from './local_dispatch.ts';
 
 /** Collaborators and limits of the caller listener. */
@@ -40,6 +42,7 @@
 }
 
 const STEP = 'ingress.check';
+const TOO_LARGE = 'the body is larger than the route allows';
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_MAX_WAITING = 1000;
 const DEFAULT_IDLE_GRACE_MS = 500;
@@ -96,7 +99,7 @@
     const key = findKey(match, target.query, message.rawHeaders);
     if (match.service.keyed && key === undefined) return refusal(400, 'the key is missing');
     if (Number(message.headers['content-length'] ?? 0) > match.route.maxBodyBytes) {
-      return refusal(413, 'the body is larger than the route allows');
+      return refusal(413, TOO_LARGE);
     }
     return { contract, match, key };
   };
@@ -119,6 +122,11 @@
     const sink = createResponseSink(response, (headers) => {
       headers.push(REQUEST_ID_HEADER, requestId);
     });
+    if (request.body !== null) await waitForBody(request.body, request, clock);
+    if (body?.exceeded()) {
+      answerRefusal(response, refusal(413, TOO_LARGE), requestId);
+      return;
+    }
     const end = await runAttempts(request, sink);
     body?.stream.destroy();
     if (end.kind === 'answered') {
@@ -126,10 +134,10 @@
       metrics.timing(metricNames.requestDurationMs, clock.now() - startedAt);
     } else if (end.kind === 'truncated') {
       logger.warn({ request: requestId, err: end.error }, 'the answer was truncated');
-      response.destroy();
+      resetConnection(response);
     } else if (body?.exceeded()) {
       const { outcome } = end.refusal;
-      const error = refusal(413, 'the body is larger than the route allows', outcome);
+      const error = refusal(413, TOO_LARGE, outcome);
       answerRefusal(response, error, requestId);
     } else answerRefusal(response, end.refusal, requestId);
   };
--- a/proxy/local_dispatch.ts
+++ b/proxy/local_dispatch.ts
@@ -27,6 +27,10 @@
   readonly idempotency: IdempotencyTable;
 }
 
+const hasKey = (service: ServiceDefinition, request: HopRequest) => (
+  !service.keyed || request.key !== undefined
+);
+
 /** Step of a refusal because the key is not served here; a newer record may lead elsewhere. */
 export const OWNERSHIP_STEP = 'dispatch.ownership';
 
@@ -168,13 +172,12 @@
   const dispatch: LocalDispatch = async (request, sink) => {
     const service = options.contracts().findService(request.service);
     const upstream = options.findUpstream(request.instance);
-    if (service === undefined || upstream === undefined) {
-      const reason = service === undefined ? 'no such service' : 'no such instance here';
-      return refused(reason, {
+    if (service === undefined || upstream === undefined || !hasKey(service, request)) {
+      return refused('no such service or instance here, or no key', {
         status: 503, outcome: 'not run', step: 'dispatch.find', peer: request.instance,
       });
     }
-    if (request.body !== null) await waitForBody(request.body, request.signal);
+    if (request.body !== null) await waitForBody(request.body, request, clock);
     if (clock.now() >= request.deadlineAt) {
       return refused('the deadline has passed', {
         status: 504, outcome: 'not run', step: 'dispatch.deadline', peer: request.instance,
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '../telemetry/mod.ts';
 import { createHttpServer, type HttpListener } from './_http_server.ts';
 import { createRequestBody, hasBody } from './_request_body.ts';
-import { createResponseSink } from './_response_sink.ts';
+import { createResponseSink, resetConnection } from './_response_sink.ts';
 import type { LocalDispatch, LocalUpstream } from './local_dispatch.ts';
 
 /** Collaborators and limits of the peer listener. */
@@ -143,12 +143,13 @@
     });
     try {
       const end = await options.dispatch(request, sink);
-      if (end.kind === 'truncated') response.destroy();
+      if (end.kind === 'truncated') resetConnection(response);
       else if (end.kind === 'refused') {
         refuse(response, id, end.refusal, end.load && formatLoad(end.load));
       }
     } finally {
       cancelInterim();
+      request.body?.destroy();
       ledger.finish(id);
     }
   };
