Document what hot keys ask of the owner

Cause: requests for a hot key may have entered under its slot, or the other way round. Change: the doc comments say which requests the owner has to finish; and that seeds must be mixed. Conclusion: the lease part can follow the comments.

--- a/placement/create_placements.ts
+++ b/placement/create_placements.ts
@@ -25,7 +25,10 @@
   readonly relay: Relay;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Source of the backoff's jitter. */
+  /**
+   * Source of the backoff's jitter. Nodes need well-mixed seeds: neighbouring small seeds give
+   * nearly the same first numbers.
+   */
   readonly random: RandomGenerator;
   /** Returns a new identifier that no other write of the fleet has. */
   readonly createWriterId: () => string;
--- a/placement/hot_keys.ts
+++ b/placement/hot_keys.ts
@@ -24,6 +24,9 @@
  * Plans the move of a key to an owner of its own. A key that is not in the table enters it with the
  * state of its slot, so that the slot's owner keeps it until it has released it.
  *
+ * The owner has to finish the requests for the key that entered under the slot before it completes
+ * the move of the key.
+ *
  * @param record The record to change.
  * @param key The hot key.
  * @param slot The slot of the key.
@@ -68,6 +71,9 @@
  * Returns a hot key to its slot. While they have different owners, a planned move to the slot's
  * owner is started; call it again after the move to take the entry out of the table.
  *
+ * Requests that entered under the entry then belong to the slot: the owner has to finish them too
+ * before it completes a move of the slot.
+ *
  * @param record The record to change.
  * @param key The hot key.
  * @param slot The slot of the key.
