Let a removed owner join again under a new identifier

Cause: a removed owner incarnation never comes back, and the placer knew only the incarnation of the process, so a node that had been frozen stayed without slots until a restart. Change: owner identifiers node#incarnation.N for later joins of one process; membership and witnesses go by the process part. Conclusion: a frozen node comes back without a restart.

--- a/daemon/_owner_service.ts
+++ b/daemon/_owner_service.ts
@@ -6,7 +6,7 @@
   createLeaseHolder, type LeaseHolder, type NodeOwnership,
 } from '../lease/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
-import type { OwnerId, Placements, Placer } from '../placement/mod.ts';
+import type { Placements, Placer } from '../placement/mod.ts';
 import type { Logger, Metrics } from '../telemetry/mod.ts';
 import type { Announcement, Announcements } from './announcements.ts';
 import type { Contracts } from './contracts.ts';
@@ -30,7 +30,6 @@
   readonly ownership: NodeOwnership;
   readonly announcements: Announcements;
   readonly contracts: Contracts;
-  readonly ownerId: OwnerId;
   readonly random: RandomGenerator;
 }
 
@@ -92,7 +91,7 @@
       logger.warn({ error: joined.error.message }, 'could not join as an owner; trying again');
       return;
     }
-    if (!stopping.signal.aborted) hold(definition, announcement, options.ownerId);
+    if (!stopping.signal.aborted) hold(definition, announcement, placer.ownerIdOf(definition.name));
   };
 
   const reconcile = async () => {
--- a/daemon/_ownership_services.ts
+++ b/daemon/_ownership_services.ts
@@ -130,7 +130,6 @@
         ownership: find<NodeOwnership>('ownership'),
         announcements: find<Announcements>('announcements'),
         contracts: find<Contracts>('contracts'),
-        ownerId: `${node}#${incarnation}`,
         random: find<RandomGenerator>('random'),
       });
       return { service: owner, stop: owner.stop };
--- a/placement/_decide_changes.ts
+++ b/placement/_decide_changes.ts
@@ -6,6 +6,7 @@
 import { sourceOf, startMoves } from './moves.ts';
 import { isReferenced, removeOwner } from './owner_changes.ts';
 import { planHotKeys, type ServiceLoad } from './plan_hot_keys.ts';
+import { processIdOf } from './owner_id.ts';
 import { planRebalance, type RebalanceOptions } from './plan_rebalance.ts';
 import type { Owner, OwnerId, PlacementRecord } from './placement_record.ts';
 import type { SlotOfKey } from './slot_of_key.ts';
@@ -56,7 +57,7 @@
   members: readonly MemberUpdate[],
 ): OwnerId | undefined => {
   const alive = memberIds(members);
-  const seen = rankOwners(record).filter(({ id }) => alive.has(id));
+  const seen = rankOwners(record).filter(({ id }) => alive.has(processIdOf(id)));
   const actor = seen.find(({ state }) => state === 'active')
     ?? seen.find(({ state }) => state === 'leaving');
   return actor?.id;
@@ -68,7 +69,7 @@
   const candidates = view.members.filter(({ state }) => state === MemberState.MEMBER_STATE_ALIVE);
   const changes: RecordChange[] = [];
   for (const owner of record.owners) {
-    if (owner.state === 'removed' || !present.has(owner.id)) continue;
+    if (owner.state === 'removed' || !present.has(processIdOf(owner.id))) continue;
     if (owner.previousWitnesses.length > 0) continue;
     const keep = owner.witnesses.map(({ id }) => id).filter((id) => present.has(id));
     if (keep.length === WITNESS_COUNT) continue;
@@ -90,7 +91,9 @@
 const forgetChanges = (record: PlacementRecord, view: PlacerView, note: Note): RecordChange[] => {
   const present = memberIds(view.members);
   return record.owners
-    .filter(({ id, state }) => state === 'removed' || (state === 'leaving' && !present.has(id)))
+    .filter(({ id, state }) => state === 'removed' || (
+      state === 'leaving' && !present.has(processIdOf(id))
+    ))
     .filter(({ id }) => !isReferenced(record, id))
     .map(({ id }) => (current) => {
       const changed = removeOwner(current, id);
@@ -103,7 +106,7 @@
   if (view.load === undefined) return [];
   const plan = planHotKeys(record, view.load);
   const present = memberIds(view.members);
-  const sets = plan.set.filter(({ to }) => present.has(to))
+  const sets = plan.set.filter(({ to }) => present.has(processIdOf(to)))
     .map(({ key, slot, to }): RecordChange => (current) => {
       const changed = setHotKey(current, key, slot, to);
       if (changed !== undefined) note('gave a hot key an owner of its own', { slot, to });
--- a/placement/_drain.ts
+++ b/placement/_drain.ts
@@ -14,7 +14,7 @@
 interface DrainContext {
   readonly placements: Placements;
   readonly clock: Clock;
-  readonly ownerId: OwnerId;
+  readonly ownerIdOf: (service: string) => OwnerId;
   readonly rebalance: RebalanceOptions;
   readonly signal: AbortSignal;
   readonly log: (service: string, version: number, decision: Decision) => void;
@@ -31,10 +31,12 @@
 );
 
 /** Marks the owner as leaving, plans moves for what it still owns, and removes it at the end. */
-const changeOf = ({ ownerId, rebalance, isPresent }: DrainContext) => (
+const changeOf = ({ ownerIdOf, rebalance, isPresent }: DrainContext) => (
   record: PlacementRecord | undefined,
 ) => {
-  if (record === undefined || findSelf(record, ownerId) === undefined) return undefined;
+  if (record === undefined) return undefined;
+  const ownerId = ownerIdOf(record.service);
+  if (findSelf(record, ownerId) === undefined) return undefined;
   return combineChanges(record, [
     (current) => startLeaving(current, ownerId),
     (current) => startMoves(current, planRebalance(current, rebalance).filter((move) => (
@@ -46,7 +48,8 @@
 
 /** One step for one service; returns whether the owner owns nothing there. */
 const drainService = async (context: DrainContext, service: string): Promise<boolean> => {
-  const { placements, ownerId, log } = context;
+  const { placements, log } = context;
+  const ownerId = context.ownerIdOf(service);
   const before = placements.current(service);
   const self = findSelf(before, ownerId);
   if (before === undefined || self === undefined) return true;
@@ -78,7 +81,7 @@
     }
     if (isDone) return ok(undefined);
     if (signal.aborted) {
-      const reason = `${context.ownerId} still owns slots`;
+      const reason = 'an owner of this node still owns slots';
       return err(new StepError(reason, { step: 'placement.drain' }));
     }
     await clock.sleep(CHECK_PERIOD_MS, signal);
--- a/placement/create_placer.ts
+++ b/placement/create_placer.ts
@@ -10,6 +10,7 @@
 import { type Decision, decideChanges, findActor } from './_decide_changes.ts';
 import { runDrain } from './_drain.ts';
 import { addOwner, createRecord } from './owner_changes.ts';
+import { createOwnerId, processIdOf } from './owner_id.ts';
 import type { ServiceLoad } from './plan_hot_keys.ts';
 import type { RebalanceOptions } from './plan_rebalance.ts';
 import type { Owner, PlacementRecord } from './placement_record.ts';
@@ -65,23 +66,34 @@
   /** Incarnation that joined last, by service; it does not join twice. */
   const joined = new Map<string, string>();
   const joining = new Set<string>();
+  const rejoins = new Map<string, number>();
   const stopping = new AbortController();
 
-  const selfId = () => {
+  const processId = () => {
     const { node, incarnation } = membership.self();
     return `${node}#${incarnation}`;
   };
 
+  const ownerIdOf = (service: string) => createOwnerId(processId(), rejoins.get(service) ?? 0);
+
+  /** True when the identifier was used and the record does not show it as an owner any more. */
+  const isSpent = (service: string) => {
+    const id = ownerIdOf(service);
+    const owner = placements.current(service)?.owners.find((entry) => entry.id === id);
+    return owner === undefined ? joined.get(service) === id : owner.state === 'removed';
+  };
+
   const log = (service: string, version: number, { sentence, fields }: Decision) => {
     logger.info({ service, version, ...fields }, sentence);
   };
 
-  const createOwner = ({ instance, weight }: JoiningInstance): Owner => {
+  const createOwner = (service: string, { instance, weight }: JoiningInstance): Owner => {
     const self = membership.self();
+    const id = ownerIdOf(service);
     const owner: Owner = {
-      id: selfId(),
+      id,
       node: self.node,
-      incarnation: self.incarnation,
+      incarnation: id.slice(id.lastIndexOf('#') + 1),
       instance,
       controlAddress: self.controlAddress,
       peerAddress: self.peerAddress,
@@ -104,7 +116,8 @@
     if (!service.keyed || slotCount === undefined) {
       return fail('join', name, 'the service is not divided by key');
     }
-    const owner = createOwner(instance);
+    if (isSpent(name)) rejoins.set(name, (rejoins.get(name) ?? 0) + 1);
+    const owner = createOwner(name, instance);
     joining.add(name);
     const outcome = await placements.update(name, (record) => (
       addOwner(record ?? createRecord(name, slotCount), owner)
@@ -131,7 +144,7 @@
   const retryJoins = async () => {
     for (const entry of [...wanted.values()]) {
       const { name } = entry.service;
-      if (joined.get(name) === selfId() || joining.has(name)) continue;
+      if (joined.get(name) === ownerIdOf(name) || joining.has(name)) continue;
       const outcome = await addWanted(entry);
       if (outcome.isErr()) logger.warn({ service: name }, outcome.error.message);
     }
@@ -139,7 +152,7 @@
 
   const act = async (service: string) => {
     const record = placements.current(service);
-    if (record === undefined || findActor(record, membership.members()) !== selfId()) return;
+    if (record === undefined || findActor(record, membership.members()) !== ownerIdOf(service)) return;
     const view = {
       members: membership.members(),
       slotOfKey: options.slotOfKey,
@@ -174,7 +187,7 @@
 
   const confirmLost: Placer['confirmLost'] = async (service, ownerId) => {
     const isMember = membership.members()
-      .some(({ node, incarnation }) => `${node}#${incarnation}` === ownerId);
+      .some(({ node, incarnation }) => `${node}#${incarnation}` === processIdOf(ownerId));
     if (isMember) return fail('confirm-lost', service, `${ownerId} is a member of the fleet`);
     const outcome = await placements.update(service, (record) => (
       record && confirmLostOwner(record, ownerId)
@@ -195,6 +208,7 @@
 
   return {
     join,
+    ownerIdOf,
     drain: (drainOptions = {}) => {
       wanted.clear();
       const signals = [stopping.signal, drainOptions.signal]
@@ -202,12 +216,12 @@
       return runDrain({
         placements,
         clock,
-        ownerId: selfId(),
+        ownerIdOf,
         rebalance: options.rebalance ?? {},
         signal: AbortSignal.any(signals),
         log,
         isPresent: (ownerId) => membership.members()
-          .some(({ node, incarnation }) => `${node}#${incarnation}` === ownerId),
+          .some(({ node, incarnation }) => `${node}#${incarnation}` === processIdOf(ownerId)),
       });
     },
     confirmLost,
--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -24,6 +24,7 @@
   dropHotKey, MAX_HOT_KEY_BYTES, MAX_HOT_KEYS, setHotKey,
 } from './hot_keys.ts';
 export { createSlotOfKey, type SlotOfKey } from './slot_of_key.ts';
+export { createOwnerId, processIdOf } from './owner_id.ts';
 export { encodeRecord } from './encode_record.ts';
 export { decodeRecord } from './decode_record.ts';
 export {
--- a/placement/placer.ts
+++ b/placement/placer.ts
@@ -20,8 +20,8 @@
 export interface Placer {
   /**
    * Adds this node as an owner of the service. When that fails, the placer tries again in each
-   * pass until it succeeds. A removed owner fails for good: the process needs a new incarnation,
-   * with which the placer joins by itself.
+   * pass until it succeeds. A removed owner never comes back: after a removal the node joins under
+   * a new owner identifier.
    */
   readonly join: (
     service: ServiceDefinition,
@@ -32,6 +32,8 @@
    * fails when the signal aborts before that.
    */
   readonly drain: (options?: DrainOptions) => Promise<Result<void, StepError>>;
+  /** Identifier under which this node joined the service last, or would join it now. */
+  readonly ownerIdOf: (service: string) => OwnerId;
   /** Takes over from an owner that an operator has confirmed as lost. */
   readonly confirmLost: (
     service: string,
