Report hot keys from owners to the planning node

Cause: the plan for hot keys had no input; no control message carried rates of owners and keys. Change: message loadReport, a space-saving sketch per owner and period, reports every 10 s to the node that plans; the placer reads them.

--- a/daemon/_ownership_services.ts
+++ b/daemon/_ownership_services.ts
@@ -9,7 +9,13 @@
 import type { Membership } from '../membership/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
 import {
-  createPlacer, createSlotOfKey, type Placements, type Placer, type SlotOfKey,
+  createLoadReports,
+  createPlacer,
+  createSlotOfKey,
+  type LoadReports,
+  type Placements,
+  type Placer,
+  type SlotOfKey,
 } from '../placement/mod.ts';
 import type { Logger, Metrics } from '../telemetry/mod.ts';
 import { type Announcements, createAnnouncements } from './announcements.ts';
@@ -111,11 +117,30 @@
         membership: find<Membership>('membership'),
         slotOfKey: find<SlotOfKey>('slot-of-key'),
         random: find<RandomGenerator>('random'),
+        loadOf: (service) => (kernel.isRunning('load-reports')
+          ? find<LoadReports>('load-reports').loadOf(service)
+          : undefined),
       });
       return { service: placer, stop: placer.stop };
     },
   });
 
+  register<LoadReports>({
+    name: 'load-reports',
+    needs: ['transport', 'membership', 'placements', 'slot-of-key', 'placer'],
+    start: (find) => {
+      const reports = createLoadReports({
+        clock: find<Clock>('clock'),
+        transport: find<PeerTransport>('transport'),
+        membership: find<Membership>('membership'),
+        placements: find<Placements>('placements'),
+        slotOfKey: find<SlotOfKey>('slot-of-key'),
+        ownerIdOf: find<Placer>('placer').ownerIdOf,
+      });
+      return { service: reports, stop: reports.stop };
+    },
+  });
+
   register<OwnerService>({
     name: 'owner',
     needs: ['ownership', 'placer', 'announcements', 'contracts', 'metrics'],
--- a/daemon/_request_services.ts
+++ b/daemon/_request_services.ts
@@ -10,7 +10,7 @@
 import type { Ownership } from '../lease/mod.ts';
 import type { Membership } from '../membership/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
-import type { Placements, SlotOfKey } from '../placement/mod.ts';
+import type { LoadReports, Placements, SlotOfKey } from '../placement/mod.ts';
 import {
   createCallerListener, createLocalDispatch, createPeerListener, type HttpListener,
   type LocalDispatch,
@@ -127,13 +127,21 @@
 
   register<LocalDispatch>({
     name: 'dispatch',
-    needs: ['clock', 'contracts', 'ownership', 'upstreams'],
+    needs: ['clock', 'contracts', 'ownership', 'upstreams', 'load-reports'],
     start: (find) => {
       const clock = find<Clock>('clock');
+      const ownership = find<Ownership>('ownership');
+      const loadReports = find<LoadReports>('load-reports');
       return {
         service: createLocalDispatch({
           clock,
-          ownership: find<Ownership>('ownership'),
+          ownership: {
+            enter: (service, key) => {
+              const entered = ownership.enter(service, key);
+              if (entered.isOk()) loadReports.count(service, key);
+              return entered;
+            },
+          },
           contracts: find<Contracts>('contracts').compiled,
           findUpstream: find<LocalUpstreams>('upstreams').find,
           idempotency: createIdempotencyTable({ clock }),
--- a/placement/create_placer_test.ts
+++ b/placement/create_placer_test.ts
@@ -8,6 +8,7 @@
 import { type Logger, silentLogger } from '../telemetry/mod.ts';
 import {
   acknowledgeWitnesses,
+  beginTakeover,
   clearPredecessors,
   combineChanges,
   completeMoves,
@@ -187,4 +188,20 @@
   assert.is(countOwned(node.placements.current('s')!, 'n0#a'), 64);
 });
 
+test('guards against a removed owner that keeps its identifier or never joins again', async () => {
+  const { clock, startAll } = await setUp();
+  const nodes = await startAll(4);
+  const [first] = nodes;
+  first!.placements.update('s', (record) => record && beginTakeover(record, first!.id));
+  await clock.advance(1000);
+  const joined = first!.placer.join(SERVICE, { instance: 'i', weight: 1 });
+  await clock.advance(PASSES_MS);
+  assert.ok((await joined).isOk());
+  const secondId = `${first!.id}.1`;
+  assert.is(first!.placer.ownerIdOf('s'), secondId);
+  const record = nodes[1]!.placements.current('s')!;
+  assert.is(record.owners.find(({ id }) => id === secondId)?.state, 'active');
+  assert.not.ok(record.owners.some(({ id, state }) => id === first!.id && state !== 'removed'));
+});
+
 test.run();
--- a/placement/mod.ts
+++ b/placement/mod.ts
@@ -25,6 +25,9 @@
 } from './hot_keys.ts';
 export { createSlotOfKey, type SlotOfKey } from './slot_of_key.ts';
 export { createOwnerId, processIdOf } from './owner_id.ts';
+export {
+  createLoadReports, LOAD_REPORT_INTERVAL_MS, type LoadReports, type LoadReportsOptions,
+} from './load_reports.ts';
 export { encodeRecord } from './encode_record.ts';
 export { decodeRecord } from './decode_record.ts';
 export {
