Check a silent stream twice before it is closed

Cause: after a pause of the event loop, timers run before the messages that arrived meanwhile, and a stream that was still being opened counted as silent after 300 ms. Change: a second check 20 ms later, during which nothing is written, and 1 s for a stream on which nothing has arrived yet.

--- a/peer/_peer_link.ts
+++ b/peer/_peer_link.ts
@@ -34,6 +34,10 @@
   readonly random: () => number;
 }
 
+const RECHECK_MS = 20;
+// A busy host may take this long to open a stream.
+const MIN_OPENING_MS = 1000;
+
 export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
   const { clock, outbox, random } = options;
   const stop = new AbortController();
@@ -41,9 +45,20 @@
   let backoffMs = 0;
   let reopenAtMs = -Infinity;
   let lastPostedMs = clock.now();
+  let verdict: Promise<void> = Promise.resolve();
 
   const newest = () => channels.at(-1);
 
+  /** The peer may answer on another stream than the newest. */
+  const lastReceivedMs = () => (
+    Math.max(...channels.map((channel) => channel.lastReceivedMs()))
+  );
+
+  const isSilent = (channel: Channel, sinceMs: number) => {
+    const limitMs = channel.hasReceived() ? options.silenceMs : MIN_OPENING_MS;
+    return lastReceivedMs() <= sinceMs && clock.now() - lastReceivedMs() >= limitMs;
+  };
+
   const openChannel = () => {
     const channel = options.open();
     if (channel?.isOpen()) channels = [...channels, channel];
@@ -53,6 +68,8 @@
   const run = async () => {
     while (!stop.signal.aborted) {
       await outbox.waitForMessage(stop.signal);
+      // Nothing is written to a stream that may be silent.
+      await verdict;
       const waitMs = newest() ? 0 : reopenAtMs - clock.now();
       if (waitMs > 0) await clock.sleep(waitMs, stop.signal);
       if (stop.signal.aborted) return;
@@ -66,6 +83,16 @@
   };
   run();
 
+  const closeIfSilent = async (sinceMs: number) => {
+    const channel = newest();
+    if (channel === undefined || !isSilent(channel, sinceMs)) return;
+    // After a pause of the event loop, timers run before the messages that arrived meanwhile.
+    await clock.sleep(RECHECK_MS);
+    if (!channel.isOpen() || !isSilent(channel, sinceMs)) return;
+    options.onSilent(clock.now() - lastReceivedMs());
+    channel.close();
+  };
+
   return {
     post: (message) => {
       lastPostedMs = clock.now();
@@ -86,15 +113,7 @@
     },
     expired: (requestId, postedAtMs) => {
       outbox.remove(requestId);
-      const channel = newest();
-      if (channel === undefined) return;
-      // The peer may answer on another stream than the newest.
-      const lastReceivedMs = Math.max(...channels.map((other) => other.lastReceivedMs()));
-      if (lastReceivedMs > postedAtMs) return;
-      const silentMs = clock.now() - lastReceivedMs;
-      if (silentMs < options.silenceMs) return;
-      options.onSilent(silentMs);
-      channel.close();
+      verdict = closeIfSilent(postedAtMs);
     },
     sweep: (idleMs) => {
       const nowMs = clock.now();
