Estimate waits without the weight of checks, and test a mixed crest

Cause: the estimated wait counted the full weight of checks, so lookups were refused early and bulk took the slots that they left. The abort listener was added even when a slot was free. Change: backlogged checks count only in their own estimate; the listener is added only to requests that wait; an instance that announces no slots gets one.

--- a/admission/_slot_shares.ts
+++ b/admission/_slot_shares.ts
@@ -1,4 +1,4 @@
-import type { RequestClass } from '../contract/mod.ts';
+import { type RequestClass, requestClasses } from '../contract/mod.ts';
 import { excessSlots } from './concurrency_limit.ts';
 
 /** Slots in use at an instance. */
@@ -19,6 +19,11 @@
   readonly hasShort: boolean;
 }
 
+/** Slot time that each class gets when all of them are backlogged. */
+export const CLASS_WEIGHT: Readonly<Record<RequestClass, number>> = {
+  check: 4, lookup: 2, submission: 2, bulk: 2,
+};
+
 const CHECK_RESERVE_FRACTION = 0.1;
 const SHORT_RESERVE_FRACTION = 0.1;
 /** The reserve of checks is lent while long requests hold at most one slot in this many. */
@@ -84,3 +89,19 @@
   if (requestClass === 'bulk') return longShare(use);
   return Math.max(1, shortShare(use));
 };
+
+/**
+ * Part of the slot time that a class can expect. Backlogged checks count for themselves only, as
+ * they seldom use up their weight.
+ */
+export const classPart = (
+  requestClass: RequestClass,
+  isBacklogged: (name: RequestClass) => boolean,
+) => {
+  let weights = CLASS_WEIGHT[requestClass];
+  for (const name of requestClasses) {
+    if (name === requestClass || name === 'check' || !isBacklogged(name)) continue;
+    weights += CLASS_WEIGHT[name];
+  }
+  return CLASS_WEIGHT[requestClass] / weights;
+};
--- a/admission/create_admission.ts
+++ b/admission/create_admission.ts
@@ -8,7 +8,9 @@
 import { createConcurrencyLimit } from './concurrency_limit.ts';
 import { createFairQueue, type FairQueue } from './fair_queue.ts';
 import { createServiceTimes } from './_service_times.ts';
-import { classSlots, maySend, type SlotUse } from './_slot_shares.ts';
+import {
+  CLASS_WEIGHT, classPart, classSlots, maySend, type SlotUse,
+} from './_slot_shares.ts';
 
 /** Options of the admission of one instance. */
 export interface AdmissionOptions {
@@ -47,11 +49,6 @@
 const STATUS_UNAVAILABLE = 503;
 /** Status of a request whose caller has gone; nobody receives it. */
 const STATUS_CALLER_GONE = 499;
-/** Slot time that each class gets when all of them are backlogged. */
-const CLASS_WEIGHT: Readonly<Record<RequestClass, number>> = {
-  check: 4, lookup: 2, submission: 2, bulk: 2,
-};
-
 /**
  * Creates the admission of one instance: an adaptive concurrency limit, reserves that keep long
  * requests from holding every slot, and short queues that are fair between classes and customers.
@@ -64,7 +61,9 @@
  * const permit = await admission.acquire(request);
  */
 export const createAdmission = (options: AdmissionOptions): Admission => {
-  const { clock, announcedSlots } = options;
+  const { clock } = options;
+  // Without any slot, nothing would be measured and the instance could never recover.
+  const announcedSlots = () => Math.max(1, options.announcedSlots());
   const limit = createConcurrencyLimit({ clock, announcedSlots });
   const times = createServiceTimes(clock);
   const running = new Set<Running>();
@@ -114,11 +113,7 @@
   /** Expected wait in the queue, from the measured rate of the class and the shares queued. */
   const estimateWaitMs = (waiting: Waiting, use: SlotUse) => {
     const { requestClass } = waiting;
-    let weights = 0;
-    for (const [name, { queue }] of states) {
-      if (name === requestClass || queue.size() > 0) weights += CLASS_WEIGHT[name];
-    }
-    const part = CLASS_WEIGHT[requestClass] / weights;
+    const part = classPart(requestClass, (name) => queuedOf(name) > 0);
     const slots = Math.max(1, classSlots(requestClass, use) * part);
     const { queue } = states.get(requestClass)!;
     return ((queue.countAhead(waiting) + 1) * times.meanMs(requestClass)) / slots;
@@ -261,8 +256,11 @@
       waiting.settle(err(refuse('the caller has gone', STATUS_CALLER_GONE, 0)));
       arm(pump);
     };
+    let isListening = false;
+    let isSettled = false;
     const settle = (outcome: Result<Permit, RefusalError>) => {
-      signal.removeEventListener('abort', onAbort);
+      isSettled = true;
+      if (isListening) signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
     if (signal.aborted || budgetMs <= 0) {
@@ -276,8 +274,10 @@
     waiting = {
       ...request, arrivedAt: now, expectedMs, settle,
     };
-    signal.addEventListener('abort', onAbort, { once: true });
     enqueue(waiting);
+    if (isSettled) return;
+    isListening = true;
+    signal.addEventListener('abort', onAbort, { once: true });
   });
 
   return {
--- a/admission/load_run_test.ts
+++ b/admission/load_run_test.ts
@@ -222,4 +222,49 @@
   assert.ok(figures.goodput >= 0.95);
 });
 
+test('at a mixed crest no class starves and checks still return', async () => {
+  const mix = (factor: number, fromMs: number, toMs: number): readonly Stream[] => {
+    const common = { fromMs, toMs };
+    return [
+      {
+        ...common, requestClass: 'check', perSecond: 150 * factor, meanMs: 2, deadlineMs: 200,
+      },
+      {
+        ...common,
+        requestClass: 'lookup',
+        perSecond: 300 * factor,
+        meanMs: 10,
+        deadlineMs: 500,
+        stragglers: 0.01,
+      },
+      {
+        ...common, requestClass: 'submission', perSecond: 50 * factor, meanMs: 15, deadlineMs: 1000,
+      },
+      {
+        ...common, requestClass: 'bulk', perSecond: factor, meanMs: 1000, deadlineMs: 10_000,
+      },
+    ];
+  };
+  const load = generate(3, [...mix(0.8, 0, 5000), ...mix(3, 5000, 20_000)]);
+  const atCrest = (answered: readonly Answered[]) => answered.filter(({ arrival }) => (
+    arrival.at >= 6000 && arrival.at < 19_000
+  ));
+  const product = atCrest(await runAdmission(load));
+  const workOf = (answered: readonly Answered[]) => inTime(answered)
+    .reduce((sum, { arrival }) => sum + arrival.serviceMs, 0) / (13_000 * SLOTS);
+  const classWork = (['check', 'lookup', 'submission', 'bulk'] as const)
+    .map((name) => [name, round(workOf(ofClass(product, name)))] as const);
+  const checksInTime = inTime(ofClass(product, 'check')).length / ofClass(product, 'check').length;
+  console.log('mixed crest', {
+    goodput: round(workOf(product)),
+    naiveGoodput: round(workOf(atCrest(runNaive(load)))),
+    checksInTime: round(checksInTime),
+    ...Object.fromEntries(classWork),
+  });
+  assert.ok(workOf(product) >= 0.95);
+  assert.ok(checksInTime >= 0.95);
+  // Two of the ten parts of the class weights.
+  for (const [name, work] of classWork) assert.ok(name === 'check' || work >= 0.2, name);
+});
+
 test.run();
--- a/routing/create_router_test.ts
+++ b/routing/create_router_test.ts
@@ -4,7 +4,7 @@
 import type {
   PlacementListener, PlacementRecord, Placements, SlotState,
 } from '../placement/mod.ts';
-import { silentLogger } from '../telemetry/mod.ts';
+import { type LogFields, type Logger, silentLogger } from '../telemetry/mod.ts';
 import { createRouter } from './mod.ts';
 import { createFakeMembership, member } from './_test_support.ts';
 
@@ -53,12 +53,21 @@
     record = next;
     for (const listener of [...listeners]) listener(next, undefined);
   };
+  const lines: (LogFields & { readonly sentence: string })[] = [];
+  const logger: Logger = {
+    ...silentLogger,
+    info: (fields, sentence) => lines.push({ ...fields, sentence }),
+    forPart: (part) => {
+      assert.is(part, 'routing');
+      return logger;
+    },
+  };
   const router = createRouter({
     clock,
     placements,
     membership: createFakeMembership([member('n1')]).membership,
     slotOf: (key) => Number(key) || 0,
-    logger: silentLogger,
+    logger,
     random: () => 0,
   });
   const decide = (key: string, excluded: readonly string[] = []) => router.decide({
@@ -71,7 +80,7 @@
     excluded: new Set(excluded),
   });
   return {
-    clock, router, decide, accept, listeners,
+    clock, router, decide, accept, listeners, lines,
   };
 };
 
@@ -90,6 +99,15 @@
   assert.is(setUp(undefined).decide('0').kind, 'none');
 });
 
+test('each decision leaves one log line with request, instance and reason', () => {
+  const { decide, lines } = setUp(createRecord([slot({})]));
+  decide('0');
+  decide('hot');
+  assert.equal(lines.map(({ request, instance, reason }) => [request, instance, reason]), [
+    ['q', 'i2', 'owner of the slot'], ['q', undefined, 'the slot is being moved'],
+  ]);
+});
+
 test('a wait ends with a newer record, at the time-out, or when the caller goes', async () => {
   const {
     clock, router, accept, listeners,
--- a/routing/unkeyed_test.ts
+++ b/routing/unkeyed_test.ts
@@ -112,7 +112,9 @@
   const { shareOf, durations } = await run(5000, 1000, serverOf);
   assert.ok(shareOf('i-n4') > 0 && shareOf('i-n4') <= 0.1, `${shareOf('i-n4')}`);
   durations.sort((left, right) => left - right);
-  assert.ok(durations[Math.floor(durations.length * 0.99)]! <= 100);
+  const p99 = durations[Math.floor(durations.length * 0.99)]!;
+  console.log('one instance four times slower', { share: shareOf('i-n4'), p99 });
+  assert.ok(p99 <= 100);
 });
 
 test('announced slots and weights that mislead attract no requests', async () => {
