--- a/placement/create_placer.ts
+++ b/placement/create_placer.ts
@@ -152,7 +152,8 @@
 
   const act = async (service: string) => {
     const record = placements.current(service);
-    if (record === undefined || findActor(record, membership.members()) !== ownerIdOf(service)) return;
+    if (record === undefined) return;
+    if (findActor(record, membership.members()) !== ownerIdOf(service)) return;
     const view = {
       members: membership.members(),
       slotOfKey: options.slotOfKey,
--- a/placement/load_reports_test.ts
+++ b/placement/load_reports_test.ts
@@ -41,6 +41,10 @@
   const placementsOf: Placements[] = [];
   const reportsOf = new Map<string, LoadReports>();
   let writes = 0;
+  const createWriterId = () => {
+    writes += 1;
+    return `w${writes}`;
+  };
 
   for (const self of members) {
     const id = `${self.node}#${self.incarnation}`;
@@ -52,10 +56,7 @@
       clock,
       logger: silentLogger,
       random,
-      createWriterId: () => {
-        writes += 1;
-        return `w${writes}`;
-      },
+      createWriterId,
     });
     const membership = { self: () => self, members: () => members };
     const placer = createPlacer({
