Use one rendezvous hash

Change: sortByRendezvous in membership serves all; the other two are gone. Conclusion: one order of members for watches, witnesses, allotment nodes, planners and subsets.

--- a/admission/create_customer_limits.ts
+++ b/admission/create_customer_limits.ts
@@ -2,7 +2,7 @@
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { Contract } from '../contract/mod.ts';
 import { PeerError, RefusalError } from '../errors/mod.ts';
-import type { Membership } from '../membership/mod.ts';
+import { type Membership, rendezvousRank } from '../membership/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
 import type { ControlBody, ControlValue } from '../proto/mod.ts';
 import {
@@ -10,7 +10,6 @@
 } from './allotment_table.ts';
 import type { CustomerLimits, LimitTicket } from './customer_limits.ts';
 import { createLocalLimit, type LocalLimit } from './_local_limit.ts';
-import { rendezvousOrder } from './rendezvous.ts';
 
 /** Options of the customer limits of a node. */
 export interface CustomerLimitsOptions {
@@ -101,7 +100,7 @@
   const allotmentNodeOf = (customer: string) => {
     const known = allotmentNodes.get(customer);
     if (known !== undefined) return known;
-    const chosen = rendezvousOrder(customer, nodes)[0] ?? self;
+    const chosen = rendezvousRank(customer, nodes)[0] ?? self;
     allotmentNodes.set(customer, chosen);
     return chosen;
   };
--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -21,7 +21,6 @@
 export { createCustomerLimits, type CustomerLimitsOptions } from './create_customer_limits.ts';
 export { divideMaxMin } from './divide_max_min.ts';
 export { createRetryBudget, type RetryBudgetOptions } from './create_retry_budget.ts';
-export { rendezvousOrder } from './rendezvous.ts';
 export {
   createRotatingHistogram,
   type RotatingHistogram,
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -2,4 +2,4 @@
 export type { MemberDescription, Membership } from './membership.ts';
 export { createMembership, type MembershipOptions } from './create_membership.ts';
 export type { MembershipTimings } from './_timings.ts';
-export { chooseByRendezvous, rendezvousRank } from './rendezvous.ts';
+export { chooseByRendezvous, rendezvousRank, sortByRendezvous } from './rendezvous.ts';
--- a/membership/rendezvous.ts
+++ b/membership/rendezvous.ts
@@ -20,6 +20,26 @@
     .map(({ member }) => member)
 );
 
+/**
+ * Sorts items by the rendezvous rank of their identifiers.
+ *
+ * @param key What is to be placed.
+ * @param items The items.
+ * @param idOf Returns the identifier of an item; items with the same identifier count once.
+ * @returns The items, the best first.
+ *
+ * @example
+ * const [actor] = sortByRendezvous('ledger', owners, ({ id }) => id);
+ */
+export const sortByRendezvous = <T>(
+  key: string,
+  items: readonly T[],
+  idOf: (item: T) => string,
+): readonly T[] => {
+  const byId = new Map(items.map((item) => [idOf(item), item]));
+  return rendezvousRank(key, [...byId.keys()]).map((id) => byId.get(id)!);
+};
+
 /**
  * Chooses the best members for a key by rendezvous hash.
  *
@@ -37,8 +57,4 @@
   members: readonly T[],
   idOf: (member: T) => string,
   count: number,
-): readonly T[] => {
-  const byId = new Map(members.map((member) => [idOf(member), member]));
-  const chosen = rendezvousRank(key, [...byId.keys()]).slice(0, count);
-  return chosen.map((id) => byId.get(id)!);
-};
+): readonly T[] => sortByRendezvous(key, members, idOf).slice(0, count);
--- a/placement/_decide_changes.ts
+++ b/placement/_decide_changes.ts
@@ -1,6 +1,6 @@
 import { MemberState, type MemberUpdate } from '../proto/mod.ts';
 import type { LogFields } from '../telemetry/mod.ts';
-import { rankByRendezvous } from './_rendezvous.ts';
+import { sortByRendezvous } from '../membership/mod.ts';
 import { combineChanges, type RecordChange } from './combine_changes.ts';
 import { dropHotKey, setHotKey } from './hot_keys.ts';
 import { sourceOf, startMoves } from './moves.ts';
@@ -43,7 +43,7 @@
 const rankOwners = ({ service, owners }: PlacementRecord) => {
   const known = rankings.get(owners);
   if (known !== undefined) return known;
-  const ranked = rankByRendezvous(owners, ({ id }) => id, service);
+  const ranked = sortByRendezvous(service, owners, ({ id }) => id);
   rankings.set(owners, ranked);
   return ranked;
 };
--- a/placement/witnesses.ts
+++ b/placement/witnesses.ts
@@ -1,5 +1,5 @@
 import { findOwner, nextRecord, replaceOwner } from './_change.ts';
-import { rankByRendezvous } from './_rendezvous.ts';
+import { sortByRendezvous } from '../membership/mod.ts';
 import type {
   Owner, OwnerId, PlacementRecord, WitnessReference,
 } from './placement_record.ts';
@@ -44,7 +44,7 @@
 ): readonly WitnessReference[] => {
   const keep = new Set(options.keep ?? []);
   const others = candidates.filter((candidate) => candidate.node !== owner.node);
-  const ranked = rankByRendezvous(others, idOf, owner.id);
+  const ranked = sortByRendezvous(owner.id, others, idOf);
   const ordered = [
     ...ranked.filter((candidate) => keep.has(idOf(candidate))),
     ...ranked.filter((candidate) => !keep.has(idOf(candidate))),
--- a/routing/choose_subset.ts
+++ b/routing/choose_subset.ts
@@ -1,4 +1,4 @@
-import { rendezvousOrder } from '../admission/mod.ts';
+import { sortByRendezvous } from '../membership/mod.ts';
 
 /** An instance that may belong to a subset. */
 export interface SubsetCandidate {
@@ -35,8 +35,7 @@
 ): readonly Candidate[] => {
   const size = options.size ?? DEFAULT_SUBSET_SIZE;
   if (candidates.length <= size) return candidates;
-  const byName = new Map(candidates.map((candidate) => [candidate.instance, candidate]));
-  const ordered = rendezvousOrder(node, [...byName.keys()]).map((name) => byName.get(name)!);
+  const ordered = sortByRendezvous(node, candidates, ({ instance }) => instance);
   const near = ordered.filter(({ isNear }) => isNear).slice(0, Math.ceil(size / 2));
   const taken = new Set(near);
   return [...near, ...ordered.filter((candidate) => !taken.has(candidate))].slice(0, size);
