Keep the limit near the slots that an instance really has

Cause: the latency baseline rose by 2 % a window at all times, so the limit climbed back to a misleading number of announced slots. Bulk could not start while short requests borrowed the reserve, which showed once the limit no longer exceeded the announced slots. Change: the baseline rises by 0.1 %, and by 2 % only while the limit is at its floor. Bulk has the same bound on all slots in use as short requests, beside its own share. Tests of the limit.

--- a/admission/_slot_shares.ts
+++ b/admission/_slot_shares.ts
@@ -78,9 +78,8 @@
   check: (use) => use.inFlight < use.limit + checkExcess(use),
   lookup: (use) => use.inFlight < shortShare(use),
   submission: (use) => use.inFlight < shortShare(use),
-  bulk: (use) => (
-    use.long < longShare(use) && use.inFlight < use.limit - checkReserve(use.limit)
-  ),
+  // The same bound as for short requests: with a lower one, these would take every slot that frees.
+  bulk: (use) => use.long < longShare(use) && use.inFlight < shortShare(use),
 };
 
 /** Most slots that a class can hold, from which its rate of service is estimated. */
--- a/admission/concurrency_limit.ts
+++ b/admission/concurrency_limit.ts
@@ -38,8 +38,13 @@
 const OVERLOAD_FACTOR = 0.8;
 /** Sheds of one burst shrink the limit once. */
 const OVERLOAD_INTERVAL_MS = 100;
-/** The baseline doubles within about 35 windows, so a lasting change of speed becomes normal. */
-const BASELINE_RISE = 1.02;
+/** Rise of the baseline per window, so that a single lucky window is forgotten. */
+const BASELINE_RISE = 1.001;
+/**
+ * Rise while the limit is at its floor: latency that stays high there is not caused by concurrency.
+ * With this rise at all times, the limit climbed back to a misleading number of announced slots.
+ */
+const FLOOR_BASELINE_RISE = 1.02;
 /** Without samples, as under bulk requests alone, a reduced limit still recovers. */
 const IDLE_RECOVERY_MS = 1000;
 
@@ -73,8 +78,10 @@
   let isSaturated = false;
   let overloadAt = -Infinity;
 
+  const floor = () => Math.min(2, announced);
+
   const clamp = (value: number) => (
-    Math.min(announced + excessSlots(announced), Math.max(Math.min(2, announced), value))
+    Math.min(announced + excessSlots(announced), Math.max(floor(), value))
   );
 
   const recover = () => {
@@ -95,13 +102,14 @@
 
   /** Ratio of latency to baseline over the classes with enough samples; also moves baselines. */
   const measureRatio = (): number | undefined => {
+    const rise = limit <= floor() ? FLOOR_BASELINE_RISE : BASELINE_RISE;
     let weighted = 0;
     let samples = 0;
     for (const [requestClass, values] of durations) {
       if (values.length < MIN_WINDOW_SAMPLES) continue;
       const measured = median(values);
       const baseline = baselines.get(requestClass) ?? measured;
-      baselines.set(requestClass, Math.min(measured, baseline * BASELINE_RISE));
+      baselines.set(requestClass, Math.min(measured, baseline * rise));
       weighted += (measured / Math.max(baseline, Number.EPSILON)) * values.length;
       samples += values.length;
       durations.set(requestClass, []);
--- /dev/null
+++ b/admission/concurrency_limit_test.ts
@@ -0,0 +1,60 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import { createConcurrencyLimit } from './mod.ts';
+
+const ANNOUNCED = 10;
+
+const setUp = () => {
+  const clock = createFakeClock();
+  const limit = createConcurrencyLimit({ clock, announcedSlots: () => ANNOUNCED });
+  /** Ends a lookup every 10 ms, each after the time that `durationOf` gives. */
+  const run = async (durationMs: number, durationOf: () => number) => {
+    for (let elapsed = 0; elapsed < durationMs; elapsed += 10) {
+      limit.noteSaturation();
+      limit.recordSuccess({ requestClass: 'lookup', durationMs: durationOf() });
+      await clock.advance(10);
+    }
+    return limit.current();
+  };
+  return { limit, run };
+};
+
+test('the limit shrinks while latency is raised, and recovers to a bounded excess', async () => {
+  const { run } = setUp();
+  assert.is(await run(500, () => 10), ANNOUNCED);
+  assert.ok(await run(1000, () => 60) <= ANNOUNCED / 2);
+  assert.ok(await run(5000, () => 10) >= ANNOUNCED);
+  assert.is(await run(60_000, () => 10), ANNOUNCED * 1.2);
+});
+
+test('an instance that announces more slots than it has settles near those it has', async () => {
+  const { limit, run } = setUp();
+  const workers = 3;
+  await run(500, () => 10);
+  const limits: number[] = [];
+  for (let round = 0; round < 40; round += 1) {
+    limits.push(await run(300, () => (10 * Math.max(workers, limit.current())) / workers));
+  }
+  const mean = limits.slice(10).reduce((sum, value) => sum + value, 0) / 30;
+  assert.ok(mean <= 2 * workers + 1, `mean limit ${mean}`);
+});
+
+test('stragglers among quick requests do not shrink the limit', async () => {
+  const { run } = setUp();
+  let count = 0;
+  const durationOf = () => {
+    count += 1;
+    return count % 5 === 0 ? 300 : 10;
+  };
+  assert.ok(await run(10_000, durationOf) >= ANNOUNCED);
+});
+
+test('an instance that is slow at any concurrency gets its slots back', async () => {
+  const { run } = setUp();
+  await run(500, () => 10);
+  assert.is(await run(3000, () => 60), 2);
+  assert.ok(await run(60_000, () => 60) >= ANNOUNCED);
+});
+
+test.run();
