Test takeover from an owner that still holds its lease

Cause: planted faults showed that the tests passed without the wait for the lease of a predecessor, because every lost owner in them had lost its lease before its removal. Change: tests that remove a live owner which has not seen the record, that change its witnesses meanwhile, and that it releases only without requests in flight. Faults at random include the loss of records at one node and the removal of live owners. Conclusion: the tests notice a takeover that does not wait for the former lease.

--- a/lease/_test_cluster.ts
+++ b/lease/_test_cluster.ts
@@ -7,7 +7,7 @@
 } from '../placement/mod.ts';
 import { createMemoryStore, type StoreEntry } from '../store/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
-import { createTestRelay } from './_test_relay.ts';
+import { createPartitionableStore, createTestRelay } from './_test_relay.ts';
 import {
   createLeaseHolder, createOwnership, createTakeover, createWitness, type LeaseHolder,
   type NodeOwnership, type OwnershipTicket, type UpstreamGrants,
@@ -87,7 +87,8 @@
     const clock = createPausableClock(base);
     const random = xoroshiro128plus(sequence);
     const transport = network.connect(node, { node, incarnation });
-    const { relay, accept } = createTestRelay(store, clock, (entry) => {
+    const reachableStore = createPartitionableStore(store, () => cuts.has(`store ${node}`));
+    const { relay, accept } = createTestRelay(reachableStore, clock, (entry) => {
       for (const other of processes.values()) {
         if (other.node === node || cuts.has(`${node} ${other.node}`)) continue;
         base.schedule(RELAY_DELAY_MS, () => other.deliver(entry));
@@ -95,7 +96,7 @@
     });
     let writes = 0;
     const placements = createPlacements({
-      store,
+      store: reachableStore,
       relay,
       clock,
       random,
@@ -226,6 +227,11 @@
     cuts.add(`${from} ${to}`);
   };
 
+  /** Hides new records from a node; its control messages still arrive. */
+  const hideRecords = (node: string) => {
+    for (const source of ['store', ...processes.keys()]) cuts.add(`${source} ${node}`);
+  };
+
   const healAll = () => {
     network.healAll();
     cuts.clear();
@@ -281,6 +287,7 @@
     resume,
     setCut,
     healAll,
+    hideRecords,
     hold,
     keysOf,
     update,
--- a/lease/_test_relay.ts
+++ b/lease/_test_relay.ts
@@ -1,9 +1,24 @@
+import { err, type Result } from 'neverthrow';
 import type { Clock } from '../clock/mod.ts';
+import { StoreError } from '../errors/mod.ts';
 import type { EntryListener, Relay } from '../relay/mod.ts';
 import type { Store, StoreEntry } from '../store/mod.ts';
 
 const POLL_MS = 400;
 
+/** The store as one process reaches it; while it is cut off, no call has an effect. */
+export const createPartitionableStore = (store: Store, isCut: () => boolean): Store => {
+  const unless = async <T>(call: () => Promise<Result<T, StoreError>>) => (
+    isCut() ? err(new StoreError('unavailable', 'cut off', { step: 'store.call' })) : call()
+  );
+  return {
+    get: (...parameters) => unless(() => store.get(...parameters)),
+    list: (...parameters) => unless(() => store.list(...parameters)),
+    compareAndSwap: (...parameters) => unless(() => store.compareAndSwap(...parameters)),
+    watch: (...parameters) => unless(() => store.watch(...parameters)),
+  };
+};
+
 /** The relay of one process for one record; a poll of the store stands in for the watches. */
 export const createTestRelay = (
   store: Store,
--- a/lease/random_faults_test.ts
+++ b/lease/random_faults_test.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-  type PlacementChange, replaceWitnesses, setHotKey, startMoves,
+  beginTakeover, type PlacementChange, replaceWitnesses, setHotKey, startMoves,
 } from '../placement/mod.ts';
 import {
   createCluster, KEYS, SERVICE, SLOT_COUNT,
@@ -58,7 +58,12 @@
       }
     },
     () => cluster.setCut(anyNode(), anyNode()),
+    () => cluster.hideRecords(anyNode()),
     () => cluster.healAll(),
+    () => {
+      const owner = anyOwner();
+      change((record) => record && beginTakeover(record, owner));
+    },
     () => cluster.store.setDown(below(3) === 0),
     () => cluster.store.loseReplies(1 + below(2)),
     () => cluster.store.setDelay(below(120)),
--- a/lease/takeover_test.ts
+++ b/lease/takeover_test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { replaceWitnesses } from '../placement/mod.ts';
+import { beginTakeover, replaceWitnesses } from '../placement/mod.ts';
 import { createCluster } from './_test_cluster.ts';
 
 const SERVED_AGAIN_MS = 2_000;
@@ -135,6 +135,50 @@
   await cluster.advance(500);
 });
 
+test('the new owner waits for the lease of an owner that has not seen its removal', async () => {
+  const cluster = await createCluster();
+  const ownerId = cluster.at('n1').id;
+  const keys = cluster.keysOf('n1');
+  cluster.hideRecords('n1');
+  await cluster.update('n0', (record) => record && beginTakeover(record, ownerId));
+  assert.is(cluster.record()?.owners.find(({ id }) => id === ownerId)?.state, 'removed');
+  assert.equal(cluster.keysOf('n1'), keys);
+  while (cluster.keysOf('n1').length > 0) await cluster.advance(10);
+  assert.ok(await cluster.advanceUntilServed(500) < 500);
+});
+
+test('an owner that hears of its removal releases its slots at once', async () => {
+  const cluster = await createCluster();
+  const ownerId = cluster.at('n1').id;
+  await cluster.update('n0', (record) => record && beginTakeover(record, ownerId));
+  assert.ok(await cluster.advanceUntilServed(100) < 100);
+});
+
+test('an owner that hears of its removal releases only after its requests have ended', async () => {
+  const cluster = await createCluster();
+  const ownerId = cluster.at('n1').id;
+  const key = cluster.keysOf('n1')[0] ?? '';
+  const ticket = cluster.hold('n1', key);
+  await cluster.update('n0', (record) => record && beginTakeover(record, ownerId));
+  await cluster.advance(200);
+  assert.ok(ticket.signal.aborted);
+  assert.not(cluster.isServed(key));
+  ticket.release();
+  assert.ok(await cluster.advanceUntilServed(100) < 100);
+});
+
+test('silent new witnesses alone remove no owner that its former witnesses hear', async () => {
+  const cluster = await createCluster({ nodes: 13 });
+  const ownerId = cluster.at('n1').id;
+  const ticket = cluster.hold('n1', cluster.keysOf('n1')[0] ?? '');
+  cluster.hideRecords('n1');
+  const set = cluster.witnessesOf('n4');
+  await cluster.update('n0', (record) => record && replaceWitnesses(record, ownerId, set));
+  await cluster.advance(3_000);
+  assert.is(cluster.record()?.owners.find(({ id }) => id === ownerId)?.state, 'active');
+  assert.not(ticket.signal.aborted);
+});
+
 for (const direction of ['from', 'to'] as const) {
   test(`keys are served again when no message ${direction} the owner arrives`, async () => {
     const cluster = await createCluster();
