--- a/daemon/_owner_service.ts
+++ b/daemon/_owner_service.ts
@@ -34,6 +34,9 @@
 }
 
 const RECONCILE_INTERVAL_MS = 500;
+/** An owner that gets no lease is removed again after about 1 s; joining at once would repeat it. */
+const FIRST_REJOIN_DELAY_MS = 500;
+const MAX_REJOIN_DELAY_MS = 60_000;
 
 interface OwnedInstance {
   readonly instance: string;
@@ -41,6 +44,12 @@
   readonly holder: LeaseHolder;
 }
 
+/** When a removed owner may join again. */
+interface Rejoin {
+  readonly delayMs: number;
+  readonly notBefore: number;
+}
+
 /** Starts the task that joins, leaves and joins again after a removal. */
 export const startOwnerService = (options: OwnerServiceOptions): OwnerService => {
   const {
@@ -50,6 +59,7 @@
   const stopping = new AbortController();
   let wake = new AbortController();
   let draining = false;
+  const rejoins = new Map<string, Rejoin>();
 
   const forget = (service: string) => {
     owned.get(service)?.holder.stop();
@@ -57,6 +67,15 @@
     ownership.detach(service);
   };
 
+  const delayRejoin = (service: string) => {
+    const last = rejoins.get(service);
+    const isStable = last === undefined || clock.now() - last.notBefore > MAX_REJOIN_DELAY_MS;
+    const delayMs = isStable
+      ? FIRST_REJOIN_DELAY_MS
+      : Math.min(MAX_REJOIN_DELAY_MS, last.delayMs * 2);
+    rejoins.set(service, { delayMs, notBefore: clock.now() + delayMs });
+  };
+
   const hold = (definition: ServiceDefinition, announcement: Announcement, ownerId: string) => {
     const { instance } = announcement;
     const holder = createLeaseHolder({
@@ -71,7 +90,7 @@
       onRemoved: () => {
         logger.warn({ owner: ownerId }, 'the owner was removed; joining with a new incarnation');
         forget(definition.name);
-        wake.abort();
+        delayRejoin(definition.name);
       },
     });
     owned.set(definition.name, { instance, service: definition.name, holder });
@@ -86,6 +105,7 @@
   const join = async (announcement: Announcement) => {
     const definition = contracts.compiled().findService(announcement.service);
     if (!definition?.keyed || owned.has(definition.name)) return;
+    if (clock.now() < (rejoins.get(definition.name)?.notBefore ?? 0)) return;
     const joined = await placer.join(definition, announcement);
     if (joined.isErr()) {
       logger.warn({ error: joined.error.message }, 'could not join as an owner; trying again');
--- a/lease/_owned_service.ts
+++ b/lease/_owned_service.ts
@@ -2,6 +2,7 @@
 import type { PlacementRecord, SlotState } from '../placement/mod.ts';
 import { createGrantTable } from './_grant_table.ts';
 import { createInFlight } from './_in_flight.ts';
+import { createInheritance } from './_inheritance.ts';
 import type { OwnerContext } from './_owner_context.ts';
 import { createPlannedMoves } from './_planned_moves.ts';
 import { createPredecessorCleanup } from './_predecessor_cleanup.ts';
@@ -40,6 +41,7 @@
     ...context, inFlight, hasGrant: table.hasGrant, revoke: table.revoke,
   });
   const cleanup = createPredecessorCleanup(context);
+  const inheritance = createInheritance(options.clock, ownerId, options.slotOfKey);
 
   const wake = () => {
     table.wake();
@@ -47,8 +49,10 @@
     cleanup.wake();
   };
 
-  const settle = () => {
-    const units = unitsOf(placements.current(service), ownerId);
+  const settle = (previous?: PlacementRecord) => {
+    const record = placements.current(service);
+    if (record) inheritance.observe(record, previous);
+    const units = unitsOf(record, ownerId);
     const predecessors = new Set(units.flatMap(({ state }) => state.predecessors));
     for (const predecessor of predecessors) {
       if (!isCleared(predecessor)) takeover.clear(service, predecessor, wake);
@@ -73,11 +77,13 @@
     const hold = holder.hold();
     if (!hold) return err('lapsed');
     const end = inFlight.begin(place.slot, place.key);
+    const unit = indexOf(place.record).hotKeys.has(place.key) ? place.key : place.slot;
     return ok({
       service,
       slot: place.slot,
       token: place.state.token,
       version: place.record.version,
+      inheritedAt: inheritance.inheritedAt(unit),
       signal: hold.signal,
       release: () => {
         end();
--- a/lease/create_ownership.ts
+++ b/lease/create_ownership.ts
@@ -91,7 +91,9 @@
     }).mapErr(refusal);
   };
 
-  const stopListening = placements.onChange(({ service }) => attached.get(service)?.settle());
+  const stopListening = placements.onChange((record, previous) => {
+    attached.get(record.service)?.settle(previous);
+  });
 
   return {
     enter,
--- a/lease/ownership.ts
+++ b/lease/ownership.ts
@@ -21,6 +21,11 @@
   readonly slot: number;
   readonly token: number;
   readonly version: number;
+  /**
+   * Monotonic time in ms at which this owner took the key over from another one; `undefined` when
+   * it is the first owner. The former owner may have run requests that this one does not know.
+   */
+  readonly inheritedAt?: number;
   /**
    * Aborts when the lease lapses or the owner is removed; the request must be cancelled at the
    * upstream at once.
--- a/proxy/_attempts.ts
+++ b/proxy/_attempts.ts
@@ -10,7 +10,7 @@
   AttemptReport, Router, RouteTarget, RoutingDecision,
 } from '../routing/mod.ts';
 import { metricNames, type Metrics } from '../telemetry/mod.ts';
-import { type LocalDispatch, OWNERSHIP_STEP } from './local_dispatch.ts';
+import { type LocalDispatch, OWNERSHIP_STEP, PENDING_STEP } from './local_dispatch.ts';
 
 /** Collaborators of the attempts of a request. */
 export interface AttemptsOptions {
@@ -34,9 +34,19 @@
 export type RunAttempts = (request: CallerRequest, sink: AnswerSink) => Promise<AttemptEnd>;
 
 const STEP = 'ingress.route';
-const MAX_REDIRECTIONS = 5;
-/** Time in ms for a newer record to arrive after the owner refused a request as not its own. */
-const REDIRECTION_WAIT_MS = 500;
+
+/** How a request goes on after a refusal because of ownership. */
+interface RedirectionRule {
+  readonly maxRedirections: number;
+  /** Longest time in ms to wait for a newer record before the next decision. */
+  readonly waitMs: number;
+}
+
+const redirectionRules: Readonly<Record<string, RedirectionRule>> = {
+  [OWNERSHIP_STEP]: { maxRedirections: 5, waitMs: 500 },
+  // A takeover is settled within 300 ms of its record; the owner itself needs no newer one.
+  [PENDING_STEP]: { maxRedirections: 80, waitMs: 25 },
+};
 
 /** State of the attempts of one request. */
 interface AttemptContext {
@@ -133,8 +143,10 @@
     excluded,
   });
 
+  const canWait = () => waiting < options.maxWaiting;
+
   const waitForRecord = async (request: CallerRequest, version: number, limitMs: number) => {
-    if (waiting >= options.maxWaiting) return false;
+    if (!canWait()) return false;
     waiting += 1;
     try {
       const remainingMs = request.deadlineAt - clock.now();
@@ -222,10 +234,11 @@
   ): Promise<boolean> => {
     const { refusal } = end;
     if (request.signal.aborted || !canSendAgain(request)) return false;
-    if (refusal.step === OWNERSHIP_STEP && refusal.outcome === 'not run') {
-      if (context.redirections >= MAX_REDIRECTIONS) return false;
+    const rule = redirectionRules[refusal.step];
+    if (rule !== undefined && refusal.outcome === 'not run') {
+      if (context.redirections >= rule.maxRedirections || !canWait()) return false;
       context.redirections += 1;
-      await waitForRecord(request, target.version, REDIRECTION_WAIT_MS);
+      await waitForRecord(request, target.version, rule.waitMs);
       return true;
     }
     if (context.retries >= maxRetries(request, refusal)) return false;
--- a/proxy/_idempotency.ts
+++ b/proxy/_idempotency.ts
@@ -6,7 +6,7 @@
 import type { LocalDispatch } from './local_dispatch.ts';
 
 const STEP = 'dispatch.idempotency';
-const IDEMPOTENCY_HEADER = 'idempotency-key';
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
 
 const refuse = (reason: string, status: number, outcome: 'not run' | 'unknown'): RefusedEnd => ({
   kind: 'refused',
--- a/proxy/_test_node.ts
+++ b/proxy/_test_node.ts
@@ -88,6 +88,7 @@
     budget: 100,
     notOwned: undefined as NotOwned | undefined,
     token: 7,
+    inheritedAt: undefined as number | undefined,
     lapse: new AbortController(),
     refusal: undefined as RefusalError | undefined,
     tickets: 0,
@@ -104,6 +105,7 @@
         slot: 1,
         token: state.token,
         version: 1,
+        inheritedAt: state.inheritedAt,
         signal: state.lapse.signal,
         release: () => {
           state.tickets -= 1;
--- a/proxy/failure_test.ts
+++ b/proxy/failure_test.ts
@@ -186,4 +186,49 @@
   await path.stop();
 });
 
+test('guards against a refusal while the owner is about to finish a takeover', async () => {
+  let received = 0;
+  const path = await startPath((_, response) => {
+    received += 1;
+    response.end('done');
+  }, { contract: keyed });
+  path.state.notOwned = { reason: 'pending', owner: undefined, version: 1 };
+  let waits = 0;
+  path.state.onChange = async () => {
+    waits += 1;
+    if (waits === 10) path.state.notOwned = undefined;
+    return false;
+  };
+  const headers = { 'x-key': 'a' };
+  const answer = await call(path.callerAddress, '/submit', { method: 'POST', headers });
+  assert.is(answer.text, 'done');
+  assert.equal([received, waits], [1, 10]);
+  await path.stop();
+});
+
+test('guards against a second run of an idempotency key after a change of owner', async () => {
+  let received = 0;
+  const path = await startPath((_, response) => {
+    received += 1;
+    response.end('done');
+  }, { contract: keyed });
+  path.state.inheritedAt = performance.now();
+  const submit = (key: string) => call(path.callerAddress, '/submit', {
+    method: 'POST', headers: { 'x-key': 'a', 'idempotency-key': key },
+  });
+  const uuidOf = (time: number) => {
+    const digits = Math.floor(time).toString(16).padStart(12, '0');
+    return `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-000000000001`;
+  };
+  for (const key of ['opaque', uuidOf(Date.now() - 60_000)]) {
+    assert.is((await submit(key)).problem.outcome, 'unknown');
+  }
+  assert.is(received, 0);
+  assert.is((await submit(uuidOf(Date.now() + 60_000))).text, 'done');
+  path.state.inheritedAt = undefined;
+  assert.is((await submit('another opaque key')).text, 'done');
+  assert.is(received, 2);
+  await path.stop();
+});
+
 test.run();
--- a/proxy/local_dispatch.ts
+++ b/proxy/local_dispatch.ts
@@ -2,11 +2,19 @@
 import type { Clock } from '../clock/mod.ts';
 import type { CompiledContracts, ServiceDefinition } from '../contract/mod.ts';
 import { type Outcome, RefusalError, StepError } from '../errors/mod.ts';
-import type {
-  AnswerSink, AttemptEnd, ExchangeEnd, HopRequest, IdempotencyTable, RefusedEnd, UpstreamClient,
+import {
+  type AnswerSink,
+  type AttemptEnd,
+  type ExchangeEnd,
+  findHeader,
+  type HopRequest,
+  type IdempotencyTable,
+  type RefusedEnd,
+  type UpstreamClient,
 } from '../forward/mod.ts';
 import type { Ownership, OwnershipTicket } from '../lease/mod.ts';
-import { withIdempotency } from './_idempotency.ts';
+import { IDEMPOTENCY_HEADER, withIdempotency } from './_idempotency.ts';
+import { mayRepeatFormerOwner } from './_inherited_repeat.ts';
 import { waitForBody } from './_request_body.ts';
 
 /** The local instance: the path to it and its limits. */
@@ -34,7 +42,11 @@
 /** Step of a refusal because the key is not served here; a newer record may lead elsewhere. */
 export const OWNERSHIP_STEP = 'dispatch.ownership';
 
+/** Step of a refusal because this owner may serve the key only in a moment. */
+export const PENDING_STEP = 'dispatch.pending';
+
 const UPSTREAM_STEP = 'dispatch.upstream';
+const IDEMPOTENCY_STEP = 'dispatch.idempotency';
 
 interface RefusalParts {
   readonly status: number;
@@ -77,10 +89,19 @@
     if (entered.isOk()) return entered.value;
     const { reason, owner } = entered.error;
     return new RefusalError(`the key is not served here: ${reason}`, {
-      step: OWNERSHIP_STEP, peer: owner?.id ?? '', status: 503, outcome: 'not run',
+      step: reason === 'pending' ? PENDING_STEP : OWNERSHIP_STEP,
+      peer: owner?.id ?? '',
+      status: 503,
+      outcome: 'not run',
     });
   };
 
+  const mayRepeat = (request: HopRequest, ticket: OwnershipTicket): boolean => {
+    if (request.requestClass !== 'submission' || ticket.inheritedAt === undefined) return false;
+    const key = findHeader(request.headers, IDEMPOTENCY_HEADER);
+    return key !== undefined && mayRepeatFormerOwner(key, ticket.inheritedAt, clock);
+  };
+
   /** Repeats the ownership check when the request had to wait for a connection. */
   const checkAgain = (request: HopRequest, ticket: OwnershipTicket): Error | undefined => {
     const again = enter(request);
@@ -200,6 +221,13 @@
         kind: 'refused', refusal: ticket, load: upstream.admission.load(), timedOut: false,
       };
     }
+    if (ticket !== undefined && mayRepeat(request, ticket)) {
+      ticket.release();
+      permit.release('cancelled');
+      return refused('a former owner of the key may have run this idempotency key', {
+        status: 409, outcome: 'unknown', step: IDEMPOTENCY_STEP, peer: request.instance,
+      }, upstream);
+    }
     let outcome: PermitOutcome = 'failure';
     try {
       const [end, permitOutcome] = await send(request, sink, service, upstream, ticket);
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -7,5 +7,6 @@
   type LocalDispatchOptions,
   type LocalUpstream,
   OWNERSHIP_STEP,
+  PENDING_STEP,
 } from './local_dispatch.ts';
 export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
--- a/routing/_keyed_route.ts
+++ b/routing/_keyed_route.ts
@@ -42,9 +42,6 @@
   if (state.movingTo !== undefined) {
     return { kind: 'wait', reason: 'the slot is being moved', version };
   }
-  if (state.predecessors.length > 0) {
-    return { kind: 'wait', reason: 'predecessors of the owner are not cleared', version };
-  }
   if (owner.state === 'removed') {
     return { kind: 'wait', reason: 'the owner was removed', version };
   }
