--- a/daemon/_owner_service.ts
+++ b/daemon/_owner_service.ts
@@ -34,7 +34,9 @@
 }
 
 const RECONCILE_INTERVAL_MS = 500;
-/** An owner that gets no lease is removed again after about 1 s; joining at once would repeat it. */
+/**
+ * An owner that gets no lease is removed again after about 1 s; joining at once would repeat it.
+ */
 const FIRST_REJOIN_DELAY_MS = 500;
 const MAX_REJOIN_DELAY_MS = 60_000;
 
