Measure the time without an owner after the loss of one

Cause: the design promises a key served again within 2 s of a loss and no two owners at once; nothing measured it on real time. Change: a bench that starts the control parts of nodes over the fake network on the system clock and kills, freezes and partitions owners one after another in 4 fleets of 10 nodes.

--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -1,4 +1,6 @@
 import type { Bench } from './bench.ts';
 
 /** Measurements by name; each module is loaded only when it is run. */
-export const benches: Readonly<Record<string, () => Promise<Bench>>> = {};
+export const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  takeover: async () => (await import('./takeover.ts')).runTakeoverBench,
+};
