--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -3,5 +3,9 @@
 /** Measurements by name; each module is loaded only when it is run. */
 export const benches: Readonly<Record<string, () => Promise<Bench>>> = {
   churn: async () => (await import('./churn.ts')).runChurnBench,
+  configuration: async () => (
+    await import('./configuration.ts')
+  ).runConfigurationBench,
+  path: async () => (await import('./path.ts')).runPathBench,
   takeover: async () => (await import('./takeover.ts')).runTakeoverBench,
 };
--- /dev/null
+++ b/bench/path.ts
@@ -0,0 +1,215 @@
+import { type ChildProcess, fork } from 'node:child_process';
+import { request } from 'undici';
+import { createSystemClock } from '../clock/mod.ts';
+import { startAnnouncer } from '../standins/announcer.ts';
+import { fleetCredentials } from '../standins/fleet.ts';
+import { benchTokenOf, createBenchContract } from './_bench_contract.ts';
+import { runLoad } from './_http_load.ts';
+import type { PathAddresses, PathRole, PathUsage } from './_path_process.ts';
+import type { Bench, BenchRow } from './bench.ts';
+
+const BENCH = 'path';
+const CUSTOMER = 'bench';
+const INSTANCE = 'turn-ledger-1';
+const SLOT_COUNT = 256;
+const ADMITTED = 256;
+const LIGHT_CONCURRENCY = 4;
+const FULL_CONCURRENCY = 64;
+const WARM_UP_MS = 800;
+const LIGHT_RUN_MS = 800;
+const RUN_MS = 1200;
+const READY_LIMIT_MS = 12_000;
+const POLL_INTERVAL_MS = 50;
+const BYTES_PER_MB = 1_000_000;
+const MICROSECONDS = 1000;
+
+const clock = createSystemClock();
+
+interface Child {
+  readonly addresses: PathAddresses;
+  readonly usage: () => Promise<PathUsage>;
+  readonly end: () => void;
+}
+
+const nextMessage = <T>(child: ChildProcess) => new Promise<T>((resolve, reject) => {
+  child.once('message', (message) => resolve(message as T));
+  child.once('exit', (status) => reject(new Error(`a child of the bench ended: ${status}`)));
+});
+
+const startChild = async (role: PathRole): Promise<Child> => {
+  const child = fork(new URL('./_path_process.ts', import.meta.url), [JSON.stringify(role)], {
+    execArgv: ['--import', 'tsx'],
+  });
+  const addresses = await nextMessage<PathAddresses>(child);
+  return {
+    addresses,
+    usage: () => {
+      const answer = nextMessage<PathUsage>(child);
+      child.send('usage');
+      return answer;
+    },
+    end: () => child.kill('SIGKILL'),
+  };
+};
+
+const ANY_PORT = '127.0.0.1:0';
+
+const settingsOf = (node: string, store: string, seeds: readonly string[], level: string) => ({
+  node,
+  region: 'r',
+  failureDomain: node,
+  listen: {
+    caller: ANY_PORT, peer: ANY_PORT, control: ANY_PORT, operator: ANY_PORT,
+  },
+  store: { url: store, callsPerSecond: 50 },
+  seeds,
+  credentials: fleetCredentials,
+  log: { level },
+});
+
+const headers = { authorization: `Bearer ${benchTokenOf(CUSTOMER)}` };
+const pathOf = (number: number) => `/turns/p${number % 997}`;
+
+const isServed = async (address: string) => {
+  const answer = await request(`http://${address}${pathOf(1)}`, { headers });
+  await answer.body.dump();
+  return answer.statusCode === 200;
+};
+
+const waitUntilServed = async (address: string) => {
+  const endMs = clock.now() + READY_LIMIT_MS;
+  while (!await isServed(address)) {
+    if (clock.now() > endMs) throw new Error('the nodes do not serve the key in time');
+    await clock.sleep(POLL_INTERVAL_MS);
+  }
+};
+
+/** Owner, ingress and two witnesses, in three processes. */
+const startNodes = async (platform: Child, level: string) => {
+  const { store = '', upstream = '' } = platform.addresses;
+  const start = (names: readonly string[], seeds: readonly string[]) => startChild({
+    role: 'nodes', settings: names.map((name) => settingsOf(name, store, seeds, level)),
+  });
+  const owner = await start([`owner-${level}`], []);
+  const [ownerNode] = owner.addresses.nodes!;
+  const [ingress, witnesses] = await Promise.all([
+    start([`ingress-${level}`], [ownerNode!.control]),
+    start([`w1-${level}`, `w2-${level}`], [ownerNode!.control]),
+  ]);
+  const operatorUrl = `http://${ownerNode!.operator}`;
+  await request(`${operatorUrl}/v1/contracts/${CUSTOMER}?revision=0`, {
+    method: 'PUT',
+    headers: { authorization: `Bearer ${fleetCredentials.operator}` },
+    body: JSON.stringify(createBenchContract(CUSTOMER, SLOT_COUNT)),
+  }).then((answer) => answer.body.dump());
+  const announcer = await startAnnouncer({
+    instance: INSTANCE,
+    service: 'turn-ledger',
+    url: upstream,
+    slots: ADMITTED,
+    connections: ADMITTED,
+    weight: 6,
+  }, { clock, operatorUrl, credential: fleetCredentials.announce });
+  const [ingressNode] = ingress.addresses.nodes!;
+  await waitUntilServed(ownerNode!.caller);
+  await waitUntilServed(ingressNode!.caller);
+  return {
+    owner,
+    ingress,
+    ownerAddress: ownerNode!.caller,
+    ingressAddress: ingressNode!.caller,
+    end: () => {
+      announcer.stop();
+      for (const child of [owner, ingress, witnesses]) child.end();
+    },
+  };
+};
+
+interface PathFigures {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly requestsPerSecond: number;
+  readonly failed: number;
+  /** Processor time of the processes on the path, in µs per request. */
+  readonly processorUs: number;
+  readonly residentMb: number;
+}
+
+const measurePath = async (
+  target: string,
+  processes: readonly Child[],
+): Promise<PathFigures> => {
+  const load = (concurrency: number, durationMs: number) => runLoad({
+    clock, targets: [target], path: pathOf, headers, concurrency, durationMs,
+  });
+  await load(FULL_CONCURRENCY, WARM_UP_MS);
+  const light = await load(LIGHT_CONCURRENCY, LIGHT_RUN_MS);
+  const before = await Promise.all(processes.map((child) => child.usage()));
+  const full = await load(FULL_CONCURRENCY, RUN_MS);
+  const after = await Promise.all(processes.map((child) => child.usage()));
+  const processorMs = after.reduce((sum, { processorMs: total }, index) => (
+    sum + total - before[index]!.processorMs
+  ), 0);
+  return {
+    p50Ms: light.p50Ms,
+    p99Ms: light.p99Ms,
+    requestsPerSecond: full.requestsPerSecond,
+    failed: light.failed + full.failed,
+    processorUs: (processorMs * MICROSECONDS) / full.requests,
+    residentMb: Math.max(0, ...after.map(({ residentBytes }) => residentBytes)) / BYTES_PER_MB,
+  };
+};
+
+const rowsOf = (
+  path: string,
+  naive: PathFigures | undefined,
+  product: PathFigures,
+): readonly BenchRow[] => {
+  const row = (metric: string, unit: string, figure: keyof PathFigures): BenchRow => ({
+    bench: BENCH,
+    metric: `${path}: ${metric}`,
+    unit,
+    naive: naive?.[figure] ?? null,
+    product: product[figure],
+    target: figure === 'failed' ? { relation: 'equal', value: 0 } : null,
+  });
+  return [
+    row(`p50, ${LIGHT_CONCURRENCY} at a time`, 'ms', 'p50Ms'),
+    row(`p99, ${LIGHT_CONCURRENCY} at a time`, 'ms', 'p99Ms'),
+    row(`throughput, ${FULL_CONCURRENCY} at a time`, 'requests/s', 'requestsPerSecond'),
+    row('processor time of the processes on the path', 'µs/request', 'processorUs'),
+    row('largest resident memory of a process', 'MB', 'residentMb'),
+    row('failed', 'count', 'failed'),
+  ];
+};
+
+/** Latency, throughput and processor time direct, through one node and through two. */
+export const runPathBench: Bench = async () => {
+  const children: { readonly end: () => void }[] = [];
+  const keep = <T extends { readonly end: () => void }>(child: T): T => {
+    children.push(child);
+    return child;
+  };
+  const startPlatform = async () => keep(
+    await startChild({ role: 'platform', instance: INSTANCE }),
+  );
+  try {
+    const platforms = await Promise.all([startPlatform(), startPlatform()]);
+    const { upstream = '' } = platforms[0].addresses;
+    const proxy = keep(await startChild({ role: 'proxy', upstream }));
+    const logged = keep(await startNodes(platforms[0], 'info'));
+    const silent = keep(await startNodes(platforms[1], 'error'));
+    const direct = await measurePath(new URL(upstream).host, []);
+    const naive = await measurePath(proxy.addresses.proxy!, [proxy]);
+    const rows = [...rowsOf('direct', undefined, direct)];
+    for (const [lines, nodes] of [['with', logged], ['without', silent]] as const) {
+      const one = await measurePath(nodes.ownerAddress, [nodes.owner]);
+      const two = await measurePath(nodes.ingressAddress, [nodes.owner, nodes.ingress]);
+      rows.push(...rowsOf(`one node, ${lines} log lines`, naive, one));
+      rows.push(...rowsOf(`two nodes, ${lines} log lines`, naive, two));
+    }
+    return rows;
+  } finally {
+    for (const child of children) child.end();
+  }
+};
