--- a/admission/allotment_table.ts
+++ b/admission/allotment_table.ts
@@ -101,7 +101,9 @@
     const wanted = names.map((name) => Math.max(least, nodes.get(name)!.demand[field] * HEADROOM));
     const parts = divideMaxMin(limit, wanted);
     const surplus = limit - parts.reduce((sum, part) => sum + part, 0);
-    const extra = (Math.max(0, surplus) * SURPLUS_FRACTION) / names.length;
+    // Members that have not reported yet count too: their first grant must not find it all given.
+    const receivers = Math.max(names.length, report.memberCount);
+    const extra = (Math.max(0, surplus) * SURPLUS_FRACTION) / receivers;
     let othersHold = 0;
     let before = 0;
     for (const [index, name] of names.entries()) {
--- a/admission/create_customer_limits_test.ts
+++ b/admission/create_customer_limits_test.ts
@@ -78,6 +78,16 @@
   assert.ok(moved <= RATE * 1.02 && moved >= RATE * 0.9, `admitted ${moved}`);
 });
 
+test('the first grants leave something to the members that report later', async () => {
+  // Half of the surplus went to each new reporter, so the fourth of four was granted nothing.
+  const { run } = setUp(NAMES);
+  const demand = {
+    n1: 8, n2: 8, n3: 8, n4: 8,
+  };
+  const admitted = await run(5000, demand);
+  assert.ok(admitted >= 31, `admitted ${admitted} of 32 a second`);
+});
+
 test('the fleet stays within the limit while the demand moves', async () => {
   const { run } = setUp(NAMES);
   await run(4000, {
