Do not cut the concurrency limit for stragglers that time out

At the crest 1 % of stragglers were enough to hold the limit at 4 to 7 of 9 slots while the instance worked at its usual speed. Change: time-outs count as an overload only above a fifth of the ended requests.

--- a/admission/concurrency_limit.ts
+++ b/admission/concurrency_limit.ts
@@ -12,8 +12,10 @@
   /** Whole number of slots. */
   readonly current: () => number;
   readonly recordSuccess: (sample: LatencySample) => void;
-  /** The instance shed a request or timed out. */
+  /** The instance shed a request. */
   readonly recordOverload: () => void;
+  /** The instance did not answer before the deadline. */
+  readonly recordTimeout: () => void;
   /** All slots were in use. */
   readonly noteSaturation: () => void;
 }
@@ -38,6 +40,13 @@
 const OVERLOAD_FACTOR = 0.8;
 /** Sheds of one burst shrink the limit once. */
 const OVERLOAD_INTERVAL_MS = 100;
+/** Weight of one ended request in the fraction that timed out. */
+const TIMEOUT_WEIGHT = 0.05;
+/**
+ * Time-outs above this fraction are an overload. Below it they come from stragglers and from late
+ * starts, and the limit would shrink while the instance works at its usual speed.
+ */
+const MAX_TIMEOUT_FRACTION = 0.2;
 /** Rise of the baseline per window, so that a single lucky window is forgotten. */
 const BASELINE_RISE = 1.001;
 /**
@@ -77,6 +86,7 @@
   let windowStart = clock.now();
   let isSaturated = false;
   let overloadAt = -Infinity;
+  let timeoutFraction = 0;
 
   const floor = () => Math.min(2, announced);
 
@@ -139,22 +149,29 @@
     isSaturated = false;
   };
 
+  const recordOverload = () => {
+    if (clock.now() - overloadAt < OVERLOAD_INTERVAL_MS) return;
+    overloadAt = clock.now();
+    limit = clamp(Math.min(limit, announced) * OVERLOAD_FACTOR);
+  };
+
   return {
     current: () => {
       refresh();
       return Math.floor(limit);
     },
     recordSuccess: ({ requestClass, durationMs }) => {
+      timeoutFraction -= timeoutFraction * TIMEOUT_WEIGHT;
       if (requestClass === 'bulk') return;
       const values = durations.get(requestClass) ?? [];
       values.push(durationMs);
       durations.set(requestClass, values);
       closeWindow();
     },
-    recordOverload: () => {
-      if (clock.now() - overloadAt < OVERLOAD_INTERVAL_MS) return;
-      overloadAt = clock.now();
-      limit = clamp(Math.min(limit, announced) * OVERLOAD_FACTOR);
+    recordOverload,
+    recordTimeout: () => {
+      timeoutFraction += (1 - timeoutFraction) * TIMEOUT_WEIGHT;
+      if (timeoutFraction > MAX_TIMEOUT_FRACTION) recordOverload();
     },
     noteSaturation: () => {
       isSaturated = true;
--- a/admission/concurrency_limit_test.ts
+++ b/admission/concurrency_limit_test.ts
@@ -57,4 +57,21 @@
   assert.ok(await run(60_000, () => 60) >= ANNOUNCED);
 });
 
+test('few time-outs among many answers leave the limit alone, time-outs alone cut it', async () => {
+  // At a crest, stragglers that met their deadline held the limit at half of the slots.
+  const clock = createFakeClock();
+  const limit = createConcurrencyLimit({ clock, announcedSlots: () => 9 });
+  for (let index = 0; index < 1000; index += 1) {
+    await clock.advance(10);
+    if (index % 25 === 0) limit.recordTimeout();
+    else limit.recordSuccess({ requestClass: 'lookup', durationMs: 10 });
+    assert.ok(limit.current() >= 9, `limit ${limit.current()}`);
+  }
+  for (let index = 0; index < 10; index += 1) {
+    await clock.advance(100);
+    limit.recordTimeout();
+  }
+  assert.ok(limit.current() <= 4, `limit ${limit.current()}`);
+});
+
 test.run();
--- a/admission/create_admission.ts
+++ b/admission/create_admission.ts
@@ -171,7 +171,10 @@
       if (outcome === 'success') {
         times.record(requestClass, durationMs);
         limit.recordSuccess({ requestClass, durationMs });
-      } else if (outcome === 'overload') limit.recordOverload();
+      } else if (outcome === 'overload') {
+        if (clock.now() >= waiting.deadlineAt) limit.recordTimeout();
+        else limit.recordOverload();
+      }
       pump();
     };
     return { queuedMs: startedAt - arrivedAt, release };
