Spread requests in proportion to rate while queues are long

Cause: with full queues the loads of all instances are alike, and noise in the measured rates sent most requests to one instance after the other. There large customers lost requests to the full queue, elsewhere small ones got more than their share. Change: above 4 requests per slot, an instance is chosen at random in proportion to its rate over its load, in all failure domains.

--- a/routing/choose_instance.ts
+++ b/routing/choose_instance.ts
@@ -32,6 +32,12 @@
 const MIN_NEAR_UTILISATION = 0.5;
 /** Round trip to another failure domain. */
 const FAR_COST_MS = 1;
+/**
+ * Requests per slot above which queues are near their bounds. Loads are then alike, and noise in
+ * the measured rates would send most requests to one instance after the other, where customers get
+ * unequal parts of their shares; instances are then chosen in proportion to rate over load.
+ */
+const DEEP_QUEUE_PER_SLOT = 4;
 const MS_PER_SECOND = 1000;
 /** Rate assumed while no instance has a measured one; only ratios matter then. */
 const NOMINAL_RATE = 100;
@@ -52,10 +58,24 @@
   return others[Math.floor(random() * others.length)] ?? view;
 };
 
+const pickByWeight = <View>(
+  views: readonly View[],
+  weightOf: (view: View) => number,
+  random: () => number,
+): View => {
+  const weights = views.map(weightOf);
+  let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  for (const [index, weight] of weights.entries()) {
+    left -= weight;
+    if (left < 0) return views[index]!;
+  }
+  return views.at(-1)!;
+};
+
 /**
  * Chooses an instance: the better of two random ones in the nearest failure domain, unless the
- * better of two random ones farther away is less busy by a margin. When all are ejected, ejection
- * is ignored.
+ * better of two random ones farther away is less busy by a margin. With long queues, it chooses any
+ * in proportion to its rate over its load. When all are ejected, ejection is ignored.
  *
  * @param views The instances that may be chosen.
  * @param options Random source.
@@ -84,6 +104,10 @@
   };
   const nearest = Math.min(...usable.map(({ distance }) => distance));
   const near = pickBetter(usable.filter(({ distance }) => distance === nearest))!;
+  if (near.load > near.slots * DEEP_QUEUE_PER_SLOT) {
+    const view = pickByWeight(usable, (one) => one.acceptance / waitMs(one), random);
+    return { view, reason: 'in proportion to rate, as the queues are long' };
+  }
   const far = pickBetter(usable.filter(({ distance }) => distance > nearest));
   const isNearUsed = near.load >= near.slots * MIN_NEAR_UTILISATION;
   const isFarLess = far !== undefined && waitMs(far) * FAR_MARGIN + FAR_COST_MS < waitMs(near);
--- a/routing/unkeyed_test.ts
+++ b/routing/unkeyed_test.ts
@@ -207,6 +207,33 @@
   assert.ok(high >= 0.3, `${high}`);
 });
 
+test('when all queues are long, instances are chosen in proportion to their rate', async () => {
+  // With the shorter wait alone, noise in the measured rates moved all requests to one instance.
+  const { router, decide } = setUp();
+  const rates = new Map([['i-n1', 400], ['i-n2', 420], ['i-n3', 380], ['i-n4', 200]]);
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 4000; index += 1) {
+    const target = decide();
+    assert.ok('instance' in target);
+    const name = target.instance;
+    if (index >= 100) counts.set(name, (counts.get(name) ?? 0) + 1);
+    router.report({
+      service: 's',
+      instance: name,
+      requestClass: 'lookup',
+      durationMs: 500,
+      outcome: 'success',
+      load: {
+        inFlight: SLOTS, queued: SLOTS * 16, limit: SLOTS, serviceRate: rates.get(name)!,
+      },
+    });
+  }
+  for (const [name, rate] of rates) {
+    const share = counts.get(name)! / 3900;
+    assert.ok(Math.abs(share - rate / 1400) <= 0.03, `${name} ${share}`);
+  }
+});
+
 test('hedging needs samples and is off while the instances are busy', async () => {
   const { run, router } = setUp();
   assert.is(router.hedgeDelayMs('s'), undefined);
