Measure head-of-line blocking, crest and imbalance

Each runs in one process on the fake clock, with the real admission, router, retry budget and customer limits against fake instances that record what they run, beside a naive version with the same arrivals.

--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -1,4 +1,8 @@
 import type { Bench } from './bench.ts';
 
 /** Measurements by name; each module is loaded only when it is run. */
-export const benches: Readonly<Record<string, () => Promise<Bench>>> = {};
+export const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  'head-of-line': async () => (await import('./head_of_line.ts')).headOfLine,
+  crest: async () => (await import('./crest.ts')).crest,
+  imbalance: async () => (await import('./imbalance.ts')).imbalance,
+};
