--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -8,4 +8,7 @@
   ).runConfigurationBench,
   path: async () => (await import('./path.ts')).runPathBench,
   takeover: async () => (await import('./takeover.ts')).runTakeoverBench,
+  'head-of-line': async () => (await import('./head_of_line.ts')).headOfLine,
+  crest: async () => (await import('./crest.ts')).crest,
+  imbalance: async () => (await import('./imbalance.ts')).imbalance,
 };
