Mutual TLS for the peer listener, the forwarder and the operator interface

Cause: the settings name key files, but only the control transport used them; requests between nodes and operator calls were plain.

Change: the PEM files are read in one place. The bearer credentials are still required. Connections that never finish their handshake end after 2 s, which also bounds the time that a stop waits for them; the listener tracks all TCP connections so that a kill cuts these, too.

--- a/command/_operator_client.ts
+++ b/command/_operator_client.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import { StepError } from '../errors/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
 
 const REQUEST_TIMEOUT_MS = 10_000;
 const FIRST_ERROR_STATUS = 400;
@@ -24,6 +25,7 @@
     path: string,
     body?: string,
   ) => Promise<Result<unknown, StepError>>;
+  readonly close: () => Promise<void>;
 }
 
 const parseJson = (text: string): unknown => {
@@ -34,23 +36,32 @@
   }
 };
 
-export const createOperatorClient = (url: string, credential: string): OperatorClient => ({
-  call: async (method, path, body) => {
-    const step = `operator.${method.toLowerCase()}`;
-    try {
-      const answer = await request(`${url}${path}`, {
-        method,
-        headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json' },
-        ...(body === undefined ? {} : { body }),
-        headersTimeout: REQUEST_TIMEOUT_MS,
-        bodyTimeout: REQUEST_TIMEOUT_MS,
-      });
-      const value = parseJson(await answer.body.text());
-      if (answer.statusCode < FIRST_ERROR_STATUS) return ok(value);
-      const details = value as Readonly<Record<string, unknown>>;
-      return err(new OperatorError(answer.statusCode, details, { step, peer: url }));
-    } catch (cause) {
-      return err(new StepError('the node does not answer', { step, peer: url, cause }));
-    }
-  },
-});
+export const createOperatorClient = (
+  url: string,
+  credential: string,
+  tls?: TlsMaterial,
+): OperatorClient => {
+  const dispatcher = new Agent(tls === undefined ? {} : { connect: { ...tls } });
+  return {
+    call: async (method, path, body) => {
+      const step = `operator.${method.toLowerCase()}`;
+      try {
+        const answer = await request(`${url}${path}`, {
+          method,
+          headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json' },
+          ...(body === undefined ? {} : { body }),
+          headersTimeout: REQUEST_TIMEOUT_MS,
+          bodyTimeout: REQUEST_TIMEOUT_MS,
+          dispatcher,
+        });
+        const value = parseJson(await answer.body.text());
+        if (answer.statusCode < FIRST_ERROR_STATUS) return ok(value);
+        const details = value as Readonly<Record<string, unknown>>;
+        return err(new OperatorError(answer.statusCode, details, { step, peer: url }));
+      } catch (cause) {
+        return err(new StepError('the node does not answer', { step, peer: url, cause }));
+      }
+    },
+    close: () => dispatcher.destroy(),
+  };
+};
--- a/command/main.ts
+++ b/command/main.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
+import { loadTlsMaterial, type TlsMaterial } from '../peer/mod.ts';
 import { commands } from './_commands.ts';
 import { createOperatorClient } from './_operator_client.ts';
 import { exitStatuses, type Output, processOutput } from './_output.ts';
@@ -27,6 +28,8 @@
   --operator URL           operator address of a node (default ${DEFAULT_OPERATOR_URL})
   --credential-file FILE   file that holds the operator credential; otherwise the environment
                            variable MARJORAMHOLLOW_OPERATOR_CREDENTIAL is used
+  --certificate FILE, --key FILE, --authority FILE
+                           PEM files for an https operator address that asks for a certificate
   --revision N             revision that a contract is based on
   --json                   prints JSON
   -h, --help               prints this text
@@ -42,6 +45,9 @@
     settings: { type: 'string' },
     operator: { type: 'string', default: DEFAULT_OPERATOR_URL },
     'credential-file': { type: 'string' },
+    certificate: { type: 'string' },
+    key: { type: 'string' },
+    authority: { type: 'string' },
     revision: { type: 'string' },
   },
 });
@@ -60,6 +66,29 @@
   return (await readFile(file, 'utf8')).trim();
 };
 
+interface TlsOptions {
+  readonly certificate?: string;
+  readonly key?: string;
+  readonly authority?: string;
+}
+
+/** Reads the files of the TLS options; a text says what is wrong with the options. */
+const readTls = async (
+  { certificate, key, authority }: TlsOptions,
+): Promise<TlsMaterial | string | undefined> => {
+  if (certificate === undefined && key === undefined && authority === undefined) return undefined;
+  if (certificate === undefined || key === undefined || authority === undefined) {
+    return '--certificate, --key and --authority are only used together';
+  }
+  try {
+    return await loadTlsMaterial({
+      certificateFile: certificate, keyFile: key, authorityFile: authority,
+    });
+  } catch (error) {
+    return `cannot read ${(error as NodeJS.ErrnoException).path}`;
+  }
+};
+
 const splitCommand = (words: readonly string[]) => {
   const [first = '', second = ''] = words;
   const pair = `${first} ${second}`;
@@ -105,12 +134,22 @@
     output.error(`cannot read ${values['credential-file']}`);
     return exitStatuses.usage;
   }
-  return command({
-    args: rest,
-    settingsFile: values.settings,
-    revision,
-    json: values.json,
-    client: createOperatorClient(values.operator, credential),
-    output,
-  });
+  const tls = await readTls(values);
+  if (typeof tls === 'string') {
+    output.error(tls);
+    return exitStatuses.usage;
+  }
+  const client = createOperatorClient(values.operator, credential, tls);
+  try {
+    return await command({
+      args: rest,
+      settingsFile: values.settings,
+      revision,
+      json: values.json,
+      client,
+      output,
+    });
+  } finally {
+    await client.close();
+  }
 };
--- a/daemon/_operator_services.ts
+++ b/daemon/_operator_services.ts
@@ -1,8 +1,9 @@
 import { serve, type ServerType } from '@hono/node-server';
+import { createServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import type { Kernel } from '../kernel/mod.ts';
 import type { Membership } from '../membership/mod.ts';
-import type { GrpcTransport } from '../peer/mod.ts';
+import { type GrpcTransport, loadTlsMaterial, type PeerTlsFiles } from '../peer/mod.ts';
 import type { Placements, Placer } from '../placement/mod.ts';
 import type { Status } from '../proto/mod.ts';
 import type { Announcements } from './announcements.ts';
@@ -17,6 +18,7 @@
 }
 
 const STATUS_TIMEOUT_MS = 1000;
+const HANDSHAKE_TIMEOUT_MS = 2000;
 const STATUS_CONCURRENCY = 16;
 
 const splitAddress = (address: string) => {
@@ -61,6 +63,18 @@
   if ('closeAllConnections' in server) server.closeAllConnections();
 });
 
+/** Options of a server that asks for a client certificate of the authority. */
+const loadServerOptions = async (files: PeerTlsFiles | undefined) => {
+  if (files === undefined) return {};
+  const serverOptions = {
+    ...await loadTlsMaterial(files),
+    requestCert: true,
+    rejectUnauthorized: true,
+    handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+  };
+  return { createServer, serverOptions };
+};
+
 /** Registers the listener for operators and announcements. */
 export const registerOperatorServices = (
   kernel: Kernel,
@@ -86,8 +100,11 @@
         drain,
       }, settings.credentials);
       const { hostname, port } = splitAddress(settings.listen.operator);
+      const tlsOptions = await loadServerOptions(settings.tls);
       const server = await new Promise<ServerType>((resolve, reject) => {
-        const listening = serve({ fetch: app.fetch, hostname, port }, () => resolve(listening));
+        const listening = serve({
+          fetch: app.fetch, hostname, port, ...tlsOptions,
+        }, () => resolve(listening));
         listening.once('error', reject);
       });
       const { port: bound } = server.address() as AddressInfo;
--- a/daemon/_request_services.ts
+++ b/daemon/_request_services.ts
@@ -9,7 +9,7 @@
 import type { Kernel } from '../kernel/mod.ts';
 import type { Ownership } from '../lease/mod.ts';
 import type { Membership } from '../membership/mod.ts';
-import type { PeerTransport } from '../peer/mod.ts';
+import { loadTlsMaterial, type PeerTransport } from '../peer/mod.ts';
 import type { LoadReports, Placements, SlotOfKey } from '../placement/mod.ts';
 import {
   createCallerListener, createLocalDispatch, createPeerListener, type HttpListener,
@@ -77,6 +77,7 @@
         dispatch: createLateDispatch(kernel),
         findUpstream: find<LocalUpstreams>('upstreams').find,
         logger: find<Logger>('logger').forPart('peer'),
+        tls: settings.tls && await loadTlsMaterial(settings.tls),
       });
       const address = await listener.listen();
       return { service: { ...listener, address }, stop: listener.stop };
@@ -116,10 +117,11 @@
   register<Forwarder>({
     name: 'forwarder',
     needs: ['clock'],
-    start: (find) => {
+    start: async (find) => {
       const forwarder = createForwarder({
         clock: find<Clock>('clock'),
         credential: settings.credentials.fleet,
+        tls: settings.tls && await loadTlsMaterial(settings.tls),
       });
       return { service: forwarder, stop: forwarder.stop };
     },
--- a/forward/forwarder.ts
+++ b/forward/forwarder.ts
@@ -1,6 +1,7 @@
 import { Client, Pool } from 'undici';
 import type { Clock } from '../clock/mod.ts';
 import { RefusalError, StepError } from '../errors/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
 import { exchange, type ExchangeEnd } from './_exchange.ts';
 import { findHeader, hopHeaders } from './headers.ts';
 import {
@@ -26,6 +27,8 @@
   /** Connections to each peer. */
   readonly connections?: number;
   readonly progressTimeouts?: ProgressTimeouts;
+  /** Key and certificates for mutual TLS; without them connections are plain. */
+  readonly tls?: TlsMaterial;
 }
 
 /** Step of a refusal that arose on the way to a peer. */
@@ -79,6 +82,8 @@
   const bearer = `Bearer ${options.credential}`;
   const silenceMs = options.progressTimeouts ?? HOP_PROGRESS_TIMEOUT_MS;
   const pools = new Map<string, PeerPool>();
+  const scheme = options.tls === undefined ? 'http' : 'https';
+  const connectOptions = { connect: { ...options.tls, timeout: CONNECT_TIMEOUT_MS } };
 
   const closeIdlePools = () => {
     for (const [address, peer] of pools) {
@@ -92,10 +97,10 @@
     let peer = pools.get(address);
     if (peer === undefined) {
       closeIdlePools();
-      const pool = new Pool(`http://${address}`, {
+      const pool = new Pool(`${scheme}://${address}`, {
         connections: options.connections ?? DEFAULT_CONNECTIONS,
         pipelining: 1,
-        connectTimeout: CONNECT_TIMEOUT_MS,
+        ...connectOptions,
         keepAliveTimeout: KEEP_ALIVE_MS,
       });
       peer = { pool, usedAt: 0 };
@@ -110,7 +115,7 @@
     request: HopRequest,
     sentAt: number,
   ): Promise<CancelReply | 'no answer'> => {
-    const client = new Client(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS });
+    const client = new Client(`${scheme}://${address}`, connectOptions);
     const timeout = new AbortController();
     const cancelTimeout = clock.schedule(CANCEL_TIMEOUT_MS, () => timeout.abort());
     try {
--- a/peer/_grpc_credentials.ts
+++ b/peer/_grpc_credentials.ts
@@ -2,15 +2,7 @@
   type ChannelCredentials, credentials, Metadata, ServerCredentials,
 } from '@grpc/grpc-js';
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { readFile } from 'node:fs/promises';
-
-/** Paths of the PEM files for mutual TLS. */
-export interface PeerTlsFiles {
-  readonly keyFile: string;
-  readonly certificateFile: string;
-  /** Certificates of the authorities that sign the certificates of the peers. */
-  readonly authorityFile: string;
-}
+import { loadTlsMaterial, type PeerTlsFiles } from './load_tls_material.ts';
 
 /** Credentials of both ends of a control connection. */
 export interface GrpcCredentials {
@@ -24,13 +16,11 @@
   if (files === undefined) {
     return { client: credentials.createInsecure(), server: ServerCredentials.createInsecure() };
   }
-  const [key, certificate, authority] = await Promise.all([
-    readFile(files.keyFile), readFile(files.certificateFile), readFile(files.authorityFile),
-  ]);
-  const pair = { private_key: key, cert_chain: certificate };
+  const { key, cert, ca } = await loadTlsMaterial(files);
+  const pair = { private_key: key, cert_chain: cert };
   return {
-    client: credentials.createSsl(authority, key, certificate),
-    server: ServerCredentials.createSsl(authority, [pair], true),
+    client: credentials.createSsl(ca, key, cert),
+    server: ServerCredentials.createSsl(ca, [pair], true),
   };
 };
 
--- a/peer/grpc_transport.ts
+++ b/peer/grpc_transport.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
-import type { PeerTlsFiles } from './_grpc_credentials.ts';
+import type { PeerTlsFiles } from './load_tls_material.ts';
 import type { PeerTransport, Sender } from './peer_transport.ts';
 
 /** Options of the gRPC transport. */
--- a/peer/mod.ts
+++ b/peer/mod.ts
@@ -12,4 +12,4 @@
 export type {
   GrpcTransport, GrpcTransportCounters, GrpcTransportOptions,
 } from './grpc_transport.ts';
-export type { PeerTlsFiles } from './_grpc_credentials.ts';
+export { loadTlsMaterial, type PeerTlsFiles, type TlsMaterial } from './load_tls_material.ts';
--- a/proxy/_http_server.ts
+++ b/proxy/_http_server.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import type { Clock } from '../clock/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
@@ -19,6 +21,8 @@
   readonly maxHeaderBytes: number;
   /** Time in ms after a stop during which requests on open connections are still served. */
   readonly idleGraceMs: number;
+  /** With these, clients must present a certificate that the authority signed. */
+  readonly tls?: TlsMaterial;
   readonly handle: (
     request: IncomingMessage,
     response: ServerResponse,
@@ -32,6 +36,8 @@
 export type Expectation = 'none' | 'continue' | 'other';
 
 const HEADERS_TIMEOUT_MS = 10_000;
+/** Also bounds the time that a stop waits for a connection that never finishes its handshake. */
+const HANDSHAKE_TIMEOUT_MS = 2000;
 const CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 
@@ -52,10 +58,12 @@
   const { clock } = options;
   /** Answers in flight by connection; a connection without one is idle. */
   const connections = new Map<Socket, Set<ServerResponse>>();
+  /** All TCP connections, including those that have not finished their TLS handshake. */
+  const sockets = new Set<Socket>();
   let stopping = false;
   let graceEnded = false;
 
-  const server = createServer({
+  const serverOptions = {
     maxHeaderSize: options.maxHeaderBytes,
     requireHostHeader: false,
     insecureHTTPParser: false,
@@ -64,13 +72,20 @@
     connectionsCheckingInterval: CHECK_INTERVAL_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     noDelay: true,
+  };
+  const server = options.tls === undefined ? createServer(serverOptions) : createTlsServer({
+    ...serverOptions,
+    ...options.tls,
+    requestCert: true,
+    rejectUnauthorized: true,
+    handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
   });
   // Node drops headers beyond this count silently; the size limit bounds them already.
   server.maxHeadersCount = 0;
 
   const closeIdle = () => {
     server.closeIdleConnections();
-    // Node counts a connection that has not sent a byte as active.
+    // Node counts a connection that has not sent a byte as active. A TLS handshake does not count.
     for (const socket of connections.keys()) {
       if (socket.bytesRead === 0) socket.destroy();
     }
@@ -89,6 +104,10 @@
   };
 
   server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
     connections.set(socket, new Set());
     socket.once('close', () => connections.delete(socket));
   });
@@ -100,9 +119,14 @@
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const active = connections.get(socket as Socket);
+    if (active === undefined) {
+      // The TLS handshake failed, so that no HTTP answer can be sent.
+      socket.destroy();
+      return;
+    }
     let dispatched = false;
     let begun = false;
-    for (const response of active ?? []) {
+    for (const response of active) {
       dispatched = true;
       begun ||= response.headersSent;
     }
@@ -147,6 +171,7 @@
     stopping = true;
     server.close(() => undefined);
     server.closeAllConnections();
+    for (const socket of sockets) socket.destroy();
   };
 
   return { listen, stop, kill };
--- a/proxy/_test_node.ts
+++ b/proxy/_test_node.ts
@@ -14,6 +14,7 @@
   compileContracts, type Contract, contractSchema, type Route, type ServiceDefinition,
 } from '../contract/mod.ts';
 import { RefusalError } from '../errors/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
 import {
   createForwarder, createIdempotencyTable, createRequestLedger, createUpstreamClient,
   type ProgressTimeouts,
@@ -75,6 +76,7 @@
   readonly connections?: number;
   readonly maxWaiting?: number;
   readonly hedgeDelayMs?: number;
+  readonly tls?: TlsMaterial;
 }
 
 /** A node with fakes in place of routing, admission, ownership and limits. */
@@ -133,7 +135,7 @@
   const findUpstream = (instance: string) => (
     instance.startsWith('i') ? { client, admission } : undefined
   );
-  const { progressTimeouts } = options;
+  const { progressTimeouts, tls } = options;
   const ledger = createRequestLedger({ clock });
   const dispatch = createLocalDispatch({
     clock,
@@ -152,8 +154,11 @@
     logger: silentLogger,
     progressTimeouts,
     idleGraceMs: 200,
+    tls,
+  });
+  const forwarder = createForwarder({
+    clock, credential: CREDENTIAL, progressTimeouts, tls,
   });
-  const forwarder = createForwarder({ clock, credential: CREDENTIAL, progressTimeouts });
   const caller = createCallerListener({
     clock,
     address: '127.0.0.1:0',
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -8,6 +8,7 @@
   attemptId, endToEndHeaders, findHeader, formatLoad, HOP_PROGRESS_TIMEOUT_MS, hopHeaders,
   type HopRequest, type ProgressTimeouts, refusalHeaders, type RequestLedger,
 } from '../forward/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { createHttpServer, type HttpListener } from './_http_server.ts';
 import { createRequestBody, hasBody } from './_request_body.ts';
@@ -23,6 +24,8 @@
   readonly dispatch: LocalDispatch;
   readonly findUpstream: (instance: string) => LocalUpstream | undefined;
   readonly logger: Logger;
+  /** Key and certificates for mutual TLS; without them connections are plain. */
+  readonly tls?: TlsMaterial;
   readonly progressTimeouts?: ProgressTimeouts;
   readonly idleGraceMs?: number;
 }
@@ -195,6 +198,7 @@
   return createHttpServer({
     clock,
     address: options.address,
+    tls: options.tls,
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
--- a/standins/announcer.ts
+++ b/standins/announcer.ts
@@ -1,4 +1,4 @@
-import { request } from 'undici';
+import { type Dispatcher, request } from 'undici';
 import type { Clock } from '../clock/mod.ts';
 
 /** What an upstream announces; see `PUT /v1/announce`. */
@@ -23,6 +23,8 @@
   readonly clock: Clock;
   readonly operatorUrl: string;
   readonly credential: string;
+  /** Connections to a node that asks for a client certificate. */
+  readonly dispatcher?: Dispatcher;
 }
 
 const REFRESH_INTERVAL_MS = 1000;
@@ -50,6 +52,7 @@
       method: 'PUT',
       headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json' },
       body: JSON.stringify({ ...instance, state }),
+      dispatcher: options.dispatcher,
     });
     await answer.body.dump();
   };
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -1,5 +1,7 @@
+import { Agent } from 'undici';
 import type { Clock } from '../clock/mod.ts';
 import { parseSettings, type RunningNode, startNode } from '../daemon/mod.ts';
+import { loadTlsMaterial, type PeerTlsFiles } from '../peer/mod.ts';
 import { type Announcer, startAnnouncer } from './announcer.ts';
 import { startStoreServer, type StoreServer } from './store_server.ts';
 import {
@@ -42,6 +44,8 @@
   /** Destination of the nodes' log lines. */
   readonly logStream: NodeJS.WritableStream;
   readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
+  /** Key files of all nodes; without them connections are plain. */
+  readonly tls?: PeerTlsFiles;
 }
 
 /** Credentials of the stand-in fleet; they guard nothing but loopback sockets. */
@@ -57,7 +61,7 @@
   plan: FleetHostPlan,
   storeUrl: string,
   seeds: readonly string[],
-  level: string,
+  options: FleetOptions,
 ) => {
   const parsed = parseSettings(JSON.stringify({
     node: plan.node,
@@ -69,7 +73,8 @@
     store: { url: storeUrl, callsPerSecond: 50 },
     seeds,
     credentials: fleetCredentials,
-    log: { level },
+    log: { level: options.logLevel ?? 'info' },
+    ...(options.tls === undefined ? {} : { tls: options.tls }),
   }), plan.node);
   if (parsed.isErr()) throw parsed.error;
   return parsed.value;
@@ -92,10 +97,12 @@
   const { clock, logStream } = options;
   const store = await startStoreServer({ clock });
   const hosts: FleetHost[] = [];
+  const dispatcher = options.tls && new Agent({ connect: await loadTlsMaterial(options.tls) });
+  const operatorScheme = options.tls === undefined ? 'http' : 'https';
 
   const addHost: Fleet['addHost'] = async (plan) => {
     const seeds = hosts.slice(0, 3).map((host) => host.node.addresses.control);
-    const settings = settingsFor(plan, store.url, seeds, options.logLevel ?? 'info');
+    const settings = settingsFor(plan, store.url, seeds, options);
     const node = await startNode(settings, { clock, logStream });
     const upstream = await startUpstreamServer({
       clock,
@@ -111,8 +118,9 @@
       weight: plan.slots,
     }, {
       clock,
-      operatorUrl: `http://${node.addresses.operator}`,
+      operatorUrl: `${operatorScheme}://${node.addresses.operator}`,
       credential: fleetCredentials.announce,
+      dispatcher,
     });
     const host: FleetHost = {
       plan,
@@ -141,6 +149,7 @@
       await Promise.all(running.map((host) => host.node.kill()));
       await Promise.all(running.map((host) => host.upstream.kill()));
       await store.close();
+      await dispatcher?.destroy();
     },
   };
 };
