Remove the listener of a finished watch in the store stand-in

Cause: each watch added a close listener to its connection and left it there; connections carry many watches, so that Node.js printed MaxListenersExceededWarning during npm start.

Change: the listener is removed when the watch ends.

Conclusion: the new test sees the warning without the change and none with it.

--- a/standins/store_server.ts
+++ b/standins/store_server.ts
@@ -103,13 +103,16 @@
     }
     const abort = new AbortController();
     const waitMs = Math.min(MAX_WAIT_MS, Math.max(0, numberOf(context, 'wait')));
-    const cancelWait = clock.schedule(waitMs, () => abort.abort());
-    context.env.incoming.socket.once('close', () => abort.abort());
+    const endWait = () => abort.abort();
+    const cancelWait = clock.schedule(waitMs, endWait);
+    const { socket } = context.env.incoming;
+    socket.once('close', endWait);
     waiting.add(abort);
     const prefix = context.req.query('prefix') ?? '';
     const outcome = await store.watch(prefix, numberOf(context, 'after'), { signal: abort.signal });
     waiting.delete(abort);
     cancelWait();
+    socket.off('close', endWait);
     if (outcome.isErr()) return respondFailure(context, outcome.error);
     return context.json({ entries: outcome.value });
   });
--- a/standins/store_server_test.ts
+++ b/standins/store_server_test.ts
@@ -89,4 +89,19 @@
   })
 ));
 
+test('watches that follow each other on one connection leave no listeners behind', async () => {
+  const warnings: string[] = [];
+  const onWarning = ({ message }: Error) => warnings.push(message);
+  process.on('warning', onWarning);
+  await withServer(async (_server, store) => {
+    for (let count = 0; count < 40; count += 1) {
+      const watch = store.watch('a/', count);
+      await store.compareAndSwap('a/1', count, 'v');
+      assert.is((await watch).unwrapOr([]).length, 1);
+    }
+  });
+  process.off('warning', onWarning);
+  assert.equal(warnings, []);
+});
+
 test.run();
