--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -28,6 +28,8 @@
   readonly announcer: Announcer;
   /** Ends node and upstream at once, as the loss of the host does. */
   readonly kill: () => Promise<void>;
+  /** Planned stop of the node; then the upstream ends. */
+  readonly stop: () => Promise<void>;
 }
 
 /** A fleet on loopback: store, nodes and upstreams in one process. */
@@ -132,6 +134,12 @@
         hosts.splice(hosts.indexOf(host), 1);
         await Promise.all([node.kill(), upstream.kill()]);
       },
+      stop: async () => {
+        await node.stop();
+        announcer.stop();
+        hosts.splice(hosts.indexOf(host), 1);
+        await upstream.kill();
+      },
     };
     hosts.push(host);
     return host;
--- a/standins/mod.ts
+++ b/standins/mod.ts
@@ -1,2 +1,5 @@
 /** Small fakes of outside systems, for tests and for the demonstration. */
 export { startStoreServer, type StoreServer, type StoreServerOptions } from './store_server.ts';
+export {
+  type Fleet, fleetCredentials, type FleetHost, type FleetHostPlan, type FleetOptions, startFleet,
+} from './fleet.ts';
