Allow any number of listeners on the signal of a lease period

Cause: each keyed request in flight listens to the signal of the owner's lease period, so that Node.js printed MaxListenersExceededWarning (11 abort listeners) as soon as an owner ran more than ten requests. The listeners are removed when a request ends; nothing leaked.

Change: the limit of listeners is off for this signal.

Conclusion: the fleet test sees the warning without the change and none with it.

--- a/daemon/fleet_test.ts
+++ b/daemon/fleet_test.ts
@@ -9,14 +9,18 @@
 
 const test = suite('fleet');
 let fleet: Awaited<ReturnType<typeof startTestFleet>>;
+const warnings: Error[] = [];
+const onWarning = (warning: Error) => warnings.push(warning);
 
 test.before(async () => {
+  process.on('warning', onWarning);
   fleet = await startTestFleet([
     planHost(1, 'ledger'), planHost(2, 'ledger'), planHost(3, 'ledger'),
     planHost(4, 'archive'), planHost(5, 'archive'),
   ], { logLevel: 'debug' });
 });
 test.after(async () => {
+  process.off('warning', onWarning);
   await fleet.stop();
 });
 
@@ -183,4 +187,8 @@
   assert.equal(found, []);
 });
 
+test('the run leaves no listeners behind and emits no other warning', () => {
+  assert.equal(warnings.map(({ message }) => message), []);
+});
+
 test.run();
--- a/lease/lease_holder.ts
+++ b/lease/lease_holder.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { Clock } from '../clock/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
@@ -122,6 +123,8 @@
     cancelExpiry = clock.schedule(validUntilMs - clock.now(), checkExpiry);
     if (period) return;
     period = new AbortController();
+    // Each request in flight listens to it; the warning above 10 listeners would be a false one.
+    setMaxListeners(0, period.signal);
     logger.info({ service, owner: ownerId }, 'the lease is valid');
   };
 
