Measure the control cost and the cost of a full placement record

Change: `capacity` runs fleets of owners over the fake network on a virtual clock (messages, bytes, heap, store calls, one contract change), over gRPC (processor time), and a record of 32,768 slots and 510 owners with the loss of a failure domain; `bench/fleet_main.ts` runs larger fleets.

--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -2,6 +2,7 @@
 
 /** Measurements by name; each module is loaded only when it is run. */
 export const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  capacity: async () => (await import('./capacity.ts')).runCapacityBench,
   churn: async () => (await import('./churn.ts')).runChurnBench,
   configuration: async () => (
     await import('./configuration.ts')
