Keep the demonstration's names in a sample file; let kill follow stop

Cause: code named the services of the first users, which belong in samples and docs; node.kill() after node.stop() threw because the listeners were gone. Change: samples/demonstration.json holds hosts and requests; kill skips listeners that have stopped. Conclusion: the demonstration is data.

--- a/daemon/start_node.ts
+++ b/daemon/start_node.ts
@@ -125,8 +125,9 @@
       logger.info({}, 'stopped');
     },
     kill: async () => {
-      kernel.find<BoundListener>('caller-listener').kill();
-      kernel.find<BoundListener>('peer-listener').kill();
+      for (const name of ['caller-listener', 'peer-listener']) {
+        if (kernel.isRunning(name)) kernel.find<BoundListener>(name).kill();
+      }
       await kernel.stop();
     },
   };
--- a/standins/demo_main.ts
+++ b/standins/demo_main.ts
@@ -3,19 +3,15 @@
 import { parseArgs } from 'node:util';
 import { request } from 'undici';
 import { createSystemClock } from '../clock/mod.ts';
-import { demoPlan } from './demo_plan.ts';
+import { demoHosts, demoPlan, type DemoRequest } from './demo_plan.ts';
 import {
   type Fleet, fleetCredentials, type FleetHost, startFleet,
 } from './fleet.ts';
 
-const CUSTOMERS = ['djerid', 'lembaga'] as const;
-const KEYED_SERVICES = ['turn-ledger', 'kalendar'] as const;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 20;
 const TAKEOVER_TIMEOUT_MS = 5000;
 const LOAD_ROUNDS = 20;
-const BULK_BYTES = 5_000_000;
-const SAMPLE_KEYS = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6'];
 
 const clock = createSystemClock();
 
@@ -26,57 +22,7 @@
   },
 });
 
-interface Sample {
-  readonly customer: (typeof CUSTOMERS)[number];
-  readonly class: string;
-  readonly method: 'GET' | 'POST';
-  readonly path: (number: number) => string;
-  readonly headers?: Readonly<Record<string, string>>;
-}
-
-const samples: readonly Sample[] = [
-  {
-    customer: 'djerid',
-    class: 'check',
-    method: 'GET',
-    path: (number) => `/sluices/s${number}/state`,
-  },
-  {
-    customer: 'djerid', class: 'lookup', method: 'GET', path: (number) => `/turns/p${number}`,
-  },
-  {
-    customer: 'djerid',
-    class: 'submission',
-    method: 'POST',
-    path: (number) => `/turns/p${number}/opening`,
-  },
-  {
-    customer: 'djerid',
-    class: 'bulk',
-    method: 'GET',
-    path: (number) => `/maps/m${number}`,
-    headers: { 'x-body-bytes': String(BULK_BYTES) },
-  },
-  {
-    customer: 'lembaga', class: 'check', method: 'GET', path: (number) => `/counters/c${number}`,
-  },
-  {
-    customer: 'lembaga',
-    class: 'lookup',
-    method: 'GET',
-    path: (number) => `/grantees/g${number}/deadlines`,
-  },
-  {
-    customer: 'lembaga', class: 'submission', method: 'POST', path: () => '/submissions',
-  },
-  {
-    customer: 'lembaga',
-    class: 'bulk',
-    method: 'GET',
-    path: (number) => `/packs/r${number}`,
-    headers: { 'x-body-bytes': String(BULK_BYTES) },
-  },
-];
+const lossRequest: DemoRequest = { ...demoPlan.loss, class: 'lookup', method: 'GET' };
 
 interface Answer {
   readonly status: number;
@@ -84,10 +30,17 @@
   readonly instance: string | undefined;
 }
 
-const send = async (host: FleetHost, sample: Sample, path: string): Promise<Answer> => {
+const tokenOf = (customer: string) => demoPlan.customers
+  .find((entry) => entry.customer === customer)?.token ?? '';
+
+const send = async (host: FleetHost, sample: DemoRequest, number: number): Promise<Answer> => {
+  const path = sample.path.replace('{number}', String(number));
   const answer = await request(`http://${host.node.addresses.caller}${path}`, {
     method: sample.method,
-    headers: { authorization: `Bearer ${sample.customer}-sample-token`, ...sample.headers },
+    headers: {
+      authorization: `Bearer ${tokenOf(sample.customer)}`,
+      ...(sample.bodyBytes === undefined ? {} : { 'x-body-bytes': String(sample.bodyBytes) }),
+    },
   });
   const chunks: Buffer[] = [];
   let bytes = 0;
@@ -113,7 +66,7 @@
 };
 
 const applyContracts = async (fleet: Fleet) => {
-  for (const customer of CUSTOMERS) {
+  for (const { customer } of demoPlan.customers) {
     const file = new URL(`../samples/contracts/${customer}.json`, import.meta.url);
     const [host] = fleet.hosts;
     const answer = await request(
@@ -136,10 +89,10 @@
 
 const hasContracts = (host: FleetHost) => (
   host.node.status().versions.filter(({ key }) => key.startsWith('contracts/')).length
-  === CUSTOMERS.length
+  === demoPlan.customers.length
 );
 
-const ownersAreReady = (fleet: Fleet) => KEYED_SERVICES.every((service) => {
+const ownersAreReady = (fleet: Fleet) => demoPlan.keyedServices.every((service) => {
   const owning = fleet.hosts
     .flatMap((host) => host.node.status().ownership)
     .filter((status) => status.service === service && status.leaseValid && status.slots > 0);
@@ -147,12 +100,10 @@
   return owning.length === planned;
 });
 
-const lookup = samples[1]!;
-
-const ownersOfSamples = async (fleet: Fleet): Promise<ReadonlyMap<string, string>> => {
-  const owners = new Map<string, string>();
-  for (const [index, key] of SAMPLE_KEYS.entries()) {
-    const answer = await send(anyHost(fleet, index), lookup, `/turns/${key}`);
+const ownersOfKeys = async (fleet: Fleet): Promise<ReadonlyMap<number, string>> => {
+  const owners = new Map<number, string>();
+  for (let key = 1; key <= demoPlan.loss.keys; key += 1) {
+    const answer = await send(anyHost(fleet, key), lossRequest, key);
     owners.set(key, answer.instance ?? `status ${answer.status}`);
   }
   return owners;
@@ -160,33 +111,39 @@
 
 const runLoad = async (fleet: Fleet): Promise<ReadonlyMap<string, readonly Answer[]>> => {
   const answers = new Map<string, Answer[]>();
-  const run = async (sample: Sample, round: number) => {
+  const run = async (sample: DemoRequest, round: number) => {
     const host = anyHost(fleet, round);
     const name = `${sample.customer} ${sample.class}`;
     const list = answers.get(name) ?? [];
     answers.set(name, list);
-    list.push(await send(host, sample, sample.path(round)));
+    list.push(await send(host, sample, round));
   };
   for (let round = 0; round < LOAD_ROUNDS; round += 1) {
-    await Promise.all(samples.map((sample) => run(sample, round)));
+    await Promise.all(demoPlan.requests.map((sample) => run(sample, round)));
   }
   return answers;
 };
 
 /** Kills the owner of a key and returns the time in ms until the key is answered again. */
-const measureTakeover = async (fleet: Fleet, key: string, instance: string): Promise<number> => {
+const measureTakeover = async (
+  fleet: Fleet,
+  key: number,
+  instance: string,
+): Promise<number> => {
   const owner = fleet.hosts.find((host) => host.plan.instance === instance);
   if (owner === undefined) throw new Error(`no host of instance ${instance}`);
   const lostAt = clock.now();
   await owner.kill();
   for (let attempt = 0; clock.now() - lostAt < TAKEOVER_TIMEOUT_MS; attempt += 1) {
-    const answer = await send(anyHost(fleet, attempt), lookup, `/turns/${key}`);
+    const answer = await send(anyHost(fleet, attempt), lossRequest, key);
     if (answer.status === 200) return clock.now() - lostAt;
     await clock.sleep(POLL_INTERVAL_MS);
   }
   return Number.POSITIVE_INFINITY;
 };
 
+const pathOf = (key: number) => demoPlan.loss.path.replace('{number}', String(key));
+
 const printAnswers = (answers: ReadonlyMap<string, readonly Answer[]>) => {
   console.log('\nrequests answered');
   for (const [name, list] of answers) {
@@ -199,13 +156,14 @@
 const demonstrate = async (fleet: Fleet) => {
   const answers = await runLoad(fleet);
   printAnswers(answers);
-  const before = await ownersOfSamples(fleet);
+  const before = await ownersOfKeys(fleet);
   const [key, instance] = [...before][0]!;
   const unavailableMs = await measureTakeover(fleet, key, instance);
-  const after = await ownersOfSamples(fleet);
+  const after = await ownersOfKeys(fleet);
   console.log(`\nowner of sample keys before and after the loss of ${instance}`);
   for (const [sampleKey, owner] of before) {
-    console.log(`  ${sampleKey.padEnd(6)} ${owner.padEnd(16)} ${after.get(sampleKey) ?? ''}`);
+    const owners = `${owner.padEnd(16)} ${after.get(sampleKey) ?? ''}`;
+    console.log(`  ${pathOf(sampleKey).padEnd(10)} ${owners}`);
   }
   console.log(`\ntime without an owner: ${Math.round(unavailableMs)} ms`);
   console.log('\ncontract revisions in force');
@@ -223,7 +181,8 @@
     console.log(`  ${host.plan.node.padEnd(16)} http://${caller}  http://${operator}`);
   }
   const { caller } = fleet.hosts[0]!.node.addresses;
-  console.log(`\ncurl -H 'authorization: Bearer djerid-sample-token' http://${caller}/turns/p1`);
+  const token = tokenOf(demoPlan.loss.customer);
+  console.log(`\ncurl -H 'authorization: Bearer ${token}' http://${caller}${pathOf(1)}`);
   console.log(`operator credential: ${fleetCredentials.operator}`);
   await new Promise<void>((resolve) => {
     process.once('SIGINT', () => resolve());
@@ -232,7 +191,7 @@
 };
 
 const logStream = createWriteStream(values.log ?? '/dev/null');
-const fleet = await startFleet(demoPlan, { clock, logStream });
+const fleet = await startFleet(demoHosts, { clock, logStream });
 try {
   await applyContracts(fleet);
   await waitUntil('contracts in force on all nodes', () => fleet.hosts.every(hasContracts));
--- a/standins/demo_plan.ts
+++ b/standins/demo_plan.ts
@@ -1,46 +1,46 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
 import type { FleetHostPlan } from './fleet.ts';
 
-interface Deployment {
-  readonly region: string;
-  readonly failureDomains: readonly string[];
-  readonly services: readonly ServicePlan[];
-  readonly slots: number;
-  readonly connections: number;
-}
+const deploymentSchema = z.strictObject({
+  region: z.string(),
+  failureDomains: z.array(z.string()).min(1),
+  slots: z.int().positive(),
+  connections: z.int().positive(),
+  services: z.array(z.strictObject({
+    service: z.string(),
+    instances: z.int().positive(),
+    checksGrants: z.boolean(),
+  })),
+});
 
-interface ServicePlan {
-  readonly service: string;
-  readonly instances: number;
-  readonly checksGrants: boolean;
-}
+const demoSchema = z.strictObject({
+  deployments: z.array(deploymentSchema),
+  customers: z.array(z.strictObject({ customer: z.string(), token: z.string() })).min(1),
+  requests: z.array(z.strictObject({
+    customer: z.string(),
+    class: z.string(),
+    method: z.enum(['GET', 'POST']),
+    path: z.string(),
+    bodyBytes: z.int().optional(),
+  })),
+  keyedServices: z.array(z.string()),
+  /** Lookups whose owner is lost in the demonstration. */
+  loss: z.strictObject({ customer: z.string(), path: z.string(), keys: z.int().positive() }),
+}).readonly();
 
-/** The two deployments of `docs/design.md`, scaled down to fit one process. */
-const deployments: readonly Deployment[] = [
-  {
-    region: 'djerid',
-    failureDomains: ['tozeur', 'nefta', 'degache'],
-    slots: 6,
-    connections: 130,
-    services: [
-      { service: 'turn-ledger', instances: 3, checksGrants: true },
-      { service: 'sluice-control', instances: 2, checksGrants: false },
-      { service: 'channel-archive', instances: 2, checksGrants: false },
-    ],
-  },
-  {
-    region: 'semenanjung',
-    failureDomains: ['zon-shah-alam', 'zon-cyberjaya', 'zon-ipoh'],
-    slots: 9,
-    connections: 70,
-    services: [
-      { service: 'kalendar', instances: 3, checksGrants: false },
-      { service: 'penyerahan', instances: 2, checksGrants: false },
-      { service: 'arkib-pek', instances: 2, checksGrants: false },
-    ],
-  },
-];
+/** What the demonstration starts and sends. */
+export type DemoPlan = z.infer<typeof demoSchema>;
 
-const planDeployment = (deployment: Deployment): readonly FleetHostPlan[] => {
+/** One kind of request of the demonstration. */
+export type DemoRequest = DemoPlan['requests'][number];
+
+/** The plan in `samples/demonstration.json`. */
+export const demoPlan: DemoPlan = demoSchema.parse(JSON.parse(
+  readFileSync(new URL('../samples/demonstration.json', import.meta.url), 'utf8'),
+));
+
+const planDeployment = (deployment: DemoPlan['deployments'][number]): readonly FleetHostPlan[] => {
   const plans: FleetHostPlan[] = [];
   for (const { service, instances, checksGrants } of deployment.services) {
     for (let number = 1; number <= instances; number += 1) {
@@ -61,4 +61,4 @@
 };
 
 /** Hosts of the demonstration. */
-export const demoPlan: readonly FleetHostPlan[] = deployments.flatMap(planDeployment);
+export const demoHosts: readonly FleetHostPlan[] = demoPlan.deployments.flatMap(planDeployment);
