--- a/admission/fair_queue_test.ts
+++ b/admission/fair_queue_test.ts
@@ -97,4 +97,27 @@
   assert.equal([queue.pop()?.customer, queue.pop()?.customer, queue.size()], ['a', 'b', 0]);
 });
 
+test('a charge on an empty queue has the effect of a push and a pop', () => {
+  // A difference would let requests that never wait escape the share of their customer.
+  fc.assert(fc.property(fc.array(fc.constantFrom('a', 'b', 'c')), (customers) => {
+    const charged = createFairQueue<FairQueueEntry>();
+    const pushed = createFairQueue<FairQueueEntry>();
+    const entryOf = (customer: string) => (
+      { customer, share: customer.charCodeAt(0) - 96, deadlineAt: 0 }
+    );
+    for (const customer of customers) {
+      charged.charge(entryOf(customer));
+      pushed.push(entryOf(customer));
+      pushed.pop();
+    }
+    for (let index = 0; index < 30; index += 1) {
+      for (const queue of [charged, pushed]) queue.push(entryOf('abc'[index % 3]!));
+    }
+    const drain = (queue: typeof charged) => (
+      Array.from({ length: 30 }, () => queue.pop()?.customer)
+    );
+    assert.equal(drain(charged), drain(pushed));
+  }), { seed: 22, numRuns: 100 });
+});
+
 test.run();
