Put the third witness into another region where a region has two domains

Change: after the domains of the owner's region come domains of other regions, before a domain repeats. Conclusion: no single domain holds a majority; with regions parted the two local witnesses suffice.

--- a/placement/record_changes_test.ts
+++ b/placement/record_changes_test.ts
@@ -153,6 +153,18 @@
   assert.ok(keep.every((witness) => kept.includes(witness)));
 });
 
+test('guards against a region of two domains where one holds most witnesses of an owner', () => {
+  const places = ['a1', 'a2', 'a1', 'a2', 'b1', 'b2', 'b3'];
+  const members = places.map((failureDomain, index) => testOwner(index, {
+    failureDomain, region: failureDomain.slice(0, 1),
+  }));
+  for (const owner of members.slice(0, 4)) {
+    const domains = chooseWitnesses(members, owner).map((witness) => witness.failureDomain);
+    assert.is(new Set(domains).size, 3, domains.join(' '));
+    assert.is(domains.filter((domain) => domain.startsWith('a')).length, 2, domains.join(' '));
+  }
+});
+
 test('guards against a second witness change before the first is acknowledged', () => {
   const members = [1, 2, 3, 4, 5, 6].map((value) => testOwner(value));
   const [first, second] = [members.slice(0, 3), members.slice(3)]
--- a/placement/witnesses.ts
+++ b/placement/witnesses.ts
@@ -26,8 +26,10 @@
 
 /**
  * Chooses the witnesses of an owner: three in different failure domains of the owner's region where
- * there are that many, otherwise more from the same domains, then from other regions. The owner's
- * own node is never chosen. Rendezvous hashing spreads the work over the fleet.
+ * there are that many, otherwise from domains of other regions, then more from the same domains. No
+ * domain holds a majority of the witnesses while there are three domains in all, so the loss of one
+ * never needs an operator. The owner's own node is never chosen. Rendezvous hashing spreads the work
+ * over the fleet.
  *
  * @param candidates The members of the fleet.
  * @param owner The owner that needs witnesses.
@@ -52,7 +54,7 @@
   const near = ordered.filter((candidate) => candidate.region === owner.region);
   const chosen = new Map<string, WitnessCandidate>();
   const domains = new Set<string>();
-  for (const candidate of near) {
+  for (const candidate of [...near, ...ordered]) {
     if (chosen.size === WITNESS_COUNT) break;
     if (domains.has(candidate.failureDomain)) continue;
     domains.add(candidate.failureDomain);
