--- a/command/main.ts
+++ b/command/main.ts
@@ -92,8 +92,9 @@
 const splitCommand = (words: readonly string[]) => {
   const [first = '', second = ''] = words;
   const pair = `${first} ${second}`;
-  if (commands[pair] !== undefined) return { command: commands[pair], args: words.slice(2) };
-  return { command: commands[first], args: words.slice(1) };
+  if (Object.hasOwn(commands, pair)) return { command: commands[pair], args: words.slice(2) };
+  const command = Object.hasOwn(commands, first) ? commands[first] : undefined;
+  return { command, args: words.slice(1) };
 };
 
 /**
@@ -123,7 +124,7 @@
     return exitStatuses.usage;
   }
   const revision = values.revision === undefined ? undefined : Number(values.revision);
-  if (revision !== undefined && (!Number.isInteger(revision) || revision < 0)) {
+  if (values.revision !== undefined && !/^\d{1,15}$/u.test(values.revision)) {
     output.error('--revision must be a whole number');
     return exitStatuses.usage;
   }
