Test raw input to the caller listener with fast-check

Cause: malformed input was tested by a few examples only.

Change: 150 requests from a fixed seed mix odd methods, targets, versions, headers, framing and split writes. Each connection must get well-formed answers or be closed, no refused request and no smuggled one may reach the upstream, and the next request on a new connection must work.

--- /dev/null
+++ b/proxy/raw_input_test.ts
@@ -0,0 +1,151 @@
+import fc from 'fast-check';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  call, LIMIT_MS, makeContract, startPath, TOKEN,
+} from './_test_node.ts';
+
+const SEED = 20_261;
+const RUNS = 150;
+/** Pause in ms after which an answer to incomplete input is not waited for. */
+const QUIET_MS = 40;
+
+const SMUGGLED = `GET /a/smuggled HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${TOKEN}\r\n\r\n`;
+
+const targets = [
+  '/a/b', '/a/b?q=%20', '/nowhere', '//a/b', '/a/../b', '/a/%2e%2e', '/a/%00', '/a/b#c', '*', '',
+  'http://h/a/b', 'h:80', '/a/\u00e9', '/a/b\\c', '/a/b HTTP/1.1 x', `/a/${'x'.repeat(20_000)}`,
+];
+const headers = [
+  'X-Empty:', 'X-Long: '.concat('x'.repeat(20_000)), 'Bad Name: x', ': x', 'X-Nul: a\0b',
+  'X-Cr: a\rb',
+  ' Folded: x', 'X-Fold: a\r\n b', 'Connection: keep-alive, x-hop', 'Expect: 100-continue',
+  'Expect: other', 'Host: other', 'mh-outcome: not run', 'X-Request-Id: forged', 'X-\u00e9: \u00e9',
+  'Upgrade: h2c', 'Content-Length : 3', 'Transfer-Encoding : chunked',
+];
+/** Framing headers and a body; those marked `isAmbiguous` must not let a second request through. */
+const framings = [
+  { lines: [], body: '', isAmbiguous: false },
+  { lines: ['Content-Length: 3'], body: 'abc', isAmbiguous: false },
+  { lines: ['Content-Length: 9'], body: 'abc', isAmbiguous: false },
+  { lines: ['Transfer-Encoding: chunked'], body: '3\r\nabc\r\n0\r\n\r\n', isAmbiguous: false },
+  {
+    lines: ['Transfer-Encoding: chunked'],
+    body: '3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n',
+    isAmbiguous: false,
+  },
+  ...[
+    ['Content-Length: 0', 'Transfer-Encoding: chunked'], ['Content-Length: 3', 'Content-Length: 0'],
+    ['Transfer-Encoding: chunked', 'Transfer-Encoding: identity'], ['Transfer-Encoding: xchunked'],
+    ['Content-Length: +0'], ['Content-Length: 0, 0'], ['Transfer-Encoding:\u000bchunked'],
+  ].map((lines) => ({ lines, body: `0\r\n\r\n${SMUGGLED}`, isAmbiguous: true })),
+  ...[
+    '-1\r\n', 'ffffffffffffffffff\r\n', '3\nabc\n0\n\n', '0x3\r\nabc\r\n0\r\n\r\n',
+  ].map((start) => ({
+    lines: ['Transfer-Encoding: chunked'], body: `${start}${SMUGGLED}`, isAmbiguous: true,
+  })),
+];
+
+const inputs = fc.record({
+  method: fc.constantFrom('GET', 'POST', 'DELETE', 'CONNECT', 'get', 'G\tT', 'PRI'),
+  target: fc.oneof({ weight: 2, arbitrary: fc.constant('/a/b') }, fc.constantFrom(...targets)),
+  version: fc.oneof(
+    { weight: 2, arbitrary: fc.constant('HTTP/1.1') },
+    fc.constantFrom('HTTP/1.0', 'HTTP/2.0', 'http/1.1', ''),
+  ),
+  token: fc.constantFrom(TOKEN, TOKEN, 'wrong'),
+  odd: fc.oneof(
+    { weight: 2, arbitrary: fc.constant([]) },
+    fc.array(fc.constantFrom(...headers), { maxLength: 2 }),
+    fc.array(fc.string({ maxLength: 20 }), { maxLength: 2 }),
+  ),
+  framing: fc.constantFrom(...framings),
+  cuts: fc.array(fc.nat(400), { maxLength: 3 }),
+});
+
+const HEAD = /^HTTP\/1\.1 (\d{3}) [^\r\n]*(?:\r\n[\w-]+: [^\r\n]*)*$/u;
+
+/** Splits a stream of answers into heads and bodies; throws when it is not well formed. */
+const parseAnswers = (text: string) => {
+  const answers: { readonly status: number; readonly head: string; readonly body: string }[] = [];
+  let rest = text;
+  while (rest !== '') {
+    const headEnd = rest.indexOf('\r\n\r\n');
+    const head = rest.slice(0, headEnd);
+    const status = Number(HEAD.exec(head)?.[1]);
+    if (headEnd < 0 || !(status >= 100)) throw new Error(`not an answer: ${rest.slice(0, 200)}`);
+    rest = rest.slice(headEnd + 4);
+    if (status < 200) continue;
+    const length = Number(/\r\ncontent-length: (\d+)/iu.exec(head)?.[1] ?? Number.NaN);
+    if (!(length <= rest.length)) throw new Error(`incomplete body after: ${head}`);
+    answers.push({ status, head, body: rest.slice(0, length) });
+    rest = rest.slice(length);
+  }
+  return answers;
+};
+
+const exchangeRaw = async (address: string, text: string, cuts: readonly number[]) => {
+  const socket = connect(Number(address.split(':')[1]), '127.0.0.1');
+  let received = '';
+  socket.on('error', () => undefined).on('data', (chunk) => {
+    received += chunk.toString('latin1');
+  });
+  const closed = once(socket, 'close');
+  const places = [0, ...[...cuts].sort((a, b) => a - b), text.length];
+  for (let index = 1; index < places.length; index += 1) {
+    socket.write(text.slice(places[index - 1], places[index]), 'latin1');
+    await sleep(1);
+  }
+  let length = -1;
+  while (!socket.closed && length !== received.length) {
+    length = received.length;
+    await Promise.race([closed, sleep(QUIET_MS)]);
+  }
+  socket.end();
+  const limit = sleep(LIMIT_MS, false, { ref: false });
+  const isClosed = await Promise.race([closed.then(() => true), limit]);
+  return { received, isClosed };
+};
+
+test('raw input is answered or closed, and nothing refused reaches the upstream', async () => {
+  const reached = new Set<string>();
+  const paths: string[] = [];
+  const contract = makeContract([{ path: '/a/:id', class: 'lookup' }]);
+  const path = await startPath((request, response) => {
+    reached.add(String(request.headers['x-request-id']));
+    paths.push(request.url ?? '');
+    request.resume().on('end', () => response.end('done'));
+  }, { contract });
+  await fc.assert(fc.asyncProperty(inputs, async (input) => {
+    const { framing, token } = input;
+    const target = token === TOKEN ? input.target : `/a/denied${input.target.slice(0, 100)}`;
+    const lines = ['Host: h', `Authorization: Bearer ${token}`, ...input.odd, ...framing.lines];
+    const head = `${input.method} ${target} ${input.version}\r\n${lines.join('\r\n')}\r\n\r\n`;
+    paths.length = 0;
+    const { received, isClosed } = await exchangeRaw(
+      path.callerAddress,
+      `${head}${framing.body}`,
+      input.cuts,
+    );
+    assert.ok(isClosed, 'the connection stays open');
+    for (const { status, body } of parseAnswers(received)) {
+      if (status < 400) continue;
+      const problem = JSON.parse(body) as { readonly outcome: string; readonly request: string };
+      if (problem.outcome === 'not run') assert.not(reached.has(problem.request));
+    }
+    if (framing.isAmbiguous) assert.not(paths.includes('/a/smuggled'));
+    assert.not(paths.some((reachedPath) => reachedPath.startsWith('/a/denied')));
+    const { status } = await call(path.callerAddress, '/a/next');
+    assert.is(status, 200);
+  }), { seed: SEED, numRuns: RUNS, endOnFailure: true });
+  assert.ok(reached.size > RUNS, 'some of the input is valid');
+  // Idle connections of the pools do not keep the process running until they have closed.
+  const keepRunning = setInterval(() => undefined, LIMIT_MS);
+  await path.stop();
+  clearInterval(keepRunning);
+});
+
+test.run();
