Check the histories of concurrent runs with seeded faults

Change: testing/ runs 4 to 6 nodes of real code on the fake clock, network and store, with callers, operators and faults from a seed, and checks the recorded history by pure functions. Each checker has a test with a planted fault.

--- a/daemon/_owner_service.ts
+++ b/daemon/_owner_service.ts
@@ -3,7 +3,7 @@
 import type { ServiceDefinition } from '../contract/mod.ts';
 import { createUpstreamGrants } from '../forward/mod.ts';
 import {
-  createLeaseHolder, type LeaseHolder, type NodeOwnership,
+  createLeaseHolder, type LeaseHolder, type NodeOwnership, type UpstreamGrants,
 } from '../lease/mod.ts';
 import type { PeerTransport } from '../peer/mod.ts';
 import type { Placements, Placer } from '../placement/mod.ts';
@@ -31,6 +31,8 @@
   readonly announcements: Announcements;
   readonly contracts: Contracts;
   readonly random: RandomGenerator;
+  /** Grants of the instance at an address; over HTTP by default. */
+  readonly createGrants?: (address: string, options: { readonly clock: Clock }) => UpstreamGrants;
 }
 
 const RECONCILE_INTERVAL_MS = 500;
@@ -45,6 +47,7 @@
 export const startOwnerService = (options: OwnerServiceOptions): OwnerService => {
   const {
     clock, logger, placer, ownership, announcements, contracts,
+    createGrants = createUpstreamGrants,
   } = options;
   const owned = new Map<string, OwnedInstance>();
   const stopping = new AbortController();
@@ -78,7 +81,7 @@
     ownership.attach(holder, {
       instance,
       ...(definition.checksGrants
-        ? { grants: createUpstreamGrants(new URL(announcement.url).host, { clock }) }
+        ? { grants: createGrants(new URL(announcement.url).host, { clock }) }
         : {}),
     });
   };
--- a/daemon/mod.ts
+++ b/daemon/mod.ts
@@ -8,4 +8,7 @@
 } from './contracts.ts';
 export { createOperatorApi, type NodeStatus, type OperatorBackend } from './operator_api.ts';
 export { type NodeOptions, type RunningNode, startNode } from './start_node.ts';
+export {
+  type OwnerService, type OwnerServiceOptions, startOwnerService,
+} from './_owner_service.ts';
 export type { NodeAddresses } from './_control_services.ts';
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -1,4 +1,7 @@
 /** The listeners for requests: of callers and of other nodes. */
+export {
+  type AttemptsOptions, type CallerRequest, createAttempts, type RunAttempts,
+} from './_attempts.ts';
 export type { HttpListener } from './_http_server.ts';
 export { type CallerListenerOptions, createCallerListener } from './caller_listener.ts';
 export {
--- /dev/null
+++ b/testing/_check_ownership.ts
@@ -0,0 +1,53 @@
+import type { History } from './history.ts';
+import type { Finding } from './_finding.ts';
+
+interface Activity {
+  /** Executions in progress, by attempt. */
+  readonly running: Map<string, string>;
+  entitled: readonly string[];
+}
+
+/**
+ * Finds the moments at which two nodes execute requests of one key, or one executes while another
+ * may enter. A paused host executes nothing.
+ */
+export const findOverlaps = (history: History): readonly Finding[] => {
+  const findings: Finding[] = [];
+  const paused = new Set<string>();
+  const activities = new Map<string, Activity>();
+
+  const activityOf = (key: string): Activity => {
+    const known = activities.get(key);
+    if (known !== undefined) return known;
+    const created: Activity = { running: new Map(), entitled: [] };
+    activities.set(key, created);
+    return created;
+  };
+
+  const check = (at: number, key: string) => {
+    const { running, entitled } = activityOf(key);
+    const nodes = new Set([...running.values(), ...entitled].filter((node) => !paused.has(node)));
+    if (nodes.size < 2) return;
+    const names = [...nodes].sort().join(' and ');
+    const known = findings.at(-1);
+    const detail = `${names} own ${key}`;
+    if (known?.detail !== detail) findings.push({ at, detail });
+  };
+
+  for (const event of history) {
+    if (event.kind === 'rights') {
+      activityOf(event.key).entitled = event.nodes;
+      check(event.at, event.key);
+    } else if (event.kind === 'execution start') {
+      activityOf(event.key).running.set(event.attempt, event.node);
+      check(event.at, event.key);
+    } else if (event.kind === 'execution end') {
+      activityOf(event.key).running.delete(event.attempt);
+    } else if (event.kind === 'host') {
+      if (event.state === 'paused') paused.add(event.node);
+      else paused.delete(event.node);
+      if (event.state === 'resumed') for (const key of activities.keys()) check(event.at, key);
+    }
+  }
+  return findings;
+};
--- /dev/null
+++ b/testing/_control_parts.ts
@@ -0,0 +1,184 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { Clock, PausableClock } from '../clock/mod.ts';
+import { createAnnouncements, createContracts, startOwnerService } from '../daemon/mod.ts';
+import {
+  createOwnership, createTakeover, createWitness, type LeaseHolder, type Ownership,
+} from '../lease/mod.ts';
+import { createMembership } from '../membership/mod.ts';
+import type { PeerTransport } from '../peer/mod.ts';
+import {
+  createLoadReports, createPlacements, createPlacer, type SlotOfKey,
+} from '../placement/mod.ts';
+import type { LocalDispatch } from '../proxy/mod.ts';
+import { createRelay, type Relay } from '../relay/mod.ts';
+import { createGuardedStore, type Store } from '../store/mod.ts';
+import { silentLogger, silentMetrics } from '../telemetry/mod.ts';
+import type { FakeUpstream } from './_fake_upstream.ts';
+import type { Links } from './_memory_forwarder.ts';
+import type { RecordEvent } from './history.ts';
+
+/** Faults of the product that a test plants to show that a checker notices them. */
+export interface PlantedFaults {
+  readonly wrapHolder?: (holder: LeaseHolder, clock: Clock) => LeaseHolder;
+  readonly wrapDispatch?: (dispatch: LocalDispatch) => LocalDispatch;
+  readonly wrapRelay?: (relay: Relay, clock: Clock) => Relay;
+  readonly wrapStore?: (store: Store) => Store;
+  /** A caller sends a submission again whatever it was told. */
+  readonly repeatsSubmissions?: boolean;
+  /** A planned stop does not wait for requests in flight. */
+  readonly stopsAtOnce?: boolean;
+  /** A planned stop keeps its slots. */
+  readonly keepsSlots?: boolean;
+}
+
+/** What a process of a run is built from. */
+export interface ProcessOptions {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly seeds: readonly string[];
+  readonly clock: PausableClock;
+  readonly transport: PeerTransport;
+  readonly store: Store;
+  readonly links: Links;
+  readonly upstream: FakeUpstream;
+  readonly slotOfKey: SlotOfKey;
+  readonly random: RandomGenerator;
+  readonly record: RecordEvent;
+  /** Called when a request has passed the ownership check. */
+  readonly onEnter: (key: string, token: number) => void;
+  readonly planted: PlantedFaults;
+}
+
+/** Results reach the process on its own clock, so that a paused process does not go on. */
+const onClock = (store: Store, clock: Clock): Store => {
+  const arrive = async <T>(call: Promise<T>): Promise<T> => {
+    const result = await call;
+    await clock.sleep(0);
+    return result;
+  };
+  return {
+    get: (key) => arrive(store.get(key)),
+    list: (prefix) => arrive(store.list(prefix)),
+    compareAndSwap: (...call) => arrive(store.compareAndSwap(...call)),
+    watch: (...call) => arrive(store.watch(...call)),
+  };
+};
+
+const transportOnClock = (transport: PeerTransport, clock: Clock): PeerTransport => ({
+  ...transport,
+  request: async (...call) => {
+    const result = await transport.request(...call);
+    await clock.sleep(0);
+    return result;
+  },
+});
+
+/** Starts the parts of a node that decide who owns which keys. */
+export const startControlParts = (options: ProcessOptions) => {
+  const {
+    node, incarnation, clock, random, planted, slotOfKey, upstream,
+  } = options;
+  const uniform = () => uniformFloat64(random);
+  const logger = silentLogger;
+  const transport = transportOnClock(options.transport, clock);
+  const store = createGuardedStore(onClock(options.store, clock), { clock, random: uniform });
+  const membership = createMembership({
+    clock,
+    logger,
+    transport,
+    store,
+    random: uniform,
+    seeds: options.seeds,
+    self: {
+      node,
+      incarnation,
+      region: 'r',
+      failureDomain: options.failureDomain,
+      controlAddress: node,
+      peerAddress: node,
+      instances: [],
+    },
+  });
+  const realRelay = createRelay({
+    clock, logger, transport, store, membership, random: uniform,
+  });
+  const relay = planted.wrapRelay?.(realRelay, clock) ?? realRelay;
+  let writes = 0;
+  const placements = createPlacements({
+    store,
+    relay,
+    clock,
+    logger,
+    random,
+    createWriterId: () => {
+      writes += 1;
+      return `${node}#${incarnation}-${writes}`;
+    },
+  });
+  const contracts = createContracts({ store, relay, logger });
+  const announcements = createAnnouncements({ clock, logger });
+  announcements.onChange(() => membership.updateInstances(announcements.instances()));
+  const shared = {
+    clock, transport, placements, random,
+  };
+  const witness = createWitness({ ...shared, node, incarnation });
+  const takeover = createTakeover({ ...shared, witness });
+  const ownership = createOwnership({ ...shared, takeover, slotOfKey });
+  let loadOf: Parameters<typeof createPlacer>[0]['loadOf'];
+  const placer = createPlacer({
+    ...shared, membership, logger, slotOfKey, loadOf: (service) => loadOf?.(service),
+  });
+  const loadReports = createLoadReports({
+    ...shared, membership, slotOfKey, ownerIdOf: placer.ownerIdOf,
+  });
+  loadOf = loadReports.loadOf;
+  const owner = startOwnerService({
+    ...shared,
+    logger,
+    metrics: silentMetrics,
+    placer,
+    announcements,
+    contracts,
+    createGrants: () => upstream.grants,
+    ownership: {
+      ...ownership,
+      attach: (holder, attached) => (
+        ownership.attach(planted.wrapHolder?.(holder, clock) ?? holder, attached)
+      ),
+    },
+  });
+  const entered: Ownership = {
+    enter: (service, key) => ownership.enter(service, key).map((ticket) => {
+      loadReports.count(service, key);
+      options.onEnter(key, ticket.token);
+      return ticket;
+    }),
+  };
+  return {
+    uniform,
+    membership,
+    relay,
+    placements,
+    contracts,
+    announcements,
+    ownership,
+    owner,
+    entered,
+    stop: () => {
+      owner.stop();
+      loadReports.stop();
+      placer.stop();
+      ownership.stop();
+      takeover.stop();
+      witness.stop();
+      announcements.stop();
+      contracts.stop();
+      placements.stop();
+      relay.stop();
+      membership.stop();
+      transport.close();
+    },
+  };
+};
--- /dev/null
+++ b/testing/history_test.ts
@@ -0,0 +1,25 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { describeFault } from './_faults.ts';
+import { checkHistory } from './check_history.ts';
+import { runHistory } from './run_history.ts';
+
+const SEEDS = [2, 7, 12];
+const RECOVERY_MS = 11_000;
+
+for (const seed of SEEDS) {
+  test(`faults at random break no rule of a concurrent run, seed ${seed}`, async () => {
+    const { history, schedule } = await runHistory({ seed, recoveryMs: RECOVERY_MS });
+    const found = checkHistory(history).map(({ rule, at, detail }) => `${rule}, ${at}: ${detail}`);
+    assert.equal(found, [], schedule.map(describeFault).join('\n'));
+  });
+}
+
+test('equal seeds give equal histories, so that a violation can be repeated', async () => {
+  const options = { seed: 2, schedule: [], recoveryMs: 6000 };
+  const [first, second] = [await runHistory(options), await runHistory(options)];
+  assert.ok(first.history.length > 1000);
+  assert.is(JSON.stringify(first.history), JSON.stringify(second.history));
+});
+
+test.run();
