Refuse as unknown after an attempt that may have run

Change: the ingress keeps that an attempt may have run; the outcome that the caller receives holds for all attempts, hedges included. Conclusion: `not run` is true for the whole request.

--- a/proxy/_attempts.ts
+++ b/proxy/_attempts.ts
@@ -45,6 +45,8 @@
   redirections: number;
   readonly excluded: Set<string>;
   last: RefusedEnd | undefined;
+  /** An attempt ended as `unknown`, so a later `not run` does not hold for the whole request. */
+  mayHaveRun: boolean;
 }
 
 const refuse = (reason: string, status: number, cause?: unknown): RefusedEnd => ({
@@ -56,6 +58,18 @@
   timedOut: false,
 });
 
+/** The outcome that the caller receives holds for all attempts together. */
+const settleOutcome = (end: AttemptEnd, { mayHaveRun }: AttemptContext): AttemptEnd => {
+  if (!mayHaveRun || end.kind !== 'refused' || end.refusal.outcome === 'unknown') return end;
+  const {
+    reason, step, peer, status,
+  } = end.refusal;
+  const refusal = new RefusalError(`${reason}; an earlier attempt may have run`, {
+    step, peer, status, outcome: 'unknown', cause: end.refusal,
+  });
+  return { ...end, refusal };
+};
+
 const isTarget = (decision: RoutingDecision): decision is RouteTarget => (
   decision.kind === 'local' || decision.kind === 'peer'
 );
@@ -92,6 +106,7 @@
     number: number,
     signal: AbortSignal,
     sink: AnswerSink,
+    context: AttemptContext,
   ): Promise<AttemptEnd> => {
     const hop: HopRequest = {
       requestId: request.requestId,
@@ -114,6 +129,9 @@
     const end = target.kind === 'local'
       ? await dispatch(hop, sink)
       : await forwarder.send(target.peerAddress, hop, sink);
+    if (end.kind === 'refused' && end.refusal.outcome === 'unknown') {
+      context.mayHaveRun = true;
+    }
     router.report({
       service: request.service,
       instance: target.instance,
@@ -177,7 +195,7 @@
           for (const other of aborts) if (other !== abort) other.abort();
           return sink.start(status, headers);
         },
-      });
+      }, context);
       running -= 1;
       const isLoser = winner !== undefined && winner !== abort;
       if (isLoser || (winner === undefined && running > 0)) return;
@@ -210,7 +228,7 @@
       if (delayMs !== undefined) return hedged(request, target, delayMs, context, sink);
     }
     context.attempts += 1;
-    return attempt(request, target, context.attempts, request.signal, sink);
+    return attempt(request, target, context.attempts, request.signal, sink, context);
   };
 
   /** Tells whether another attempt may follow a refusal, and prepares it. */
@@ -237,10 +255,7 @@
     return true;
   };
 
-  return async (request, sink) => {
-    const context: AttemptContext = {
-      attempts: 0, retries: 0, redirections: 0, excluded: new Set(), last: undefined,
-    };
+  const run = async (request: CallerRequest, sink: AnswerSink, context: AttemptContext) => {
     retryBudget.deposit(request.customer);
     for (;;) {
       if (clock.now() >= request.deadlineAt) {
@@ -259,4 +274,16 @@
       if (!await mayGoOn(request, decision, end, context)) return end;
     }
   };
+
+  return async (request, sink) => {
+    const context: AttemptContext = {
+      attempts: 0,
+      retries: 0,
+      redirections: 0,
+      excluded: new Set(),
+      last: undefined,
+      mayHaveRun: false,
+    };
+    return settleOutcome(await run(request, sink, context), context);
+  };
 };
--- /dev/null
+++ b/proxy/attempts_outcome_test.ts
@@ -0,0 +1,53 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createRetryBudget } from '../admission/mod.ts';
+import { createFakeClock } from '../clock/mod.ts';
+import { type Outcome, RefusalError } from '../errors/mod.ts';
+import type { AttemptEnd } from '../forward/mod.ts';
+import { silentMetrics } from '../telemetry/mod.ts';
+import { type CallerRequest, createAttempts } from './_attempts.ts';
+
+const refusedAs = (outcome: Outcome): AttemptEnd => ({
+  kind: 'refused',
+  refusal: new RefusalError('refused', { step: 'test', status: 503, outcome }),
+  load: undefined,
+  timedOut: false,
+});
+
+const request = {
+  requestId: 'r1',
+  customer: 'a',
+  requestClass: 'lookup',
+  service: 's',
+  deadlineAt: 1000,
+  body: null,
+  signal: new AbortController().signal,
+  match: { route: { retries: 1, hedge: false }, service: { name: 's' } },
+} as unknown as CallerRequest;
+
+const runWith = async (ends: AttemptEnd[]) => {
+  const run = createAttempts({
+    clock: createFakeClock(),
+    router: {
+      decide: () => ({ kind: 'local', instance: 'i', version: 1 }),
+      report: () => undefined,
+    } as never,
+    forwarder: undefined as never,
+    dispatch: async () => ends.shift()!,
+    retryBudget: createRetryBudget(),
+    metrics: silentMetrics,
+    maxWaiting: 1,
+  });
+  const end = await run(request, {} as never);
+  return end.kind === 'refused' ? end.refusal.outcome : end.kind;
+};
+
+test('`not run` of a retry does not hide that the first attempt may have run', async () => {
+  assert.is(await runWith([refusedAs('unknown'), refusedAs('not run')]), 'unknown');
+});
+
+test('a request whose attempts all did not run is refused as `not run`', async () => {
+  assert.is(await runWith([refusedAs('not run'), refusedAs('not run')]), 'not run');
+});
+
+test.run();
