Write placement records without a read first; share the store's calls by fleet size

A node had 4 store calls a second, the share of 510 nodes, and each update took a read and a write, about 250 ms apart, so writers of one record lost the compare-and-swap to each other. Change: an update is written over the record known here and reads only after a conflict or a lost reply; callBudget divides 1,000 calls a second by the number of nodes, at least 4 and at most 50 a node. The redirection rules have a file of their own.

--- a/bench/_control_node.ts
+++ b/bench/_control_node.ts
@@ -14,7 +14,9 @@
   createPlacements, createPlacer, createSlotOfKey, type Placements, type Placer, type SlotOfKey,
 } from '../placement/mod.ts';
 import { createRelay, type Relay } from '../relay/mod.ts';
-import { createGuardedStore, type GuardedStore, type Store } from '../store/mod.ts';
+import {
+  callBudget, createGuardedStore, type GuardedStore, type Store,
+} from '../store/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
 import type { OwnerPlace } from './_synthetic_record.ts';
 
@@ -66,7 +68,10 @@
   const logger = silentLogger;
   const random = xoroshiro128plus((options.seed * SEED_FACTOR) % MAX_SEED);
   const fraction = () => uniformInt(random, 0, MAX_RANDOM - 1) / MAX_RANDOM;
-  const store = createGuardedStore(options.store, { clock, random: fraction });
+  let nodes = () => 1;
+  const store = createGuardedStore(options.store, {
+    clock, random: fraction, callsPerSecond: () => callBudget(nodes()),
+  });
   const { node, incarnation } = place;
   const shared = { clock, transport, logger };
   const membership = createMembership({
@@ -76,6 +81,7 @@
     random: fraction,
     self: { ...place, peerAddress: place.controlAddress, instances: [] },
   });
+  nodes = () => membership.members().length;
   const relay = createRelay({
     ...shared, store, membership, random: fraction,
   });
--- a/daemon/_control_services.ts
+++ b/daemon/_control_services.ts
@@ -7,7 +7,9 @@
 import { createPlacements, type RunningPlacements } from '../placement/mod.ts';
 import type { HttpListener } from '../proxy/mod.ts';
 import { createRelay, type Relay } from '../relay/mod.ts';
-import { createGuardedStore, createHttpStore, type Store } from '../store/mod.ts';
+import {
+  callBudget, createGuardedStore, createHttpStore, type Store,
+} from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { createContracts } from './contracts.ts';
 import type { Settings } from './settings.ts';
@@ -58,7 +60,13 @@
       const clock = find<Clock>('clock');
       const { url, timeoutMs, callsPerSecond } = settings.store;
       const httpStore = createHttpStore({ clock, url, callTimeoutMs: timeoutMs });
-      const service = createGuardedStore(httpStore, { clock, callsPerSecond });
+      const nodes = () => (kernel.isRunning('membership')
+        ? find<Membership>('membership').members().length
+        : 1);
+      const service = createGuardedStore(httpStore, {
+        clock,
+        callsPerSecond: callsPerSecond ?? (() => callBudget(nodes())),
+      });
       return { service, stop: httpStore.close };
     },
   });
--- a/daemon/settings.ts
+++ b/daemon/settings.ts
@@ -30,7 +30,7 @@
   store: z.strictObject({
     url: z.url({ protocol: /^https?$/u }),
     timeoutMs: z.int().min(10).max(10_000).default(500),
-    callsPerSecond: z.number().min(1).max(1000).default(4),
+    callsPerSecond: z.number().min(1).max(1000).optional(),
   }).readonly(),
   seeds: z.array(address).default([]).readonly(),
   credentials: z.strictObject({
--- a/placement/create_placements.ts
+++ b/placement/create_placements.ts
@@ -121,6 +121,25 @@
     return ok(stamped);
   };
 
+  /**
+   * Writes over the record known here, without a read. `undefined`: there is no such record, it
+   * asks for no change, or it is out of date.
+   */
+  const attemptOnKnown = async (
+    service: string,
+    change: PlacementChange,
+    attempts: Attempts,
+  ): Promise<Outcome | undefined> => {
+    const known = records.find(service);
+    const changed = known && change(known.record);
+    if (!known || !changed || changed.version <= known.record.version) return undefined;
+    const outcome = await write(changed, known, attempts);
+    if (outcome.isErr() && outcome.error instanceof StoreError) {
+      return outcome.error.kind === 'conflict' ? undefined : outcome;
+    }
+    return outcome;
+  };
+
   const attempt = async (
     service: string,
     change: PlacementChange,
@@ -154,7 +173,9 @@
 
   const run = async (service: string, change: PlacementChange): Promise<Outcome> => {
     const attempts = createAttempts();
-    let outcome = await attempt(service, change, attempts);
+    // A read before each write would take a second call and leave time for other writers.
+    let outcome = await attemptOnKnown(service, change, attempts)
+      ?? await attempt(service, change, attempts);
     for (let number = 1; number < MAX_ATTEMPTS; number += 1) {
       if (outcome.isOk() || isFinal(outcome.error)) break;
       await backOff(number);
--- a/placement/witnesses.ts
+++ b/placement/witnesses.ts
@@ -28,8 +28,8 @@
  * Chooses the witnesses of an owner: three in different failure domains of the owner's region where
  * there are that many, otherwise from domains of other regions, then more from the same domains. No
  * domain holds a majority of the witnesses while there are three domains in all, so the loss of one
- * never needs an operator. The owner's own node is never chosen. Rendezvous hashing spreads the work
- * over the fleet.
+ * never needs an operator. The owner's own node is never chosen. Rendezvous hashing spreads the
+ * work over the fleet.
  *
  * @param candidates The members of the fleet.
  * @param owner The owner that needs witnesses.
--- a/proxy/_attempts.ts
+++ b/proxy/_attempts.ts
@@ -10,7 +10,8 @@
   AttemptReport, Router, RouteTarget, RoutingDecision,
 } from '../routing/mod.ts';
 import { metricNames, type Metrics } from '../telemetry/mod.ts';
-import { type LocalDispatch, OWNERSHIP_STEP, PENDING_STEP } from './local_dispatch.ts';
+import { redirectionRules } from './_redirection.ts';
+import type { LocalDispatch } from './local_dispatch.ts';
 
 /** Collaborators of the attempts of a request. */
 export interface AttemptsOptions {
@@ -35,19 +36,6 @@
 
 const STEP = 'ingress.route';
 
-/** How a request goes on after a refusal because of ownership. */
-interface RedirectionRule {
-  readonly maxRedirections: number;
-  /** Longest time in ms to wait for a newer record before the next decision. */
-  readonly waitMs: number;
-}
-
-const redirectionRules: Readonly<Record<string, RedirectionRule>> = {
-  [OWNERSHIP_STEP]: { maxRedirections: 5, waitMs: 500 },
-  // A takeover is settled within 300 ms of its record; the owner itself needs no newer one.
-  [PENDING_STEP]: { maxRedirections: 80, waitMs: 25 },
-};
-
 /** State of the attempts of one request. */
 interface AttemptContext {
   attempts: number;
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -72,7 +72,7 @@
     listen: {
       caller: ANY_PORT, peer: ANY_PORT, control: ANY_PORT, operator: ANY_PORT,
     },
-    store: { url: storeUrl, callsPerSecond: 50 },
+    store: { url: storeUrl },
     seeds,
     credentials: fleetCredentials,
     log: { level: options.logLevel ?? 'info' },
--- a/store/create_guarded_store.ts
+++ b/store/create_guarded_store.ts
@@ -8,8 +8,8 @@
   readonly clock: Clock;
   /** Longest duration of a call, the wait for the budget included, in ms. */
   readonly deadlineMs?: number;
-  /** Rate at which the budget refills. */
-  readonly callsPerSecond?: number;
+  /** Rate at which the budget refills; a function is asked at each call. */
+  readonly callsPerSecond?: number | (() => number);
   /** Most calls that may follow each other at once. */
   readonly burst?: number;
   readonly initialBackoffMs?: number;
@@ -33,13 +33,30 @@
 type Outcome<T> = Result<T, StoreError>;
 
 const DEFAULT_DEADLINE_MS = 2000;
+/** Part of the store's 2,000 reads a second that the nodes of a small fleet share. */
+const FLEET_CALLS_PER_SECOND = 1000;
 // 2,000 reads a second over 510 nodes leave each node 4 calls a second.
-const DEFAULT_CALLS_PER_SECOND = 4;
+const MIN_CALLS_PER_SECOND = 4;
+const MAX_CALLS_PER_SECOND = 50;
 const DEFAULT_BURST = 20;
 const DEFAULT_INITIAL_BACKOFF_MS = 100;
 const DEFAULT_MAX_BACKOFF_MS = 10_000;
 const MAX_WAITING_CALLS = 256;
 
+/**
+ * Returns the call budget of one node, which shrinks as the fleet grows.
+ *
+ * @param nodes Number of nodes that share the store.
+ * @returns Calls a second.
+ *
+ * @example
+ * createGuardedStore(store, { clock, callsPerSecond: () => callBudget(members().length) });
+ */
+export const callBudget = (nodes: number): number => Math.min(
+  MAX_CALLS_PER_SECOND,
+  Math.max(MIN_CALLS_PER_SECOND, FLEET_CALLS_PER_SECOND / nodes),
+);
+
 /**
  * Wraps a store with a deadline for each call, a token bucket, and a jittered exponential backoff
  * after failed calls. A call that cannot start before its deadline fails with `unavailable` and is
@@ -55,7 +72,8 @@
 export const createGuardedStore = (store: Store, options: GuardedStoreOptions): GuardedStore => {
   const { clock, random = Math.random } = options;
   const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS;
-  const tokensPerMs = (options.callsPerSecond ?? DEFAULT_CALLS_PER_SECOND) / 1000;
+  const rate = options.callsPerSecond ?? MIN_CALLS_PER_SECOND;
+  const tokensPerMs = () => (typeof rate === 'number' ? rate : rate()) / 1000;
   const burst = options.burst ?? DEFAULT_BURST;
   const initialBackoffMs = options.initialBackoffMs ?? DEFAULT_INITIAL_BACKOFF_MS;
   const maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
@@ -74,12 +92,12 @@
 
   const waitMsForStart = (): number => {
     const nowMs = clock.now();
-    tokens = Math.min(burst, tokens + (nowMs - refilledAtMs) * tokensPerMs);
+    tokens = Math.min(burst, tokens + (nowMs - refilledAtMs) * tokensPerMs());
     refilledAtMs = nowMs;
     if (nowMs < blockedUntilMs) return blockedUntilMs - nowMs;
     // A rounding error in the refill must not cost another sleep of almost no duration.
     if (tokens >= 1 - 1e-6) return 0;
-    return (1 - tokens) / tokensPerMs;
+    return (1 - tokens) / tokensPerMs();
   };
 
   const acquire = async (
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -5,6 +5,7 @@
 } from './memory_store.ts';
 export { createHttpStore, type HttpStore, type HttpStoreOptions } from './create_http_store.ts';
 export {
+  callBudget,
   createGuardedStore,
   type GuardedStore,
   type GuardedStoreCounters,
--- a/testing/_check_stops.ts
+++ b/testing/_check_stops.ts
@@ -92,8 +92,8 @@
   return findings;
 };
 
-/** Time in ms within which every key is served again after the last fault. */
-export const SERVED_AGAIN_BOUND_MS = 10_000;
+/** Longest time in ms without anybody who may serve a key, once the faults have ended. */
+export const SERVED_AGAIN_BOUND_MS = 2000;
 
 /** Finds keys that nobody may serve at the end of a run, and has not for longer than the bound. */
 export const findUnservedKeys = (history: History): readonly Finding[] => {
--- a/testing/_control_parts.ts
+++ b/testing/_control_parts.ts
@@ -12,7 +12,7 @@
 } from '../placement/mod.ts';
 import type { LocalDispatch } from '../proxy/mod.ts';
 import { createRelay, type Relay } from '../relay/mod.ts';
-import { createGuardedStore, type Store } from '../store/mod.ts';
+import { callBudget, createGuardedStore, type Store } from '../store/mod.ts';
 import { silentLogger, silentMetrics } from '../telemetry/mod.ts';
 import type { FakeUpstream } from './_fake_upstream.ts';
 import type { Links } from './_memory_forwarder.ts';
@@ -83,7 +83,10 @@
   const uniform = () => uniformFloat64(random);
   const logger = silentLogger;
   const transport = transportOnClock(options.transport, clock);
-  const store = createGuardedStore(onClock(options.store, clock), { clock, random: uniform });
+  let nodes = () => 1;
+  const store = createGuardedStore(onClock(options.store, clock), {
+    clock, random: uniform, callsPerSecond: () => callBudget(nodes()),
+  });
   const membership = createMembership({
     clock,
     logger,
@@ -101,6 +104,7 @@
       instances: [],
     },
   });
+  nodes = () => membership.members().length;
   const realRelay = createRelay({
     clock, logger, transport, store, membership, random: uniform,
   });
--- a/testing/history_test.ts
+++ b/testing/history_test.ts
@@ -4,7 +4,7 @@
 import { checkHistory } from './check_history.ts';
 import { runHistory } from './run_history.ts';
 
-const SEEDS = [2, 7, 12];
+const SEEDS = [1, 2, 7, 12, 19];
 const RECOVERY_MS = 11_000;
 
 for (const seed of SEEDS) {
