Share one fake membership and one address parser; use neutral service names in code

Cause: a fake membership stood three times, the split of an address twice, and examples in code named a service of the first users. Change: createFakeMembership in membership, splitAddress from proxy, ledger in place of that name.

--- a/admission/create_customer_limits_test.ts
+++ b/admission/create_customer_limits_test.ts
@@ -7,7 +7,8 @@
 import {
   createAllotmentTable, createCustomerLimits, createRetryBudget, type CustomerLimits, divideMaxMin,
 } from './mod.ts';
-import { createFakeMembership } from './_test_support.ts';
+import { createFakeMembership } from '../membership/mod.ts';
+import { member } from './_test_support.ts';
 
 const RATE = 200;
 const CONCURRENCY = 40;
@@ -23,7 +24,7 @@
   const memberships = new Map<string, ReturnType<typeof createFakeMembership>>();
   const limits = new Map<string, CustomerLimits>();
   const start = (name: string, known: readonly string[]) => {
-    const fake = createFakeMembership(name, known);
+    const fake = createFakeMembership(known.map(member), member(name));
     const transport = network.connect(name, { node: name, incarnation: '1' });
     memberships.set(name, fake);
     limits.set(name, createCustomerLimits({
@@ -52,7 +53,7 @@
     return (admitted * 1000) / durationMs;
   };
   const see = (known: readonly string[], by: readonly string[] = known) => {
-    for (const name of by) memberships.get(name)!.replace(known);
+    for (const name of by) memberships.get(name)!.replace(known.map(member));
   };
   const part = (groups: readonly (readonly string[])[]) => {
     for (const from of groups.flat()) {
--- a/bench/_bench_contract.ts
+++ b/bench/_bench_contract.ts
@@ -12,14 +12,14 @@
   share: 1,
   limits: { requestsPerSecond: HUGE, concurrency: HUGE },
   services: [{
-    name: 'turn-ledger', keyed: true, slotCount, checksGrants: false, refusalStatuses: [503],
+    name: 'ledger', keyed: true, slotCount, checksGrants: false, refusalStatuses: [503],
   }],
   routes: [{
     name: `turn-lookup${note}`,
     host: '*',
     path: '/turns/:plot',
     methods: ['GET'],
-    service: 'turn-ledger',
+    service: 'ledger',
     class: 'lookup',
     key: { from: 'path', name: 'plot' },
     deadlineMs: 2000,
--- a/bench/_control_fleet.ts
+++ b/bench/_control_fleet.ts
@@ -8,7 +8,7 @@
 import { createPlaces, createSyntheticRecord, type OwnerPlace } from './_synthetic_record.ts';
 
 /** Keyed service of a control fleet. */
-export const FLEET_SERVICE = 'turn-ledger';
+export const FLEET_SERVICE = 'ledger';
 
 /** A fleet of control nodes over one store, all owners of one keyed service. */
 export interface ControlFleet {
--- a/bench/_fleet_plan.ts
+++ b/bench/_fleet_plan.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Contract, ServiceDefinition } from '../contract/mod.ts';
-import type { Membership } from '../membership/mod.ts';
+import { createFakeMembership, type Membership } from '../membership/mod.ts';
 import {
   type InstanceInfo, InstanceState, MemberState, type MemberUpdate,
 } from '../proto/mod.ts';
@@ -83,27 +83,13 @@
   clock: Clock,
   self: number,
 ): Membership => {
-  let members = listMembers(plan, 0);
-  const listeners = new Set<(changed: MemberUpdate) => void>();
-  const refresh = () => {
-    members = listMembers(plan, clock.now());
-    for (const listener of listeners) listener(members[self]!);
-  };
+  const first = listMembers(plan, 0);
+  const { membership, replace } = createFakeMembership(first, first[self]);
+  const refresh = () => replace(listMembers(plan, clock.now()));
   for (const { startsAtMs = 0 } of plan.instances) {
     if (startsAtMs > 0) clock.schedule(startsAtMs, refresh);
   }
-  return {
-    self: () => members[self]!,
-    members: () => members,
-    find: (node) => members.find((candidate) => candidate.node === node),
-    updateInstances: () => undefined,
-    onChange: (listener) => {
-      listeners.add(listener);
-      return () => listeners.delete(listener);
-    },
-    leave: async () => undefined,
-    stop: async () => undefined,
-  };
+  return membership;
 };
 
 /** Builds the contracts of the customers. */
--- a/bench/_moved_share.ts
+++ b/bench/_moved_share.ts
@@ -11,7 +11,7 @@
   readonly least: number;
 }
 
-const SERVICE = 'turn-ledger';
+const SERVICE = 'ledger';
 const MAX_PASSES = 500;
 
 const ownersOf = (count: number): readonly Owner[] => createPlaces(count).map((place) => ({
--- a/bench/_record_cost.ts
+++ b/bench/_record_cost.ts
@@ -22,7 +22,7 @@
   readonly receivers: number;
 }
 
-const SERVICE = 'turn-ledger';
+const SERVICE = 'ledger';
 const SLOT_COUNT = 32_768;
 const OWNERS = 510;
 const REPEATS = 5;
--- a/bench/_synthetic_record.ts
+++ b/bench/_synthetic_record.ts
@@ -32,7 +32,7 @@
   return {
     ...place,
     id,
-    instance: `turn-ledger-${place.node}`,
+    instance: `ledger-${place.node}`,
     peerAddress: place.controlAddress.replace(/:8370$/u, ':8360'),
     weight: 6,
     witnesses: chooseWitnesses(places, { id, node: place.node, region: place.region }),
--- a/bench/churn.ts
+++ b/bench/churn.ts
@@ -41,7 +41,7 @@
   region: 'r',
   failureDomain: `d${index % 3}`,
   instance: `i${index}`,
-  service: 'turn-ledger',
+  service: 'ledger',
   slots: UPSTREAM_SLOTS,
   connections: 130,
 }));
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -10,7 +10,7 @@
 
 const BENCH = 'path';
 const CUSTOMER = 'bench';
-const INSTANCE = 'turn-ledger-1';
+const INSTANCE = 'ledger-1';
 const SLOT_COUNT = 256;
 const ADMITTED = 256;
 const LIGHT_CONCURRENCY = 4;
@@ -104,7 +104,7 @@
   }).then((answer) => answer.body.dump());
   const announcer = await startAnnouncer({
     instance: INSTANCE,
-    service: 'turn-ledger',
+    service: 'ledger',
     url: upstream,
     slots: ADMITTED,
     connections: ADMITTED,
--- a/daemon/_operator_services.ts
+++ b/daemon/_operator_services.ts
@@ -5,6 +5,7 @@
 import type { Membership } from '../membership/mod.ts';
 import { type GrpcTransport, loadTlsMaterial, type PeerTlsFiles } from '../peer/mod.ts';
 import type { Placements, Placer } from '../placement/mod.ts';
+import { splitAddress } from '../proxy/mod.ts';
 import type { Status } from '../proto/mod.ts';
 import type { Announcements } from './announcements.ts';
 import type { Contracts } from './contracts.ts';
@@ -21,12 +22,6 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const STATUS_CONCURRENCY = 16;
 
-const splitAddress = (address: string) => {
-  const separator = address.lastIndexOf(':');
-  const hostname = address.slice(0, separator).replace(/^\[(.*)\]$/u, '$1');
-  return { hostname, port: Number(address.slice(separator + 1)) };
-};
-
 const createFleetStatus = (
   membership: Membership,
   transport: GrpcTransport,
@@ -99,7 +94,7 @@
         confirmLost: find<Placer>('placer').confirmLost,
         drain,
       }, settings.credentials);
-      const { hostname, port } = splitAddress(settings.listen.operator);
+      const { host: hostname, port } = splitAddress(settings.listen.operator);
       const tlsOptions = await loadServerOptions(settings.tls);
       const server = await new Promise<ServerType>((resolve, reject) => {
         const listening = serve({
--- a/lease/_test_cluster.ts
+++ b/lease/_test_cluster.ts
@@ -13,7 +13,7 @@
   type NodeOwnership, type OwnershipTicket, type UpstreamGrants,
 } from './mod.ts';
 
-export const SERVICE = 'turn-ledger';
+export const SERVICE = 'ledger';
 export const SLOT_COUNT = 16;
 const STEP_MS = 10;
 const RELAY_DELAY_MS = 3;
--- a/placement/_test_owners.ts
+++ b/placement/_test_owners.ts
@@ -20,7 +20,7 @@
 
 /** A record whose slots were assigned to all owners in one step. */
 export const testRecord = (slotCount: number, owners: readonly Owner[]): PlacementRecord => {
-  const record = { ...createRecord('turn-ledger', slotCount), owners: owners.slice(1) };
+  const record = { ...createRecord('ledger', slotCount), owners: owners.slice(1) };
   const [first] = owners;
   return first === undefined ? record : addOwner(record, first) ?? record;
 };
--- a/placement/create_placements.ts
+++ b/placement/create_placements.ts
@@ -76,7 +76,7 @@
  * const placements = createPlacements({
  *   store, relay, clock, logger, random: xoroshiro128plus(seed), createWriterId: randomUUID,
  * });
- * await placements.update('turn-ledger', (record) => record && beginTakeover(record, 'host-1#a'));
+ * await placements.update('ledger', (record) => record && beginTakeover(record, 'host-1#a'));
  */
 export const createPlacements = (options: PlacementsOptions): RunningPlacements => {
   const { store, relay, clock } = options;
--- a/placement/create_placer.ts
+++ b/placement/create_placer.ts
@@ -56,7 +56,7 @@
  *
  * @example
  * const placer = createPlacer({ placements, membership, clock, logger, random, slotOfKey });
- * await placer.join(service, { instance: 'turn-ledger-1', weight: 1 });
+ * await placer.join(service, { instance: 'ledger-1', weight: 1 });
  */
 export const createPlacer = (options: PlacerOptions): Placer => {
   const {
--- a/placement/encode_record.ts
+++ b/placement/encode_record.ts
@@ -92,7 +92,7 @@
  * @returns The text, to be read by `decodeRecord`.
  *
  * @example
- * await store.compareAndSwap('placement/turn-ledger', revision, encodeRecord(record));
+ * await store.compareAndSwap('placement/ledger', revision, encodeRecord(record));
  */
 export const encodeRecord = (record: PlacementRecord): string => {
   const witnesses = createTable<WitnessReference>(({ id, controlAddress, failureDomain }) => (
--- a/placement/load_reports.ts
+++ b/placement/load_reports.ts
@@ -67,7 +67,7 @@
  * @example
  * const reports = createLoadReports({ clock, transport, membership, placements, slotOfKey,
  *   ownerIdOf: placer.ownerIdOf });
- * reports.count('turn-ledger', 'gate-17');
+ * reports.count('ledger', 'gate-17');
  */
 export const createLoadReports = (options: LoadReportsOptions): LoadReports => {
   const {
--- a/placement/owner_changes.ts
+++ b/placement/owner_changes.ts
@@ -14,7 +14,7 @@
  * @returns The record.
  *
  * @example
- * const record = createRecord('turn-ledger', 64);
+ * const record = createRecord('ledger', 64);
  */
 export const createRecord = (service: string, slotCount: number): PlacementRecord => ({
   service,
--- a/proxy/_http_server.ts
+++ b/proxy/_http_server.ts
@@ -47,7 +47,7 @@
 };
 
 /** Splits an address into host and port. */
-const splitAddress = (address: string) => {
+export const splitAddress = (address: string) => {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator).replace(/^\[(.*)\]$/u, '$1');
   return { host, port: Number(address.slice(separator + 1)) };
--- a/routing/_test_support.ts
+++ b/routing/_test_support.ts
@@ -1,6 +1,5 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import type { Membership } from '../membership/mod.ts';
 import {
   type InstanceInfo, InstanceState, MemberState, type MemberUpdate,
 } from '../proto/mod.ts';
@@ -38,26 +37,3 @@
   peerAddress: `${node}:2`,
   instances,
 });
-
-/** A membership whose list a test replaces; the first member is the node itself. */
-export const createFakeMembership = (first: readonly MemberUpdate[]) => {
-  let members = first;
-  const listeners = new Set<(changed: MemberUpdate) => void>();
-  const membership: Membership = {
-    self: () => first[0]!,
-    members: () => members,
-    find: (node) => members.find((candidate) => candidate.node === node),
-    updateInstances: () => undefined,
-    onChange: (listener) => {
-      listeners.add(listener);
-      return () => listeners.delete(listener);
-    },
-    leave: async () => undefined,
-    stop: async () => undefined,
-  };
-  const replace = (next: readonly MemberUpdate[]) => {
-    members = next;
-    for (const listener of listeners) listener(first[0]!);
-  };
-  return { membership, replace };
-};
--- a/routing/create_router_test.ts
+++ b/routing/create_router_test.ts
@@ -6,7 +6,8 @@
 } from '../placement/mod.ts';
 import { type LogFields, type Logger, silentLogger } from '../telemetry/mod.ts';
 import { createRouter } from './mod.ts';
-import { createFakeMembership, member } from './_test_support.ts';
+import { createFakeMembership } from '../membership/mod.ts';
+import { member } from './_test_support.ts';
 
 const OWNER = {
   id: 'n2#1',
--- a/routing/unkeyed_test.ts
+++ b/routing/unkeyed_test.ts
@@ -6,8 +6,9 @@
 import { InstanceState } from '../proto/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
 import { type AttemptReport, chooseSubset, createRouter } from './mod.ts';
+import { createFakeMembership } from '../membership/mod.ts';
 import {
-  createFakeMembership, createRandom, instance, member,
+  createRandom, instance, member,
 } from './_test_support.ts';
 
 /** One simulated instance: its workers, service time and behaviour. */
