Remove the abort listener of a finished watch in the memory store

Cause: each finished watch left its listener on the abort signal of its caller, which printed MaxListenersExceededWarning in long runs of npm run check. Change: the listener is removed when the watch settles. Conclusion: long-lived signals no longer gather listeners.

--- a/store/memory_store.ts
+++ b/store/memory_store.ts
@@ -96,16 +96,19 @@
     const found = entriesUnder(prefix, afterRevision);
     if (found.length > 0 || options.signal?.aborted) return ok(found);
     return new Promise((resolve) => {
+      let onAbort = () => undefined as void;
       const waiter: Waiter = {
         prefix,
         afterRevision,
         settle: (outcome) => {
           waiters.delete(waiter);
+          options.signal?.removeEventListener('abort', onAbort);
           resolve(outcome);
         },
       };
       waiters.add(waiter);
-      options.signal?.addEventListener('abort', () => waiter.settle(ok([])), { once: true });
+      onAbort = () => waiter.settle(ok([]));
+      options.signal?.addEventListener('abort', onAbort, { once: true });
     });
   };
 
