--- a/placement/_decide_changes.ts
+++ b/placement/_decide_changes.ts
@@ -67,11 +67,13 @@
 const witnessChanges = (record: PlacementRecord, view: PlacerView, note: Note): RecordChange[] => {
   const present = memberIds(view.members);
   const candidates = view.members.filter(({ state }) => state === MemberState.MEMBER_STATE_ALIVE);
+  // A witness is replaced as soon as it is suspected: until then a second loss ends the lease.
+  const alive = memberIds(candidates);
   const changes: RecordChange[] = [];
   for (const owner of record.owners) {
     if (owner.state === 'removed' || !present.has(processIdOf(owner.id))) continue;
     if (owner.previousWitnesses.length > 0) continue;
-    const keep = owner.witnesses.map(({ id }) => id).filter((id) => present.has(id));
+    const keep = owner.witnesses.map(({ id }) => id).filter((id) => alive.has(id));
     if (keep.length === WITNESS_COUNT) continue;
     const witnesses = chooseWitnesses(candidates, owner, { keep });
     // A smaller set would tolerate fewer losses than waiting for the witness to return.
--- a/placement/create_placer_test.ts
+++ b/placement/create_placer_test.ts
@@ -161,6 +161,17 @@
   }
 });
 
+test('guards against a suspected witness that stays until membership counts it as dead', async () => {
+  const { clock, startAll, members } = await setUp();
+  const nodes = await startAll(5);
+  members.set('n4', { ...member(4), state: MemberState.MEMBER_STATE_SUSPECT });
+  await clock.advance(PASSES_MS);
+  const record = nodes[0]!.placements.current('s')!;
+  for (const owner of record.owners) {
+    assert.not.ok(owner.witnesses.some(({ id }) => id === 'n4#a'), owner.id);
+  }
+});
+
 test('guards against a takeover from a live owner and one that cannot be cleared', async () => {
   const { clock, startAll } = await setUp();
   const nodes = await startAll(4);
