Give slots to an owner that joined again, and let a drained upstream come back

Cause: a new test of an upstream that drained and was ready again timed out. Two faults: the owner service kept the lease holder of an owner that had left, so the node did not join again; and the rebalance plan compared the identifier of a rejoined owner (node#incarnation.1) with that of its process, so such an owner got no slots. Change: after a drain the owner service forgets what it held; presence in membership is asked in one place, by the process behind an owner. Conclusion: a drain, and a removal, are no longer for the life of the process.

--- a/daemon/_owner_service.ts
+++ b/daemon/_owner_service.ts
@@ -119,11 +119,19 @@
     if (!stopping.signal.aborted) hold(definition, announcement, placer.ownerIdOf(definition.name));
   };
 
+  /** After the drain nothing is owned, so the instance may join again when it is ready. */
+  const leave = async (service: string) => {
+    if (!owned.has(service)) return;
+    const drained = await placer.drain();
+    if (drained.isErr()) return;
+    for (const name of [...owned.keys()]) forget(name);
+  };
+
   const reconcile = async () => {
     for (const { instance } of announcements.instances()) {
       const announcement = announcements.find(instance);
       if (announcement === undefined || draining) continue;
-      if (announcement.state === 'draining') await placer.drain();
+      if (announcement.state === 'draining') await leave(announcement.service);
       else await join(announcement);
     }
   };
--- a/daemon/fleet_test.ts
+++ b/daemon/fleet_test.ts
@@ -99,6 +99,15 @@
   assert.is(leaving.upstream.executions().length, before);
 });
 
+test('an upstream that drained and is ready again owns keys again', async () => {
+  const { announcer, node } = hostOf('n2');
+  const ownsSlots = () => node.status().ownership.some(({ slots }) => slots > 0);
+  await announcer.drain();
+  await until('the owner has left', async () => node.status().ownership.length === 0);
+  await announcer.resume();
+  await until('it owns slots again', async () => ownsSlots());
+});
+
 test('while the store is down traffic goes on, and a new node learns from its peers', async () => {
   const { revision } = JSON.parse(
     (await operate(hostOf('n1'), ['contract', 'get', 'mesh', '--json'])).out,
--- a/placement/_decide_changes.ts
+++ b/placement/_decide_changes.ts
@@ -34,9 +34,11 @@
 
 type Note = (sentence: string, fields: LogFields) => void;
 
-const memberIds = (members: readonly MemberUpdate[]): ReadonlySet<OwnerId> => new Set(
-  members.map(({ node, incarnation }) => `${node}#${incarnation}`),
-);
+/** Tells whether the process behind an owner or a witness is among the members. */
+const createPresence = (members: readonly MemberUpdate[]) => {
+  const ids = new Set<OwnerId>(members.map(({ node, incarnation }) => `${node}#${incarnation}`));
+  return (id: OwnerId | undefined) => id !== undefined && ids.has(processIdOf(id));
+};
 
 const rankings = new WeakMap<readonly Owner[], readonly Owner[]>();
 
@@ -56,8 +58,8 @@
   record: PlacementRecord,
   members: readonly MemberUpdate[],
 ): OwnerId | undefined => {
-  const alive = memberIds(members);
-  const seen = rankOwners(record).filter(({ id }) => alive.has(processIdOf(id)));
+  const isPresent = createPresence(members);
+  const seen = rankOwners(record).filter(({ id }) => isPresent(id));
   const actor = seen.find(({ state }) => state === 'active')
     ?? seen.find(({ state }) => state === 'leaving');
   return actor?.id;
@@ -65,15 +67,15 @@
 
 /** Owners that membership does not show keep their witnesses, which decide about the takeover. */
 const witnessChanges = (record: PlacementRecord, view: PlacerView, note: Note): RecordChange[] => {
-  const present = memberIds(view.members);
+  const isPresent = createPresence(view.members);
   const candidates = view.members.filter(({ state }) => state === MemberState.MEMBER_STATE_ALIVE);
   // A witness is replaced as soon as it is suspected: until then a second loss ends the lease.
-  const alive = memberIds(candidates);
+  const isAlive = createPresence(candidates);
   const changes: RecordChange[] = [];
   for (const owner of record.owners) {
-    if (owner.state === 'removed' || !present.has(processIdOf(owner.id))) continue;
+    if (owner.state === 'removed' || !isPresent(owner.id)) continue;
     if (owner.previousWitnesses.length > 0) continue;
-    const keep = owner.witnesses.map(({ id }) => id).filter((id) => alive.has(id));
+    const keep = owner.witnesses.map(({ id }) => id).filter(isAlive);
     if (keep.length === WITNESS_COUNT) continue;
     const witnesses = chooseWitnesses(candidates, owner, { keep });
     // A smaller set would tolerate fewer losses than waiting for the witness to return.
@@ -91,11 +93,9 @@
 };
 
 const forgetChanges = (record: PlacementRecord, view: PlacerView, note: Note): RecordChange[] => {
-  const present = memberIds(view.members);
+  const isPresent = createPresence(view.members);
   return record.owners
-    .filter(({ id, state }) => state === 'removed' || (
-      state === 'leaving' && !present.has(processIdOf(id))
-    ))
+    .filter(({ id, state }) => state === 'removed' || (state === 'leaving' && !isPresent(id)))
     .filter(({ id }) => !isReferenced(record, id))
     .map(({ id }) => (current) => {
       const changed = removeOwner(current, id);
@@ -107,8 +107,8 @@
 const hotKeyChanges = (record: PlacementRecord, view: PlacerView, note: Note): RecordChange[] => {
   if (view.load === undefined) return [];
   const plan = planHotKeys(record, view.load);
-  const present = memberIds(view.members);
-  const sets = plan.set.filter(({ to }) => present.has(processIdOf(to)))
+  const isPresent = createPresence(view.members);
+  const sets = plan.set.filter(({ to }) => isPresent(to))
     .map(({ key, slot, to }): RecordChange => (current) => {
       const changed = setHotKey(current, key, slot, to);
       if (changed !== undefined) note('gave a hot key an owner of its own', { slot, to });
@@ -125,9 +125,9 @@
 
 /** Moves between nodes that membership shows; the others could not carry them out. */
 const moveChange = (view: PlacerView, note: Note): RecordChange => (current) => {
-  const present = memberIds(view.members);
+  const isPresent = createPresence(view.members);
   const moves = planRebalance(current, view.rebalance)
-    .filter((move) => present.has(move.to) && present.has(sourceOf(current, move) ?? ''));
+    .filter((move) => isPresent(move.to) && isPresent(sourceOf(current, move)));
   const changed = startMoves(current, moves);
   if (changed !== undefined) note('started planned moves', { moves: moves.length });
   return changed;
--- a/placement/create_placer_test.ts
+++ b/placement/create_placer_test.ts
@@ -161,7 +161,7 @@
   }
 });
 
-test('guards against a suspected witness that stays until membership counts it as dead', async () => {
+test('guards against a suspected witness that stays named until it counts as dead', async () => {
   const { clock, startAll, members } = await setUp();
   const nodes = await startAll(5);
   members.set('n4', { ...member(4), state: MemberState.MEMBER_STATE_SUSPECT });
--- a/standins/announcer.ts
+++ b/standins/announcer.ts
@@ -15,6 +15,8 @@
 export interface Announcer {
   /** Announces that the upstream leaves. */
   readonly drain: () => Promise<void>;
+  /** Announces that the upstream serves again. */
+  readonly resume: () => Promise<void>;
   readonly stop: () => void;
 }
 
@@ -72,6 +74,10 @@
       state = 'draining';
       await announce();
     },
+    resume: async () => {
+      state = 'ready';
+      await announce();
+    },
     stop: () => stopped.abort(),
   };
 };
