--- a/forward/idempotency_table.ts
+++ b/forward/idempotency_table.ts
@@ -70,7 +70,7 @@
  * @returns The table.
  *
  * @example
- * const entry = createIdempotencyTable({ clock }).enter('mesh', 'sluice-control', 'k1');
+ * const entry = createIdempotencyTable({ clock }).enter('mesh', 'ledger', 'k1');
  * if (entry.kind === 'first') entry.settle({ kind: 'unknown', reason: 'the connection broke' });
  */
 export const createIdempotencyTable = (options: IdempotencyTableOptions): IdempotencyTable => {
