Compare secrets and describe schema failures in one place

Cause: reading the change once more showed three constant-time comparisons of a bearer credential, one of which returned early on a different length, and the same lines that turn the first schema issue into field and reason in settings, contracts and placement records. Change: createSecretCheck in peer serves the gRPC transport, the peer listener and the operator interface; describeProblem in errors serves the three parsers. Announcements keep their own text, which names no root. Accepted and refused inputs and all messages stay as they were. Conclusion: one comparison and one description to maintain.

--- a/contract/parse_contract.ts
+++ b/contract/parse_contract.ts
@@ -1,16 +1,11 @@
 import { err, ok, type Result } from 'neverthrow';
-import { ContractError } from '../errors/mod.ts';
+import { ContractError, describeProblem, type FieldProblem } from '../errors/mod.ts';
 import {
   type Contract, contractSchema, type Route, type ServiceDefinition,
 } from './contract.ts';
 
 const STEP = 'contract.parse';
 
-interface FieldProblem {
-  readonly field: string;
-  readonly reason: string;
-}
-
 const parameterNames = (path: string) => path.split('/')
   .filter((part) => part.startsWith(':'))
   .map((part) => part.slice(1));
@@ -92,9 +87,7 @@
   }
   const parsed = contractSchema.safeParse(json);
   if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    const field = issue && issue.path.length > 0 ? issue.path.join('.') : '(root)';
-    const reason = issue?.message ?? 'is invalid';
+    const { field, reason } = describeProblem(parsed.error);
     return err(new ContractError(field, reason, { step: STEP, peer: source }));
   }
   const problem = findProblem(parsed.data);
--- a/daemon/operator_api.ts
+++ b/daemon/operator_api.ts
@@ -1,8 +1,8 @@
-import { timingSafeEqual } from 'node:crypto';
 import { type Context, Hono, type Next } from 'hono';
 import type { Result } from 'neverthrow';
 import { ContractError, StepError, StoreError } from '../errors/mod.ts';
 import type { Status } from '../proto/mod.ts';
+import { createSecretCheck } from '../peer/mod.ts';
 import type { PlacementRecord } from '../placement/mod.ts';
 import type { Announcements } from './announcements.ts';
 import { ContractConflict, type Contracts } from './contracts.ts';
@@ -42,12 +42,6 @@
 const HTTP_CONFLICT = 409;
 const HTTP_UNAVAILABLE = 503;
 
-const isSameSecret = (given: string, expected: string): boolean => {
-  const left = Buffer.from(given);
-  const right = Buffer.from(expected);
-  return left.length === right.length && timingSafeEqual(left, right);
-};
-
 const problem = (context: Context, status: 400 | 401 | 404 | 409 | 503, error: StepError) => (
   context.json({
     title: error.reason,
@@ -61,14 +55,17 @@
   }, status, { 'content-type': 'application/problem+json' })
 );
 
-const requireCredential = (expected: string) => async (context: Context, next: Next) => {
-  const [scheme, given] = (context.req.header('authorization') ?? '').split(' ');
-  if (scheme?.toLowerCase() !== 'bearer' || !isSameSecret(given ?? '', expected)) {
-    const step = 'operator.authorize';
-    const error = new StepError('the credential is missing or wrong', { step });
-    return problem(context, HTTP_UNAUTHORIZED, error);
-  }
-  return next();
+const requireCredential = (expected: string) => {
+  const isExpected = createSecretCheck(expected);
+  return async (context: Context, next: Next) => {
+    const [scheme, given] = (context.req.header('authorization') ?? '').split(' ');
+    if (scheme?.toLowerCase() !== 'bearer' || !isExpected(given ?? '')) {
+      const step = 'operator.authorize';
+      const error = new StepError('the credential is missing or wrong', { step });
+      return problem(context, HTTP_UNAUTHORIZED, error);
+    }
+    return next();
+  };
 };
 
 const statusOfApplyError = (error: StepError) => {
--- a/daemon/settings.ts
+++ b/daemon/settings.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { SettingsError } from '../errors/mod.ts';
+import { describeProblem, SettingsError } from '../errors/mod.ts';
 
 const STEP = 'settings.parse';
 const MIN_CREDENTIAL_LENGTH = 16;
@@ -75,8 +75,6 @@
   }
   const parsed = settingsSchema.safeParse(json);
   if (parsed.success) return ok(parsed.data);
-  const [issue] = parsed.error.issues;
-  const field = issue && issue.path.length > 0 ? issue.path.join('.') : '(root)';
-  const reason = issue?.message ?? 'is invalid';
+  const { field, reason } = describeProblem(parsed.error);
   return err(new SettingsError(field, reason, { step: STEP, peer: source }));
 };
--- a/errors/mod.ts
+++ b/errors/mod.ts
@@ -1,4 +1,5 @@
 /** Error classes; each error carries the step and the peer at which it arose. */
+export { describeProblem, type FieldProblem, type SchemaFailure } from './describe_problem.ts';
 export { StepError, type StepErrorOptions } from './step_error.ts';
 export {
   ContractError,
--- a/peer/_grpc_credentials.ts
+++ b/peer/_grpc_credentials.ts
@@ -1,7 +1,7 @@
 import {
   type ChannelCredentials, credentials, Metadata, ServerCredentials,
 } from '@grpc/grpc-js';
-import { createHash, timingSafeEqual } from 'node:crypto';
+import { createSecretCheck } from './create_secret_check.ts';
 import { loadTlsMaterial, type PeerTlsFiles } from './load_tls_material.ts';
 
 /** Credentials of both ends of a control connection. */
@@ -27,8 +27,6 @@
 const CREDENTIAL_FIELD = 'authorization';
 const ADDRESS_FIELD = 'x-control-address';
 
-const digest = (text: string) => createHash('sha256').update(text).digest();
-
 /** Metadata of a stream: the fleet credential and the control address of the opener. */
 export const streamMetadata = (credential: string, address: string): Metadata => {
   const metadata = new Metadata();
@@ -39,10 +37,10 @@
 
 /** Checks the fleet credential in a time that does not depend on its content. */
 export const createCredentialCheck = (credential: string) => {
-  const expected = digest(`Bearer ${credential}`);
+  const isExpected = createSecretCheck(`Bearer ${credential}`);
   return (metadata: Metadata): boolean => {
     const [given] = metadata.get(CREDENTIAL_FIELD);
-    return timingSafeEqual(digest(typeof given === 'string' ? given : ''), expected);
+    return isExpected(typeof given === 'string' ? given : '');
   };
 };
 
--- a/peer/mod.ts
+++ b/peer/mod.ts
@@ -13,3 +13,4 @@
   GrpcTransport, GrpcTransportCounters, GrpcTransportOptions,
 } from './grpc_transport.ts';
 export { loadTlsMaterial, type PeerTlsFiles, type TlsMaterial } from './load_tls_material.ts';
+export { createSecretCheck } from './create_secret_check.ts';
--- a/placement/decode_record.ts
+++ b/placement/decode_record.ts
@@ -1,16 +1,11 @@
 import { err, ok, Result } from 'neverthrow';
-import { StepError } from '../errors/mod.ts';
+import { describeProblem, type FieldProblem, StepError } from '../errors/mod.ts';
 import { type HolderJson, type RecordJson, recordSchema } from './_record_schema.ts';
 import { parseRanges } from './_slot_ranges.ts';
 import type { Owner, PlacementRecord, SlotState } from './placement_record.ts';
 
 const STEP = 'placement.decode';
 
-interface FieldProblem {
-  readonly field: string;
-  readonly reason: string;
-}
-
 type Decoded<T> = Result<T, FieldProblem>;
 
 const NO_INDEXES: readonly number[] = [];
@@ -147,9 +142,7 @@
   }
   const parsed = recordSchema.safeParse(json);
   if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    const field = issue && issue.path.length > 0 ? issue.path.join('.') : '(root)';
-    return fail({ field, reason: issue?.message ?? 'is invalid' });
+    return fail(describeProblem(parsed.error));
   }
   const decoded = decodeJson(parsed.data);
   return decoded.isErr() ? fail(decoded.error) : ok(decoded.value);
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -1,4 +1,3 @@
-import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { CancelTask, Clock } from '../clock/mod.ts';
@@ -8,7 +7,7 @@
   attemptId, endToEndHeaders, findHeader, formatLoad, HOP_PROGRESS_TIMEOUT_MS, hopHeaders,
   type HopRequest, type ProgressTimeouts, refusalHeaders, type RequestLedger,
 } from '../forward/mod.ts';
-import type { TlsMaterial } from '../peer/mod.ts';
+import { createSecretCheck, type TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { createHttpServer, type HttpListener } from './_http_server.ts';
 import { createRequestBody, hasBody } from './_request_body.ts';
@@ -38,8 +37,6 @@
 const INTERIM_ANSWERS_PER_TIMEOUT = 3;
 const FLEET_HEADERS = new Set(['authorization']);
 
-const digest = (text: string) => createHash('sha256').update(text).digest();
-
 const reply = (response: ServerResponse, status: number, body: string) => {
   response.writeHead(status, [
     'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body)),
@@ -98,11 +95,11 @@
  */
 export const createPeerListener = (options: PeerListenerOptions): HttpListener => {
   const { clock, ledger, logger } = options;
-  const expectedDigest = digest(`Bearer ${options.credential}`);
+  const isFleetCredential = createSecretCheck(`Bearer ${options.credential}`);
   const silenceMs = options.progressTimeouts ?? HOP_PROGRESS_TIMEOUT_MS;
 
   const isAuthorized = (message: IncomingMessage) => (
-    timingSafeEqual(digest(message.headers.authorization ?? ''), expectedDigest)
+    isFleetCredential(message.headers.authorization ?? '')
   );
 
   const cancel = (message: IncomingMessage, response: ServerResponse) => {
