--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -13,3 +13,6 @@
   type CompiledContracts, compileContracts, type RequestTarget, type RouteMatch,
 } from './compile_contracts.ts';
 export { type ContractDifference, diffContracts } from './diff_contracts.ts';
+export type {
+  PublishedContract, PublishedRoute, PublishedService, RouteKind, RouteTarget,
+} from './published_contract.ts';
--- /dev/null
+++ b/directory/mod.ts
@@ -0,0 +1,13 @@
+/** The nodes and instances of the fleet, as the store lists them. */
+export {
+  decodeNodeEntry, type DirectoryInstance, type InstanceState, type NodeEntry,
+} from './node_entry.ts';
+export { createOwnEntry, type OwnEntry, type OwnEntryOptions } from './own_entry.ts';
+export {
+  NODES_PREFIX, nodeKey, OWN_PREFIX, RANGES_PREFIX, rangesKey,
+} from './store_keys.ts';
+export {
+  createStoreView, type StoreView, type StoreViewOptions, type ViewChange,
+} from './store_view.ts';
+export { createFleetMembership, type FleetMembershipOptions } from './fleet_membership.ts';
+export { createFleetView, type FleetView, type FleetViewOptions } from './fleet_view.ts';
--- a/errors/domain_errors.ts
+++ b/errors/domain_errors.ts
@@ -2,9 +2,11 @@
 
 /**
  * `conflict`: the revision has moved on. `unavailable`: the call certainly had no effect.
- * `unknown`: it may have taken effect.
+ * `unknown`: it may have taken effect. `compacted`: the history asked for is gone.
+ * `lease-ended`: the lease has ended.
  */
-export type StoreErrorKind = 'conflict' | 'unavailable' | 'unknown' | 'too-large';
+export type StoreErrorKind = 'conflict' | 'unavailable' | 'unknown' | 'too-large'
+  | 'compacted' | 'lease-ended';
 
 /** A failed call to the key-value store. */
 export class StoreError extends StepError {
--- /dev/null
+++ b/fleet/_request_services.ts
@@ -0,0 +1,213 @@
+import type { Clock } from '../clock/mod.ts';
+import {
+  createFleetMembership, type FleetView,
+} from '../directory/mod.ts';
+import {
+  type Attempts, createAttempts, createCallerListener, createLocalService, createPeerListener,
+  createPeerPort, createRetryAllowance, createSlotQueue, createTargetChooser, type LocalService,
+  type PeerPort, type SlotQueue, type TargetChooser,
+} from '../gateway/mod.ts';
+import type { HttpListener } from '../http/mod.ts';
+import type { Kernel } from '../kernel/mod.ts';
+import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
+import type { GrantLedger, KeyLoad } from '../ranges/mod.ts';
+import { createServiceView, type ServiceView } from '../routing/mod.ts';
+import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import type { ContractSource } from './contract_source.ts';
+import type { InstanceRegistry } from './instance_registry.ts';
+import type { LoadCollector } from './load_collector.ts';
+import type { RangeKeeper } from './range_keeper.ts';
+import type { SelfDescription } from './_state_services.ts';
+
+/** Time from an announcement until its grants are in use. */
+const GRANT_DELAY_MS = 30;
+const MIN_KEY_RETRY_AFTER_MS = 50;
+/** Cold instances become warm and suspect peers usable without a change of the directory. */
+const VIEW_REFRESH_MS = 500;
+
+/** Registers what the path of a request needs. */
+export const registerRequestServices = (
+  kernel: Kernel,
+  settings: PlatformSettings,
+  callerService: () => string,
+) => {
+  kernel.register<SlotQueue>({
+    name: 'queue',
+    needs: ['clock', 'registry'],
+    start: (find) => {
+      const registry = find<InstanceRegistry>('registry');
+      return {
+        service: createSlotQueue({
+          clock: find<Clock>('clock'),
+          slots: registry.slots,
+          peer: () => registry.local()?.instance ?? '',
+        }),
+      };
+    },
+  });
+
+  kernel.register<LocalService>({
+    name: 'local',
+    needs: ['clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    start: (find) => {
+      const registry = find<InstanceRegistry>('registry');
+      const untilAnnouncement = () => (
+        settings.announceIntervalMs - registry.silentMs() + GRANT_DELAY_MS
+      );
+      return {
+        service: createLocalService({
+          clock: find<Clock>('clock'),
+          instance: registry.local,
+          keys: {
+            mayServe: find<GrantLedger>('ledger').mayServe,
+            retryAfterMs: () => Math.max(MIN_KEY_RETRY_AFTER_MS, untilAnnouncement()),
+            record: find<KeyLoad>('key-load').record,
+          },
+          queue: find<SlotQueue>('queue'),
+          onQueued: find<NodeMetrics>('metrics').queued,
+        }),
+      };
+    },
+  });
+
+  kernel.register<Map<string, ServiceView>>({
+    name: 'service-views',
+    needs: ['clock', 'fleet', 'registry'],
+    start: (find) => {
+      const views = new Map<string, ServiceView>();
+      const invalidate = () => {
+        for (const view of views.values()) view.invalidate();
+      };
+      find<FleetView>('fleet').onChange(invalidate);
+      find<InstanceRegistry>('registry').onChange(invalidate);
+      const timer = setInterval(invalidate, VIEW_REFRESH_MS);
+      return { service: views, stop: () => clearInterval(timer) };
+    },
+  });
+
+  kernel.register<PeerPort>({
+    name: 'peers',
+    needs: ['clock', 'logger', 'service-views', 'fleet'],
+    start: (find) => {
+      const logger = find<Logger>('logger').forPart('peer');
+      const views = find<Map<string, ServiceView>>('service-views');
+      const fleet = find<FleetView>('fleet');
+      const peers = createPeerPort({
+        clock: find<Clock>('clock'),
+        onSuspect: (address, reason) => {
+          logger.warn({ peer: address, reason }, 'a peer does not answer');
+          for (const view of views.values()) view.invalidate();
+        },
+      });
+      fleet.onChange(() => {
+        peers.retain(new Set(fleet.usable().map(({ peerAddress }) => peerAddress)));
+      });
+      return { service: peers, stop: peers.close };
+    },
+  });
+
+  kernel.register<TargetChooser>({
+    name: 'chooser',
+    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges'],
+    start: (find) => {
+      const clock = find<Clock>('clock');
+      const fleet = find<FleetView>('fleet');
+      const views = find<Map<string, ServiceView>>('service-views');
+      const membership = createFleetMembership({
+        clock,
+        fleet,
+        self: find<SelfDescription>('self').entry,
+        isSuspect: find<PeerPort>('peers').isSuspect,
+      });
+      const viewOf = (service: string) => {
+        const known = views.get(service);
+        if (known !== undefined) return known;
+        const view = createServiceView(service, { clock, membership });
+        views.set(service, view);
+        return view;
+      };
+      return {
+        service: createTargetChooser({
+          self: settings.node,
+          random: Math.random,
+          viewOf,
+          recordOf: find<RangeKeeper>('ranges').recordOf,
+          nodeOf: (node) => {
+            const entry = fleet.find(node);
+            return entry && { node, address: entry.peerAddress };
+          },
+        }),
+      };
+    },
+  });
+
+  kernel.register<Attempts>({
+    name: 'attempts',
+    needs: ['clock', 'logger', 'chooser', 'local', 'peers', 'fleet', 'metrics'],
+    start: (find) => {
+      const clock = find<Clock>('clock');
+      const fleet = find<FleetView>('fleet');
+      return {
+        service: createAttempts({
+          clock,
+          chooser: find<TargetChooser>('chooser'),
+          local: find<LocalService>('local'),
+          peers: find<PeerPort>('peers'),
+          allowance: createRetryAllowance({
+            clock,
+            ratio: settings.bounds.retryRatio,
+            extra: settings.bounds.retryAllowance,
+            windowMs: settings.bounds.retryWindowMs,
+            nodeCount: () => Math.max(1, fleet.usable().length),
+          }),
+          logger: find<Logger>('logger'),
+          onRetry: find<NodeMetrics>('metrics').retried,
+        }),
+      };
+    },
+  });
+
+  kernel.register<HttpListener>({
+    name: 'peer-listener',
+    needs: ['clock', 'logger', 'local', 'collector'],
+    start: async (find) => {
+      const collector = find<LoadCollector>('collector');
+      const service = createPeerListener({
+        clock: find<Clock>('clock'),
+        address: settings.listen.peer,
+        requestIdHeader: platformHeaders.requestId,
+        local: find<LocalService>('local'),
+        logger: find<Logger>('logger'),
+        control: (path) => (path === 'load' ? collector.own() : undefined),
+      });
+      await service.listen();
+      return { service, stop: service.stop };
+    },
+  });
+
+  kernel.register<HttpListener>({
+    name: 'caller-listener',
+    needs: ['clock', 'logger', 'contracts', 'attempts', 'metrics'],
+    start: async (find) => {
+      const metrics = find<NodeMetrics>('metrics');
+      const service = createCallerListener({
+        clock: find<Clock>('clock'),
+        address: settings.listen.caller,
+        headers: platformHeaders,
+        callerService,
+        routes: find<ContractSource>('contracts').routes,
+        attempts: find<Attempts>('attempts'),
+        logger: find<Logger>('logger'),
+        random: Math.random,
+        onEnd: ({
+          kind, outcome, reason, durationMs,
+        }) => {
+          metrics.requestEnded(kind, outcome, durationMs);
+          if (outcome === 'refused') metrics.refused(reason);
+        },
+      });
+      await service.listen();
+      return { service, stop: service.stop };
+    },
+  });
+};
--- /dev/null
+++ b/fleet/_state_services.ts
@@ -0,0 +1,245 @@
+import type { Clock } from '../clock/mod.ts';
+import {
+  createFleetView, createOwnEntry, createStoreView, type FleetView, type NodeEntry, OWN_PREFIX,
+  type OwnEntry, type StoreView,
+} from '../directory/mod.ts';
+import { createInstancePort } from '../gateway/mod.ts';
+import type { Kernel } from '../kernel/mod.ts';
+import {
+  CONTRACT_KEY, createPlatformStore, platformHeaders, type PlatformSettings,
+} from '../platform/mod.ts';
+import {
+  createGrantLedger, createKeyLoad, createRightToGrant, type GrantLedger, type KeyLoad,
+  type RightToGrant,
+} from '../ranges/mod.ts';
+import type { LeasedStore } from '../store/mod.ts';
+import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import { type ContractSource, createContractSource } from './contract_source.ts';
+import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
+import { createLoadCollector, type LoadCollector } from './load_collector.ts';
+import { isRefused } from './_probe_address.ts';
+import { createRangeKeeper, type RangeKeeper } from './range_keeper.ts';
+
+/** What the node says about itself. */
+export interface SelfDescription {
+  readonly entry: () => NodeEntry;
+  readonly setStopping: () => void;
+  readonly isStopping: () => boolean;
+}
+
+/** The platform prices a watch when it returns; a contract changes seldom. */
+const CONTRACT_WAIT_MS = 8000;
+const CONTRACT_PAUSE_MS = 30;
+/** Instances announce themselves within some seconds of the first start of a fleet. */
+const FIRST_ASSIGNMENT_MS = 4500;
+/** Connections beyond the slots, for those that are closing. */
+const SPARE_CONNECTIONS = 4;
+
+const runUntilStop = (run: (signal: AbortSignal) => Promise<void>, logger: Logger, part: string) => {
+  const stopping = new AbortController();
+  const done = run(stopping.signal).catch((error: unknown) => {
+    logger.error({ part, reason: String(error) }, 'a task ended with an error');
+  });
+  return () => {
+    stopping.abort();
+    return done;
+  };
+};
+
+/** Registers what the node knows and keeps: the store, its views, the instance and its keys. */
+export const registerStateServices = (kernel: Kernel, settings: PlatformSettings) => {
+  kernel.register<LeasedStore>({
+    name: 'store',
+    needs: ['metrics'],
+    start: (find) => {
+      const metrics = find<NodeMetrics>('metrics');
+      const store = createPlatformStore({
+        address: settings.store.address, countCall: metrics.storeCalled,
+      });
+      return { service: store, stop: store.close };
+    },
+  });
+
+  kernel.register<StoreView>({
+    name: 'view',
+    needs: ['clock', 'store', 'logger'],
+    start: (find) => {
+      const logger = find<Logger>('logger');
+      const view = createStoreView({
+        clock: find<Clock>('clock'), store: find<LeasedStore>('store'), prefix: OWN_PREFIX, logger,
+      });
+      return { service: view, stop: runUntilStop(view.follow, logger, 'view') };
+    },
+  });
+
+  kernel.register<ContractSource>({
+    name: 'contracts',
+    needs: ['clock', 'store', 'logger'],
+    start: (find) => {
+      const logger = find<Logger>('logger');
+      const view = createStoreView({
+        clock: find<Clock>('clock'),
+        store: find<LeasedStore>('store'),
+        prefix: CONTRACT_KEY,
+        logger,
+        waitMs: CONTRACT_WAIT_MS,
+        pauseMs: CONTRACT_PAUSE_MS,
+      });
+      const service = createContractSource(view, logger);
+      return { service, stop: runUntilStop(view.follow, logger, 'contracts') };
+    },
+  });
+
+  kernel.register<FleetView>({
+    name: 'fleet',
+    needs: ['clock', 'view', 'logger'],
+    start: (find) => {
+      const logger = find<Logger>('logger').forPart('directory');
+      return {
+        service: createFleetView({
+          clock: find<Clock>('clock'),
+          view: find<StoreView>('view'),
+          onUnreadable: (key) => logger.warn({ key }, 'an entry cannot be read'),
+        }),
+      };
+    },
+  });
+
+  kernel.register<RightToGrant>({
+    name: 'right',
+    needs: ['clock'],
+    start: (find) => ({
+      service: createRightToGrant(find<Clock>('clock'), settings.bounds.maxHoldMs),
+    }),
+  });
+
+  kernel.register<InstanceRegistry>({
+    name: 'registry',
+    needs: ['clock', 'logger', 'contracts'],
+    start: (find) => {
+      const clock = find<Clock>('clock');
+      const registry = createInstanceRegistry({
+        clock,
+        node: settings.node,
+        logger: find<Logger>('logger'),
+        announceIntervalMs: settings.announceIntervalMs,
+        drainMs: settings.bounds.drainMs,
+        isRefused,
+        openPort: (announcement, onRefused) => createInstancePort({
+          clock,
+          address: announcement.address,
+          instance: announcement.instance,
+          connections: announcement.slots + SPARE_CONNECTIONS,
+          headers: platformHeaders,
+          onRefused,
+        }),
+      });
+      return { service: registry };
+    },
+  });
+
+  kernel.register<SelfDescription>({
+    name: 'self',
+    needs: ['clock', 'registry'],
+    start: (find) => {
+      const registry = find<InstanceRegistry>('registry');
+      const startedAt = find<Clock>('clock').wallTime();
+      let isStopping = false;
+      return {
+        service: {
+          entry: () => ({
+            node: settings.node,
+            startedAt,
+            peerAddress: settings.listen.peer,
+            region: settings.region,
+            failureDomain: settings.failureDomain,
+            isStopping,
+            instance: registry.describe(),
+          }),
+          setStopping: () => {
+            isStopping = true;
+          },
+          isStopping: () => isStopping,
+        },
+      };
+    },
+  });
+
+  kernel.register<OwnEntry>({
+    name: 'own-entry',
+    needs: ['clock', 'store', 'logger', 'right', 'self', 'view', 'registry'],
+    start: (find) => {
+      const logger = find<Logger>('logger');
+      const self = find<SelfDescription>('self');
+      const own = createOwnEntry({
+        clock: find<Clock>('clock'),
+        store: find<LeasedStore>('store'),
+        logger,
+        right: find<RightToGrant>('right'),
+        entry: self.entry(),
+        onWritten: find<StoreView>('view').apply,
+      });
+      find<InstanceRegistry>('registry').onChange(() => own.update(self.entry()));
+      return { service: own, stop: runUntilStop(own.keep, logger, 'own entry') };
+    },
+  });
+
+  kernel.register<KeyLoad>({
+    name: 'key-load',
+    needs: ['clock'],
+    start: (find) => ({ service: createKeyLoad(find<Clock>('clock')) }),
+  });
+
+  kernel.register<GrantLedger>({
+    name: 'ledger',
+    needs: ['clock'],
+    start: (find) => ({
+      service: createGrantLedger({
+        clock: find<Clock>('clock'),
+        node: settings.node,
+        maxHoldMs: settings.bounds.maxHoldMs,
+      }),
+    }),
+  });
+
+  kernel.register<RangeKeeper>({
+    name: 'ranges',
+    needs: [
+      'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'logger', 'contracts',
+      'collector', 'metrics',
+    ],
+    start: (find) => ({
+      service: createRangeKeeper({
+        clock: find<Clock>('clock'),
+        node: settings.node,
+        store: find<LeasedStore>('store'),
+        view: find<StoreView>('view'),
+        fleet: find<FleetView>('fleet'),
+        registry: find<InstanceRegistry>('registry'),
+        ledger: find<GrantLedger>('ledger'),
+        right: find<RightToGrant>('right'),
+        logger: find<Logger>('logger'),
+        isKeyed: find<ContractSource>('contracts').isKeyed,
+        pictureOf: find<LoadCollector>('collector').pictureOf,
+        maxHoldMs: settings.bounds.maxHoldMs,
+        firstAssignmentMs: settings.isFirstStart ? FIRST_ASSIGNMENT_MS : 0,
+        onMoved: (rows, reason) => find<NodeMetrics>('metrics').rowsChanged(reason, rows),
+      }),
+    }),
+  });
+
+  kernel.register<LoadCollector>({
+    name: 'collector',
+    needs: ['clock', 'logger', 'key-load', 'ledger', 'queue'],
+    start: (find) => ({
+      service: createLoadCollector({
+        clock: find<Clock>('clock'),
+        node: settings.node,
+        load: find<KeyLoad>('key-load'),
+        logger: find<Logger>('logger'),
+        ownRanges: find<GrantLedger>('ledger').ranges,
+        ownCapacity: () => find<{ load: () => { serviceRate: number } }>('queue').load().serviceRate,
+      }),
+    }),
+  });
+};
--- /dev/null
+++ b/fleet/contract_source.ts
@@ -0,0 +1,48 @@
+import { createRouteTable, type RouteTable } from '../gateway/mod.ts';
+import type { StoreView } from '../directory/mod.ts';
+import { CONTRACT_KEY, decodeContract } from '../platform/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+
+/** The newest contract that this process has accepted. */
+export interface ContractSource {
+  readonly routes: () => RouteTable | undefined;
+  readonly isKeyed: (service: string) => boolean;
+}
+
+/**
+ * Follows the published contract. A revision that is not newer is ignored, and one that cannot be
+ * read leaves the accepted one in force.
+ *
+ * @param view View of the store that includes the contract.
+ * @param logger Logger.
+ * @returns The source.
+ *
+ * @example
+ * const contracts = createContractSource(view, logger);
+ */
+export const createContractSource = (view: StoreView, logger: Logger): ContractSource => {
+  const log = logger.forPart('contract');
+  let table: RouteTable | undefined;
+
+  view.onChange(() => {
+    const entry = view.get(CONTRACT_KEY);
+    if (entry === undefined) return;
+    const contract = decodeContract(entry.value);
+    if (contract.isErr()) {
+      log.error({ stored: entry.revision, reason: contract.error.message }, 'cannot be read');
+      return;
+    }
+    const { revision, routes, services } = contract.value;
+    if (table !== undefined && revision <= table.revision) return;
+    const former = table?.revision;
+    table = createRouteTable(contract.value);
+    log.info({
+      revision, former, stored: entry.revision, routes: routes.length, services: services.size,
+    }, 'is in force');
+  });
+
+  return {
+    routes: () => table,
+    isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
+  };
+};
--- /dev/null
+++ b/fleet/control_listeners.ts
@@ -0,0 +1,93 @@
+import { getRequestListener } from '@hono/node-server';
+import { Hono } from 'hono';
+import type { Clock } from '../clock/mod.ts';
+import { createHttpServer, type HttpListener } from '../http/mod.ts';
+import { decodeAnnouncement, encodeAnnouncementAnswer } from '../platform/mod.ts';
+import type { Announcement, AnnouncementAnswer } from '../ranges/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+
+/** Options of the listeners. */
+export interface ControlListenersOptions {
+  readonly clock: Clock;
+  readonly addresses: {
+    readonly readiness: string;
+    readonly announcements: string;
+    readonly metrics: string;
+  };
+  readonly logger: Logger;
+  readonly isReady: () => boolean;
+  /** Undefined for an announcement that was overtaken by a newer one. */
+  readonly announce: (announcement: Announcement) => AnnouncementAnswer | undefined;
+  readonly leave: (instance: string) => void;
+  readonly metricsText: () => Promise<string>;
+}
+
+const MAX_HEADER_BYTES = 16_384;
+const IDLE_GRACE_MS = 200;
+
+const renderMalformed = (status: number) => (
+  `HTTP/1.1 ${status} Malformed Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+);
+
+/**
+ * Creates the listeners for the readiness check, the instance's announcements and metrics.
+ *
+ * @param options Clock, addresses and handlers.
+ * @returns The listeners, in the order in which they start.
+ *
+ * @example
+ * for (const listener of createControlListeners(options)) await listener.listen();
+ */
+export const createControlListeners = (
+  options: ControlListenersOptions,
+): readonly HttpListener[] => {
+  const logger = options.logger.forPart('announcements');
+
+  const readiness = new Hono();
+  readiness.get('/readiness', (context) => (
+    options.isReady() ? context.text('ready') : context.text('not ready', 503)
+  ));
+
+  const announcements = new Hono();
+  announcements.post('/instances/:id/heartbeat', async (context) => {
+    const instance = context.req.param('id');
+    const announcement = decodeAnnouncement(instance, await context.req.text());
+    if (announcement === undefined) {
+      logger.warn({ instance }, 'ignored an announcement that cannot be read');
+      return context.json({ error: 'the announcement cannot be read' }, 400);
+    }
+    const answer = options.announce(announcement) ?? { grants: undefined };
+    return context.body(encodeAnnouncementAnswer(answer), 200, {
+      'content-type': 'application/json',
+    });
+  });
+  announcements.post('/instances/:id/deregister', (context) => {
+    options.leave(context.req.param('id'));
+    return context.json({});
+  });
+
+  const metrics = new Hono();
+  metrics.get('/metrics', async (context) => context.text(await options.metricsText()));
+
+  const listen = (address: string, application: Hono) => {
+    const handle = getRequestListener(application.fetch);
+    return createHttpServer({
+      clock: options.clock,
+      address,
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      idleGraceMs: IDLE_GRACE_MS,
+      handle: (request, response) => {
+        Promise.resolve(handle(request, response)).catch((error: unknown) => {
+          logger.error({ reason: String(error) }, 'failed to answer');
+        });
+      },
+      renderMalformed,
+    });
+  };
+
+  return [
+    listen(options.addresses.announcements, announcements),
+    listen(options.addresses.metrics, metrics),
+    listen(options.addresses.readiness, readiness),
+  ];
+};
--- /dev/null
+++ b/fleet/main.ts
@@ -0,0 +1,76 @@
+import { readFileSync } from 'node:fs';
+import { createSystemClock } from '../clock/mod.ts';
+import { parsePlatformSettings } from '../platform/mod.ts';
+import {
+  createBoundedLogger, createLogger, type Logger, openLogOutput,
+} from '../telemetry/mod.ts';
+import { type FleetNode, startFleetNode } from './start_fleet_node.ts';
+
+/** Port of the metrics page; `deploy/system.toml` names it too. */
+const METRICS_PORT = 9464;
+/** Settings may change without a signal. */
+const SETTINGS_CHECK_MS = 1000;
+const SETTINGS_VARIABLE = 'MARJORAMHOLLOW_CONFIG';
+const EXIT_INVALID_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+const readText = (path: string): string | undefined => {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch {
+    return undefined;
+  }
+};
+
+const fail = (status: number, message: string) => {
+  process.stderr.write(`marjoramhollow: ${message}\n`);
+  process.exitCode = status;
+};
+
+const followSettings = (path: string, first: string, node: FleetNode, logger: Logger) => {
+  let known = first;
+  const check = () => {
+    const text = readText(path);
+    if (text === undefined || text === known) return;
+    known = text;
+    const settings = parsePlatformSettings(text, path);
+    if (settings.isOk()) node.reload(settings.value);
+    else logger.error({ reason: settings.error.message }, 'the changed settings are not used');
+  };
+  process.on('SIGHUP', check);
+  setInterval(check, SETTINGS_CHECK_MS).unref();
+};
+
+const main = async () => {
+  const path = process.env[SETTINGS_VARIABLE] ?? '';
+  const text = readText(path);
+  if (text === undefined) {
+    fail(EXIT_INVALID_SETTINGS, `${SETTINGS_VARIABLE}: cannot read '${path}'`);
+    return;
+  }
+  const settings = parsePlatformSettings(text, path);
+  if (settings.isErr()) {
+    fail(EXIT_INVALID_SETTINGS, settings.error.message);
+    return;
+  }
+  const clock = createSystemClock();
+  const logger = createBoundedLogger(
+    createLogger('node', { node: settings.value.node, stream: openLogOutput() }),
+    { clock },
+  );
+  const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
+  followSettings(path, text, node, logger);
+  const stop = () => {
+    node.stop().then(
+      () => process.exit(0),
+      (error: unknown) => {
+        logger.error({ reason: String(error) }, 'the stop failed');
+        process.exit(EXIT_FAILED);
+      },
+    );
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+};
+
+main().catch((error: unknown) => fail(EXIT_FAILED, String(error)));
--- /dev/null
+++ b/fleet/start_fleet_node.ts
@@ -0,0 +1,195 @@
+import type { Clock } from '../clock/mod.ts';
+import type { FleetView, OwnEntry, StoreView } from '../directory/mod.ts';
+import type { LocalService } from '../gateway/mod.ts';
+import { type HttpListener, splitAddress } from '../http/mod.ts';
+import { createKernel, type Kernel } from '../kernel/mod.ts';
+import type { PlatformSettings } from '../platform/mod.ts';
+import type { Announcement, RightToGrant } from '../ranges/mod.ts';
+import { createNodeMetrics, type Logger, type NodeMetrics } from '../telemetry/mod.ts';
+import type { ContractSource } from './contract_source.ts';
+import { createControlListeners } from './control_listeners.ts';
+import type { InstanceRegistry } from './instance_registry.ts';
+import type { LoadCollector } from './load_collector.ts';
+import type { RangeKeeper } from './range_keeper.ts';
+import { registerRequestServices } from './_request_services.ts';
+import { registerStateServices, type SelfDescription } from './_state_services.ts';
+
+/** A node that runs on the platform. */
+export interface FleetNode {
+  /** Takes over changed settings; addresses stay as they are. */
+  readonly reload: (settings: PlatformSettings) => void;
+  /** Planned stop within the grace time: finishes what is in flight. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Options of a node. */
+export interface FleetNodeOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Port of the metrics page on the host's address. */
+  readonly metricsPort: number;
+}
+
+const RECONCILE_INTERVAL_MS = 200;
+const COLLECT_INTERVAL_MS = 1000;
+const CHECK_INTERVAL_MS = 250;
+/** Readiness is asked for once a second, and two misses end the flow of new callers. */
+const CALLERS_LEAVE_MS = 2500;
+/** Kept free at the end of the grace time. */
+const STOP_RESERVE_MS = 500;
+
+const withinMs = async (clock: Clock, limitMs: number, work: Promise<unknown>) => {
+  const done = new AbortController();
+  await Promise.race([work, clock.sleep(Math.max(0, limitMs), done.signal)]);
+  done.abort();
+};
+
+/** Runs a task again and again; a failure is logged and does not end the repetition. */
+const repeat = (intervalMs: number, name: string, logger: Logger, task: () => Promise<void>) => {
+  const timer = setInterval(() => {
+    task().catch((error: unknown) => {
+      logger.error({ task: name, reason: String(error) }, 'a periodic task failed');
+    });
+  }, intervalMs);
+  return () => clearInterval(timer);
+};
+
+const startTasks = (kernel: Kernel, logger: Logger) => {
+  const ranges = kernel.find<RangeKeeper>('ranges');
+  const registry = kernel.find<InstanceRegistry>('registry');
+  const fleet = kernel.find<FleetView>('fleet');
+  const collector = kernel.find<LoadCollector>('collector');
+  const reconcile = () => {
+    ranges.reconcile().catch((error: unknown) => {
+      logger.error({ reason: String(error) }, 'the ranges could not be reconciled');
+    });
+  };
+  registry.onChange(reconcile);
+  fleet.onChange(reconcile);
+  const collect = async () => {
+    const service = registry.local()?.service;
+    if (service === undefined || !ranges.isPlanner()) return;
+    const owners = [...fleet.present().values()].flatMap((entry) => (
+      entry.instance?.service === service ? [{
+        owner: {
+          node: entry.node,
+          instance: entry.instance.instance,
+          startedAt: entry.instance.startedAt,
+        },
+        address: entry.peerAddress,
+      }] : []
+    ));
+    await collector.collect(owners);
+  };
+  const stops = [
+    repeat(RECONCILE_INTERVAL_MS, 'reconcile', logger, ranges.reconcile),
+    repeat(COLLECT_INTERVAL_MS, 'collect', logger, collect),
+    repeat(CHECK_INTERVAL_MS, 'check', logger, registry.check),
+  ];
+  return {
+    reconcile,
+    stop: () => {
+      for (const stop of stops) stop();
+    },
+  };
+};
+
+const observeState = (kernel: Kernel) => {
+  const metrics = kernel.find<NodeMetrics>('metrics');
+  const local = kernel.find<LocalService>('local');
+  const right = kernel.find<RightToGrant>('right');
+  const contracts = kernel.find<ContractSource>('contracts');
+  const view = kernel.find<StoreView>('view');
+  const fleet = kernel.find<FleetView>('fleet');
+  metrics.observe('in_flight', 'Requests that the local instance runs', () => local.load().inFlight);
+  metrics.observe('queued', 'Requests that wait for the local instance', () => local.load().queued);
+  metrics.observe('right_to_grant_ms', 'Time for which holds may be given', right.remainingMs);
+  metrics.observe('contract_revision', 'Contract in force', () => contracts.routes()?.revision ?? 0);
+  metrics.observe('store_connected', '1 while the store answers', () => Number(view.isConnected()));
+  metrics.observe('fleet_nodes', 'Nodes in the directory', () => fleet.present().size);
+};
+
+/**
+ * Starts a node on the platform.
+ *
+ * @param settings Checked settings.
+ * @param options Clock, logger and metrics port.
+ * @returns The node, once all its listeners are bound.
+ * @throws {Error} when an address cannot be bound.
+ *
+ * @example
+ * const node = await startFleetNode(settings, { clock, logger, metricsPort: 9464 });
+ * await node.stop();
+ */
+export const startFleetNode = async (
+  settings: PlatformSettings,
+  options: FleetNodeOptions,
+): Promise<FleetNode> => {
+  const { clock, logger } = options;
+  let { service: callerService } = settings;
+  const kernel = createKernel();
+  kernel.register<Clock>({ name: 'clock', needs: [], start: () => ({ service: clock }) });
+  kernel.register<Logger>({ name: 'logger', needs: [], start: () => ({ service: logger }) });
+  kernel.register<NodeMetrics>({
+    name: 'metrics', needs: [], start: () => ({ service: createNodeMetrics() }),
+  });
+  registerRequestServices(kernel, settings, () => callerService);
+  registerStateServices(kernel, settings);
+  await kernel.start();
+
+  const self = kernel.find<SelfDescription>('self');
+  const registry = kernel.find<InstanceRegistry>('registry');
+  const ranges = kernel.find<RangeKeeper>('ranges');
+  const contracts = kernel.find<ContractSource>('contracts');
+  const view = kernel.find<StoreView>('view');
+  const tasks = startTasks(kernel, logger);
+  observeState(kernel);
+
+  const announce = (announcement: Announcement) => {
+    if (!registry.announce(announcement)) return undefined;
+    const answer = ranges.answer(announcement);
+    tasks.reconcile();
+    return answer;
+  };
+
+  const { host } = splitAddress(settings.listen.readiness);
+  const control = createControlListeners({
+    clock,
+    addresses: {
+      readiness: settings.listen.readiness,
+      announcements: settings.listen.announcements,
+      metrics: `${host}:${options.metricsPort}`,
+    },
+    logger,
+    isReady: () => contracts.routes() !== undefined && view.isLoaded() && !self.isStopping(),
+    announce,
+    leave: registry.leave,
+    metricsText: kernel.find<NodeMetrics>('metrics').text,
+  });
+  for (const listener of control) await listener.listen();
+  logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
+
+  const stop = async () => {
+    const stopAt = clock.now() + settings.bounds.graceMs - STOP_RESERVE_MS;
+    self.setStopping();
+    kernel.find<OwnEntry>('own-entry').update(self.entry());
+    logger.info({ graceMs: settings.bounds.graceMs }, 'stopping');
+    await clock.sleep(CALLERS_LEAVE_MS);
+    const left = () => stopAt - clock.now();
+    await withinMs(clock, left() / 2, kernel.find<HttpListener>('peer-listener').stop());
+    await withinMs(clock, left(), kernel.find<HttpListener>('caller-listener').stop());
+    tasks.stop();
+    logger.info({ leftMs: Math.round(left()) }, 'stopped');
+  };
+
+  return {
+    reload: (changed) => {
+      if (changed.service !== callerService) {
+        logger.info({ from: callerService, to: changed.service }, 'the service changed');
+      }
+      callerService = changed.service;
+      logger.info({ service: callerService }, 'reloaded the settings');
+    },
+    stop,
+  };
+};
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -9,7 +9,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
-  readonly body: Readable | null;
+  readonly body: Readable | Buffer | null;
 }
 
 export interface ExchangeOptions {
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -1,4 +1,5 @@
 /** A request over one hop: to the local instance or to a peer. */
+export { exchange, type ExchangeOptions, type ExchangeRequest } from './_exchange.ts';
 export type { ExchangeEnd, FailureCause } from './_exchange.ts';
 export {
   attemptId, createForwarder, FORWARD_STEP, type Forwarder, type ForwarderOptions,
--- /dev/null
+++ b/gateway/_answer.ts
@@ -0,0 +1,48 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RefusalError } from '../errors/mod.ts';
+
+/** Aborts when the other end closes its connection before the answer is complete. */
+export const abortOnClose = (response: ServerResponse): AbortSignal => {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+};
+
+/** Describes a refusal to a caller; the text names the step and the peer. */
+export const describeRefusal = ({ message, outcome }: RefusalError): string => (
+  JSON.stringify({ error: message, outcome })
+);
+
+/** Ends a response with a short JSON text, unless its connection has gone. */
+export const answerText = (
+  response: ServerResponse,
+  status: number,
+  headers: readonly string[],
+  text: string,
+): void => {
+  if (response.destroyed || response.headersSent) return;
+  response.writeHead(status, [
+    ...headers,
+    'content-type', 'application/json',
+    'content-length', String(Buffer.byteLength(text)),
+  ]);
+  response.end(text);
+};
+
+/** An HTTP message for input that is not valid HTTP. */
+export const renderMalformed = (status: number): string => (
+  `HTTP/1.1 ${status} Malformed Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+);
+
+/** Asks for the body of a caller that waits for permission to send it. */
+export const allowBody = (expect: 'none' | 'continue' | 'other', response: ServerResponse) => {
+  if (expect === 'continue') response.writeContinue();
+};
+
+/** First value of a header of a message. */
+export const headerOf = (message: IncomingMessage, name: string): string | undefined => {
+  const value = message.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
--- /dev/null
+++ b/gateway/_refusals.ts
@@ -0,0 +1,33 @@
+import { RefusalError, type StepErrorOptions } from '../errors/mod.ts';
+import type { AttemptOutcome } from './request.ts';
+
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_UNAVAILABLE = 503;
+const MS_PER_SECOND = 1000;
+
+/** A refusal of a request that no instance has received. */
+export const refuseNotRun = (
+  reason: string,
+  retryAfterMs: number,
+  options: StepErrorOptions,
+): Extract<AttemptOutcome, { kind: 'refused' }> => ({
+  kind: 'refused',
+  reached: false,
+  refusal: new RefusalError(reason, {
+    ...options,
+    status: STATUS_UNAVAILABLE,
+    outcome: 'not run',
+    retryAfterSeconds: retryAfterMs / MS_PER_SECOND,
+  }),
+});
+
+/** A refusal of a request that an instance may have run. */
+export const refuseUnknown = (
+  reason: string,
+  options: StepErrorOptions,
+  status = STATUS_BAD_GATEWAY,
+): Extract<AttemptOutcome, { kind: 'refused' }> => ({
+  kind: 'refused',
+  reached: true,
+  refusal: new RefusalError(reason, { ...options, status, outcome: 'unknown' }),
+});
--- /dev/null
+++ b/gateway/peer_listener.ts
@@ -0,0 +1,171 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '../clock/mod.ts';
+import type { RouteKind } from '../contract/mod.ts';
+import {
+  endToEndHeaders, formatLoad, hopHeaders, refusalHeaders,
+} from '../forward/mod.ts';
+import {
+  createHttpServer, createResponseSink, type HttpListener, resetConnection,
+} from '../http/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+import {
+  abortOnClose, answerText, describeRefusal, headerOf, renderMalformed,
+} from './_answer.ts';
+import { readBody } from './_read_body.ts';
+import type { LocalService } from './local_service.ts';
+import { HOP_SILENCE_MS } from './peer_port.ts';
+import type { GatewayRequest } from './request.ts';
+
+/** Options of the listener. */
+export interface PeerListenerOptions {
+  readonly clock: Clock;
+  readonly address: string;
+  /** Name of the header with the request's identifier, in lower case. */
+  readonly requestIdHeader: string;
+  readonly local: LocalService;
+  readonly logger: Logger;
+  /** Answers a control message of a peer; undefined for an unknown path. */
+  readonly control: (path: string) => string | undefined;
+}
+
+const MAX_HEADER_BYTES = 65_536;
+const MAX_BODY_BYTES = 67_108_864;
+/** Peers learn from the directory and from refusals that this node stops. */
+const IDLE_GRACE_MS = 1000;
+/** Three interim answers within the silence that a peer tolerates. */
+const INTERIM_INTERVAL_MS = HOP_SILENCE_MS / 3;
+/** Path of control messages; requests of callers always carry a service header. */
+const CONTROL_PREFIX = '/marjoramhollow/';
+const STATUS_BAD_REQUEST = 400;
+const STATUS_OK = 200;
+
+const kinds: Readonly<Record<string, RouteKind>> = {
+  safe: 'safe', unsafe: 'unsafe', download: 'download',
+};
+
+/**
+ * Creates the listener for peers.
+ *
+ * @param options Clock, address, local service, control messages and logger.
+ * @returns The listener.
+ *
+ * @example
+ * const listener = createPeerListener(options);
+ * await listener.listen();
+ */
+export const createPeerListener = (options: PeerListenerOptions): HttpListener => {
+  const { clock, local } = options;
+  const logger = options.logger.forPart('peer');
+
+  const toRequest = (
+    message: IncomingMessage,
+    signal: AbortSignal,
+  ): Omit<GatewayRequest, 'body'> | undefined => {
+    const service = headerOf(message, hopHeaders.service);
+    const kind = kinds[headerOf(message, hopHeaders.requestClass) ?? ''];
+    const leftMs = Number(headerOf(message, hopHeaders.remainingMs));
+    const targetMs = Number(headerOf(message, hopHeaders.targetMs));
+    const priority = Number(headerOf(message, hopHeaders.priority));
+    const key = headerOf(message, hopHeaders.key);
+    if (service === undefined || kind === undefined) return undefined;
+    if (!Number.isFinite(leftMs) || !Number.isFinite(targetMs) || !Number.isFinite(priority)) {
+      return undefined;
+    }
+    const now = clock.now();
+    return {
+      requestId: headerOf(message, options.requestIdHeader) ?? '',
+      service,
+      kind,
+      priority,
+      key: key === undefined ? undefined : Number(key),
+      instance: headerOf(message, hopHeaders.instance),
+      method: message.method ?? 'GET',
+      path: message.url ?? '/',
+      headers: endToEndHeaders(message.rawHeaders),
+      deadlineAt: now + leftMs,
+      targetAt: now + targetMs,
+      signal,
+    };
+  };
+
+  /** Sends interim answers until the real one begins. */
+  const keepAwake = (response: ServerResponse) => {
+    let cancel = () => undefined as void;
+    const beat = () => {
+      if (response.headersSent || response.destroyed) return;
+      response.writeProcessing();
+      cancel = clock.schedule(INTERIM_INTERVAL_MS, beat);
+    };
+    cancel = clock.schedule(INTERIM_INTERVAL_MS, beat);
+    return () => cancel();
+  };
+
+  const serve = async (message: IncomingMessage, response: ServerResponse) => {
+    const request = toRequest(message, abortOnClose(response));
+    if (request === undefined) {
+      answerText(response, STATUS_BAD_REQUEST, [], '{"error":"not a request of a peer"}');
+      return;
+    }
+    const body = await readBody(message, MAX_BODY_BYTES);
+    if (body === undefined) {
+      resetConnection(response);
+      return;
+    }
+    const stop = keepAwake(response);
+    const sink = createResponseSink(response, (headers) => {
+      headers.push(hopHeaders.load, formatLoad(local.load()));
+    });
+    const outcome = await local.handle({ ...request, body }, sink);
+    stop();
+    const fields = {
+      request: request.requestId,
+      service: request.service,
+      key: request.key,
+      outcome: outcome.kind,
+      from: message.socket.remoteAddress,
+    };
+    if (outcome.kind === 'answered') {
+      logger.info({ ...fields, status: outcome.status }, 'answered a peer');
+      return;
+    }
+    if (outcome.kind === 'refused') {
+      const { refusal, reached } = outcome;
+      logger.warn({
+        ...fields, notRun: refusal.outcome === 'not run', reason: refusal.message,
+      }, 'refused a peer');
+      answerText(response, refusal.status, [
+        ...refusalHeaders(refusal),
+        hopHeaders.load, formatLoad(local.load()),
+        ...(reached ? [hopHeaders.reached, '1'] : []),
+      ], describeRefusal(refusal));
+      return;
+    }
+    logger.warn(fields, 'the answer to a peer broke off');
+    resetConnection(response);
+  };
+
+  const handle = (message: IncomingMessage, response: ServerResponse) => {
+    const isControl = message.url?.startsWith(CONTROL_PREFIX)
+      && message.headers[hopHeaders.service] === undefined;
+    if (isControl) {
+      const text = options.control(message.url!.slice(CONTROL_PREFIX.length));
+      message.resume();
+      const status = text === undefined ? STATUS_BAD_REQUEST : STATUS_OK;
+      answerText(response, status, [], text ?? '{}');
+      return;
+    }
+    serve(message, response).catch((error: unknown) => {
+      logger.error({ reason: String(error) }, 'failed to serve a peer');
+      resetConnection(response);
+    });
+  };
+
+  return createHttpServer({
+    clock,
+    address: options.address,
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    idleGraceMs: IDLE_GRACE_MS,
+    handle,
+    renderMalformed,
+  });
+};
--- /dev/null
+++ b/http/mod.ts
@@ -0,0 +1,5 @@
+/** HTTP/1.1 listeners with a graceful stop, and answers written to them. */
+export {
+  createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
+} from './create_http_server.ts';
+export { createResponseSink, resetConnection } from './response_sink.ts';
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -8,13 +8,13 @@
 import type { Router } from '../routing/mod.ts';
 import { type Logger, metricNames, type Metrics } from '../telemetry/mod.ts';
 import { type CallerRequest, createAttempts } from './_attempts.ts';
-import { createHttpServer, type Expectation, type HttpListener } from './_http_server.ts';
+import { createHttpServer, type Expectation, type HttpListener } from '../http/mod.ts';
 import { renderProblem, sendProblem } from './_problem.ts';
 import {
   createRequestBody, hasBody, type RequestBody, waitForBody,
 } from './_request_body.ts';
 import { findKey, findRequestProblem, parseTarget } from './_request_check.ts';
-import { createResponseSink, resetConnection } from './_response_sink.ts';
+import { createResponseSink, resetConnection } from '../http/mod.ts';
 import type { LocalDispatch } from './local_dispatch.ts';
 
 /** Collaborators and limits of the caller listener. */
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -2,7 +2,7 @@
 export {
   type AttemptsOptions, type CallerRequest, createAttempts, type RunAttempts,
 } from './_attempts.ts';
-export { type HttpListener, splitAddress } from './_http_server.ts';
+export { type HttpListener, splitAddress } from '../http/mod.ts';
 export { type CallerListenerOptions, createCallerListener } from './caller_listener.ts';
 export {
   createLocalDispatch,
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -9,9 +9,9 @@
 } from '../forward/mod.ts';
 import { createSecretCheck, type TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
-import { createHttpServer, type HttpListener } from './_http_server.ts';
+import { createHttpServer, type HttpListener } from '../http/mod.ts';
 import { createRequestBody, hasBody } from './_request_body.ts';
-import { createResponseSink, resetConnection } from './_response_sink.ts';
+import { createResponseSink, resetConnection } from '../http/mod.ts';
 import type { LocalDispatch, LocalUpstream } from './local_dispatch.ts';
 
 /** Collaborators and limits of the peer listener. */
--- /dev/null
+++ b/ranges/change_record.ts
@@ -0,0 +1,167 @@
+import type { ReleasedRange } from './announcement.ts';
+import { type KeyRange, overlaps } from './key_range.ts';
+import {
+  isSameOwner, type Owner, type RangeRecord, type RangeRow,
+} from './range_record.ts';
+
+/** Keys that shall belong to an owner. */
+export interface RangeAssignment extends KeyRange {
+  readonly owner: Owner;
+}
+
+/** Cuts rows at the borders of `range`, so that it consists of whole rows. */
+const splitAt = (rows: readonly RangeRow[], range: KeyRange): readonly RangeRow[] => {
+  const result: RangeRow[] = [];
+  for (const row of rows) {
+    if (!overlaps(row, range)) {
+      result.push(row);
+      continue;
+    }
+    const from = Math.max(row.from, range.from);
+    const to = Math.min(row.to, range.to);
+    if (row.from < from) result.push({ ...row, to: from - 1 });
+    result.push({ ...row, from, to });
+    if (to < row.to) result.push({ ...row, from: to + 1 });
+  }
+  return result;
+};
+
+/** Joins neighbours that differ in nothing but their keys, so that a record stays short. */
+const joinRows = (rows: readonly RangeRow[]): readonly RangeRow[] => {
+  const result: RangeRow[] = [];
+  for (const row of rows) {
+    const last = result.at(-1);
+    const joins = last !== undefined
+      && last.token === row.token
+      && last.handover === '' && row.handover === ''
+      && isSameOwner(last.owner, row.owner)
+      && isSameOwner(last.successor, row.successor);
+    if (joins) result[result.length - 1] = { ...last, to: row.to };
+    else result.push(row);
+  }
+  return result;
+};
+
+/**
+ * Gives keys without an owner to owners, under a new fencing token. Keys that have an owner are
+ * left alone.
+ *
+ * @param record The record.
+ * @param assignments Keys and their owners.
+ * @returns The changed record, or the same one when nothing changed.
+ *
+ * @example
+ * const next = assignRanges(record, [{ from: 0, to: 99, owner }]);
+ */
+export const assignRanges = (
+  record: RangeRecord,
+  assignments: readonly RangeAssignment[],
+): RangeRecord => {
+  let { rows } = record;
+  let changed = false;
+  for (const assignment of assignments) {
+    rows = splitAt(rows, assignment).map((row) => {
+      if (!overlaps(row, assignment) || row.owner !== undefined) return row;
+      changed = true;
+      return {
+        ...row, owner: assignment.owner, successor: undefined, token: record.nextToken,
+      };
+    });
+  }
+  return changed ? { nextToken: record.nextToken + 1, rows: joinRows(rows) } : record;
+};
+
+/**
+ * Asks owners to release keys to other owners. Moves that have begun are left alone.
+ *
+ * @param record The record.
+ * @param moves Keys and their next owners.
+ * @returns The changed record, or the same one when nothing changed.
+ *
+ * @example
+ * const next = requestMoves(record, [{ from: 0, to: 99, owner: emptyInstance }]);
+ */
+export const requestMoves = (
+  record: RangeRecord,
+  moves: readonly RangeAssignment[],
+): RangeRecord => {
+  let { rows } = record;
+  let changed = false;
+  for (const move of moves) {
+    rows = splitAt(rows, move).map((row) => {
+      const mayMove = overlaps(row, move) && row.owner !== undefined
+        && row.successor === undefined && !isSameOwner(row.owner, move.owner);
+      if (!mayMove) return row;
+      changed = true;
+      return { ...row, successor: move.owner };
+    });
+  }
+  return changed ? { nextToken: record.nextToken, rows: joinRows(rows) } : record;
+};
+
+/** Handover of released keys that contain all keys of the row. */
+const handoverOf = (row: KeyRange, released: readonly ReleasedRange[]) => (
+  released.find(({ from, to }) => from <= row.from && to >= row.to)?.handover ?? ''
+);
+
+/**
+ * Takes rows from their owners, whose holds have ended. A row with a successor that still exists
+ * goes to it; the others have no owner afterwards.
+ *
+ * @param record The record.
+ * @param isReleased Tells of a row whether its owner no longer holds it.
+ * @param isLive Tells whether an owner can take keys.
+ * @param released Handovers of the former owner.
+ * @returns The changed record, or the same one when nothing changed.
+ *
+ * @example
+ * const next = releaseRows(record, (row) => row.owner?.node === 'lost', isLive, []);
+ */
+export const releaseRows = (
+  record: RangeRecord,
+  isReleased: (row: RangeRow) => boolean,
+  isLive: (owner: Owner) => boolean,
+  released: readonly ReleasedRange[],
+): RangeRecord => {
+  let changed = false;
+  let usesToken = false;
+  const rows = record.rows.map((row): RangeRow => {
+    if (row.owner === undefined || !isReleased(row)) return row;
+    changed = true;
+    const handover = handoverOf(row, released);
+    const successor = row.successor !== undefined && isLive(row.successor)
+      ? row.successor
+      : undefined;
+    if (successor === undefined) {
+      return {
+        ...row, owner: undefined, successor: undefined, handover,
+      };
+    }
+    usesToken = true;
+    return {
+      ...row, owner: successor, successor: undefined, token: record.nextToken, handover,
+    };
+  });
+  if (!changed) return record;
+  return { nextToken: record.nextToken + (usesToken ? 1 : 0), rows: joinRows(rows) };
+};
+
+/**
+ * Withdraws moves whose next owner no longer exists.
+ *
+ * @param record The record.
+ * @param isLive Tells whether an owner can take keys.
+ * @returns The changed record, or the same one when nothing changed.
+ *
+ * @example
+ * const next = dropDeadSuccessors(record, isLive);
+ */
+export const dropDeadSuccessors = (
+  record: RangeRecord,
+  isLive: (owner: Owner) => boolean,
+): RangeRecord => {
+  const isDead = ({ successor }: RangeRow) => successor !== undefined && !isLive(successor);
+  if (!record.rows.some(isDead)) return record;
+  const rows = record.rows.map((row) => (isDead(row) ? { ...row, successor: undefined } : row));
+  return { nextToken: record.nextToken, rows: joinRows(rows) };
+};
--- /dev/null
+++ b/ranges/range_record.ts
@@ -0,0 +1,138 @@
+import { z } from 'zod';
+import { KEY_COUNT, type KeyRange } from './key_range.ts';
+
+/** One life of an instance on the host of a node. */
+export interface Owner {
+  readonly node: string;
+  readonly instance: string;
+  /** Start of the instance's process in ms since the Unix epoch. */
+  readonly startedAt: number;
+}
+
+/** Keys with one owner. */
+export interface RangeRow extends KeyRange {
+  /** Fencing token of the owner; rises with each change of owner. */
+  readonly token: number;
+  readonly owner: Owner | undefined;
+  /** The owner has been asked to release the keys to this one. */
+  readonly successor: Owner | undefined;
+  /** Handover of the former owner; empty without one. */
+  readonly handover: string;
+}
+
+/** Owners of all keys of a service; the rows are in order of key and leave no gap. */
+export interface RangeRecord {
+  /** Token for the next change of owner. */
+  readonly nextToken: number;
+  readonly rows: readonly RangeRow[];
+}
+
+const NO_OWNER = -1;
+
+const recordSchema = z.object({
+  nextToken: z.int().min(1),
+  owners: z.array(z.tuple([z.string(), z.string(), z.number()])),
+  rows: z.array(z.tuple([
+    z.int(), z.int(), z.int(), z.int(), z.int(), z.string(),
+  ])).min(1),
+});
+
+/** The record of a service whose keys have never had an owner. */
+export const emptyRecord: RangeRecord = {
+  nextToken: 1,
+  rows: [{
+    from: 0, to: KEY_COUNT - 1, token: 0, owner: undefined, successor: undefined, handover: '',
+  }],
+};
+
+/** Text that tells one life of an instance from all others. */
+export const ownerKey = ({ node, instance, startedAt }: Owner): string => (
+  `${node}/${instance}/${startedAt}`
+);
+
+/** Tells whether two owners are the same life of the same instance. */
+export const isSameOwner = (left: Owner | undefined, right: Owner | undefined): boolean => (
+  left === right || (left !== undefined && right !== undefined
+    && ownerKey(left) === ownerKey(right))
+);
+
+/**
+ * Encodes a record as JSON text; each owner stands in it once.
+ *
+ * @example
+ * const text = encodeRecord(emptyRecord);
+ */
+export const encodeRecord = ({ nextToken, rows }: RangeRecord): string => {
+  const indexes = new Map<string, number>();
+  const owners: [string, string, number][] = [];
+  const indexOf = (owner: Owner | undefined) => {
+    if (owner === undefined) return NO_OWNER;
+    const key = ownerKey(owner);
+    const known = indexes.get(key);
+    if (known !== undefined) return known;
+    owners.push([owner.node, owner.instance, owner.startedAt]);
+    indexes.set(key, owners.length - 1);
+    return owners.length - 1;
+  };
+  const encoded = rows.map((row) => [
+    row.from, row.to, row.token, indexOf(row.owner), indexOf(row.successor), row.handover,
+  ]);
+  return JSON.stringify({ nextToken, owners, rows: encoded });
+};
+
+const hasNoGap = (rows: readonly RangeRow[]) => {
+  let next = 0;
+  for (const { from, to } of rows) {
+    if (from !== next || to < from) return false;
+    next = to + 1;
+  }
+  return next === KEY_COUNT;
+};
+
+/**
+ * Decodes a record.
+ *
+ * @param text The stored text.
+ * @returns The record, or undefined when the text is not a whole record.
+ *
+ * @example
+ * const record = decodeRecord(entry.value);
+ */
+export const decodeRecord = (text: string): RangeRecord | undefined => {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+  const parsed = recordSchema.safeParse(json);
+  if (!parsed.success) return undefined;
+  const { nextToken, owners, rows } = parsed.data;
+  const ownerAt = (index: number): Owner | undefined => {
+    const owner = owners[index];
+    return owner && { node: owner[0], instance: owner[1], startedAt: owner[2] };
+  };
+  const decoded = rows.map(([from, to, token, owner, successor, handover]) => ({
+    from, to, token, owner: ownerAt(owner), successor: ownerAt(successor), handover,
+  }));
+  return hasNoGap(decoded) ? { nextToken, rows: decoded } : undefined;
+};
+
+/**
+ * Finds the row of a key.
+ *
+ * @example
+ * const owner = findRow(record, 17).owner;
+ */
+export const findRow = ({ rows }: RangeRecord, key: number): RangeRow | undefined => {
+  let low = 0;
+  let high = rows.length - 1;
+  while (low <= high) {
+    const middle = Math.floor((low + high) / 2);
+    const row = rows[middle]!;
+    if (key < row.from) high = middle - 1;
+    else if (key > row.to) low = middle + 1;
+    else return row;
+  }
+  return undefined;
+};
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -29,7 +29,7 @@
 /** Options of a service view. */
 export interface ServiceViewOptions {
   readonly clock: Clock;
-  readonly membership: Membership;
+  readonly membership: Pick<Membership, 'self' | 'members'>;
   readonly subset?: SubsetOptions;
 }
 
--- a/routing/mod.ts
+++ b/routing/mod.ts
@@ -11,3 +11,6 @@
   createOutlierEjection, type HealthSample, type OutlierEjection,
 } from './outlier_ejection.ts';
 export type { SlotOf } from './_keyed_route.ts';
+export {
+  createServiceView, type PlacedView, type ServiceView, type ServiceViewOptions,
+} from './_service_view.ts';
--- a/standins/store_server.ts
+++ b/standins/store_server.ts
@@ -33,7 +33,12 @@
 const MAX_WAIT_MS = 60_000;
 
 const statusOfKind = {
-  conflict: 409, unavailable: 503, unknown: 500, 'too-large': 413,
+  conflict: 409,
+  unavailable: 503,
+  unknown: 500,
+  'too-large': 413,
+  compacted: 410,
+  'lease-ended': 404,
 } as const satisfies Record<StoreErrorKind, number>;
 
 const numberOf = (context: StoreContext, name: string) => Number(context.req.query(name) ?? 0);
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -12,3 +12,13 @@
   type GuardedStoreOptions,
 } from './create_guarded_store.ts';
 export { type EntryChange, updateEntry, type UpdateEntryOptions } from './update_entry.ts';
+export type {
+  EntryChanges,
+  EntryList,
+  EntryWrite,
+  ExpectedRevision,
+  LeasedStore,
+  RemovedEntry,
+  Transaction,
+  WaitOptions,
+} from './leased_store.ts';
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -11,3 +11,6 @@
   type MetricTags,
   silentMetrics,
 } from './metrics.ts';
+export { type BoundedLoggerOptions, createBoundedLogger } from './bounded_logger.ts';
+export { createNodeMetrics, type NodeMetrics } from './node_metrics.ts';
+export { openLogOutput } from './output_stream.ts';
--- /dev/null
+++ b/telemetry/node_metrics.ts
@@ -0,0 +1,96 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Counters and histograms of a node, with labels of bounded size. */
+export interface NodeMetrics {
+  readonly requestEnded: (kind: string, outcome: string, durationMs: number) => void;
+  readonly refused: (step: string) => void;
+  readonly queued: (durationMs: number) => void;
+  readonly retried: (service: string, reason: string) => void;
+  readonly storeCalled: (call: string, outcome: string) => void;
+  readonly rowsChanged: (reason: string, rows: number) => void;
+  /** Reads a value whenever the metrics are asked for. */
+  readonly observe: (name: string, help: string, read: () => number) => void;
+  /** All metrics in the text format of Prometheus. */
+  readonly text: () => Promise<string>;
+}
+
+const PREFIX = 'marjoramhollow_';
+/** Upper bounds in ms; the targets and deadlines of routes lie between 100 and 5000. */
+const DURATION_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 500, 800, 1200, 2000, 5000];
+
+/**
+ * Creates the metrics of a node in a registry of their own.
+ *
+ * @returns The metrics.
+ *
+ * @example
+ * const metrics = createNodeMetrics();
+ * metrics.requestEnded('safe', 'answered', 12);
+ */
+export const createNodeMetrics = (): NodeMetrics => {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: `${PREFIX}requests_total`,
+    help: 'Requests of callers by kind of route and outcome',
+    labelNames: ['kind', 'outcome'],
+    registers,
+  });
+  const durations = new Histogram({
+    name: `${PREFIX}request_duration_ms`,
+    help: 'Time from the arrival of a request to the end of its answer',
+    labelNames: ['kind'],
+    buckets: DURATION_BUCKETS_MS,
+    registers,
+  });
+  const refusals = new Counter({
+    name: `${PREFIX}refusals_total`,
+    help: 'Refused requests by the step that refused',
+    labelNames: ['step'],
+    registers,
+  });
+  const queueTimes = new Histogram({
+    name: `${PREFIX}queue_duration_ms`,
+    help: 'Wait of a request for a slot of the local instance',
+    buckets: DURATION_BUCKETS_MS,
+    registers,
+  });
+  const retries = new Counter({
+    name: `${PREFIX}retries_total`,
+    help: 'Sends beyond the first of a request',
+    labelNames: ['service', 'reason'],
+    registers,
+  });
+  const storeCalls = new Counter({
+    name: `${PREFIX}store_calls_total`,
+    help: 'Calls to the store by kind and result',
+    labelNames: ['call', 'outcome'],
+    registers,
+  });
+  const rows = new Counter({
+    name: `${PREFIX}range_rows_changed_total`,
+    help: 'Rows of range records that this node changed',
+    labelNames: ['reason'],
+    registers,
+  });
+  return {
+    requestEnded: (kind, outcome, durationMs) => {
+      requests.inc({ kind, outcome });
+      durations.observe({ kind }, durationMs);
+    },
+    refused: (step) => refusals.inc({ step }),
+    queued: (durationMs) => queueTimes.observe(durationMs),
+    retried: (service, reason) => retries.inc({ service, reason }),
+    storeCalled: (call, outcome) => storeCalls.inc({ call, outcome }),
+    rowsChanged: (reason, count) => rows.inc({ reason }, count),
+    observe: (name, help, read) => {
+      const gauge: Gauge = new Gauge({
+        name: `${PREFIX}${name}`,
+        help,
+        registers,
+        collect: () => gauge.set(read()),
+      });
+    },
+    text: () => registry.metrics(),
+  };
+};
