--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -1,7 +1,10 @@
 import { z } from 'zod';
 
-/** State of an instance as its node sees it. */
-export type InstanceState = 'ready' | 'draining' | 'down';
+/**
+ * State of an instance as its node sees it. `silent`: it runs requests, but its announcements do
+ * not arrive, so it can be granted no keys.
+ */
+export type InstanceState = 'ready' | 'silent' | 'draining' | 'down';
 
 /** The instance on a node's host. */
 export interface DirectoryInstance {
@@ -41,7 +44,7 @@
     startedAt: z.number(),
     service: z.string().min(1),
     slots: z.int().min(1),
-    state: z.enum(['ready', 'draining', 'down']),
+    state: z.enum(['ready', 'silent', 'draining', 'down']),
     coldUntil: z.number(),
   }).optional(),
 });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 const forbiddenSyntax = ['ForInStatement', 'LabeledStatement', 'WithStatement'];
 
 export default [
-  { ignores: ['node_modules/', 'proto/generated/'] },
+  { ignores: ['node_modules/', 'proto/generated/', 'target/', 'journal/'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -3,13 +3,13 @@
   createFleetView, createOwnEntry, createStoreView, type FleetView, type NodeEntry, OWN_PREFIX,
   type OwnEntry, type StoreView,
 } from '../directory/mod.ts';
-import { createInstancePort } from '../gateway/mod.ts';
+import { createInstancePort, type SlotQueue } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import {
   CONTRACT_KEY, createPlatformStore, platformHeaders, type PlatformSettings,
 } from '../platform/mod.ts';
 import {
-  createGrantLedger, createKeyLoad, createRightToGrant, type GrantLedger, type KeyLoad,
+  createGrantLedger, createKeyLoad, createRightToGrant, RIGHT_TO_GRANT_MS, type GrantLedger, type KeyLoad,
   type RightToGrant,
 } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
@@ -35,7 +35,11 @@
 /** Connections beyond the slots, for those that are closing. */
 const SPARE_CONNECTIONS = 4;
 
-const runUntilStop = (run: (signal: AbortSignal) => Promise<void>, logger: Logger, part: string) => {
+const runUntilStop = (
+  run: (signal: AbortSignal) => Promise<void>,
+  logger: Logger,
+  part: string,
+) => {
   const stopping = new AbortController();
   const done = run(stopping.signal).catch((error: unknown) => {
     logger.error({ part, reason: String(error) }, 'a task ended with an error');
@@ -109,7 +113,7 @@
     name: 'right',
     needs: ['clock'],
     start: (find) => ({
-      service: createRightToGrant(find<Clock>('clock'), settings.bounds.maxHoldMs),
+      service: createRightToGrant(find<Clock>('clock'), RIGHT_TO_GRANT_MS),
     }),
   });
 
@@ -222,6 +226,7 @@
         isKeyed: find<ContractSource>('contracts').isKeyed,
         pictureOf: find<LoadCollector>('collector').pictureOf,
         maxHoldMs: settings.bounds.maxHoldMs,
+        rightMs: RIGHT_TO_GRANT_MS,
         firstAssignmentMs: settings.isFirstStart ? FIRST_ASSIGNMENT_MS : 0,
         onMoved: (rows, reason) => find<NodeMetrics>('metrics').rowsChanged(reason, rows),
       }),
@@ -238,7 +243,7 @@
         load: find<KeyLoad>('key-load'),
         logger: find<Logger>('logger'),
         ownRanges: find<GrantLedger>('ledger').ranges,
-        ownCapacity: () => find<{ load: () => { serviceRate: number } }>('queue').load().serviceRate,
+        ownCapacity: () => find<SlotQueue>('queue').load().serviceRate,
       }),
     }),
   });
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -72,6 +72,10 @@
     for (const listener of listeners) listener();
   };
 
+  const isSilent = ({ announcedAt }: Life) => (
+    clock.now() - announcedAt > options.announceIntervalMs * MISSED_ANNOUNCEMENTS
+  );
+
   const setState = (current: Life, state: Life['state'], reason: string) => {
     if (current.state === state) return;
     const { instance, startedAt, sequence } = current.announcement;
@@ -91,7 +95,11 @@
     if (first) await clock.sleep(CONFIRM_DELAY_MS);
     const second = first && await options.isRefused(address);
     isConfirming = false;
-    if (second && current === life) setState(current, 'down', 'its address refuses connections');
+    if (current !== life) return;
+    if (second) setState(current, 'down', 'its address refuses connections');
+    else if (current.state === 'ready' && isSilent(current)) {
+      setState(current, 'silent', 'its announcements do not arrive');
+    }
   };
 
   const begin = (announcement: Announcement): Life => {
@@ -117,7 +125,7 @@
   };
 
   const close = (current: Life, reason: string) => {
-    if (current.state !== 'ready') return;
+    if (current.state === 'draining' || current.state === 'down') return;
     Object.assign(current, { closesAt: clock.now() + options.drainMs * DRAIN_USE });
     setState(current, 'draining', reason);
   };
@@ -142,7 +150,9 @@
     }
     Object.assign(life, { announcement, announcedAt: clock.now() });
     if (announcement.isDraining) close(life, 'it announced that it leaves');
-    else if (life.state === 'down') setState(life, 'ready', 'it announced itself again');
+    else if (life.state === 'down' || life.state === 'silent') {
+      setState(life, 'ready', 'it announced itself again');
+    }
     return true;
   };
 
@@ -177,9 +187,7 @@
     },
     check: async () => {
       if (life === undefined || life.state === 'down') return;
-      const silentMs = clock.now() - life.announcedAt;
-      const isSilent = silentMs > options.announceIntervalMs * MISSED_ANNOUNCEMENTS;
-      if (isSilent || life.state === 'draining') await confirmEnd(life);
+      if (isSilent(life) || life.state === 'draining') await confirmEnd(life);
     },
   };
 };
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -2,7 +2,13 @@
 import { z } from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import {
-  type Candidate, keyCount, type KeyLoad, type KeyRange, type LoadCell, type LoadPicture, type Owner,
+  type Candidate,
+  keyCount,
+  type KeyLoad,
+  type KeyRange,
+  type LoadCell,
+  type LoadPicture,
+  type Owner,
   ownerKey,
 } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -53,8 +53,10 @@
   readonly isKeyed: (service: string) => boolean;
   /** Measured load; the candidates are those that the keeper found. */
   readonly pictureOf: (candidates: readonly Candidate['owner'][]) => LoadPicture;
-  /** Longest hold in ms; a lost owner's holds end within it. */
+  /** Longest hold in ms that an instance accepts. */
   readonly maxHoldMs: number;
+  /** Duration in ms of the right to grant; a lost owner's holds end within it. */
+  readonly rightMs: number;
   /** Time in ms after the start of the process before keys get their first owners. */
   readonly firstAssignmentMs: number;
   readonly onMoved?: (rows: number, reason: string) => void;
@@ -139,12 +141,14 @@
     const isCurrent = isSameOwner(row.owner, current);
     if (released.has(rowKey(row))) return true;
     // A later life of the instance at this host proves the end of the earlier one.
-    if (current !== undefined && !isCurrent && current.startedAt >= row.owner.startedAt) return true;
+    const isEarlier = current !== undefined && !isCurrent
+      && current.startedAt >= row.owner.startedAt;
+    if (isEarlier) return true;
     if (isCurrent && registry.local()?.state === 'down') return true;
     return registry.silentMs() > options.maxHoldMs && ledger.holdLeftMs() === 0;
   };
 
-  const lostAfterMs = options.maxHoldMs * ABSENCE_FACTOR + ABSENCE_MARGIN_MS;
+  const lostAfterMs = options.rightMs * ABSENCE_FACTOR + ABSENCE_MARGIN_MS;
   const isOfLostNode = ({ owner }: RangeRow) => (
     owner !== undefined && owner.node !== node && absences.absentMs(owner.node) > lostAfterMs
   );
@@ -225,7 +229,12 @@
     if (result.isOk()) {
       const changed = record.rows.filter((row) => !before.rows.includes(row)).length;
       logger.info({
-        service, from: entry?.revision ?? 0, to: result.value, rows: changed, lost: [...lost], reason,
+        service,
+        from: entry?.revision ?? 0,
+        to: result.value,
+        rows: changed,
+        lost: [...lost],
+        reason,
       }, 'changed the range record');
       options.onMoved?.(changed, reason);
       view.apply({ key, revision: result.value, value });
@@ -290,4 +299,3 @@
     },
   };
 };
-
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -101,10 +101,11 @@
   const contracts = kernel.find<ContractSource>('contracts');
   const view = kernel.find<StoreView>('view');
   const fleet = kernel.find<FleetView>('fleet');
-  metrics.observe('in_flight', 'Requests that the local instance runs', () => local.load().inFlight);
+  metrics.observe('in_flight', 'Requests that the instance runs', () => local.load().inFlight);
   metrics.observe('queued', 'Requests that wait for the local instance', () => local.load().queued);
   metrics.observe('right_to_grant_ms', 'Time for which holds may be given', right.remainingMs);
-  metrics.observe('contract_revision', 'Contract in force', () => contracts.routes()?.revision ?? 0);
+  const revision = () => contracts.routes()?.revision ?? 0;
+  metrics.observe('contract_revision', 'Contract in force', revision);
   metrics.observe('store_connected', '1 while the store answers', () => Number(view.isConnected()));
   metrics.observe('fleet_nodes', 'Nodes in the directory', () => fleet.present().size);
 };
--- a/gateway/attempts.ts
+++ b/gateway/attempts.ts
@@ -36,7 +36,9 @@
 
 const reportKind = (outcome: AttemptOutcome, isAborted: boolean) => {
   if (isAborted) return 'cancelled';
-  if (outcome.kind === 'answered') return outcome.status < FIRST_SERVER_ERROR ? 'success' : 'failure';
+  if (outcome.kind === 'answered') {
+    return outcome.status < FIRST_SERVER_ERROR ? 'success' : 'failure';
+  }
   if (outcome.kind !== 'refused') return 'failure';
   if (outcome.refusal.outcome === 'not run') return 'refused';
   return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -57,6 +57,7 @@
 /** Part of the time to come back by which callers are spread, so that they do not come at once. */
 const RETRY_SPREAD = 0.5;
 const STATUS_NOT_FOUND = 404;
+const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 
@@ -123,7 +124,8 @@
     }
     const id = [names.requestId, request.requestId];
     if (outcome.kind === 'failed') {
-      answerText(response, 502, id, JSON.stringify({ error: 'the instance failed', outcome: 'unknown' }));
+      const text = '{"error":"the instance failed","outcome":"unknown"}';
+      answerText(response, STATUS_BAD_GATEWAY, id, text);
       return;
     }
     const { refusal } = outcome;
--- a/gateway/local_service.ts
+++ b/gateway/local_service.ts
@@ -10,7 +10,7 @@
 export interface LocalInstance {
   readonly instance: string;
   readonly service: string;
-  readonly state: 'ready' | 'draining' | 'down';
+  readonly state: 'ready' | 'silent' | 'draining' | 'down';
   /** Monotonic time in ms after which a leaving instance gets no new requests. */
   readonly closesAt: number;
   readonly port: InstancePort;
@@ -44,7 +44,9 @@
 const DOWN_RETRY_AFTER_MS = 400;
 const MOVED_RETRY_AFTER_MS = 50;
 
-const workClassOf = ({ kind, priority, targetAt, deadlineAt }: GatewayRequest) => (
+const workClassOf = ({
+  kind, priority, targetAt, deadlineAt,
+}: GatewayRequest) => (
   // Routes are told apart by what their requests may take, since calls have shorter targets.
   `${kind}/${priority}/${Math.round((deadlineAt - targetAt) / 100)}`
 );
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -30,8 +30,7 @@
  * How an attempt ended. `refused`: nothing was delivered. `failed`: the instance answered with a
  * failure that was not delivered, so that another attempt can be made.
  */
-export type AttemptOutcome =
-  | { readonly kind: 'answered'; readonly status: number }
+export type AttemptOutcome = | { readonly kind: 'answered'; readonly status: number }
   | { readonly kind: 'failed'; readonly status: number }
   | {
     readonly kind: 'refused';
--- /dev/null
+++ b/gateway/route_table_test.ts
@@ -0,0 +1,62 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import type { PublishedContract, PublishedRoute } from '../contract/mod.ts';
+import { createRetryAllowance } from './retry_allowance.ts';
+import { chooseService, createRouteTable } from './route_table.ts';
+
+const test = suite('routes and retries');
+
+const routeOf = (name: string, prefix: string, host = 'shop.example'): PublishedRoute => ({
+  name,
+  host,
+  prefix,
+  kind: 'safe',
+  timeoutMs: 1000,
+  targetLatencyMs: 300,
+  priority: 1,
+  maxAttempts: 2,
+  targets: [{ service: 'ledger', weight: 1 }],
+});
+
+const tableOf = (...routes: readonly PublishedRoute[]) => createRouteTable({
+  revision: 3, routes, services: new Map(),
+} satisfies PublishedContract);
+
+test('the longest prefix of the host wins', () => {
+  const table = tableOf(routeOf('short', '/a/'), routeOf('long', '/a/b/'), routeOf('root', '/', 'x'));
+  assert.is(table.match('SHOP.example:8080', '/a/b/c?d=/e/')?.name, 'long');
+  assert.is(table.match('shop.example', '/a/x')?.name, 'short');
+  assert.is(table.match('shop.example', '/b/'), undefined);
+  assert.is(table.match('other.example', '/a/'), undefined);
+});
+
+test('a split sends each service its share', () => {
+  const route = {
+    ...routeOf('split', '/'), targets: [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }],
+  };
+  const chosen = Array.from({ length: 100 }, (_, index) => chooseService(route, () => index / 100));
+  assert.is(chosen.filter((service) => service === 'b').length, 10);
+});
+
+test('all nodes together stay within the bound of further sends', async () => {
+  const clock = createFakeClock();
+  const nodes = 13;
+  const allowances = Array.from({ length: nodes }, () => createRetryAllowance({
+    clock, ratio: 0.2, extra: 62, windowMs: 10_000, nodeCount: () => nodes,
+  }));
+  let requests = 0;
+  let sends = 0;
+  for (let step = 0; step < 100; step += 1) {
+    for (const allowance of allowances) {
+      allowance.deposit('ledger');
+      requests += 1;
+      while (allowance.withdraw('ledger')) sends += 1;
+    }
+    await clock.advance(100);
+  }
+  assert.ok(sends > 0);
+  assert.ok(sends <= 0.2 * requests + 62, `${sends} further sends for ${requests} requests`);
+});
+
+test.run();
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -190,19 +190,19 @@
       resolve(refuse('the wait would be too long', waitMs - Math.max(0, allowedMs)));
       return;
     }
+    const settled = new AbortController();
     const one: Waiting = {
       request,
       arrivedAt: now,
       settle: (result) => {
-        request.signal.removeEventListener('abort', onAbort);
+        settled.abort();
         resolve(result);
       },
       cancelTimer: () => undefined,
     };
-    function onAbort() {
-      if (take(one)) resolve(refuse('the caller has gone', 0));
-    }
-    request.signal.addEventListener('abort', onAbort, { once: true });
+    request.signal.addEventListener('abort', () => {
+      if (take(one)) one.settle(refuse('the caller has gone', 0));
+    }, { once: true, signal: settled.signal });
     one.cancelTimer = clock.schedule(Math.max(1, allowedMs), () => giveUp(one));
     waiting.push(one);
   });
--- a/ranges/change_record.ts
+++ b/ranges/change_record.ts
@@ -57,17 +57,16 @@
   record: RangeRecord,
   assignments: readonly RangeAssignment[],
 ): RangeRecord => {
+  const { nextToken } = record;
   let { rows } = record;
-  let changed = false;
   for (const assignment of assignments) {
-    rows = splitAt(rows, assignment).map((row) => {
-      if (!overlaps(row, assignment) || row.owner !== undefined) return row;
-      changed = true;
-      return {
-        ...row, owner: assignment.owner, successor: undefined, token: record.nextToken,
-      };
-    });
+    rows = splitAt(rows, assignment).map((row) => (
+      !overlaps(row, assignment) || row.owner !== undefined ? row : {
+        ...row, owner: assignment.owner, successor: undefined, token: nextToken,
+      }
+    ));
   }
+  const changed = rows.some(({ token }) => token === nextToken);
   return changed ? { nextToken: record.nextToken + 1, rows: joinRows(rows) } : record;
 };
 
@@ -85,18 +84,18 @@
   record: RangeRecord,
   moves: readonly RangeAssignment[],
 ): RangeRecord => {
+  const moving = ({ rows }: Pick<RangeRecord, 'rows'>) => (
+    rows.filter(({ successor }) => successor !== undefined).length
+  );
   let { rows } = record;
-  let changed = false;
   for (const move of moves) {
     rows = splitAt(rows, move).map((row) => {
       const mayMove = overlaps(row, move) && row.owner !== undefined
         && row.successor === undefined && !isSameOwner(row.owner, move.owner);
-      if (!mayMove) return row;
-      changed = true;
-      return { ...row, successor: move.owner };
+      return mayMove ? { ...row, successor: move.owner } : row;
     });
   }
-  return changed ? { nextToken: record.nextToken, rows: joinRows(rows) } : record;
+  return moving({ rows }) > moving(record) ? { nextToken: record.nextToken, rows: joinRows(rows) } : record;
 };
 
 /** Handover of released keys that contain all keys of the row. */
--- a/ranges/mod.ts
+++ b/ranges/mod.ts
@@ -36,4 +36,6 @@
   type RangeRecord,
   type RangeRow,
 } from './range_record.ts';
-export { createRightToGrant, type RightToGrant, type SendTime } from './right_to_grant.ts';
+export {
+  createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant, type SendTime,
+} from './right_to_grant.ts';
--- a/ranges/right_to_grant.ts
+++ b/ranges/right_to_grant.ts
@@ -20,6 +20,12 @@
   readonly remainingMs: () => number;
 }
 
+/**
+ * Duration in ms of the right to grant after a confirmed call. The entry is read every three
+ * seconds, and holds have to outlast an outage of the store of nine seconds.
+ */
+export const RIGHT_TO_GRANT_MS = 12_500;
+
 /**
  * Creates a right that has not been confirmed.
  *
--- a/store/leased_store.ts
+++ b/store/leased_store.ts
@@ -59,7 +59,7 @@
     afterRevision: number,
     options: WaitOptions,
   ) => Promise<Result<EntryChanges, StoreError>>;
-  /** Returns the new revision; fails with `conflict`, or with `lease-ended` for an unknown lease. */
+  /** Returns the new revision; fails with `conflict`, or `lease-ended` for an unknown lease. */
   readonly transact: (transaction: Transaction) => Promise<Result<number, StoreError>>;
   /** Opens a lease that ends `ttlMs` after its last renewal reached the store. */
   readonly openLease: (ttlMs: number) => Promise<Result<number, StoreError>>;
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -22,3 +22,6 @@
   Transaction,
   WaitOptions,
 } from './leased_store.ts';
+export {
+  createMemoryLeasedStore, type LeasedStoreFaults, type MemoryLeasedStore,
+} from './memory_leased_store.ts';
--- a/telemetry/bounded_logger.ts
+++ b/telemetry/bounded_logger.ts
@@ -11,10 +11,10 @@
 }
 
 interface Budget {
-  readonly perSecond: number;
-  tokens: number;
-  filledAt: number;
-  dropped: number;
+  /** Takes one line; false when it has to be dropped. */
+  readonly take: () => boolean;
+  /** Lines dropped since the last call. */
+  readonly takeDropped: () => number;
 }
 
 /** Enough for each request of a quiet host; beyond that the counters tell the rest. */
@@ -23,6 +23,30 @@
 const DEFAULT_WARN_PER_SECOND = 60;
 const SUMMARY_INTERVAL_MS = 5000;
 
+const createBudget = (clock: Clock, perSecond: number): Budget => {
+  let tokens = perSecond;
+  let filledAt = clock.now();
+  let dropped = 0;
+  return {
+    take: () => {
+      const now = clock.now();
+      tokens = Math.min(perSecond, tokens + ((now - filledAt) / 1000) * perSecond);
+      filledAt = now;
+      if (tokens < 1) {
+        dropped += 1;
+        return false;
+      }
+      tokens -= 1;
+      return true;
+    },
+    takeDropped: () => {
+      const count = dropped;
+      dropped = 0;
+      return count;
+    },
+  };
+};
+
 /**
  * Bounds the lines of a logger, so that a crest of load does not spend its time on logs. Dropped
  * lines are counted and told in a line of their own.
@@ -36,34 +60,16 @@
  */
 export const createBoundedLogger = (logger: Logger, options: BoundedLoggerOptions): Logger => {
   const { clock } = options;
-  const budget = (perSecond: number): Budget => ({
-    perSecond, tokens: perSecond, filledAt: clock.now(), dropped: 0,
-  });
-  const infos = budget(options.infoPerSecond ?? DEFAULT_INFO_PER_SECOND);
-  const warnings = budget(options.warnPerSecond ?? DEFAULT_WARN_PER_SECOND);
+  const infos = createBudget(clock, options.infoPerSecond ?? DEFAULT_INFO_PER_SECOND);
+  const warnings = createBudget(clock, options.warnPerSecond ?? DEFAULT_WARN_PER_SECOND);
   let summarisedAt = clock.now();
 
   const summarise = () => {
     if (clock.now() - summarisedAt < SUMMARY_INTERVAL_MS) return;
     summarisedAt = clock.now();
-    if (infos.dropped + warnings.dropped === 0) return;
-    logger.warn({ info: infos.dropped, warn: warnings.dropped }, 'log lines were dropped');
-    infos.dropped = 0;
-    warnings.dropped = 0;
-  };
-
-  const take = (from: Budget): boolean => {
-    const now = clock.now();
-    const filled = from.tokens + ((now - from.filledAt) / 1000) * from.perSecond;
-    from.tokens = Math.min(from.perSecond, filled);
-    from.filledAt = now;
-    summarise();
-    if (from.tokens < 1) {
-      from.dropped += 1;
-      return false;
-    }
-    from.tokens -= 1;
-    return true;
+    const info = infos.takeDropped();
+    const warn = warnings.takeDropped();
+    if (info + warn > 0) logger.warn({ info, warn }, 'log lines were dropped');
   };
 
   const wrap = (inner: Logger): Logger => {
@@ -71,7 +77,8 @@
       fields: LogFields,
       sentence: string,
     ) => {
-      if (take(from)) inner[level](fields, sentence);
+      summarise();
+      if (from.take()) inner[level](fields, sentence);
     };
     return {
       debug: inner.debug,
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -1,4 +1,6 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import {
+  Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 
 /** Counters and histograms of a node, with labels of bounded size. */
 export interface NodeMetrics {
