Do not take a reset for the end of an answer without a length

Change: the port to the instance sees resets of its sockets and reports such an answer as truncated. Also: the stand-in instance reported its holds with four columns, which the node rightly could not read, and the loopback tests cover the whole path.

--- /dev/null
+++ b/fleet/_test_node.ts
@@ -0,0 +1,130 @@
+import { createServer, type Server } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { createSystemClock } from '../clock/mod.ts';
+import type { PlatformSettings } from '../platform/mod.ts';
+import {
+  type PlatformInstance, type PlatformStoreServer, startPlatformInstance, startPlatformStore,
+} from '../standins/mod.ts';
+import { silentLogger } from '../telemetry/mod.ts';
+import { type FleetNode, startFleetNode } from './start_fleet_node.ts';
+
+/** One host of a fleet on loopback. */
+export interface LoopbackHost {
+  readonly settings: PlatformSettings;
+  readonly node: FleetNode;
+  readonly instance: PlatformInstance;
+}
+
+/** A fleet on loopback with a stand-in store. */
+export interface LoopbackFleet {
+  readonly server: PlatformStoreServer;
+  readonly hosts: readonly LoopbackHost[];
+  readonly publish: (version: number, extraPrefix?: string) => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Published routes: `/keyed/` is divided by key, `/orders/` must not run twice. */
+const routesOf = (extraPrefix?: string) => [
+  { prefix: '/keyed/', kind: 'safe', service: 'ledger' },
+  { prefix: '/orders/', kind: 'unsafe', service: 'orders' },
+  { prefix: '/reads/', kind: 'safe', service: 'orders' },
+  ...(extraPrefix === undefined ? [] : [{ prefix: extraPrefix, kind: 'safe', service: 'orders' }]),
+];
+
+const contractOf = (version: number, extraPrefix?: string) => JSON.stringify({
+  version,
+  resources: [
+    ...routesOf(extraPrefix).map(({ prefix, kind, service }) => ({
+      resource_type: 'routes',
+      metadata: { name: `r${prefix}` },
+      spec: {
+        host: 'shop.example',
+        prefix,
+        route_type: kind,
+        timeout: '1000ms',
+        target_latency: '300ms',
+        priority: 1,
+        max_attempts: 2,
+        service,
+      },
+    })),
+    { resource_type: 'services', metadata: { name: 'ledger' }, spec: { sharded: true } },
+    { resource_type: 'services', metadata: { name: 'orders' }, spec: {} },
+  ],
+});
+
+const freePorts = async (count: number): Promise<readonly number[]> => {
+  const servers = await Promise.all(Array.from({ length: count }, () => (
+    new Promise<Server>((resolve) => {
+      const server = createServer();
+      server.listen(0, '127.0.0.1', () => resolve(server));
+    })
+  )));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => {
+    server.close(resolve);
+  })));
+  return ports;
+};
+
+const PORTS_PER_HOST = 5;
+
+/** Starts a host for each service named. */
+export const startLoopbackFleet = async (
+  services: readonly string[],
+): Promise<LoopbackFleet> => {
+  const clock = createSystemClock();
+  const server = await startPlatformStore(clock);
+  const publish = async (version: number, extraPrefix?: string) => {
+    const key = 'op/config';
+    const found = (await server.store.get(key))._unsafeUnwrap();
+    await server.store.transact({
+      expect: [{ key, revision: found?.revision ?? 0 }],
+      puts: [{ key, value: contractOf(version, extraPrefix) }],
+    });
+  };
+  await publish(1);
+  const ports = await freePorts(services.length * PORTS_PER_HOST);
+  const hosts: LoopbackHost[] = [];
+  for (const [index, service] of services.entries()) {
+    const [caller, peer, readiness, announcements, metrics] = ports
+      .slice(index * PORTS_PER_HOST)
+      .map((port) => `127.0.0.1:${port}`);
+    const settings: PlatformSettings = {
+      node: `host-${index}`,
+      region: 'r',
+      failureDomain: `d${index % 2}`,
+      service,
+      instanceAddress: '',
+      isFirstStart: false,
+      announceIntervalMs: 200,
+      bounds: {
+        drainMs: 2000,
+        graceMs: 6000,
+        maxHoldMs: 10_000,
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        retryAllowance: 600,
+      },
+      listen: {
+        caller: caller!, peer: peer!, readiness: readiness!, announcements: announcements!,
+      },
+      store: { address: server.address, writesPerSecond: 400, readsPerSecond: 2000 },
+    };
+    const node = await startFleetNode(settings, {
+      clock, logger: silentLogger, metricsPort: Number(metrics!.split(':')[1]),
+    });
+    const instance = await startPlatformInstance({ service, control: announcements! });
+    hosts.push({ settings, node, instance });
+  }
+  return {
+    server,
+    hosts,
+    publish,
+    stop: async () => {
+      for (const { instance } of hosts) instance.kill();
+      await Promise.all(hosts.map(({ node }) => node.kill()));
+      await server.close();
+    },
+  };
+};
--- /dev/null
+++ b/fleet/fleet_node_test.ts
@@ -0,0 +1,141 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { request } from 'undici';
+import { type LoopbackFleet, startLoopbackFleet } from './_test_node.ts';
+
+const test = suite('fleet node');
+
+let fleet: LoopbackFleet;
+let nextId = 0;
+
+interface SentRequest {
+  readonly path: string;
+  readonly key?: number;
+  readonly method?: 'GET' | 'POST';
+  readonly host?: number;
+}
+
+const send = async ({
+  path, key, method = 'GET', host = 0,
+}: SentRequest) => {
+  nextId += 1;
+  const id = `request-${nextId}`;
+  const response = await request(`http://${fleet.hosts[host]!.settings.listen.caller}${path}`, {
+    method,
+    headers: {
+      host: 'shop.example',
+      'request-id': id,
+      'deadline-ms': '900',
+      'caller-service': 'forged',
+      ...(key === undefined ? {} : { 'shard-key': String(key) }),
+    },
+    ...(method === 'POST' ? { body: 'order' } : {}),
+  });
+  return {
+    id, status: response.statusCode, headers: response.headers, text: await response.body.text(),
+  };
+};
+
+const waitUntil = async (isDone: () => Promise<boolean> | boolean, limitMs = 8000) => {
+  const endsAt = Date.now() + limitMs;
+  while (!await isDone()) {
+    if (Date.now() > endsAt) throw new Error(`not done within ${limitMs} ms`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+};
+
+const runsOf = (id: string) => fleet.hosts
+  .reduce((sum, { instance }) => sum + (instance.runs.get(id) ?? 0), 0);
+
+const isServed = async (wanted: SentRequest) => (await send(wanted)).status === 200;
+
+test.before(async () => {
+  fleet = await startLoopbackFleet(['ledger', 'ledger', 'orders', 'orders']);
+  await waitUntil(() => isServed({ path: '/keyed/a', key: 1 }));
+  await waitUntil(() => isServed({ path: '/keyed/a', key: 65_535 }));
+  await waitUntil(() => isServed({ path: '/orders/a' }));
+});
+
+test.after(() => fleet.stop());
+
+test('each key reaches its one owner from every host', async () => {
+  for (const key of [0, 20_000, 40_000, 65_535]) {
+    const answers = await Promise.all([0, 1, 2, 3].map((host) => (
+      send({ path: '/keyed/x', key, host })
+    )));
+    const owners = new Set(answers.map(({ text }) => text.split(' ran at ')[1]));
+    assert.is(owners.size, 1);
+    for (const { id, text, status } of answers) {
+      assert.is(status, 200);
+      assert.match(text, id);
+    }
+  }
+});
+
+test('an unknown route is answered 404 and a known one is not', async () => {
+  assert.is((await send({ path: '/unknown/' })).status, 404);
+  assert.is((await send({ path: '/reads/1' })).status, 200);
+});
+
+test('a version is in force soon after it was published', async () => {
+  assert.is((await send({ path: '/added/1' })).status, 404);
+  await fleet.publish(5, '/added/');
+  await waitUntil(() => isServed({ path: '/added/1', host: 3 }), 1500);
+});
+
+test('an order whose answer is lost is not sent twice, and not called `not run`', async () => {
+  for (const { instance } of fleet.hosts) instance.setFault('foreign');
+  const { id, status } = await send({ path: '/orders/1', method: 'POST' });
+  for (const { instance } of fleet.hosts) instance.setFault('none');
+  assert.is(runsOf(id), 1);
+  assert.is(status, 502);
+});
+
+test('an order that one instance sheds runs at another one', async () => {
+  const [, , shedding, sound] = fleet.hosts;
+  shedding!.instance.setFault('shed');
+  const answers = [];
+  for (let index = 0; index < 8; index += 1) {
+    answers.push(await send({ path: '/orders/2', method: 'POST', host: 2 }));
+  }
+  shedding!.instance.setFault('none');
+  for (const { id, status } of answers) {
+    if (status === 503) assert.is(runsOf(id), 0);
+    else assert.is(runsOf(id), 1);
+  }
+  assert.ok(sound!.instance.runs.size > 0);
+});
+
+test('a read that one instance fails is answered by another one', async () => {
+  const [, , failing] = fleet.hosts;
+  failing!.instance.setFault('error');
+  const statuses = [];
+  for (let index = 0; index < 6; index += 1) {
+    statuses.push((await send({ path: '/reads/3', host: 2 })).status);
+  }
+  failing!.instance.setFault('none');
+  assert.ok(statuses.filter((status) => status === 200).length >= 5, statuses.join());
+});
+
+test('the keys of an ended instance are served by the other one', async () => {
+  fleet.hosts[1]!.instance.kill();
+  await waitUntil(() => isServed({ path: '/keyed/a', key: 1 }), 4000);
+  await waitUntil(() => isServed({ path: '/keyed/a', key: 65_535 }), 4000);
+  await waitUntil(() => isServed({ path: '/keyed/a', key: 40_000 }), 4000);
+});
+
+test('a node that stops is not ready, and finishes within the grace time', async () => {
+  const { node, settings } = fleet.hosts[3]!;
+  const startedAt = Date.now();
+  const stopped = node.stop();
+  const { statusCode, body } = await request(`http://${settings.listen.readiness}/readiness`);
+  await body.text();
+  assert.is(statusCode, 503);
+  assert.is((await send({ path: '/reads/4', host: 3 })).status, 200);
+  await stopped;
+  assert.ok(Date.now() - startedAt < settings.bounds.graceMs);
+});
+
+test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -20,6 +20,8 @@
   readonly reload: (settings: PlatformSettings) => void;
   /** Planned stop within the grace time: finishes what is in flight. */
   readonly stop: () => Promise<void>;
+  /** Stops at once, as the loss of the process does. */
+  readonly kill: () => Promise<void>;
 }
 
 /** Options of a node. */
@@ -192,5 +194,13 @@
       logger.info({ service: callerService }, 'reloaded the settings');
     },
     stop,
+    kill: async () => {
+      tasks.stop();
+      for (const listener of control) listener.kill();
+      for (const name of ['caller-listener', 'peer-listener']) {
+        kernel.find<HttpListener>(name).kill();
+      }
+      await kernel.stop();
+    },
   };
 };
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -28,6 +28,8 @@
    * write.
    */
   readonly beforeWrite?: () => Error | undefined;
+  /** Tells why an answer that seems complete is not; `raw` are the headers of its head. */
+  readonly checkEnd?: (rawHeaders: readonly string[]) => string | undefined;
   /** Checks the raw headers of the final answer; a reason drops the answer. */
   readonly checkHead?: (rawHeaders: readonly string[]) => string | undefined;
 }
@@ -76,6 +78,7 @@
   let controller: Dispatcher.DispatchController | undefined;
   let use: AnswerUse | undefined;
   let status = 0;
+  let head: readonly string[] = [];
   let drainedBytes = 0;
   let cause: FailureCause = 'connection';
   let settled = false;
@@ -175,6 +178,7 @@
         return;
       }
       status = statusCode;
+      head = raw;
       const decided = sink.start(statusCode, endToEndHeaders(raw, DROPPED));
       if (decided === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
       else {
@@ -203,6 +207,11 @@
     },
     onResponseEnd: () => {
       if (settled) return;
+      const incomplete = use === 'deliver' ? options.checkEnd?.(head) : undefined;
+      if (incomplete !== undefined) {
+        fail('connection', new Error(incomplete));
+        return;
+      }
       settle({ kind: 'complete', status });
       if (use === 'deliver') sink.end();
     },
--- a/gateway/instance_port.ts
+++ b/gateway/instance_port.ts
@@ -1,4 +1,4 @@
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
 import type { Clock } from '../clock/mod.ts';
 import { StepError } from '../errors/mod.ts';
 import {
@@ -67,11 +67,23 @@
  */
 export const createInstancePort = (options: InstancePortOptions): InstancePort => {
   const { clock, address, headers: names } = options;
+  const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  /** A connection is being reset in this turn of the event loop. */
+  let isResetting = false;
   const pool = new Pool(`http://${address}`, {
     connections: options.connections,
     pipelining: 1,
-    connectTimeout: CONNECT_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
+    connect: (target, done) => connectSocket(target, (...result) => {
+      const [, socket] = result;
+      socket?.on('error', () => {
+        isResetting = true;
+        process.nextTick(() => {
+          isResetting = false;
+        });
+      });
+      done(...result);
+    }),
   });
   const replaced = new Set([names.remainingMs, names.expectedInstance]);
 
@@ -93,6 +105,13 @@
       : 'the answer belongs to another request';
   };
 
+  /** The HTTP client takes a reset for the end of an answer that has no length. */
+  const checkEnd = (raw: readonly string[]) => {
+    const hasLength = findHeader(raw, 'content-length') !== undefined
+      || findHeader(raw, 'transfer-encoding') !== undefined;
+    return isResetting && !hasLength ? 'the connection was reset within the answer' : undefined;
+  };
+
   const toOutcome = (
     end: ExchangeEnd,
     request: GatewayRequest,
@@ -147,6 +166,7 @@
       silenceMs: Number.POSITIVE_INFINITY,
       stallMs: BODY_STALL_MS,
       checkHead: checkHead(request),
+      checkEnd,
     });
     if (invalid !== undefined) {
       const place = { step: 'instance.send', peer: options.instance };
--- /dev/null
+++ b/gateway/instance_port_test.ts
@@ -0,0 +1,141 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import type { AnswerSink } from '../forward/mod.ts';
+import { createInstancePort } from './instance_port.ts';
+import type { GatewayRequest } from './request.ts';
+
+const test = suite('instance port');
+
+const clock = createSystemClock();
+const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n';
+const RESET_DELAY_MS = 20;
+
+const requestOf = (signal = new AbortController().signal): GatewayRequest => ({
+  requestId: 'r1',
+  service: 'ledger',
+  kind: 'safe',
+  priority: 1,
+  key: undefined,
+  instance: 'i-1',
+  method: 'GET',
+  path: '/a/1',
+  headers: ['Host', 'shop.example', 'Request-Id', 'r1', 'Deadline-Ms', '5000'],
+  body: null,
+  deadlineAt: clock.now() + 1000,
+  targetAt: clock.now() + 300,
+  signal,
+});
+
+/** Runs one request against a server that answers raw bytes. */
+const runAgainst = async (answer: (socket: Socket, head: string) => void) => {
+  const server = await new Promise<Server>((resolve) => {
+    const started = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', (data) => answer(socket, data.toString()));
+    });
+    started.listen(0, '127.0.0.1', () => resolve(started));
+  });
+  const { port } = server.address() as AddressInfo;
+  const body: Buffer[] = [];
+  const sink: AnswerSink = {
+    start: () => 'deliver',
+    write: (chunk) => body.push(chunk) > 0,
+    onDrain: (resume) => resume(),
+    end: () => undefined,
+  };
+  const instancePort = createInstancePort({
+    clock,
+    address: `127.0.0.1:${port}`,
+    instance: 'i-1',
+    connections: 2,
+    headers: {
+      requestId: 'request-id',
+      remainingMs: 'deadline-ms',
+      signature: 'response-seal',
+      expectedInstance: 'expect-instance',
+      notRun: 'not-executed',
+    },
+    onRefused: () => undefined,
+  });
+  const outcome = await instancePort.send(requestOf(), sink);
+  instancePort.close();
+  server.close();
+  return { outcome, body: Buffer.concat(body).toString() };
+};
+
+test('a whole answer is delivered', async () => {
+  const { outcome, body } = await runAgainst((socket) => {
+    socket.write(`${HEAD}content-length: 5\r\n\r\nhello`);
+  });
+  assert.is(outcome.kind, 'answered');
+  assert.is(body, 'hello');
+});
+
+test('an answer without a length ends with its connection', async () => {
+  const { outcome, body } = await runAgainst((socket) => {
+    socket.end(`${HEAD}connection: close\r\n\r\nhello`);
+  });
+  assert.is(outcome.kind, 'answered');
+  assert.is(body, 'hello');
+});
+
+test('an answer without a length that is reset does not look complete', async () => {
+  const { outcome } = await runAgainst((socket) => {
+    socket.write(`${HEAD}connection: close\r\n\r\nhel`);
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  });
+  assert.is(outcome.kind, 'truncated');
+});
+
+test('a short answer does not look complete', async () => {
+  const { outcome } = await runAgainst((socket) => {
+    socket.end(`${HEAD}content-length: 9\r\n\r\nhello`);
+  });
+  assert.is(outcome.kind, 'truncated');
+});
+
+test('an answer to another request is not delivered', async () => {
+  const { outcome, body } = await runAgainst((socket) => {
+    socket.write(`${HEAD.replace('r1', 'r0')}content-length: 5\r\n\r\nhello`);
+  });
+  assert.is(outcome.kind, 'refused');
+  assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'unknown');
+  assert.is(body, '');
+});
+
+test('an unsigned or encoded success is not delivered', async () => {
+  for (const head of [
+    'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n',
+    `${HEAD}content-encoding: gzip\r\n`,
+  ]) {
+    const { outcome } = await runAgainst((socket) => {
+      socket.write(`${head}content-length: 5\r\n\r\nhello`);
+    });
+    assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'unknown');
+  }
+});
+
+test('only a statement of the instance makes a refusal one that has not run', async () => {
+  const shed = await runAgainst((socket) => {
+    socket.write('HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n');
+  });
+  assert.is(shed.outcome.kind === 'refused' && shed.outcome.refusal.outcome, 'not run');
+  const reset = await runAgainst((socket) => socket.resetAndDestroy());
+  assert.is(reset.outcome.kind === 'refused' && reset.outcome.refusal.outcome, 'unknown');
+});
+
+test('the instance gets the time that is left and its own name', async () => {
+  let seen = '';
+  await runAgainst((socket, head) => {
+    seen = head;
+    socket.write(`${HEAD}content-length: 0\r\n\r\n`);
+  });
+  assert.match(seen, /expect-instance: i-1/u);
+  const left = Number(/deadline-ms: (\d+)/u.exec(seen)?.[1]);
+  assert.ok(left > 500 && left <= 1000, `${left} ms`);
+});
+
+test.run();
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -57,7 +57,7 @@
         const isKept = granted.some((row) => row[0] <= from && row[1] >= to);
         if (!isKept) released.push([from, to, randomUUID().slice(0, 16)]);
       }
-      rows = granted;
+      rows = granted.map(([from, to, token]) => [from, to, token]);
       endsAt = sentAt + holdMs;
       return released.length > 0;
     },
