Let closings be read before a request is run, and prefer near instances until they are full

Change: two turns of the event loop before an attempt; near instances are used up to 0.85 of their slots.

--- a/fleet/_test_node.ts
+++ b/fleet/_test_node.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { createSystemClock } from '../clock/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import {
--- a/gateway/_answer.ts
+++ b/gateway/_answer.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RefusalError } from '../errors/mod.ts';
 
+/** A closed connection is read one turn after the last bytes, and reported in the next one. */
+const PENDING_TURNS = 2;
+
 /** Aborts when the other end closes its connection before the answer is complete. */
 export const abortOnClose = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController();
@@ -10,6 +13,18 @@
   return controller.signal;
 };
 
+/**
+ * Lets the event loop read what its sockets have received. A process that was slow finds requests
+ * and the closing of their connections at the same time, and must not run the former.
+ */
+export const readPendingEvents = async (): Promise<void> => {
+  for (let turn = 0; turn < PENDING_TURNS; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+};
+
 /** Describes a refusal to a caller; the text names the step and the peer. */
 export const describeRefusal = ({ message, outcome }: RefusalError): string => (
   JSON.stringify({ error: message, outcome })
--- a/gateway/attempts.ts
+++ b/gateway/attempts.ts
@@ -110,7 +110,7 @@
         request: requestId,
         service,
         key: request.key,
-        node: target.node,
+        target: target.node,
         instance: target.instance,
         version: target.version,
         reason: target.reason,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -8,7 +8,8 @@
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, allowBody, answerText, describeRefusal, headerOf, renderMalformed,
+  abortOnClose, allowBody, answerText, describeRefusal, headerOf, readPendingEvents,
+  renderMalformed,
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
 import type { Attempts } from './attempts.ts';
@@ -149,6 +150,8 @@
       answerText(response, STATUS_TOO_LARGE, [], '{"error":"the body is too large"}');
       return;
     }
+    await readPendingEvents();
+    if (request.signal.aborted) return;
     const sink = createResponseSink(response, () => undefined);
     const outcome = await options.attempts.run({ ...request, body }, route.maxAttempts, sink);
     end(request, outcome, response);
--- a/gateway/instance_port_test.ts
+++ b/gateway/instance_port_test.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -9,7 +9,7 @@
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, answerText, describeRefusal, headerOf, renderMalformed,
+  abortOnClose, answerText, describeRefusal, headerOf, readPendingEvents, renderMalformed,
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
 import type { LocalService } from './local_service.ts';
@@ -111,6 +111,8 @@
       resetConnection(response);
       return;
     }
+    await readPendingEvents();
+    if (request.signal.aborted) return;
     const stop = keepAwake(response);
     const sink = createResponseSink(response, (headers) => {
       headers.push(hopHeaders.load, formatLoad(local.load()));
--- a/routing/choose_instance.ts
+++ b/routing/choose_instance.ts
@@ -29,7 +29,7 @@
 /** A farther instance is chosen when the nearer one's expected wait is this many times its own. */
 const FAR_MARGIN = 1.5;
 /** Below this use of its slots, an instance answers without a wait, so distance alone counts. */
-const MIN_NEAR_UTILISATION = 0.5;
+const MIN_NEAR_UTILISATION = 0.85;
 /** Round trip to another failure domain. */
 const FAR_COST_MS = 1;
 /**
