Refuse late requests of a planned stop, and release the keys of a host without an instance

Change: connections are closed after each answer from SIGTERM on, and requests from 2.8 s on are refused as not run. Change: nodes release rows of their host for every keyed service, and an address that refuses connections proves that no instance holds keys. Requests for an owner whose node does not answer are refused at once.

--- a/contract/contract.ts
+++ b/contract/contract.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_DEADLINE_MS = 3_600_000;
 const MAX_SLOT_COUNT = 32_768;
--- a/daemon/announcements.ts
+++ b/daemon/announcements.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import { StepError } from '../errors/mod.ts';
 import { type InstanceInfo, InstanceState } from '../proto/mod.ts';
--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * State of an instance as its node sees it. `silent`: it runs requests, but its announcements do
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -4,8 +4,8 @@
 } from '../directory/mod.ts';
 import {
   type Attempts, createAttempts, createCallerListener, createLocalService, createPeerListener,
-  createPeerPort, createRetryAllowance, createSlotQueue, createTargetChooser, type LocalService,
-  type PeerPort, type SlotQueue, type TargetChooser,
+  createPeerPort, createRetryAllowance, createSlotQueue, createStopProgress, createTargetChooser, type LocalService,
+  type PeerPort, type SlotQueue, type StopProgress, type TargetChooser,
 } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -31,6 +31,12 @@
   settings: PlatformSettings,
   callerService: () => string,
 ) => {
+  kernel.register<StopProgress>({
+    name: 'progress',
+    needs: ['clock'],
+    start: (find) => ({ service: createStopProgress(find<Clock>('clock')) }),
+  });
+
   kernel.register<SlotQueue>({
     name: 'queue',
     needs: ['clock', 'registry'],
@@ -134,7 +140,11 @@
           recordOf: find<RangeKeeper>('ranges').recordOf,
           nodeOf: (node) => {
             const entry = fleet.find(node);
-            return entry && { node, address: entry.peerAddress };
+            return entry && {
+              node,
+              address: entry.peerAddress,
+              isSuspect: find<PeerPort>('peers').isSuspect(entry.peerAddress),
+            };
           },
         }),
       };
@@ -169,7 +179,7 @@
 
   kernel.register<HttpListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'local', 'collector'],
+    needs: ['clock', 'logger', 'local', 'collector', 'progress'],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
       const service = createPeerListener({
@@ -177,6 +187,7 @@
         address: settings.listen.peer,
         requestIdHeader: platformHeaders.requestId,
         local: find<LocalService>('local'),
+        progress: find<StopProgress>('progress'),
         logger: find<Logger>('logger'),
         control: (path) => (path === 'load' ? collector.own() : undefined),
       });
@@ -187,7 +198,7 @@
 
   kernel.register<HttpListener>({
     name: 'caller-listener',
-    needs: ['clock', 'logger', 'contracts', 'attempts', 'metrics'],
+    needs: ['clock', 'logger', 'contracts', 'attempts', 'metrics', 'progress'],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
@@ -197,6 +208,7 @@
         callerService,
         routes: find<ContractSource>('contracts').routes,
         attempts: find<Attempts>('attempts'),
+        progress: find<StopProgress>('progress'),
         logger: find<Logger>('logger'),
         random: Math.random,
         onEnd: ({
--- a/fleet/_test_keepers.ts
+++ b/fleet/_test_keepers.ts
@@ -88,6 +88,7 @@
       clock,
       node,
       logger: silentLogger,
+      instanceAddress: `${node}:1`,
       announceIntervalMs: ANNOUNCE_INTERVAL_MS,
       drainMs: 2000,
       openPort: () => ({
@@ -120,6 +121,7 @@
       right,
       logger: silentLogger,
       isKeyed: () => true,
+      keyedServices: () => ['ledger'],
       pictureOf: (owners) => ({
         candidates: owners.map((owner) => ({ owner, capacity: 100 })), cells: [],
       }),
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -7,6 +7,8 @@
 export interface ContractSource {
   readonly routes: () => RouteTable | undefined;
   readonly isKeyed: (service: string) => boolean;
+  /** Names of the services that are divided by key. */
+  readonly keyedServices: () => readonly string[];
 }
 
 /**
@@ -23,6 +25,7 @@
 export const createContractSource = (view: StoreView, logger: Logger): ContractSource => {
   const log = logger.forPart('contract');
   let table: RouteTable | undefined;
+  let keyedServices: readonly string[] = [];
 
   view.onChange(() => {
     const entry = view.get(CONTRACT_KEY);
@@ -36,6 +39,7 @@
     if (table !== undefined && revision <= table.revision) return;
     const former = table?.revision;
     table = createRouteTable(contract.value);
+    keyedServices = [...services.values()].filter(({ keyed }) => keyed).map(({ name }) => name);
     log.info({
       revision, former, stored: entry.revision, routes: routes.length, services: services.size,
     }, 'is in force');
@@ -44,5 +48,6 @@
   return {
     routes: () => table,
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
+    keyedServices: () => keyedServices,
   };
 };
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -14,6 +14,8 @@
   readonly owner: () => Owner | undefined;
   readonly slots: () => number;
   readonly isDraining: () => boolean;
+  /** No process listens at the instance's address, so no life of it holds keys. */
+  readonly isVacant: () => boolean;
   /** Time in ms since the last announcement. */
   readonly silentMs: () => number;
   readonly describe: () => DirectoryInstance | undefined;
@@ -27,6 +29,8 @@
   readonly clock: Clock;
   readonly node: string;
   readonly logger: Logger;
+  /** Address of the instance by the settings; empty when they name none. */
+  readonly instanceAddress: string;
   readonly announceIntervalMs: number;
   /** Time after an acknowledged departure by which no new request may reach the instance. */
   readonly drainMs: number;
@@ -67,6 +71,8 @@
   const listeners: (() => void)[] = [];
   let life: Life | undefined;
   let isConfirming = false;
+  /** No instance has announced itself, and the address of the settings refuses connections. */
+  let isAddressVacant = false;
 
   const notify = () => {
     for (const listener of listeners) listener();
@@ -87,16 +93,20 @@
   };
 
   /** Two refused connections prove that the process has ended, and its holds with it. */
-  const confirmEnd = async (current: Life) => {
-    if (isConfirming || current.state === 'down') return;
+  const isRefusedTwice = async (address: string): Promise<boolean> => {
     isConfirming = true;
-    const { address } = current.announcement;
     const first = await options.isRefused(address);
     if (first) await clock.sleep(CONFIRM_DELAY_MS);
     const second = first && await options.isRefused(address);
     isConfirming = false;
+    return second;
+  };
+
+  const confirmEnd = async (current: Life) => {
+    if (isConfirming || current.state === 'down') return;
+    const isEnded = await isRefusedTwice(current.announcement.address);
     if (current !== life) return;
-    if (second) setState(current, 'down', 'its address refuses connections');
+    if (isEnded) setState(current, 'down', 'its address refuses connections');
     else if (current.state === 'ready' && isSilent(current)) {
       setState(current, 'silent', 'its announcements do not arrive');
     }
@@ -118,6 +128,8 @@
       instance: announcement.instance,
       startedAt: announcement.startedAt,
       service: announcement.service,
+      address: announcement.address,
+      settingsAddress: options.instanceAddress,
       slots: announcement.slots,
       coldMs: announcement.coldMs,
     }, 'an instance announced itself');
@@ -173,6 +185,7 @@
     },
     slots: () => life?.announcement.slots ?? 1,
     isDraining: () => life?.state === 'draining',
+    isVacant: () => (life === undefined ? isAddressVacant : life.state === 'down'),
     silentMs: () => (life === undefined ? Infinity : clock.now() - life.announcedAt),
     describe: () => life && {
       instance: life.announcement.instance,
@@ -186,7 +199,16 @@
       listeners.push(listener);
     },
     check: async () => {
-      if (life === undefined || life.state === 'down') return;
+      if (life === undefined) {
+        if (options.instanceAddress === '' || isConfirming || isAddressVacant) return;
+        isAddressVacant = await isRefusedTwice(options.instanceAddress) && life === undefined;
+        if (isAddressVacant) {
+          logger.info({ address: options.instanceAddress }, 'no instance listens on this host');
+          notify();
+        }
+        return;
+      }
+      if (life.state === 'down') return;
       if (isSilent(life) || life.state === 'draining') await confirmEnd(life);
     },
   };
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import {
   type Candidate,
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -52,6 +52,7 @@
   readonly right: RightToGrant;
   readonly logger: Logger;
   readonly isKeyed: (service: string) => boolean;
+  readonly keyedServices: () => readonly string[];
   /** Measured load; the candidates are those that the keeper found. */
   readonly pictureOf: (candidates: readonly Candidate['owner'][]) => LoadPicture;
   /** Longest hold in ms that an instance accepts. */
@@ -109,10 +110,11 @@
     return known.record && { record: known.record, version: known.revision };
   };
 
-  const serviceOfHost = () => {
-    const service = registry.local()?.service;
-    return service !== undefined && options.isKeyed(service) ? service : undefined;
-  };
+  /** Keyed services of which this host has an instance, or keys of a former one. */
+  const servicesOfHost = () => options.keyedServices().filter((service) => (
+    registry.local()?.service === service
+    || recordOf(service)?.record.rows.some(({ owner }) => owner?.node === node)
+  ));
 
   const isLive = (owner: Owner) => isLiveOwner(fleet.present(), owner);
   const ownersOf = (service: string) => listOwners(fleet.present(), service);
@@ -127,7 +129,7 @@
     const isEarlier = current !== undefined && !isCurrent
       && current.startedAt >= row.owner.startedAt;
     if (isEarlier) return true;
-    if (isCurrent && registry.local()?.state === 'down') return true;
+    if (registry.isVacant()) return true;
     return registry.silentMs() > options.maxHoldMs && ledger.holdLeftMs() === 0;
   };
 
@@ -236,13 +238,12 @@
       isAgain = true;
       return;
     }
-    const service = serviceOfHost();
-    if (service === undefined || !view.isLoaded()) return;
+    if (!view.isLoaded()) return;
     isBusy = true;
     try {
       do {
         isAgain = false;
-        await write(service);
+        for (const service of servicesOfHost()) await write(service);
       } while (isAgain);
     } finally {
       isBusy = false;
@@ -276,8 +277,8 @@
     recordOf,
     reconcile,
     isPlanner: () => {
-      const service = serviceOfHost();
-      return service !== undefined && rankOf(ownersOf(service), node) === 0;
+      const service = registry.local()?.service;
+      return service !== undefined && options.isKeyed(service) && rankOf(ownersOf(service), node) === 0;
     },
   };
 };
--- a/fleet/range_keeper_test.ts
+++ b/fleet/range_keeper_test.ts
@@ -112,6 +112,18 @@
   assert.is(heldShare(), 1);
 });
 
+test('a restarted node whose instance left gives its keys to others', async () => {
+  const { hosts, run, heldShare } = await started();
+  hosts[2]!.cutStore(true);
+  hosts[2]!.killInstance();
+  hosts[2]!.killNode();
+  await run(1500);
+  hosts[2]!.cutStore(false);
+  hosts[2]!.startNode();
+  await run(3000);
+  assert.is(heldShare(), 1);
+});
+
 test('lost replies of the store leave one holder for each key', async () => {
   const {
     store, hosts, run, heldShare,
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { FleetView, OwnEntry, StoreView } from '../directory/mod.ts';
-import type { LocalService } from '../gateway/mod.ts';
+import type { LocalService, StopProgress } from '../gateway/mod.ts';
 import { type HttpListener, splitAddress } from '../http/mod.ts';
 import { createKernel, type Kernel } from '../kernel/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
@@ -36,15 +36,10 @@
 const COLLECT_INTERVAL_MS = 1000;
 const CHECK_INTERVAL_MS = 250;
 /** Readiness is asked for once a second, and two misses end the flow of new callers. */
-const CALLERS_LEAVE_MS = 2500;
+const CALLERS_LEAVE_MS = 2800;
 /** Kept free at the end of the grace time. */
 const STOP_RESERVE_MS = 500;
-
-const withinMs = async (clock: Clock, limitMs: number, work: Promise<unknown>) => {
-  const done = new AbortController();
-  await Promise.race([work, clock.sleep(Math.max(0, limitMs), done.signal)]);
-  done.abort();
-};
+const LAST_REFUSALS_MS = 60;
 
 /** Runs a task again and again; a failure is logged and does not end the repetition. */
 const repeat = (intervalMs: number, name: string, logger: Logger, task: () => Promise<void>) => {
@@ -177,12 +172,18 @@
     self.setStopping();
     kernel.find<OwnEntry>('own-entry').update(self.entry());
     logger.info({ graceMs: settings.bounds.graceMs }, 'stopping');
+    const progress = kernel.find<StopProgress>('progress');
+    progress.setPhase('leaving');
     await clock.sleep(CALLERS_LEAVE_MS);
-    const left = () => stopAt - clock.now();
-    await withinMs(clock, left() / 2, kernel.find<HttpListener>('peer-listener').stop());
-    await withinMs(clock, left(), kernel.find<HttpListener>('caller-listener').stop());
+    progress.setPhase('closing');
+    logger.info({ active: progress.active() }, 'takes no more requests');
+    await progress.waitForIdle(stopAt);
+    // Requests that arrive while the listeners close are refused, so nothing is cut.
+    await clock.sleep(LAST_REFUSALS_MS);
     tasks.stop();
-    logger.info({ leftMs: Math.round(left()) }, 'stopped');
+    logger.info({
+      active: progress.active(), leftMs: Math.round(stopAt - clock.now()),
+    }, 'stopped');
   };
 
   return {
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -15,6 +15,7 @@
 import type { Attempts } from './attempts.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
+import type { StopProgress } from './stop_progress.ts';
 
 /** Names of the headers that callers and instances use, in lower case. */
 export interface CallerHeaders {
@@ -43,6 +44,7 @@
   /** Routes in force; undefined before the first contract is known. */
   readonly routes: () => RouteTable | undefined;
   readonly attempts: Attempts;
+  readonly progress: StopProgress;
   readonly logger: Logger;
   readonly random: () => number;
   readonly onEnd?: (summary: RequestSummary) => void;
@@ -55,6 +57,10 @@
 /** Deadline of a request that names none. */
 const DEFAULT_DEADLINE_MS = 30_000;
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
+/** A restarted node takes requests after about this time. */
+const STOPPING_RETRY_AFTER_S = '0.6';
+/** Rank of routes for the calls of running requests. */
+const CALL_PRIORITY = 0;
 /** Part of the time to come back by which callers are spread, so that they do not come at once. */
 const RETRY_SPREAD = 0.5;
 const STATUS_NOT_FOUND = 404;
@@ -200,6 +206,16 @@
       answerText(response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
+    const { phase } = options.progress;
+    if (phase() !== 'running') response.shouldKeepAlive = false;
+    // The instance beside a stopping node still runs requests, and these need their calls.
+    if (phase() === 'closing' && route.priority > CALL_PRIORITY) {
+      const text = '{"error":"the node stops","outcome":"not run"}';
+      answerText(response, STATUS_UNAVAILABLE, ['retry-after', STOPPING_RETRY_AFTER_S], text);
+      logger.info({ route: route.name }, 'refused, because the node stops');
+      return;
+    }
+    response.once('close', options.progress.begin());
     allowBody(expect, response);
     serve(message, response, route, arrivedAt).catch((error: unknown) => {
       logger.error({ route: route.name, reason: String(error) }, 'failed to serve a request');
--- a/gateway/choose_target.ts
+++ b/gateway/choose_target.ts
@@ -44,6 +44,8 @@
 export interface TargetNode {
   readonly node: string;
   readonly address: string;
+  /** The node did not answer a short time ago. */
+  readonly isSuspect: boolean;
 }
 
 /** A range record and its revision in the store. */
@@ -95,6 +97,13 @@
         retryAfterMs: NO_OWNER_RETRY_AFTER_MS,
       };
     }
+    if (place.isSuspect && node !== self) {
+      return {
+        kind: 'none',
+        reason: `the node of the owner does not answer: ${node}`,
+        retryAfterMs: NO_OWNER_RETRY_AFTER_MS,
+      };
+    }
     return {
       kind: node === self ? 'local' : 'peer',
       node,
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -31,6 +31,7 @@
   createRetryAllowance, type RetryAllowance, type RetryAllowanceOptions,
 } from './retry_allowance.ts';
 export { chooseService, createRouteTable, type RouteTable } from './route_table.ts';
+export { createStopProgress, type StopPhase, type StopProgress } from './stop_progress.ts';
 export {
   createSlotQueue, type SlotPermit, type SlotQueue, type SlotQueueOptions, type SlotRequest,
 } from './slot_queue.ts';
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -12,9 +12,11 @@
   abortOnClose, answerText, describeRefusal, headerOf, readPendingEvents, renderMalformed,
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
+import { refuseNotRun } from './_refusals.ts';
 import type { LocalService } from './local_service.ts';
 import { HOP_SILENCE_MS } from './peer_port.ts';
-import type { GatewayRequest } from './request.ts';
+import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import type { StopProgress } from './stop_progress.ts';
 
 /** Options of the listener. */
 export interface PeerListenerOptions {
@@ -23,6 +25,7 @@
   /** Name of the header with the request's identifier, in lower case. */
   readonly requestIdHeader: string;
   readonly local: LocalService;
+  readonly progress: StopProgress;
   readonly logger: Logger;
   /** Answers a control message of a peer; undefined for an unknown path. */
   readonly control: (path: string) => string | undefined;
@@ -36,6 +39,8 @@
 const INTERIM_INTERVAL_MS = HOP_SILENCE_MS / 3;
 /** Path of control messages; requests of callers always carry a service header. */
 const CONTROL_PREFIX = '/marjoramhollow/';
+/** A restarted node takes requests after about this time. */
+const STOPPING_RETRY_AFTER_MS = 400;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_OK = 200;
 
@@ -117,7 +122,9 @@
     const sink = createResponseSink(response, (headers) => {
       headers.push(hopHeaders.load, formatLoad(local.load()));
     });
-    const outcome = await local.handle({ ...request, body }, sink);
+    const outcome: AttemptOutcome = options.progress.phase() === 'closing'
+      ? refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
+      : await local.handle({ ...request, body }, sink);
     stop();
     const fields = {
       request: request.requestId,
@@ -156,6 +163,8 @@
       answerText(response, status, [], text ?? '{}');
       return;
     }
+    response.once('close', options.progress.begin());
+    if (options.progress.phase() !== 'running') response.shouldKeepAlive = false;
     serve(message, response).catch((error: unknown) => {
       logger.error({ reason: String(error) }, 'failed to serve a peer');
       resetConnection(response);
--- a/membership/_directory.ts
+++ b/membership/_directory.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import { MemberState, type MemberUpdate } from '../proto/mod.ts';
 import { type EntryChange, type Store, updateEntry } from '../store/mod.ts';
--- a/placement/_record_schema.ts
+++ b/placement/_record_schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Changes when records of this form can no longer be read by an older program. */
 export const RECORD_FORMAT = 1;
--- a/ranges/range_record.ts
+++ b/ranges/range_record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { KEY_COUNT, type KeyRange } from './key_range.ts';
 
 /** One life of an instance on the host of a node. */
--- a/standins/_grant_table.ts
+++ b/standins/_grant_table.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const grantSchema = z.object({
   token: z.int().min(0),
--- a/standins/demo_plan.ts
+++ b/standins/demo_plan.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FleetHostPlan } from './fleet.ts';
 
 const deploymentSchema = z.strictObject({
--- a/store/create_http_store.ts
+++ b/store/create_http_store.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, errors, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import { StoreError, type StoreErrorKind } from '../errors/mod.ts';
 import type { Store } from './store.ts';
