Plan moves each second, promise refused callers places of their own, and explain requests

Change: a refused caller is given the next free place at the rate of the slots, up to 0.7 s; moves are planned every 0.9 s also while others run, with a log line that names load and capacities. State of the record is kept per service, so that absences of one do not reset those of another. Not measured yet.

--- a/command/_commands.ts
+++ b/command/_commands.ts
@@ -1,6 +1,8 @@
 import { readFile } from 'node:fs/promises';
 import { type Contract, diffContracts, parseContract } from '../contract/mod.ts';
 import { parseSettings } from '../daemon/mod.ts';
+import { parsePlatformSettings } from '../platform/mod.ts';
+import { explainRequest } from './explain_request.ts';
 import type { StepError } from '../errors/mod.ts';
 import { OperatorError, type OperatorClient } from './_operator_client.ts';
 import { exitStatuses, formatTable, type Output } from './_output.ts';
@@ -53,6 +55,35 @@
   }
 };
 
+const readStandardInput = async (): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of process.stdin) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+};
+
+/** `explain REQUEST-ID [FILE...]`: reads log files of any nodes, or standard input. */
+const explain: Command = async (input) => {
+  const [request, ...files] = input.args;
+  if (request === undefined) return usage(input, 'explain: the request identifier is missing');
+  const texts: string[] = [];
+  for (const file of files) {
+    const text = await readText(input, file);
+    if (text === undefined) return exitStatuses.usage;
+    texts.push(text);
+  }
+  if (files.length === 0) texts.push(await readStandardInput());
+  const explanation = explainRequest(texts.flatMap((text) => text.split('\n')), request);
+  if (explanation.lines.length === 0) {
+    input.output.error(`no log line names request ${request}`);
+    return exitStatuses.failed;
+  }
+  const rows = explanation.lines.map(({
+    time, host, request: id, sentence, fields,
+  }) => [time, host, id, sentence, JSON.stringify(fields)]);
+  const header = ['time', 'node', 'request', 'event', 'inputs'];
+  return print(input, explanation, `${formatTable(header, rows)}\ncause: ${explanation.cause}`);
+};
+
 interface ContractRevision {
   readonly customer: string;
   readonly revision: number;
@@ -202,7 +233,9 @@
   if (file === undefined) return usage(input, 'settings check: the settings file is missing');
   const text = await readText(input, file);
   if (text === undefined) return exitStatuses.usage;
-  const parsed = parseSettings(text, file);
+  // Only settings rendered for the platform name the interval of announcements.
+  const parse = text.includes('"announceInterval"') ? parsePlatformSettings : parseSettings;
+  const parsed = parse(text, file);
   if (parsed.isOk()) return print(input, { valid: true }, `settings in ${file} are valid`);
   input.output.error(parsed.error.message);
   return exitStatuses.usage;
@@ -220,6 +253,7 @@
 
 /** All commands by their words. */
 export const commands: Readonly<Record<string, Command>> = {
+  explain,
   node,
   drain,
   status,
--- a/command/main.ts
+++ b/command/main.ts
@@ -22,7 +22,9 @@
                                      confirms that an owner is lost when its witnesses are too
   drain                              starts a planned stop of the node
   status                             prints the state of each node
-  settings check FILE                checks a settings file
+  settings check FILE                checks a settings file, or one rendered for the platform
+  explain REQUEST-ID [FILE...]       orders the log lines of a request over nodes and names the
+                                     cause of its end; reads standard input without files
 
 Options
   --operator URL           operator address of a node (default ${DEFAULT_OPERATOR_URL})
--- a/fleet/_owners.ts
+++ b/fleet/_owners.ts
@@ -1,5 +1,5 @@
 import type { NodeEntry } from '../directory/mod.ts';
-import type { Owner } from '../ranges/mod.ts';
+import type { LoadPicture, Owner, RangeAssignment } from '../ranges/mod.ts';
 
 type Entries = ReadonlyMap<string, NodeEntry>;
 
@@ -25,3 +25,15 @@
   const index = owners.findIndex((owner) => owner.node === node);
   return index < 0 ? owners.length : index;
 };
+
+/** Fields of the log line for planned moves: the inputs that decided them. */
+export const describePlan = (
+  service: string,
+  moves: readonly RangeAssignment[],
+  { candidates, cells }: LoadPicture,
+) => ({
+  service,
+  moves: moves.map(({ from, to, owner }) => [from, to, owner.node]),
+  capacities: candidates.map(({ owner, capacity }) => [owner.node, Math.round(capacity)]),
+  measured: Math.round(cells.reduce((sum, { rate }) => sum + rate, 0)),
+});
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -4,7 +4,8 @@
 } from '../directory/mod.ts';
 import {
   type Attempts, createAttempts, createCallerListener, createLocalService, createPeerListener,
-  createPeerPort, createRetryAllowance, createSlotQueue, createStopProgress, createTargetChooser, type LocalService,
+  createPeerPort, createRetryAllowance, createSlotQueue, createStopProgress, createTargetChooser,
+  type LocalService,
   type PeerPort, type SlotQueue, type StopProgress, type TargetChooser,
 } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
--- a/fleet/_test_keepers.ts
+++ b/fleet/_test_keepers.ts
@@ -3,7 +3,12 @@
   createFleetView, createOwnEntry, createStoreView, type NodeEntry, OWN_PREFIX,
 } from '../directory/mod.ts';
 import {
-  type Announcement, type AnnouncementAnswer, createGrantLedger, createRightToGrant, overlaps, RIGHT_TO_GRANT_MS,
+  type Announcement,
+  type AnnouncementAnswer,
+  createGrantLedger,
+  createRightToGrant,
+  overlaps,
+  RIGHT_TO_GRANT_MS,
 } from '../ranges/mod.ts';
 import { createMemoryLeasedStore, type LeasedStore, type MemoryLeasedStore } from '../store/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -1,33 +1,16 @@
-import type { Clock } from '../clock/mod.ts';
-import {
-  type FleetView, nodeKey, rangesKey, type StoreView,
-} from '../directory/mod.ts';
+import { nodeKey, rangesKey, type StoreView } from '../directory/mod.ts';
 import {
   type Announcement,
   type AnnouncementAnswer,
-  assignRanges,
-  type Candidate,
-  createAbsenceTable,
   decodeRecord,
-  dropDeadSuccessors,
   emptyRecord,
   encodeRecord,
-  type GrantLedger,
-  isSameOwner,
-  type LoadPicture,
-  type Owner,
-  planAssignments,
-  planMoves,
   type RangeRecord,
-  type RangeRow,
-  releaseRows,
-  requestMoves,
   type RightToGrant,
 } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
-import type { InstanceRegistry } from './instance_registry.ts';
-import { isLiveOwner, listOwners, rankOf } from './_owners.ts';
+import { rankOf } from './_owners.ts';
+import { createRangePlanner, type RangePlannerOptions, rowKey } from './_range_plan.ts';
 
 /** Keeps the range record of the service of this host's instance. */
 export interface RangeKeeper {
@@ -41,39 +24,15 @@
 }
 
 /** Options of a keeper. */
-export interface RangeKeeperOptions {
-  readonly clock: Clock;
-  readonly node: string;
+export interface RangeKeeperOptions extends RangePlannerOptions {
   readonly store: LeasedStore;
   readonly view: StoreView;
-  readonly fleet: FleetView;
-  readonly registry: InstanceRegistry;
-  readonly ledger: GrantLedger;
   readonly right: RightToGrant;
-  readonly logger: Logger;
   readonly isKeyed: (service: string) => boolean;
   readonly keyedServices: () => readonly string[];
-  /** Measured load; the candidates are those that the keeper found. */
-  readonly pictureOf: (candidates: readonly Candidate['owner'][]) => LoadPicture;
-  /** Longest hold in ms that an instance accepts. */
-  readonly maxHoldMs: number;
-  /** Duration in ms of the right to grant; a lost owner's holds end within it. */
-  readonly rightMs: number;
-  /** Time in ms after the start of the process before keys get their first owners. */
-  readonly firstAssignmentMs: number;
   readonly onMoved?: (rows: number, reason: string) => void;
 }
 
-/** The clock of a lost instance may run 2 % slow, and watches may lag by a second. */
-const ABSENCE_FACTOR = 1.02;
-const ABSENCE_MARGIN_MS = 1500;
-/** Keys without an owner are assigned by the first node, or later by the next in order. */
-const RANK_DELAY_MS = 700;
-/** Moves take about half a second; a plan before their end would count load twice. */
-const PLAN_INTERVAL_MS = 1500;
-
-const rowKey = ({ from, to, token }: RangeRow) => `${from}-${to}-${token}`;
-
 /**
  * Creates the keeper. Any node may change the record; the store's condition on its revision
  * decides, and each change is derived from the newest record, so that a lost race costs a call.
@@ -86,16 +45,13 @@
  */
 export const createRangeKeeper = (options: RangeKeeperOptions): RangeKeeper => {
   const {
-    clock, node, view, fleet, registry, ledger,
+    node, view, registry, ledger,
   } = options;
   const logger = options.logger.forPart('ranges');
-  const absences = createAbsenceTable(clock);
-  const startedAt = clock.now();
+  const {
+    plan, stateOf, isReleasedHere, ownersOf,
+  } = createRangePlanner({ ...options, logger });
   const decoded = new Map<string, { revision: number; record: RangeRecord | undefined }>();
-  /** Rows that the instance holds no more, until the record says so too. */
-  const released = new Set<string>();
-  let freeSince: number | undefined;
-  let plannedAt = -Infinity;
   let isBusy = false;
   let isAgain = false;
 
@@ -116,78 +72,6 @@
     || recordOf(service)?.record.rows.some(({ owner }) => owner?.node === node)
   ));
 
-  const isLive = (owner: Owner) => isLiveOwner(fleet.present(), owner);
-  const ownersOf = (service: string) => listOwners(fleet.present(), service);
-
-  /** A row of this host whose owner certainly holds it no more. */
-  const isReleasedHere = (row: RangeRow) => {
-    if (row.owner?.node !== node) return false;
-    const current = registry.owner();
-    const isCurrent = isSameOwner(row.owner, current);
-    if (released.has(rowKey(row))) return true;
-    // A later life of the instance at this host proves the end of the earlier one.
-    const isEarlier = current !== undefined && !isCurrent
-      && current.startedAt >= row.owner.startedAt;
-    if (isEarlier) return true;
-    if (registry.isVacant()) return true;
-    return registry.silentMs() > options.maxHoldMs && ledger.holdLeftMs() === 0;
-  };
-
-  const lostAfterMs = options.rightMs * ABSENCE_FACTOR + ABSENCE_MARGIN_MS;
-  const isOfLostNode = ({ owner }: RangeRow) => (
-    owner !== undefined && owner.node !== node && absences.absentMs(owner.node) > lostAfterMs
-  );
-
-  const observeAbsences = (record: RangeRecord) => {
-    const wanted = new Set<string>();
-    for (const { owner } of record.rows) if (owner !== undefined) wanted.add(owner.node);
-    absences.observe(new Set(fleet.present().keys()), wanted);
-  };
-  fleet.onChange(({ gap }) => {
-    if (gap) absences.restart();
-  });
-
-  const mayAssign = (record: RangeRecord, rank: number, releasedNow: boolean) => {
-    const hasFree = record.rows.some(({ owner }) => owner === undefined);
-    if (!hasFree) {
-      freeSince = undefined;
-      return false;
-    }
-    freeSince ??= clock.now();
-    const isFirst = record === emptyRecord;
-    if (isFirst && clock.now() - startedAt < options.firstAssignmentMs) return false;
-    return releasedNow || clock.now() - freeSince >= rank * RANK_DELAY_MS;
-  };
-
-  const plan = (before: RangeRecord, service: string) => {
-    const owners = ownersOf(service);
-    const rank = rankOf(owners, node);
-    const lost = new Set<string>();
-    const isReleased = (row: RangeRow) => {
-      if (isReleasedHere(row)) return true;
-      if (!isOfLostNode(row)) return false;
-      lost.add(row.owner!.node);
-      return true;
-    };
-    let reason = 'released';
-    let record = releaseRows(before, isReleased, isLive, ledger.handovers());
-    const releasedNow = record !== before;
-    if (rank === 0) record = dropDeadSuccessors(record, isLive);
-    if (owners.length > 0 && mayAssign(record, rank, releasedNow)) {
-      const picture = options.pictureOf(owners);
-      record = assignRanges(record, planAssignments(record, picture));
-      if (!releasedNow) reason = 'assigned';
-    }
-    const isSettled = record === before && !record.rows.some(({ successor }) => successor);
-    if (rank === 0 && isSettled && clock.now() - plannedAt > PLAN_INTERVAL_MS) {
-      plannedAt = clock.now();
-      const picture = options.pictureOf(owners);
-      record = requestMoves(record, planMoves(record, picture));
-      reason = 'moves requested';
-    }
-    return { record, lost, reason };
-  };
-
   const write = async (service: string): Promise<boolean> => {
     const key = rangesKey(service);
     const known = recordOf(service);
@@ -197,11 +81,13 @@
       return false;
     }
     const before = known?.record ?? emptyRecord;
-    observeAbsences(before);
+    const state = stateOf(service);
     const { record, lost, reason } = plan(before, service);
     if (record === before) return false;
     // The write may take effect late, so these rows are not granted again, whatever comes.
-    for (const row of before.rows) if (isReleasedHere(row)) released.add(rowKey(row));
+    for (const row of before.rows) {
+      if (isReleasedHere(row, state)) state.released.add(rowKey(row));
+    }
     const value = encodeRecord(record);
     const result = await options.store.transact({
       expect: [
@@ -223,7 +109,8 @@
       }, 'changed the range record');
       options.onMoved?.(changed, reason);
       view.apply({ key, revision: result.value, value });
-      released.clear();
+      const left = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
+      for (const one of state.released) if (!left.has(one)) state.released.delete(one);
       return true;
     }
     logger.warn({ service, reason: result.error.message }, 'could not change the range record');
@@ -254,6 +141,7 @@
     if (!options.isKeyed(announcement.service)) return { grants: undefined };
     const record = view.isLoaded() ? recordOf(announcement.service)?.record : undefined;
     const hasOthers = ownersOf(announcement.service).some((owner) => owner.node !== node);
+    const { released } = stateOf(announcement.service);
     const outcome = ledger.answer(announcement, {
       record,
       rightMs: options.right.remainingMs(),
@@ -278,7 +166,8 @@
     reconcile,
     isPlanner: () => {
       const service = registry.local()?.service;
-      return service !== undefined && options.isKeyed(service) && rankOf(ownersOf(service), node) === 0;
+      if (service === undefined || !options.isKeyed(service)) return false;
+      return rankOf(ownersOf(service), node) === 0;
     },
   };
 };
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -62,7 +62,7 @@
 /** Rank of routes for the calls of running requests. */
 const CALL_PRIORITY = 0;
 /** Part of the time to come back by which callers are spread, so that they do not come at once. */
-const RETRY_SPREAD = 0.5;
+const RETRY_SPREAD = 0.2;
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
--- a/gateway/route_table_test.ts
+++ b/gateway/route_table_test.ts
@@ -24,7 +24,9 @@
 } satisfies PublishedContract);
 
 test('the longest prefix of the host wins', () => {
-  const table = tableOf(routeOf('short', '/a/'), routeOf('long', '/a/b/'), routeOf('root', '/', 'x'));
+  const short = routeOf('short', '/a/');
+  const long = routeOf('long', '/a/b/');
+  const table = tableOf(short, long, routeOf('root', '/', 'x'));
   assert.is(table.match('SHOP.example:8080', '/a/b/c?d=/e/')?.name, 'long');
   assert.is(table.match('shop.example', '/a/x')?.name, 'short');
   assert.is(table.match('shop.example', '/b/'), undefined);
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -64,6 +64,8 @@
 const LATE_WAIT_FRACTION = 0.1;
 const STATUS_UNAVAILABLE = 503;
 const MIN_RETRY_AFTER_MS = 60;
+/** Callers come back within a third of their deadline, so later places stay empty. */
+const MAX_PROMISE_MS = 700;
 
 /**
  * Creates a queue without requests. It refuses at once what would wait too long for an answer of
@@ -85,6 +87,8 @@
   const running = new Set<RunningSlot>();
   const means = new Map<string, number>();
   let overallMean = DEFAULT_WORK_MS;
+  /** Time in ms up to which places have been promised to refused callers. */
+  let promisedUntil = -Infinity;
   let samples = 0;
 
   const slots = () => Math.max(1, options.slots());
@@ -98,6 +102,14 @@
     retryAfterSeconds: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) / 1000,
   }));
 
+  /** Gives each refused caller a place of its own, at the rate at which slots become free. */
+  const promisePlace = ({ workClass }: SlotRequest, excessMs: number) => {
+    const now = clock.now();
+    const next = Math.max(now + excessMs, promisedUntil) + meanOf(workClass) / slots();
+    promisedUntil = Math.min(next, now + MAX_PROMISE_MS);
+    return promisedUntil - now;
+  };
+
   const remainingMs = ({ workClass, startedAt }: RunningSlot) => {
     const mean = meanOf(workClass);
     return Math.max(mean * OVERDUE_FRACTION, mean - (clock.now() - startedAt));
@@ -187,7 +199,8 @@
       return;
     }
     if (waitMs > allowedMs) {
-      resolve(refuse('the wait would be too long', waitMs - Math.max(0, allowedMs)));
+      const excessMs = waitMs - Math.max(0, allowedMs);
+      resolve(refuse('the wait would be too long', promisePlace(request, excessMs)));
       return;
     }
     const settled = new AbortController();
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -39,6 +39,18 @@
   assert.ok(refused._unsafeUnwrapErr().retryAfterSeconds! > 0);
 });
 
+test('refused callers are told to come back one after the other', async () => {
+  const { queue, requestOf } = setUp();
+  const results = await Promise.all(Array.from({ length: 30 }, async () => {
+    const result = await Promise.race([queue.acquire(requestOf()), Promise.resolve(undefined)]);
+    return result?.isErr() ? result.error.retryAfterSeconds! : undefined;
+  }));
+  const times = results.filter((time) => time !== undefined);
+  assert.ok(times.length > 10);
+  assert.ok(new Set(times).size > times.length / 2, times.join());
+  assert.ok(Math.max(...times) <= 0.7);
+});
+
 test('calls of admitted requests go before new requests', async () => {
   const { clock, queue, requestOf } = setUp(1);
   const running = (await queue.acquire(requestOf()))._unsafeUnwrap();
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -139,7 +139,10 @@
           address,
           born: startedAt,
           info: {
-            service: options.service, version: 'v1', zone: 'd', slots: options.slots ?? DEFAULT_SLOTS,
+            service: options.service,
+            version: 'v1',
+            zone: 'd',
+            slots: options.slots ?? DEFAULT_SLOTS,
           },
           status: {
             state: isDraining ? 'draining' : 'ready', sequence, cold_remaining: '0ms',
