Tell a lost connection from the end of an answer on every hop

Change: both ports use pools that watch their sockets; a reset, or a close before the last chunk, truncates the answer.

--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -1,5 +1,6 @@
 /** A request over one hop: to the local instance or to a peer. */
 export { exchange, type ExchangeOptions, type ExchangeRequest } from './_exchange.ts';
+export { createWatchedPool, type WatchedPool, type WatchedPoolOptions } from './watched_pool.ts';
 export type { ExchangeEnd, FailureCause } from './_exchange.ts';
 export {
   attemptId, createForwarder, FORWARD_STEP, type Forwarder, type ForwarderOptions,
--- a/gateway/instance_port.ts
+++ b/gateway/instance_port.ts
@@ -1,8 +1,7 @@
-import { buildConnector, Pool } from 'undici';
 import type { Clock } from '../clock/mod.ts';
 import { StepError } from '../errors/mod.ts';
 import {
-  type AnswerSink, exchange, type ExchangeEnd, findHeader,
+  type AnswerSink, createWatchedPool, exchange, type ExchangeEnd, findHeader,
 } from '../forward/mod.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
@@ -67,23 +66,10 @@
  */
 export const createInstancePort = (options: InstancePortOptions): InstancePort => {
   const { clock, address, headers: names } = options;
-  const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  /** A connection is being reset in this turn of the event loop. */
-  let isResetting = false;
-  const pool = new Pool(`http://${address}`, {
+  const { pool, checkEnd } = createWatchedPool(address, {
     connections: options.connections,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    connect: (target, done) => connectSocket(target, (...result) => {
-      const [, socket] = result;
-      socket?.on('error', () => {
-        isResetting = true;
-        process.nextTick(() => {
-          isResetting = false;
-        });
-      });
-      done(...result);
-    }),
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveMs: KEEP_ALIVE_MS,
   });
   const replaced = new Set([names.remainingMs, names.expectedInstance]);
 
@@ -105,13 +91,6 @@
       : 'the answer belongs to another request';
   };
 
-  /** The HTTP client takes a reset for the end of an answer that has no length. */
-  const checkEnd = (raw: readonly string[]) => {
-    const hasLength = findHeader(raw, 'content-length') !== undefined
-      || findHeader(raw, 'transfer-encoding') !== undefined;
-    return isResetting && !hasLength ? 'the connection was reset within the answer' : undefined;
-  };
-
   const toOutcome = (
     end: ExchangeEnd,
     request: GatewayRequest,
--- a/gateway/instance_port_test.ts
+++ b/gateway/instance_port_test.ts
@@ -90,6 +90,17 @@
   assert.is(outcome.kind, 'truncated');
 });
 
+test('a chunked answer that ends before its last chunk does not look complete', async () => {
+  const begin = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n`;
+  for (const cut of ['resetAndDestroy', 'end'] as const) {
+    const { outcome } = await runAgainst((socket) => {
+      socket.write(begin);
+      setTimeout(() => socket[cut](), RESET_DELAY_MS);
+    });
+    assert.is(outcome.kind, 'truncated', cut);
+  }
+});
+
 test('a short answer does not look complete', async () => {
   const { outcome } = await runAgainst((socket) => {
     socket.end(`${HEAD}content-length: 9\r\n\r\nhello`);
--- a/gateway/peer_port.ts
+++ b/gateway/peer_port.ts
@@ -1,9 +1,16 @@
-import { Pool } from 'undici';
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { StepError } from '../errors/mod.ts';
 import {
-  type AnswerSink, exchange, type ExchangeEnd, findHeader, hopHeaders, parseLoad, readRefusal,
+  type AnswerSink,
+  createWatchedPool,
+  exchange,
+  type ExchangeEnd,
+  findHeader,
+  hopHeaders,
+  parseLoad,
+  readRefusal,
+  type WatchedPool,
 } from '../forward/mod.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { type AttemptOutcome, type GatewayRequest, isRepeatable } from './request.ts';
@@ -78,17 +85,16 @@
  */
 export const createPeerPort = (options: PeerPortOptions): PeerPort => {
   const { clock, onSuspect = () => undefined } = options;
-  const pools = new Map<string, Pool>();
+  const pools = new Map<string, WatchedPool>();
   const suspectUntil = new Map<string, number>();
 
   const poolOf = (address: string) => {
     const known = pools.get(address);
     if (known !== undefined) return known;
-    const pool = new Pool(`http://${address}`, {
+    const pool = createWatchedPool(address, {
       connections: MAX_CONNECTIONS,
-      pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      keepAliveMs: KEEP_ALIVE_MS,
     });
     pools.set(address, pool);
     return pool;
@@ -129,7 +135,8 @@
       load = parseLoad(findHeader(raw, hopHeaders.load));
       return undefined;
     };
-    const end = await exchange(poolOf(address), {
+    const { pool, checkEnd } = poolOf(address);
+    const end = await exchange(pool, {
       method: request.method,
       path: request.path,
       headers: hopHeadersOf(request, clock.now()),
@@ -154,6 +161,7 @@
       silenceMs: isRepeatable(request.kind) ? HOP_SILENCE_MS : Number.POSITIVE_INFINITY,
       stallMs: BODY_STALL_MS,
       checkHead,
+      checkEnd,
     });
     if (refused !== undefined) return { outcome: refused, load };
     if (failedStatus !== undefined) {
@@ -163,11 +171,11 @@
   };
 
   const drop = (address: string) => {
-    const pool = pools.get(address);
+    const known = pools.get(address);
     pools.delete(address);
     suspectUntil.delete(address);
     // Requests in flight finish; the pool closes after them.
-    return pool?.close();
+    return known?.pool.close();
   };
 
   return {
@@ -179,7 +187,7 @@
       }
     },
     close: async () => {
-      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+      await Promise.all([...pools.values()].map(({ pool }) => pool.destroy()));
     },
   };
 };
