--- a/fleet/fleet_node_test.ts
+++ b/fleet/fleet_node_test.ts
@@ -108,6 +108,17 @@
   assert.ok(sound!.instance.runs.size > 0);
 });
 
+test('an answer without a length is passed on without one over all hops', async () => {
+  for (const { instance } of fleet.hosts) instance.setFault('unframed');
+  const answers = await Promise.all([0, 1, 2, 3].map((host) => send({ path: '/reads/5', host })));
+  for (const { instance } of fleet.hosts) instance.setFault('none');
+  for (const { id, headers, text } of answers) {
+    assert.match(text, id);
+    assert.is(headers['content-length'], undefined);
+    assert.is(headers['transfer-encoding'], undefined);
+  }
+});
+
 test('a read that one instance fails is answered by another one', async () => {
   const [, , failing] = fleet.hosts;
   failing!.instance.setFault('error');
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -1,7 +1,7 @@
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import type { CancelTask, Clock } from '../clock/mod.ts';
-import { endToEndHeaders, REQUEST_ID_HEADER } from './headers.ts';
+import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { AnswerSink, AnswerUse } from './hop.ts';
 
 /** One HTTP request over a pool of connections. */
@@ -179,7 +179,10 @@
       }
       status = statusCode;
       head = raw;
-      const decided = sink.start(statusCode, endToEndHeaders(raw, DROPPED));
+      const endsWithConnection = findHeader(raw, 'content-length') === undefined
+        && findHeader(raw, 'transfer-encoding') === undefined;
+      const headers = endToEndHeaders(raw, DROPPED);
+      const decided = sink.start(statusCode, headers, endsWithConnection);
       if (decided === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
       else {
         use = decided;
--- a/forward/hop.ts
+++ b/forward/hop.ts
@@ -8,8 +8,11 @@
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
-  /** Called once for the final status; headers are end-to-end names and values in turn. */
-  readonly start: (status: number, headers: string[]) => AnswerUse;
+  /**
+   * Called once for the final status; headers are end-to-end names and values in turn.
+   * `endsWithConnection`: the answer has no length, so that its end is that of its connection.
+   */
+  readonly start: (status: number, headers: string[], endsWithConnection?: boolean) => AnswerUse;
   /** Returns false when the sink is full; `onDrain` then tells when to go on. */
   readonly write: (chunk: Buffer) => boolean;
   readonly onDrain: (resume: () => void) => void;
--- a/gateway/attempts.ts
+++ b/gateway/attempts.ts
@@ -80,11 +80,11 @@
 
     const attemptSink: AnswerSink = {
       ...sink,
-      start: (status, headers) => {
+      start: (status, headers, endsWithConnection) => {
         const isFailure = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
         sends += 1;
         if (isFailure && repeatable && mayRetry()) return 'drain';
-        return sink.start(status, headers);
+        return sink.start(status, headers, endsWithConnection);
       },
     };
 
--- a/gateway/instance_port.ts
+++ b/gateway/instance_port.ts
@@ -122,7 +122,7 @@
       body: request.body,
     }, {
       ...sink,
-      start: (status, headers) => {
+      start: (status, headers, endsWithConnection) => {
         const isNotRun = findHeader(headers, names.notRun) !== undefined;
         if (isNotRun || status === STATUS_MISDIRECTED) {
           notRunStatus = status;
@@ -134,7 +134,7 @@
           if (findHeader(headers, 'content-encoding') !== undefined) invalid = 'is encoded';
           if (invalid !== undefined) return 'cancel';
         }
-        const use = sink.start(status, headers);
+        const use = sink.start(status, headers, endsWithConnection);
         if (use === 'drain') failedStatus = status;
         return use;
       },
--- a/gateway/peer_port.ts
+++ b/gateway/peer_port.ts
@@ -143,14 +143,14 @@
       body: request.body,
     }, {
       ...sink,
-      start: (status, headers) => {
+      start: (status, headers, endsWithConnection) => {
         const refusal = readRefusal(status, head, address);
         if (refusal !== undefined) {
           const reached = findHeader(head, hopHeaders.reached) !== undefined;
           refused = { kind: 'refused', refusal, reached };
           return 'drain';
         }
-        const use = sink.start(status, headers);
+        const use = sink.start(status, headers, endsWithConnection);
         if (use === 'drain') failedStatus = status;
         return use;
       },
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -40,6 +40,8 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Pause between two closings of idle connections during a stop. */
+const CLOSE_INTERVAL_MS = 200;
 
 const malformedStatuses: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -158,12 +160,15 @@
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
-    const cancelGrace = clock.schedule(options.idleGraceMs, () => {
+    // A connection can become idle after its answer has closed, when the rest of a body arrives.
+    const closeAgain = () => {
       graceEnded = true;
       closeIdle();
-    });
+      cancelClose = clock.schedule(CLOSE_INTERVAL_MS, closeAgain);
+    };
+    let cancelClose = clock.schedule(options.idleGraceMs, closeAgain);
     await closed;
-    cancelGrace();
+    cancelClose();
     server.close(() => undefined);
   };
 
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -6,9 +6,14 @@
   response: ServerResponse,
   addHeaders: (headers: string[]) => void,
 ): AnswerSink => ({
-  start: (status, headers) => {
+  start: (status, headers, endsWithConnection) => {
     if (response.destroyed) return 'cancel';
     addHeaders(headers);
+    if (endsWithConnection) {
+      // Chunks would make an answer look complete that its sender may have broken off.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     try {
       response.writeHead(status, headers);
     } catch {
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -20,7 +20,8 @@
 }
 
 /** What goes wrong at an instance. */
-export type InstanceFault = 'none' | 'error' | 'shed' | 'truncate' | 'unsigned' | 'foreign';
+export type InstanceFault = 'none' | 'error' | 'shed' | 'truncate' | 'unframed' | 'unsigned'
+  | 'foreign';
 
 /** Options of an instance. */
 export interface PlatformInstanceOptions {
@@ -103,6 +104,7 @@
       setTimeout(() => response.destroy(), 1);
       return;
     }
+    if (fault === 'unframed') response.useChunkedEncodingByDefault = false;
     response.writeHead(fault === 'error' ? 500 : 200, headers);
     response.end(body);
   };
