Start the wait for a lost node again when its entry came and went

Cause, found by reading: a process that was frozen gets the writing and the lapse of an entry in one answer of the watch, and would count an absence from before it, although the node may have confirmed its right meanwhile. Change: any change of an entry starts the wait again.

--- a/fleet/_range_plan.ts
+++ b/fleet/_range_plan.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import type { FleetView } from '../directory/mod.ts';
+import { type FleetView, NODES_PREFIX } from '../directory/mod.ts';
 import {
   type AbsenceTable,
   assignRanges,
@@ -126,9 +126,12 @@
     for (const { owner } of record.rows) if (owner !== undefined) wanted.add(owner.node);
     absences.observe(new Set(fleet.present().keys()), wanted);
   };
-  fleet.onChange(({ gap }) => {
-    if (!gap) return;
-    for (const { absences } of states.values()) absences.restart();
+  fleet.onChange(({ keys, gap }) => {
+    for (const { absences } of states.values()) {
+      if (gap) absences.restart();
+      // An entry that came and went while this process was frozen is seen only as a change.
+      for (const key of keys) absences.touch(key.slice(NODES_PREFIX.length));
+    }
   });
 
   const mayAssign = (
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
-import type { Clock } from '../clock/mod.ts';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
 
 /** A listener for HTTP requests. */
@@ -161,12 +161,13 @@
       NetServer.prototype.close.call(server, () => resolve());
     });
     // A connection can become idle after its answer has closed, when the rest of a body arrives.
+    let cancelClose: CancelTask = () => undefined;
     const closeAgain = () => {
       graceEnded = true;
       closeIdle();
       cancelClose = clock.schedule(CLOSE_INTERVAL_MS, closeAgain);
     };
-    let cancelClose = clock.schedule(options.idleGraceMs, closeAgain);
+    cancelClose = clock.schedule(options.idleGraceMs, closeAgain);
     await closed;
     cancelClose();
     server.close(() => undefined);
--- a/ranges/absence_table.ts
+++ b/ranges/absence_table.ts
@@ -6,6 +6,8 @@
   readonly observe: (present: ReadonlySet<string>, wanted: Iterable<string>) => void;
   /** The store could not be read for a while: absent nodes may have been back meanwhile. */
   readonly restart: () => void;
+  /** The entry of a node has changed, so it was there, even if it is missing again. */
+  readonly touch: (node: string) => void;
   /** Time in ms for which the entry of a node has been missing without a break. */
   readonly absentMs: (node: string) => number;
 }
@@ -33,6 +35,9 @@
     restart: () => {
       for (const node of since.keys()) since.set(node, clock.now());
     },
+    touch: (node) => {
+      if (since.has(node)) since.set(node, clock.now());
+    },
     absentMs: (node) => {
       const start = since.get(node);
       return start === undefined ? 0 : clock.now() - start;
--- a/ranges/grant_ledger_test.ts
+++ b/ranges/grant_ledger_test.ts
@@ -124,6 +124,16 @@
   assert.is(absences.absentMs('b'), 0);
 });
 
+test('an entry that came and went between two looks starts the wait again', async () => {
+  const clock = createFakeClock();
+  const absences = createAbsenceTable(clock);
+  absences.observe(new Set(), ['b']);
+  await clock.advance(9000);
+  absences.touch('b');
+  absences.observe(new Set(), ['b']);
+  assert.is(absences.absentMs('b'), 0);
+});
+
 test('load cells cut a range so that a busy key stands alone', () => {
   const load = createKeyLoad(createFakeClock());
   for (let index = 0; index < 100; index += 1) load.record(500);
