Grant only from a record that was read since the node's entry came to be

Cause, found by 'a host that stays cut off from the store loses its keys safely': after the cut a node wrote its entry, had its right confirmed, and granted rows from the record of before the cut for up to 0.7 s, although other instances held them by then (host-0 and host-3 held 49152-54612). Change: the entry tells the revision at which it came to be after it was missing, and the view must have reached it.

--- a/directory/own_entry.ts
+++ b/directory/own_entry.ts
@@ -10,6 +10,11 @@
 export interface OwnEntry {
   /** Writes a changed entry soon. */
   readonly update: (entry: NodeEntry) => void;
+  /**
+   * Revision of the store at which the entry came to be, the last time after it was missing. Keys
+   * may have got other owners before, so only what was read since then may be granted from.
+   */
+  readonly createdAt: () => number;
   /** Keeps the entry until `signal` aborts. */
   readonly keep: (signal: AbortSignal) => Promise<void>;
   /** Ends the lease, which removes the entry. */
@@ -56,6 +61,7 @@
   let wanted = JSON.stringify(options.entry);
   let written: string | undefined;
   let revision = 0;
+  let createdAt = Infinity;
   let lease: number | undefined;
   let readAt = -Infinity;
   let reachable = true;
@@ -105,6 +111,7 @@
     });
     note(result.isErr() ? result.error : undefined);
     if (result.isOk()) {
+      if (written === undefined || revision === 0) createdAt = result.value;
       revision = result.value;
       written = text;
       readAt = clock.now();
@@ -156,6 +163,7 @@
       wanted = JSON.stringify(entry);
       if (wanted !== written && reachable) wake();
     },
+    createdAt: () => createdAt,
     keep,
     withdraw: async () => {
       if (lease === undefined) return;
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -6,6 +6,8 @@
 export interface StoreView {
   readonly get: (key: string) => StoreEntry | undefined;
   readonly entries: () => Iterable<StoreEntry>;
+  /** Revision of the store up to which all changes are in the view. */
+  readonly revision: () => number;
   /** The view has been read at least once. */
   readonly isLoaded: () => boolean;
   /** The last call to the store succeeded. */
@@ -150,6 +152,7 @@
   return {
     get: (key) => entries.get(key),
     entries: () => entries.values(),
+    revision: () => at,
     isLoaded: () => loaded,
     isConnected: () => connected,
     onChange: (listener) => {
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -19,7 +19,7 @@
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { createLoadCollector, type LoadCollector } from './load_collector.ts';
 import { isRefused } from './_probe_address.ts';
-import { createRangeKeeper, type RangeKeeper } from './range_keeper.ts';
+import { createRangeKeeper, grantableMs, type RangeKeeper } from './range_keeper.ts';
 
 /** What the node says about itself. */
 export interface SelfDescription {
@@ -211,8 +211,8 @@
   kernel.register<RangeKeeper>({
     name: 'ranges',
     needs: [
-      'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'logger', 'contracts',
-      'collector', 'metrics',
+      'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'own-entry', 'logger',
+      'contracts', 'collector', 'metrics',
     ],
     start: (find) => ({
       service: createRangeKeeper({
@@ -223,7 +223,11 @@
         fleet: find<FleetView>('fleet'),
         registry: find<InstanceRegistry>('registry'),
         ledger: find<GrantLedger>('ledger'),
-        right: find<RightToGrant>('right'),
+        grantableMs: () => grantableMs(
+          find<RightToGrant>('right'),
+          find<OwnEntry>('own-entry'),
+          find<StoreView>('view'),
+        ),
         logger: find<Logger>('logger'),
         isKeyed: find<ContractSource>('contracts').isKeyed,
         keyedServices: find<ContractSource>('contracts').keyedServices,
--- a/fleet/_test_keepers.ts
+++ b/fleet/_test_keepers.ts
@@ -13,7 +13,7 @@
 import { createMemoryLeasedStore, type LeasedStore, type MemoryLeasedStore } from '../store/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
 import { createInstanceRegistry } from './instance_registry.ts';
-import { createRangeKeeper } from './range_keeper.ts';
+import { createRangeKeeper, grantableMs } from './range_keeper.ts';
 import { createTestInstance, type TestInstance } from './_test_instance.ts';
 
 /** One host: a node and its instance. */
@@ -26,6 +26,7 @@
   /** Ends the instance; its address refuses connections. */
   readonly killInstance: () => void;
   readonly startInstance: () => void;
+  readonly drain: () => void;
   /** The store answers this node no more. */
   readonly cutStore: (isCut: boolean) => void;
   /** Announcements of the instance do not arrive. */
@@ -39,6 +40,8 @@
   readonly hosts: readonly TestHost[];
   /** Lets time pass in steps; throws when two instances hold a key. */
   readonly run: (durationMs: number) => Promise<void>;
+  /** Ends all nodes. */
+  readonly stop: () => void;
   /** Part of the keys that some instance holds. */
   readonly heldShare: () => number;
 }
@@ -123,7 +126,7 @@
       fleet,
       registry,
       ledger: createGrantLedger({ clock, node, maxHoldMs: MAX_HOLD_MS }),
-      right,
+      grantableMs: () => grantableMs(right, own, view),
       logger: silentLogger,
       isKeyed: () => true,
       keyedServices: () => ['ledger'],
@@ -179,6 +182,7 @@
       refuses = true;
     },
     startInstance,
+    drain: () => instance?.drain(),
     cutStore: (isCut) => {
       isStoreCut = isCut;
     },
@@ -233,6 +237,9 @@
         steps += 1;
       }
     },
+    stop: () => {
+      for (const { host } of hosts) host.killNode();
+    },
     heldShare: () => hosts
       .flatMap(({ held }) => held())
       .reduce((sum, { from, to }) => sum + to - from + 1, 0) / KEYS,
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -1,4 +1,6 @@
-import { nodeKey, rangesKey, type StoreView } from '../directory/mod.ts';
+import {
+  nodeKey, type OwnEntry, rangesKey, type StoreView,
+} from '../directory/mod.ts';
 import {
   type Announcement,
   type AnnouncementAnswer,
@@ -27,12 +29,31 @@
 export interface RangeKeeperOptions extends RangePlannerOptions {
   readonly store: LeasedStore;
   readonly view: StoreView;
-  readonly right: RightToGrant;
+  /** Time in ms for which holds may be given. */
+  readonly grantableMs: () => number;
   readonly isKeyed: (service: string) => boolean;
   readonly keyedServices: () => readonly string[];
   readonly onMoved?: (rows: number, reason: string) => void;
 }
 
+/**
+ * Time in ms for which a node may give holds. After its entry was missing, the node may have lost
+ * keys, so the record must have been read since the entry came to be.
+ *
+ * @param right Right to grant of the node.
+ * @param own Entry of the node.
+ * @param view View of the store with the record.
+ * @returns The time; 0 while nothing may be granted.
+ *
+ * @example
+ * const holdMs = Math.min(maxHoldMs, grantableMs(right, own, view));
+ */
+export const grantableMs = (
+  right: Pick<RightToGrant, 'remainingMs'>,
+  own: Pick<OwnEntry, 'createdAt'>,
+  view: Pick<StoreView, 'revision'>,
+): number => (view.revision() >= own.createdAt() ? right.remainingMs() : 0);
+
 /**
  * Creates the keeper. Any node may change the record; the store's condition on its revision
  * decides, and each change is derived from the newest record, so that a lost race costs a call.
@@ -144,7 +165,7 @@
     const { released } = stateOf(announcement.service);
     const outcome = ledger.answer(announcement, {
       record,
-      rightMs: options.right.remainingMs(),
+      rightMs: options.grantableMs(),
       isWithdrawn: (row) => released.has(rowKey(row))
         || (announcement.isDraining && hasOthers && view.isConnected()),
     });
