--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -79,6 +79,8 @@
   let use: AnswerUse | undefined;
   let status = 0;
   let head: readonly string[] = [];
+  /** The connection ends after this answer. */
+  let isLastOfConnection = false;
   let drainedBytes = 0;
   let cause: FailureCause = 'connection';
   let settled = false;
@@ -181,6 +183,8 @@
       head = raw;
       const endsWithConnection = findHeader(raw, 'content-length') === undefined
         && findHeader(raw, 'transfer-encoding') === undefined;
+      isLastOfConnection = endsWithConnection
+        || findHeader(raw, 'connection')?.toLowerCase().includes('close') === true;
       const headers = endToEndHeaders(raw, DROPPED);
       const decided = sink.start(statusCode, headers, endsWithConnection);
       if (decided === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
@@ -203,7 +207,8 @@
         }
         return;
       }
-      if (!sink.write(chunk)) {
+      // The HTTP client fails when a connection ends while its last answer is paused.
+      if (!sink.write(chunk) && !isLastOfConnection) {
         current.pause();
         sink.onDrain(goOn);
       }
--- a/gateway/instance_port_test.ts
+++ b/gateway/instance_port_test.ts
@@ -12,6 +12,7 @@
 const clock = createSystemClock();
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n';
 const RESET_DELAY_MS = 20;
+const SLOW_RECEIVER_MS = 60;
 
 const requestOf = (signal = new AbortController().signal): GatewayRequest => ({
   requestId: 'r1',
@@ -30,7 +31,10 @@
 });
 
 /** Runs one request against a server that answers raw bytes. */
-const runAgainst = async (answer: (socket: Socket, head: string) => void) => {
+const runAgainst = async (
+  answer: (socket: Socket, head: string) => void,
+  receiver: 'quick' | 'slow' = 'quick',
+) => {
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       socket.on('error', () => undefined);
@@ -42,8 +46,10 @@
   const body: Buffer[] = [];
   const sink: AnswerSink = {
     start: () => 'deliver',
-    write: (chunk) => body.push(chunk) > 0,
-    onDrain: (resume) => resume(),
+    write: (chunk) => body.push(chunk) > 0 && receiver === 'quick',
+    onDrain: (resume) => {
+      setTimeout(resume, SLOW_RECEIVER_MS);
+    },
     end: () => undefined,
   };
   const instancePort = createInstancePort({
@@ -90,6 +96,18 @@
   assert.is(outcome.kind, 'truncated');
 });
 
+test('a connection that ends while the receiver is slow does not fail the process', async () => {
+  const large = Buffer.alloc(300_000, 'x').toString();
+  for (const cut of ['end', 'resetAndDestroy'] as const) {
+    const { outcome } = await runAgainst((socket) => {
+      socket.write(`${HEAD}connection: close\r\n\r\n${large}`, () => {
+        setTimeout(() => socket[cut](), RESET_DELAY_MS);
+      });
+    }, 'slow');
+    assert.is(outcome.kind, cut === 'end' ? 'answered' : 'truncated');
+  }
+});
+
 test('a chunked answer that ends before its last chunk does not look complete', async () => {
   const begin = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n`;
   for (const cut of ['resetAndDestroy', 'end'] as const) {
