Name the platform's calls in one place and render malformed input once

Cause, found by reading the change: paths of the platform stood in fleet/ and in the stand-ins, and two parts rendered the same answer. Change: platform/ names the calls, the stand-ins use its headers and paths, and http/ renders the answer.

--- a/fleet/control_listeners.ts
+++ b/fleet/control_listeners.ts
@@ -1,8 +1,8 @@
 import { getRequestListener } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { Clock } from '../clock/mod.ts';
-import { createHttpServer, type HttpListener } from '../http/mod.ts';
-import { decodeAnnouncement, encodeAnnouncementAnswer } from '../platform/mod.ts';
+import { createHttpServer, type HttpListener, renderMalformed } from '../http/mod.ts';
+import { decodeAnnouncement, encodeAnnouncementAnswer, nodeCalls } from '../platform/mod.ts';
 import type { Announcement, AnnouncementAnswer } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
@@ -25,10 +25,6 @@
 const MAX_HEADER_BYTES = 16_384;
 const IDLE_GRACE_MS = 200;
 
-const renderMalformed = (status: number) => (
-  `HTTP/1.1 ${status} Malformed Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
-);
-
 /**
  * Creates the listeners for the readiness check, the instance's announcements and metrics.
  *
@@ -44,12 +40,12 @@
   const logger = options.logger.forPart('announcements');
 
   const readiness = new Hono();
-  readiness.get('/readiness', (context) => (
+  readiness.get(nodeCalls.readiness, (context) => (
     options.isReady() ? context.text('ready') : context.text('not ready', 503)
   ));
 
   const announcements = new Hono();
-  announcements.post('/instances/:id/heartbeat', async (context) => {
+  announcements.post(nodeCalls.announce, async (context) => {
     const instance = context.req.param('id');
     const announcement = decodeAnnouncement(instance, await context.req.text());
     if (announcement === undefined) {
@@ -61,7 +57,7 @@
       'content-type': 'application/json',
     });
   });
-  announcements.post('/instances/:id/deregister', (context) => {
+  announcements.post(nodeCalls.leave, (context) => {
     options.leave(context.req.param('id'));
     return context.json({});
   });
--- a/gateway/_answer.ts
+++ b/gateway/_answer.ts
@@ -46,11 +46,6 @@
   response.end(text);
 };
 
-/** An HTTP message for input that is not valid HTTP. */
-export const renderMalformed = (status: number): string => (
-  `HTTP/1.1 ${status} Malformed Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
-);
-
 /** Asks for the body of a caller that waits for permission to send it. */
 export const allowBody = (expect: 'none' | 'continue' | 'other', response: ServerResponse) => {
   if (expect === 'continue') response.writeContinue();
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -4,12 +4,11 @@
 import type { RefusalError } from '../errors/mod.ts';
 import { endToEndHeaders } from '../forward/mod.ts';
 import {
-  createHttpServer, createResponseSink, type Expectation, type HttpListener, resetConnection,
+  createHttpServer, createResponseSink, type Expectation, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
   abortOnClose, allowBody, answerText, describeRefusal, headerOf, readPendingEvents,
-  renderMalformed,
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
 import type { Attempts } from './attempts.ts';
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -5,11 +5,11 @@
   endToEndHeaders, formatLoad, hopHeaders, refusalHeaders,
 } from '../forward/mod.ts';
 import {
-  createHttpServer, createResponseSink, type HttpListener, resetConnection,
+  createHttpServer, createResponseSink, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, answerText, describeRefusal, headerOf, readPendingEvents, renderMalformed,
+  abortOnClose, answerText, describeRefusal, headerOf, readPendingEvents,
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
 import { refuseNotRun } from './_refusals.ts';
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -2,4 +2,5 @@
 export {
   createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
 } from './create_http_server.ts';
+export { renderMalformed } from './render_malformed.ts';
 export { createResponseSink, resetConnection } from './response_sink.ts';
--- /dev/null
+++ b/http/render_malformed.ts
@@ -0,0 +1,12 @@
+/**
+ * Renders the answer to input that is not valid HTTP.
+ *
+ * @param status Status of the answer.
+ * @returns A whole HTTP message that closes the connection.
+ *
+ * @example
+ * socket.end(renderMalformed(400));
+ */
+export const renderMalformed = (status: number): string => (
+  `HTTP/1.1 ${status} Malformed Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+);
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { request } from 'undici';
+import { nodeCalls, platformHeaders } from '../platform/mod.ts';
 
 type Range = readonly [from: number, to: number, token: number];
 
@@ -88,14 +89,14 @@
   let sequence = 0;
 
   const refuse = (response: ServerResponse, status: number) => {
-    response.writeHead(status, { 'Not-Executed': '1', 'Instance-Id': instance });
+    response.writeHead(status, { [platformHeaders.notRun]: '1' });
     response.end();
   };
 
   const answer = (id: string, response: ServerResponse) => {
     const headers: Record<string, string> = {
-      'Request-Id': fault === 'foreign' ? 'other' : id,
-      ...(fault === 'unsigned' ? {} : { 'Response-Seal': `${instance}.${id}` }),
+      [platformHeaders.requestId]: fault === 'foreign' ? 'other' : id,
+      ...(fault === 'unsigned' ? {} : { [platformHeaders.signature]: `${instance}.${id}` }),
     };
     const body = `${id} ran at ${instance}`;
     if (fault === 'truncate') {
@@ -111,9 +112,9 @@
 
   const handle = (message: IncomingMessage, response: ServerResponse) => {
     message.resume();
-    const id = String(message.headers['request-id'] ?? '');
-    const expected = message.headers['expect-instance'];
-    const key = message.headers['shard-key'];
+    const id = String(message.headers[platformHeaders.requestId] ?? '');
+    const expected = message.headers[platformHeaders.expectedInstance];
+    const key = message.headers[platformHeaders.key];
     if (expected !== undefined && expected !== instance) refuse(response, STATUS_MISDIRECTED);
     else if (key !== undefined && !holds.holds(Number(key))) refuse(response, STATUS_MISDIRECTED);
     else if (fault === 'shed') refuse(response, STATUS_UNAVAILABLE);
@@ -133,7 +134,7 @@
     const sentAt = Date.now();
     sequence += 1;
     const { body, statusCode } = await request(
-      `http://${options.control}/instances/${instance}/heartbeat`,
+      `http://${options.control}${nodeCalls.announce.replace(':id', instance)}`,
       {
         method: 'POST',
         signal: AbortSignal.timeout(1000),
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Clock } from '../clock/mod.ts';
 import type { StoreError, StoreErrorKind } from '../errors/mod.ts';
+import { storeCalls } from '../platform/mod.ts';
 import { createMemoryLeasedStore, type MemoryLeasedStore, type StoreEntry } from '../store/mod.ts';
 
 /** A stand-in of the platform's store over HTTP. */
@@ -36,19 +37,19 @@
 
 const createRoutes = (store: MemoryLeasedStore): Hono => {
   const routes = new Hono();
-  routes.get('/kv-key', async (context) => {
+  routes.get(storeCalls.get, async (context) => {
     const found = await store.get(context.req.query('key') ?? '');
     if (found.isErr()) return fail(context, found.error);
     if (found.value === undefined) return context.json({}, 404);
     return context.json(toItem(found.value));
   });
-  routes.get('/kv-range', async (context) => {
+  routes.get(storeCalls.list, async (context) => {
     const list = await store.list(context.req.query('prefix') ?? '');
     if (list.isErr()) return fail(context, list.error);
     const { entries, at } = list.value;
     return context.json({ items: entries.map(toItem), has_more: false, at });
   });
-  routes.get('/kv-watch', async (context) => {
+  routes.get(storeCalls.watch, async (context) => {
     const changes = await store.changes(
       context.req.query('prefix') ?? '',
       numberOf(context, 'after'),
@@ -62,7 +63,7 @@
     ));
     return context.json({ events, at: changes.value.at });
   });
-  routes.post('/kv-txn', async (context) => {
+  routes.post(storeCalls.transact, async (context) => {
     const body = await context.req.json();
     const result = await store.transact({
       expect: body.expect,
@@ -75,18 +76,18 @@
       ? fail(context, result.error)
       : context.json({ revision: result.value });
   });
-  routes.post('/kv-lease', async (context) => {
+  routes.post(storeCalls.openLease, async (context) => {
     const body = await context.req.json();
     const lease = await store.openLease(Number.parseFloat(body.ttl_time));
     return lease.isErr()
       ? fail(context, lease.error)
       : context.json({ lease: lease.value, ttl_time: body.ttl_time });
   });
-  routes.post('/kv-keep/:id', async (context) => {
+  routes.post(`${storeCalls.keepLease}:id`, async (context) => {
     const kept = await store.keepLease(Number(context.req.param('id')));
     return kept.isErr() ? fail(context, kept.error) : context.json({});
   });
-  routes.delete('/kv-lease-end/:id', async (context) => {
+  routes.delete(`${storeCalls.endLease}:id`, async (context) => {
     const ended = await store.endLease(Number(context.req.param('id')));
     return ended.isErr() ? fail(context, ended.error) : context.json({});
   });
