--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -4,7 +4,12 @@
 import type { RefusalError } from '../errors/mod.ts';
 import { endToEndHeaders } from '../forward/mod.ts';
 import {
-  createHttpServer, createResponseSink, type Expectation, type HttpListener, renderMalformed, resetConnection,
+  createHttpServer,
+  createResponseSink,
+  type Expectation,
+  type HttpListener,
+  renderMalformed,
+  resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
