Take the use of a lost host's address by a later node as proof of its end

Change: a later node at the address of a node whose entry is missing proves that it ended. The build script may use development packages, as the linter now knows.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,6 +40,7 @@
       'standins/**',
       'command/**',
       'eslint.config.js',
+      'deploy/**',
     ],
     rules: {
       'no-console': 'off',
--- a/fleet/_owners.ts
+++ b/fleet/_owners.ts
@@ -1,4 +1,4 @@
-import type { NodeEntry } from '../directory/mod.ts';
+import type { FleetView, NodeEntry } from '../directory/mod.ts';
 import type { LoadPicture, Owner, RangeAssignment } from '../ranges/mod.ts';
 
 type Entries = ReadonlyMap<string, NodeEntry>;
@@ -10,6 +10,22 @@
     && instance.startedAt === owner.startedAt;
 };
 
+/**
+ * Tells whether a later node has the address of a node whose entry is missing. The address of a
+ * host is used again only after the host and its instance have ended.
+ */
+export const isReplaced = (
+  fleet: Pick<FleetView, 'present' | 'find'>,
+  node: string,
+): boolean => {
+  const former = fleet.find(node);
+  if (former === undefined || fleet.present().has(node)) return false;
+  for (const entry of fleet.present().values()) {
+    if (entry.peerAddress === former.peerAddress && entry.startedAt > former.startedAt) return true;
+  }
+  return false;
+};
+
 /** Instances of a service that can take keys, in an order that all nodes share. */
 export const listOwners = (entries: Entries, service: string): readonly Owner[] => {
   const owners: Owner[] = [];
--- a/fleet/_range_plan.ts
+++ b/fleet/_range_plan.ts
@@ -20,7 +20,7 @@
 import type { Logger } from '../telemetry/mod.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import {
-  describePlan, isLiveOwner, listOwners, rankOf,
+  describePlan, isLiveOwner, isReplaced, listOwners, rankOf,
 } from './_owners.ts';
 
 /** What a node knows of the keys of one service beside the record. */
@@ -117,9 +117,10 @@
   };
 
   const lostAfterMs = options.rightMs * ABSENCE_FACTOR + ABSENCE_MARGIN_MS;
-  const isOfLostNode = ({ owner }: RangeRow, { absences }: ServiceState) => (
-    owner !== undefined && owner.node !== node && absences.absentMs(owner.node) > lostAfterMs
-  );
+  const isOfLostNode = ({ owner }: RangeRow, { absences }: ServiceState) => {
+    if (owner === undefined || owner.node === node) return false;
+    return absences.absentMs(owner.node) > lostAfterMs || isReplaced(fleet, owner.node);
+  };
 
   const observeAbsences = (record: RangeRecord, { absences }: ServiceState) => {
     const wanted = new Set<string>();
--- a/fleet/_test_keepers.ts
+++ b/fleet/_test_keepers.ts
@@ -29,6 +29,8 @@
   readonly drain: () => void;
   /** The store answers this node no more. */
   readonly cutStore: (isCut: boolean) => void;
+  /** Gives the host another address from its next start on. */
+  readonly moveTo: (peerAddress: string) => void;
   /** Announcements of the instance do not arrive. */
   readonly cutAnnouncements: (isCut: boolean) => void;
 }
@@ -77,6 +79,7 @@
   index: number,
 ) => {
   const node = `host-${index}`;
+  let peerAddress = `${node}:2`;
   let isStoreCut = false;
   let areAnnouncementsCut = false;
   let starts = 0;
@@ -108,7 +111,7 @@
     const entry = (): NodeEntry => ({
       node,
       startedAt,
-      peerAddress: `${node}:2`,
+      peerAddress,
       region: 'r',
       failureDomain: 'd',
       isStopping: false,
@@ -186,6 +189,9 @@
     cutStore: (isCut) => {
       isStoreCut = isCut;
     },
+    moveTo: (address) => {
+      peerAddress = address;
+    },
     cutAnnouncements: (isCut) => {
       areAnnouncementsCut = isCut;
     },
--- a/fleet/range_keeper_test.ts
+++ b/fleet/range_keeper_test.ts
@@ -124,6 +124,21 @@
   assert.is(heldShare(), 1);
 });
 
+test('the keys of a host whose address another host uses move without a long wait', async () => {
+  const { hosts, run, heldShare } = await started();
+  const [lost, , , replacing] = hosts;
+  for (const host of [lost!, replacing!]) {
+    host.killNode();
+    host.killInstance();
+  }
+  await run(1500);
+  replacing!.moveTo('host-0:2');
+  replacing!.startNode();
+  replacing!.startInstance();
+  await run(6500);
+  assert.is(heldShare(), 1);
+});
+
 test('lost replies of the store leave one holder for each key', async () => {
   const {
     store, hosts, run, heldShare,
