--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -16,6 +16,8 @@
   readonly onChange: (listener: (change: ViewChange) => void) => void;
   /** Takes over a newer entry that this node has just written. */
   readonly apply: (entry: StoreEntry) => void;
+  /** Takes over all changes up to now; false when the store does not tell them. */
+  readonly refresh: () => Promise<boolean>;
   /** Follows the store until `signal` aborts. */
   readonly follow: (signal: AbortSignal) => Promise<void>;
 }
@@ -116,6 +118,12 @@
     return changed;
   };
 
+  const takeOver = (changes: EntryChanges) => {
+    const keys = applyEvents(changes.events);
+    at = Math.max(at, changes.at);
+    if (keys.length > 0) notify(keys, false);
+  };
+
   const setConnected = (value: boolean, reason: string) => {
     if (connected === value) return;
     connected = value;
@@ -134,14 +142,12 @@
         const changes = await store.changes(prefix, at, { waitMs, signal });
         if (signal.aborted) return;
         if (changes.isOk()) {
-          const keys = applyEvents(changes.value.events);
-          at = Math.max(at, changes.value.at);
+          takeOver(changes.value);
           setConnected(true, '');
-          if (keys.length > 0) notify(keys, false);
         } else {
-          // After a failed watch the history may have gone on without this node.
-          stale = true;
-          if (changes.error.kind !== 'compacted') setConnected(false, changes.error.message);
+          // The store keeps its history over an outage, so the next watch misses nothing.
+          stale = changes.error.kind === 'compacted';
+          if (!stale) setConnected(false, changes.error.message);
         }
       }
       retryMs = connected ? MIN_RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 1.5);
@@ -161,6 +167,11 @@
     apply: (entry) => {
       if (put(entry)) notify([entry.key], false);
     },
+    refresh: async () => {
+      const changes = await store.changes(prefix, at, { waitMs: 0 });
+      if (changes.isOk()) takeOver(changes.value);
+      return changes.isOk();
+    },
     follow,
   };
 };
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -103,7 +103,13 @@
     }
     const before = known?.record ?? emptyRecord;
     const state = stateOf(service);
-    const { record, lost, reason } = plan(before, service);
+    let planned = plan(before, service);
+    if (planned.lost.size > 0) {
+      // This view may lag behind a silent connection, and the nodes may have been back meanwhile.
+      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return false;
+      planned = plan(before, service);
+    }
+    const { record, lost, reason } = planned;
     if (record === before) return false;
     // The write may take effect late, so these rows are not granted again, whatever comes.
     for (const row of before.rows) {
--- a/fleet/range_keeper_test.ts
+++ b/fleet/range_keeper_test.ts
@@ -139,6 +139,20 @@
   assert.is(heldShare(), 1);
 });
 
+test('an outage of the store does not make the wait for a lost host start again', async () => {
+  const {
+    store, hosts, run, heldShare,
+  } = await started();
+  hosts[0]!.killNode();
+  hosts[0]!.cutAnnouncements(true);
+  await run(13_000);
+  store.faults.down = 'unavailable';
+  await run(6000);
+  store.faults.down = undefined;
+  await run(3000);
+  assert.is(heldShare(), 1);
+});
+
 test('lost replies of the store leave one holder for each key', async () => {
   const {
     store, hosts, run, heldShare,
