Remove members that nothing calls, and tell a body in one place

Cause, found by reading the change once more: the slot queue, the retry allowance, the instance registry and the node's entry had members without a caller; the gateway checked for a body as proxy/ does; each keyed request looked the peers up by name; the result of a record write was not read. Behaviour stays as it is.

--- a/directory/own_entry.ts
+++ b/directory/own_entry.ts
@@ -17,8 +17,6 @@
   readonly createdAt: () => number;
   /** Keeps the entry until `signal` aborts. */
   readonly keep: (signal: AbortSignal) => Promise<void>;
-  /** Ends the lease, which removes the entry. */
-  readonly withdraw: () => Promise<void>;
 }
 
 /** Options of the entry. */
@@ -165,10 +163,5 @@
     },
     createdAt: () => createdAt,
     keep,
-    withdraw: async () => {
-      if (lease === undefined) return;
-      const ended = await store.endLease(lease);
-      if (ended.isErr()) logger.warn({ lease, reason: ended.error.message }, 'the lease runs out');
-    },
   };
 };
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -120,11 +120,12 @@
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
       const views = find<Map<string, ServiceView>>('service-views');
+      const { isSuspect } = find<PeerPort>('peers');
       const membership = createFleetMembership({
         clock,
         fleet,
         self: find<SelfDescription>('self').entry,
-        isSuspect: find<PeerPort>('peers').isSuspect,
+        isSuspect,
       });
       const viewOf = (service: string) => {
         const known = views.get(service);
@@ -144,7 +145,7 @@
             return entry && {
               node,
               address: entry.peerAddress,
-              isSuspect: find<PeerPort>('peers').isSuspect(entry.peerAddress),
+              isSuspect: isSuspect(entry.peerAddress),
             };
           },
         }),
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -13,7 +13,6 @@
   readonly local: () => LocalInstance | undefined;
   readonly owner: () => Owner | undefined;
   readonly slots: () => number;
-  readonly isDraining: () => boolean;
   /** No process listens at the instance's address, so no life of it holds keys. */
   readonly isVacant: () => boolean;
   /** Time in ms since the last announcement. */
@@ -184,7 +183,6 @@
       node, instance: life.announcement.instance, startedAt: life.announcement.startedAt,
     },
     slots: () => life?.announcement.slots ?? 1,
-    isDraining: () => life?.state === 'draining',
     isVacant: () => (life === undefined ? isAddressVacant : life.state === 'down'),
     silentMs: () => (life === undefined ? Infinity : clock.now() - life.announcedAt),
     describe: () => life && {
--- a/fleet/range_keeper.ts
+++ b/fleet/range_keeper.ts
@@ -93,24 +93,24 @@
     || recordOf(service)?.record.rows.some(({ owner }) => owner?.node === node)
   ));
 
-  const write = async (service: string): Promise<boolean> => {
+  const write = async (service: string): Promise<void> => {
     const key = rangesKey(service);
     const known = recordOf(service);
     const entry = view.get(key);
     if (entry !== undefined && known === undefined) {
       logger.error({ service, revision: entry.revision }, 'the range record cannot be read');
-      return false;
+      return;
     }
     const before = known?.record ?? emptyRecord;
     const state = stateOf(service);
     let planned = plan(before, service);
     if (planned.lost.size > 0) {
       // This view may lag behind a silent connection, and the nodes may have been back meanwhile.
-      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return false;
+      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return;
       planned = plan(before, service);
     }
     const { record, lost, reason } = planned;
-    if (record === before) return false;
+    if (record === before) return;
     // The write may take effect late, so these rows are not granted again, whatever comes.
     for (const row of before.rows) {
       if (isReleasedHere(row, state)) state.released.add(rowKey(row));
@@ -138,13 +138,12 @@
       view.apply({ key, revision: result.value, value });
       const left = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
       for (const one of state.released) if (!left.has(one)) state.released.delete(one);
-      return true;
+      return;
     }
     logger.warn({ service, reason: result.error.message }, 'could not change the range record');
-    if (result.error.kind !== 'conflict') return false;
+    if (result.error.kind !== 'conflict') return;
     const newest = await options.store.get(key);
     if (newest.isOk() && newest.value !== undefined) view.apply(newest.value);
-    return false;
   };
 
   const reconcile = async () => {
--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { hasBody } from '../http/mod.ts';
 
 /**
  * Reads a request's body as a whole, so that it can be sent again to another instance.
@@ -9,9 +10,7 @@
   message: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | null | undefined> => new Promise((resolve) => {
-  const hasBody = message.headers['transfer-encoding'] !== undefined
-    || Number(message.headers['content-length'] ?? 0) > 0;
-  if (!hasBody) {
+  if (!hasBody(message)) {
     message.resume();
     resolve(null);
     return;
--- a/gateway/retry_allowance.ts
+++ b/gateway/retry_allowance.ts
@@ -6,8 +6,6 @@
   readonly deposit: (service: string) => void;
   /** Takes one further send; false when the allowance is used up. */
   readonly withdraw: (service: string) => boolean;
-  /** Further sends that are left. */
-  readonly left: (service: string) => number;
 }
 
 /** Bounds of the whole fleet and this node's part of it. */
@@ -79,6 +77,5 @@
       account.tokens -= 1;
       return true;
     },
-    left: (service) => Math.floor(refill(service).tokens),
   };
 };
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -27,8 +27,6 @@
 export interface SlotQueue {
   readonly acquire: (request: SlotRequest) => Promise<Result<SlotPermit, RefusalError>>;
   readonly load: () => AdmissionLoad;
-  /** Refuses all that wait, because the instance takes no more requests. */
-  readonly refuseAll: (reason: string) => void;
 }
 
 /** Options of a queue. */
@@ -228,8 +226,5 @@
       limit: slots(),
       serviceRate: samples === 0 ? 0 : (slots() * 1000) / overallMean,
     }),
-    refuseAll: (reason) => {
-      for (const one of [...waiting]) if (take(one)) one.settle(refuse(reason, 0));
-    },
   };
 };
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -2,5 +2,6 @@
 export {
   createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
 } from './create_http_server.ts';
+export { hasBody } from './has_body.ts';
 export { renderMalformed } from './render_malformed.ts';
 export { createResponseSink, resetConnection } from './response_sink.ts';
--- a/proxy/_request_body.ts
+++ b/proxy/_request_body.ts
@@ -29,12 +29,6 @@
   message.resume();
 };
 
-/** Tells whether a request announces a body. */
-export const hasBody = (message: IncomingMessage): boolean => (
-  message.headers['transfer-encoding'] !== undefined
-  || Number(message.headers['content-length'] ?? 0) > 0
-);
-
 /** Streams the body of a message with back-pressure and stops it after `maxBytes`. */
 export const createRequestBody = (message: IncomingMessage, maxBytes: number): RequestBody => {
   let bytes = 0;
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -8,10 +8,12 @@
 import type { Router } from '../routing/mod.ts';
 import { type Logger, metricNames, type Metrics } from '../telemetry/mod.ts';
 import { type CallerRequest, createAttempts } from './_attempts.ts';
-import { createHttpServer, type Expectation, type HttpListener } from '../http/mod.ts';
+import {
+  createHttpServer, hasBody, type Expectation, type HttpListener,
+} from '../http/mod.ts';
 import { renderProblem, sendProblem } from './_problem.ts';
 import {
-  createRequestBody, hasBody, type RequestBody, waitForBody,
+  createRequestBody, type RequestBody, waitForBody,
 } from './_request_body.ts';
 import { findKey, findRequestProblem, parseTarget } from './_request_check.ts';
 import { createResponseSink, resetConnection } from '../http/mod.ts';
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -9,8 +9,8 @@
 } from '../forward/mod.ts';
 import { createSecretCheck, type TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
-import { createHttpServer, type HttpListener } from '../http/mod.ts';
-import { createRequestBody, hasBody } from './_request_body.ts';
+import { createHttpServer, hasBody, type HttpListener } from '../http/mod.ts';
+import { createRequestBody } from './_request_body.ts';
 import { createResponseSink, resetConnection } from '../http/mod.ts';
 import type { LocalDispatch, LocalUpstream } from './local_dispatch.ts';
 
