End the connection of a refused CONNECT

A log of what was left at the stop shows one connection without a parser, its answer written, that nobody read: Node hands the connection of a CONNECT over, and the refusal did not read its end. It leaked outside of stops too. Change: the refusal reads and then destroys the connection.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
-import type { CancelTask, Clock } from '../clock/mod.ts';
+import type { Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
 
 /** A listener for HTTP requests. */
@@ -40,8 +40,6 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
-/** Pause between two closings of idle connections during a stop. */
-const CLOSE_INTERVAL_MS = 200;
 
 const malformedStatuses: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -117,7 +115,9 @@
   server.on('checkContinue', accept('continue'));
   server.on('checkExpectation', accept('other'));
   server.on('connect', (_, socket) => {
-    socket.end(options.renderMalformed(501, false));
+    // Node hands the connection over: nobody else reads it, nor notices that the client closed it.
+    socket.resume();
+    socket.end(options.renderMalformed(501, false), () => socket.destroy());
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const active = connections.get(socket as Socket);
@@ -160,16 +160,12 @@
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
-    // A connection can become idle after its answer has closed, when the rest of a body arrives.
-    let cancelClose: CancelTask = () => undefined;
-    const closeAgain = () => {
+    const cancelGrace = clock.schedule(options.idleGraceMs, () => {
       graceEnded = true;
       closeIdle();
-      cancelClose = clock.schedule(CLOSE_INTERVAL_MS, closeAgain);
-    };
-    cancelClose = clock.schedule(options.idleGraceMs, closeAgain);
+    });
     await closed;
-    cancelClose();
+    cancelGrace();
     server.close(() => undefined);
   };
 
