Serve requests that can be in time first, let calls wait, and tell peers in one header

Each refused hop carried eight headers and a body that nothing reads.

Change: the time since the first attempt follows from the time that the caller names; within a rank, requests that can end by their target go first; a wait is estimated from the next free slot; calls may wait until their target. One hop header replaces eight.

--- a/gateway/_answer.ts
+++ b/gateway/_answer.ts
@@ -30,7 +30,7 @@
   JSON.stringify({ error: message, outcome })
 );
 
-/** Ends a response with a short JSON text, unless its connection has gone. */
+/** Ends a response with a short JSON text, or none, unless its connection has gone. */
 export const answerText = (
   response: ServerResponse,
   status: number,
@@ -40,7 +40,7 @@
   if (response.destroyed || response.headersSent) return;
   response.writeHead(status, [
     ...headers,
-    'content-type', 'application/json',
+    ...(text === '' ? [] : ['content-type', 'application/json']),
     'content-length', String(Buffer.byteLength(text)),
   ]);
   response.end(text);
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -17,6 +17,7 @@
 } from './_answer.ts';
 import { readBody } from './_read_body.ts';
 import type { Attempts } from './attempts.ts';
+import { createCallerAge } from './caller_age.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { StopProgress } from './stop_progress.ts';
@@ -85,7 +86,8 @@
 export const createCallerListener = (options: CallerListenerOptions): HttpListener => {
   const { clock, headers: names } = options;
   const logger = options.logger.forPart('caller');
-  const dropped = new Set([names.callerService]);
+  const dropped = new Set([names.callerService, names.remainingMs]);
+  const ages = createCallerAge(clock);
 
   const toRequest = (
     message: IncomingMessage,
@@ -99,6 +101,7 @@
     const leftMs = Number.isFinite(remaining) ? remaining : DEFAULT_DEADLINE_MS;
     const key = headerOf(message, names.key);
     const isKeyed = options.routes()?.contract.services.get(service)?.keyed === true;
+    const firstAt = arrivedAt - ages.ageMs(route.name, leftMs);
     const headers = endToEndHeaders(message.rawHeaders, dropped);
     headers.push(names.callerService, options.callerService());
     return {
@@ -106,13 +109,14 @@
       service,
       kind: route.kind,
       priority: route.priority,
+      workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
       key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
       instance: undefined,
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers,
       deadlineAt: arrivedAt + Math.min(leftMs, route.timeoutMs),
-      targetAt: arrivedAt + Math.min(leftMs, route.targetLatencyMs),
+      targetAt: Math.min(arrivedAt + leftMs, firstAt + route.targetLatencyMs),
       signal,
     };
   };
--- /dev/null
+++ b/gateway/hop_test.ts
@@ -0,0 +1,47 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { formatHop, parseHop } from './_hop.ts';
+import type { GatewayRequest } from './request.ts';
+
+const test = suite('hop header');
+
+const request: GatewayRequest = {
+  requestId: 'r-1',
+  service: 'ledger',
+  kind: 'safe',
+  priority: 2,
+  workClass: 'safe/2/300',
+  key: 17,
+  instance: 'i-1',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: null,
+  deadlineAt: 2000,
+  targetAt: 900,
+  signal: new AbortController().signal,
+};
+
+test('a peer reads what was sent, also a target that has passed', () => {
+  assert.equal(parseHop(formatHop(request, 1000)), {
+    service: 'ledger',
+    kind: 'safe',
+    priority: 2,
+    workClass: 'safe/2/300',
+    key: 17,
+    instance: 'i-1',
+    remainingMs: 1000,
+    targetMs: -100,
+  });
+  const unkeyed = parseHop(formatHop({ ...request, key: undefined }, 1000));
+  assert.is(unkeyed?.key, undefined);
+});
+
+test('a malformed header is no request of a peer', () => {
+  for (const text of [
+    undefined, '', '{', '{}', '[]', '["ledger","other",2,"safe/2/300",1,1,1,"i-1"]',
+    '["ledger","safe","2","safe/2/300",1,1,1,"i-1"]', '[1,"safe",2,"safe/2/300",1,1,1,"i-1"]',
+  ]) assert.is(parseHop(text), undefined, text);
+});
+
+test.run();
--- a/gateway/instance_port_test.ts
+++ b/gateway/instance_port_test.ts
@@ -19,6 +19,7 @@
   service: 'ledger',
   kind: 'safe',
   priority: 1,
+  workClass: 'safe/1/300',
   key: undefined,
   instance: 'i-1',
   method: 'GET',
--- a/gateway/local_service.ts
+++ b/gateway/local_service.ts
@@ -44,13 +44,6 @@
 const DOWN_RETRY_AFTER_MS = 400;
 const MOVED_RETRY_AFTER_MS = 50;
 
-const workClassOf = ({
-  kind, priority, targetAt, deadlineAt,
-}: GatewayRequest) => (
-  // Routes are told apart by what their requests may take, since calls have shorter targets.
-  `${kind}/${priority}/${Math.round((deadlineAt - targetAt) / 100)}`
-);
-
 /**
  * Creates the service. A request is checked again after its wait for a slot, because the instance
  * may have left or lost the key meanwhile.
@@ -88,7 +81,7 @@
     if (request.key !== undefined) keys.record(request.key);
     const permit = await queue.acquire({
       priority: request.priority,
-      workClass: workClassOf(request),
+      workClass: request.workClass,
       deadlineAt: request.deadlineAt,
       targetAt: request.targetAt,
       signal: request.signal,
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
-import type { RouteKind } from '../contract/mod.ts';
 import {
   endToEndHeaders, formatLoad, hopHeaders, refusalHeaders,
 } from '../forward/mod.ts';
@@ -9,8 +8,9 @@
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, answerText, describeRefusal, headerOf, readPendingEvents,
+  abortOnClose, answerText, headerOf, readPendingEvents,
 } from './_answer.ts';
+import { HOP_HEADER, parseHop } from './_hop.ts';
 import { readBody } from './_read_body.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { LocalService } from './local_service.ts';
@@ -37,17 +37,13 @@
 const IDLE_GRACE_MS = 1000;
 /** Three interim answers within the silence that a peer tolerates. */
 const INTERIM_INTERVAL_MS = HOP_SILENCE_MS / 3;
-/** Path of control messages; requests of callers always carry a service header. */
+/** Path of control messages; requests of callers always carry a hop header. */
 const CONTROL_PREFIX = '/marjoramhollow/';
 /** A restarted node takes requests after about this time. */
 const STOPPING_RETRY_AFTER_MS = 400;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_OK = 200;
 
-const kinds: Readonly<Record<string, RouteKind>> = {
-  safe: 'safe', unsafe: 'unsafe', download: 'download',
-};
-
 /**
  * Creates the listener for peers.
  *
@@ -66,28 +62,17 @@
     message: IncomingMessage,
     signal: AbortSignal,
   ): Omit<GatewayRequest, 'body'> | undefined => {
-    const service = headerOf(message, hopHeaders.service);
-    const kind = kinds[headerOf(message, hopHeaders.requestClass) ?? ''];
-    const leftMs = Number(headerOf(message, hopHeaders.remainingMs));
-    const targetMs = Number(headerOf(message, hopHeaders.targetMs));
-    const priority = Number(headerOf(message, hopHeaders.priority));
-    const key = headerOf(message, hopHeaders.key);
-    if (service === undefined || kind === undefined) return undefined;
-    if (!Number.isFinite(leftMs) || !Number.isFinite(targetMs) || !Number.isFinite(priority)) {
-      return undefined;
-    }
+    const hop = parseHop(headerOf(message, HOP_HEADER));
+    if (hop === undefined) return undefined;
+    const { remainingMs, targetMs, ...fields } = hop;
     const now = clock.now();
     return {
+      ...fields,
       requestId: headerOf(message, options.requestIdHeader) ?? '',
-      service,
-      kind,
-      priority,
-      key: key === undefined ? undefined : Number(key),
-      instance: headerOf(message, hopHeaders.instance),
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers: endToEndHeaders(message.rawHeaders),
-      deadlineAt: now + leftMs,
+      deadlineAt: now + remainingMs,
       targetAt: now + targetMs,
       signal,
     };
@@ -146,7 +131,7 @@
         ...refusalHeaders(refusal),
         hopHeaders.load, formatLoad(local.load()),
         ...(reached ? [hopHeaders.reached, '1'] : []),
-      ], describeRefusal(refusal));
+      ], '');
       return;
     }
     logger.warn(fields, 'the answer to a peer broke off');
@@ -155,7 +140,7 @@
 
   const handle = (message: IncomingMessage, response: ServerResponse) => {
     const isControl = message.url?.startsWith(CONTROL_PREFIX)
-      && message.headers[hopHeaders.service] === undefined;
+      && message.headers[HOP_HEADER] === undefined;
     if (isControl) {
       const text = options.control(message.url!.slice(CONTROL_PREFIX.length));
       message.resume();
--- a/gateway/peer_port.ts
+++ b/gateway/peer_port.ts
@@ -12,6 +12,7 @@
   readRefusal,
   type WatchedPool,
 } from '../forward/mod.ts';
+import { formatHop, HOP_HEADER } from './_hop.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { type AttemptOutcome, type GatewayRequest, isRepeatable } from './request.ts';
 
@@ -60,20 +61,6 @@
 const RETRY_AFTER_MS = 150;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
-const hopHeadersOf = (request: GatewayRequest, now: number): string[] => {
-  const headers = [
-    ...request.headers,
-    hopHeaders.service, request.service,
-    hopHeaders.requestClass, request.kind,
-    hopHeaders.priority, String(request.priority),
-    hopHeaders.remainingMs, String(Math.max(1, Math.floor(request.deadlineAt - now))),
-    hopHeaders.targetMs, String(Math.floor(request.targetAt - now)),
-  ];
-  if (request.key !== undefined) headers.push(hopHeaders.key, String(request.key));
-  if (request.instance !== undefined) headers.push(hopHeaders.instance, request.instance);
-  return headers;
-};
-
 /**
  * Creates the port to all peers.
  *
@@ -139,7 +126,7 @@
     const end = await exchange(pool, {
       method: request.method,
       path: request.path,
-      headers: hopHeadersOf(request, clock.now()),
+      headers: [...request.headers, HOP_HEADER, formatHop(request, clock.now())],
       body: request.body,
     }, {
       ...sink,
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -8,6 +8,8 @@
   readonly kind: RouteKind;
   /** Rank of the request; 0 is the highest. */
   readonly priority: number;
+  /** Requests of one work class take about the same time. */
+  readonly workClass: string;
   /** Key of the request at a keyed service. */
   readonly key: number | undefined;
   /** Instance that the sender chose; another one may be beside the node by now. */
@@ -20,7 +22,7 @@
   readonly body: Buffer | null;
   /** Time by which the answer must have begun. */
   readonly deadlineAt: number;
-  /** Time by which the answer has its full worth. */
+  /** Time by which the answer has its full worth; past for a caller that returned too late. */
   readonly targetAt: number;
   /** Aborts when the answer is no longer wanted. */
   readonly signal: AbortSignal;
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -2,15 +2,16 @@
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { RefusalError } from '../errors/mod.ts';
+import { createWorkTimes } from './work_times.ts';
 
 /** A request that asks for a slot of the instance; times are monotonic in ms. */
 export interface SlotRequest {
-  /** Rank of the request; 0 is the highest. */
+  /** Rank of the request; 0 is the highest, of the calls that running requests make. */
   readonly priority: number;
   /** Requests of one work class take about the same time. */
   readonly workClass: string;
   readonly deadlineAt: number;
-  /** Time by which the answer has its full worth. */
+  /** Time by which the answer has its full worth; past for a caller that returned too late. */
   readonly targetAt: number;
   /** Aborts when the answer is no longer wanted. */
   readonly signal: AbortSignal;
@@ -50,17 +51,18 @@
   readonly startedAt: number;
 }
 
-/** Duration in ms assumed for a work class before it was measured. */
-const DEFAULT_WORK_MS = 80;
-/** Weight of one run in the mean of its class. */
-const MEAN_WEIGHT = 0.06;
 /** Part of its mean that a run beyond its mean is expected to take still. */
 const OVERDUE_FRACTION = 0.5;
 /** Part of the time to the target that a request may wait even if its class is slower than that. */
 const MIN_WAIT_FRACTION = 0.25;
 /** A request that cannot end by its target may wait for this part of the time to its deadline. */
 const LATE_WAIT_FRACTION = 0.1;
+/** A request with less than this part of its mean until its target cannot end by it. */
+const LATE_WORK_FRACTION = 0.5;
+/** Rank of the calls that running requests make. */
+const CALL_PRIORITY = 0;
 const STATUS_UNAVAILABLE = 503;
+const MS_PER_SECOND = 1000;
 const MIN_RETRY_AFTER_MS = 60;
 /** Callers come back within a third of their deadline, so later places stay empty. */
 const MAX_PROMISE_MS = 700;
@@ -68,9 +70,11 @@
 /**
  * Creates a queue without requests. It refuses at once what would wait too long for an answer of
  * worth, and serves higher ranks first, so that the calls of admitted requests and urgent requests
- * go before new ones.
+ * go before new ones. Within a rank, requests that can end by their target go before those that
+ * cannot.
  *
- * Answers the crest of a swing: more requests than slots for seconds.
+ * Answers the crest of a swing with returning callers: more requests than slots for seconds. First
+ * come, first served would then serve each one late.
  *
  * @param options Clock, slots and name of the instance.
  * @returns The queue.
@@ -83,21 +87,32 @@
   const { clock } = options;
   const waiting: Waiting[] = [];
   const running = new Set<RunningSlot>();
-  const means = new Map<string, number>();
-  let overallMean = DEFAULT_WORK_MS;
+  const times = createWorkTimes();
   /** Time in ms up to which places have been promised to refused callers. */
   let promisedUntil = -Infinity;
-  let samples = 0;
 
   const slots = () => Math.max(1, options.slots());
-  const meanOf = (workClass: string) => means.get(workClass) ?? DEFAULT_WORK_MS;
+  const rateOf = (meanMs: number | undefined) => (
+    meanMs === undefined ? 0 : Math.round((slots() * MS_PER_SECOND) / meanMs)
+  );
+  const { meanOf, usualOf } = times;
+
+  const isLate = ({ targetAt, workClass }: SlotRequest) => (
+    targetAt - clock.now() < meanOf(workClass) * LATE_WORK_FRACTION
+  );
+
+  /** Tells whether a request gets a free slot before another one that came later. */
+  const goesBefore = (one: SlotRequest, other: SlotRequest) => {
+    if (one.priority !== other.priority) return one.priority < other.priority;
+    return !isLate(one) || isLate(other);
+  };
 
   const refuse = (reason: string, retryAfterMs: number) => err(new RefusalError(reason, {
     step: 'admission.acquire',
     peer: options.peer(),
     status: STATUS_UNAVAILABLE,
     outcome: 'not run',
-    retryAfterSeconds: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) / 1000,
+    retryAfterSeconds: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) / MS_PER_SECOND,
   }));
 
   /** Gives each refused caller a place of its own, at the rate at which slots become free. */
@@ -113,25 +128,33 @@
     return Math.max(mean * OVERDUE_FRACTION, mean - (clock.now() - startedAt));
   };
 
-  /** Expected wait of a new request of this rank: all work before it, divided by the slots. */
-  const expectedWaitMs = (priority: number) => {
-    const ahead = waiting.filter(({ request }) => request.priority <= priority);
+  /** Expected time until one of the running requests ends, if their ends are spread evenly. */
+  const nextFreeMs = () => {
+    let total = 0;
+    for (const one of running) total += remainingMs(one);
+    return running.size < slots() ? 0 : (2 * total) / (running.size * (running.size + 1));
+  };
+
+  /** Expected wait of a new request: the next free slot and all work before it. */
+  const expectedWaitMs = (request: SlotRequest) => {
+    const ahead = waiting.filter((one) => goesBefore(one.request, request));
     if (running.size < slots() && ahead.length === 0) return 0;
     let work = 0;
     for (const one of ahead) work += meanOf(one.request.workClass);
-    for (const one of running) work += remainingMs(one);
-    return work / slots();
+    return nextFreeMs() + work / slots();
   };
 
   /** Longest wait after which an answer still has worth. */
-  const allowedWaitMs = ({ workClass, targetAt, deadlineAt }: SlotRequest) => {
+  const allowedWaitMs = (request: SlotRequest) => {
+    const { workClass, targetAt, deadlineAt } = request;
     const now = clock.now();
-    const mean = meanOf(workClass);
+    const usual = usualOf(workClass);
     const toTarget = targetAt - now;
-    const toDeadline = deadlineAt - now - mean;
-    const timely = Math.max(toTarget - mean, toTarget * MIN_WAIT_FRACTION);
-    const late = toDeadline * LATE_WAIT_FRACTION;
-    return Math.min(toDeadline, Math.max(timely, late));
+    const toDeadline = deadlineAt - now - usual;
+    // The request that makes the call has a slot already, and fails without the call.
+    if (request.priority === CALL_PRIORITY) return Math.min(toDeadline, toTarget);
+    if (isLate(request)) return toDeadline * LATE_WAIT_FRACTION;
+    return Math.min(toDeadline, Math.max(toTarget - usual, toTarget * MIN_WAIT_FRACTION));
   };
 
   const take = (one: Waiting) => {
@@ -150,11 +173,7 @@
       release: (measured) => {
         if (!running.delete(entry)) return;
         if (measured) {
-          const duration = clock.now() - entry.startedAt;
-          const mean = meanOf(entry.workClass);
-          means.set(entry.workClass, mean + (duration - mean) * MEAN_WEIGHT);
-          samples += 1;
-          overallMean += (duration - overallMean) / Math.min(samples, 1 / MEAN_WEIGHT);
+          times.record(entry.workClass, clock.now() - entry.startedAt);
         }
         // eslint-disable-next-line @typescript-eslint/no-use-before-define
         pump();
@@ -165,7 +184,7 @@
   const next = () => {
     let best: Waiting | undefined;
     for (const one of waiting) {
-      if (best === undefined || one.request.priority < best.request.priority) best = one;
+      if (best === undefined || !goesBefore(best.request, one.request)) best = one;
     }
     return best;
   };
@@ -181,12 +200,12 @@
 
   const giveUp = (one: Waiting) => {
     if (!take(one)) return;
-    one.settle(refuse('no slot was free in time', expectedWaitMs(one.request.priority)));
+    one.settle(refuse('no slot was free in time', expectedWaitMs(one.request)));
   };
 
   const acquire: SlotQueue['acquire'] = (request) => new Promise((resolve) => {
     const now = clock.now();
-    const waitMs = expectedWaitMs(request.priority);
+    const waitMs = expectedWaitMs(request);
     const allowedMs = allowedWaitMs(request);
     if (request.signal.aborted || request.deadlineAt <= now) {
       resolve(refuse('the deadline has passed', 0));
@@ -224,7 +243,7 @@
       inFlight: running.size,
       queued: waiting.length,
       limit: slots(),
-      serviceRate: samples === 0 ? 0 : (slots() * 1000) / overallMean,
+      serviceRate: rateOf(times.overallMean()),
     }),
   };
 };
