Begin watches of the store anew when it answers again

Change: a success of any other call after one without an answer ends the open watches, and the views begin new ones. The test leaves a watch unanswered behind a healed partition; it does not end on the store without this change.

--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -13,7 +13,7 @@
   RIGHT_TO_GRANT_MS,
   type RightToGrant,
 } from '../ranges/mod.ts';
-import type { LeasedStore } from '../store/mod.ts';
+import { type LeasedStore, restartWatches } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
@@ -55,13 +55,17 @@
 export const registerStateServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<LeasedStore>({
     name: 'store',
-    needs: ['metrics'],
+    needs: ['metrics', 'logger'],
     start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
+      const logger = find<Logger>('logger').forPart('store');
       const store = createPlatformStore({
         address: settings.store.address, countCall: metrics.storeCalled,
       });
-      return { service: store, stop: store.close };
+      const service = restartWatches(store, {
+        onRestart: (watches) => logger.info({ watches }, 'answers again, so watches begin anew'),
+      });
+      return { service, stop: store.close };
     },
   });
 
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -22,6 +22,7 @@
   Transaction,
   WaitOptions,
 } from './leased_store.ts';
+export { restartWatches, type RestartWatchesOptions } from './restart_watches.ts';
 export {
   createMemoryLeasedStore, type LeasedStoreFaults, type MemoryLeasedStore,
 } from './memory_leased_store.ts';
--- /dev/null
+++ b/store/restart_watches_test.ts
@@ -0,0 +1,62 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import { createMemoryLeasedStore, type LeasedStore, restartWatches } from './mod.ts';
+
+const test = suite('restart of watches');
+
+const setUp = () => {
+  const clock = createFakeClock();
+  const memory = createMemoryLeasedStore(clock);
+  let silent = false;
+  let watches = 0;
+  /** The store behind a partition that swallows watches, also after it has healed. */
+  const partitioned: LeasedStore = {
+    ...memory,
+    changes: (prefix, after, options) => {
+      watches += 1;
+      if (!silent) return memory.changes(prefix, after, options);
+      return new Promise(() => {
+        // Never answered.
+      });
+    },
+  };
+  return {
+    clock,
+    memory,
+    store: restartWatches(partitioned),
+    setSilent: (value: boolean) => {
+      silent = value;
+    },
+    watches: () => watches,
+  };
+};
+
+test('a watch that was sent into a partition ends when another call succeeds', async () => {
+  const { memory, store, setSilent } = setUp();
+  setSilent(true);
+  const watch = store.changes('op/', 1, { waitMs: 8000 });
+  memory.faults.down = 'unknown';
+  assert.is((await store.get('a')).isErr(), true);
+  memory.faults.down = undefined;
+  assert.is((await store.get('a')).isOk(), true);
+  setSilent(false);
+  assert.is((await watch)._unsafeUnwrapErr().kind, 'unavailable');
+});
+
+test('a watch goes on while calls succeed or meet a conflict', async () => {
+  const { clock, store, watches } = setUp();
+  let ended = false;
+  store.changes('op/', 1, { waitMs: 8000 }).then(() => {
+    ended = true;
+  });
+  await store.get('a');
+  const conflict = await store.transact({ expect: [{ key: 'a', revision: 9 }], puts: [] });
+  assert.is(conflict._unsafeUnwrapErr().kind, 'conflict');
+  await store.get('a');
+  await clock.advance(100);
+  assert.is(ended, false);
+  assert.is(watches(), 1);
+});
+
+test.run();
