Give log lines about the state of a node a budget apart from those about requests

The cause of refused lookups could not be followed. Lines without a request identifier now have 20 lines a second of their own; two refusals that named no request now do.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -203,14 +203,18 @@
   const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
     const arrivedAt = clock.now();
     const table = options.routes();
+    const id = headerOf(message, names.requestId);
     if (table === undefined) {
+      logger.warn({ request: id, notRun: true }, 'refused, because no contract is known yet');
       const text = '{"error":"no contract is known yet","outcome":"not run"}';
       answerText(response, STATUS_UNAVAILABLE, ['retry-after', NO_CONTRACT_RETRY_AFTER_S], text);
       return;
     }
     const route = table.match(headerOf(message, 'host') ?? '', message.url ?? '/');
     if (route === undefined) {
-      logger.warn({ revision: table.revision, path: message.url }, 'no route matches');
+      logger.warn({
+        request: id, revision: table.revision, host: message.headers.host, path: message.url,
+      }, 'no route matches');
       answerText(response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
@@ -220,7 +224,9 @@
     if (phase() === 'closing' && route.priority > CALL_PRIORITY) {
       const text = '{"error":"the node stops","outcome":"not run"}';
       answerText(response, STATUS_UNAVAILABLE, ['retry-after', STOPPING_RETRY_AFTER_S], text);
-      logger.info({ route: route.name }, 'refused, because the node stops');
+      logger.info({
+        request: id, route: route.name, notRun: true,
+      }, 'refused, because the node stops');
       return;
     }
     response.once('close', options.progress.begin());
--- a/telemetry/bounded_logger.ts
+++ b/telemetry/bounded_logger.ts
@@ -4,10 +4,12 @@
 /** Options of a bounded logger. */
 export interface BoundedLoggerOptions {
   readonly clock: Clock;
-  /** Lines a second of level info. */
+  /** Lines a second of level info about requests. */
   readonly infoPerSecond?: number;
-  /** Lines a second of level warn and error. */
+  /** Lines a second of level warn and error about requests. */
   readonly warnPerSecond?: number;
+  /** Lines a second about anything but a request: beliefs, dependencies, start and stop. */
+  readonly statePerSecond?: number;
 }
 
 interface Budget {
@@ -21,6 +23,8 @@
 const DEFAULT_INFO_PER_SECOND = 40;
 /** Refusals and failures come before successes. */
 const DEFAULT_WARN_PER_SECOND = 60;
+/** A crest of requests must not hide what the process came to believe meanwhile. */
+const DEFAULT_STATE_PER_SECOND = 20;
 const SUMMARY_INTERVAL_MS = 5000;
 
 const createBudget = (clock: Clock, perSecond: number): Budget => {
@@ -49,7 +53,8 @@
 
 /**
  * Bounds the lines of a logger, so that a crest of load does not spend its time on logs. Dropped
- * lines are counted and told in a line of their own.
+ * lines are counted and told in a line of their own. Lines that name a request have budgets apart
+ * from those about the state of the process.
  *
  * @param logger The logger to bound.
  * @param options Clock and lines a second.
@@ -62,6 +67,7 @@
   const { clock } = options;
   const infos = createBudget(clock, options.infoPerSecond ?? DEFAULT_INFO_PER_SECOND);
   const warnings = createBudget(clock, options.warnPerSecond ?? DEFAULT_WARN_PER_SECOND);
+  const states = createBudget(clock, options.statePerSecond ?? DEFAULT_STATE_PER_SECOND);
   let summarisedAt = clock.now();
 
   const summarise = () => {
@@ -69,16 +75,18 @@
     summarisedAt = clock.now();
     const info = infos.takeDropped();
     const warn = warnings.takeDropped();
-    if (info + warn > 0) logger.warn({ info, warn }, 'log lines were dropped');
+    const state = states.takeDropped();
+    if (info + warn + state > 0) logger.warn({ info, warn, state }, 'log lines were dropped');
   };
 
   const wrap = (inner: Logger): Logger => {
-    const write = (level: 'info' | 'warn' | 'error', from: Budget) => (
+    const write = (level: 'info' | 'warn' | 'error', requests: Budget) => (
       fields: LogFields,
       sentence: string,
     ) => {
       summarise();
-      if (from.take()) inner[level](fields, sentence);
+      const budget = 'request' in fields ? requests : states;
+      if (budget.take()) inner[level](fields, sentence);
     };
     return {
       debug: inner.debug,
