Move keys only where more requests are served in time afterwards

The measured load counted each return of a refused caller.

Change: a move must gain more requests in time within three seconds than it refuses; a full giver that cannot be helped no longer ends the plan; a returning caller is not counted as load; the capacity is a mean of more runs. Both tests of plans failed before.

--- a/gateway/_hop.ts
+++ b/gateway/_hop.ts
@@ -10,7 +10,7 @@
 /** What a node tells a peer about a request beside its method, path, headers and body. */
 export type HopFields = Pick<
   GatewayRequest,
-  'service' | 'kind' | 'priority' | 'workClass' | 'key' | 'instance'
+  'service' | 'kind' | 'priority' | 'workClass' | 'key' | 'instance' | 'hasReturned'
 > & {
   /** Time in ms until the deadline. */
   readonly remainingMs: number;
@@ -41,6 +41,7 @@
   Math.floor(request.targetAt - now),
   request.key ?? null,
   request.instance ?? null,
+  Number(request.hasReturned),
 ]);
 
 const parseArray = (text: string): readonly unknown[] => {
@@ -63,9 +64,9 @@
  */
 export const parseHop = (text: string | undefined): HopFields | undefined => {
   if (text === undefined) return undefined;
-  const [service, kindName, priority, workClass, remainingMs, targetMs, key, instance] = (
-    parseArray(text)
-  );
+  const [
+    service, kindName, priority, workClass, remainingMs, targetMs, key, instance, hasReturned,
+  ] = parseArray(text);
   const kind = typeof kindName === 'string' ? kinds[kindName] : undefined;
   if (typeof service !== 'string' || kind === undefined || typeof workClass !== 'string') {
     return undefined;
@@ -81,5 +82,6 @@
     targetMs,
     key: typeof key === 'number' ? key : undefined,
     instance: typeof instance === 'string' ? instance : undefined,
+    hasReturned: hasReturned === 1,
   };
 };
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -117,6 +117,7 @@
       headers,
       deadlineAt: arrivedAt + Math.min(leftMs, route.timeoutMs),
       targetAt: Math.min(arrivedAt + leftMs, firstAt + route.targetLatencyMs),
+      hasReturned: firstAt < arrivedAt,
       signal,
     };
   };
--- a/gateway/hop_test.ts
+++ b/gateway/hop_test.ts
@@ -19,6 +19,7 @@
   body: null,
   deadlineAt: 2000,
   targetAt: 900,
+  hasReturned: true,
   signal: new AbortController().signal,
 };
 
@@ -32,6 +33,7 @@
     instance: 'i-1',
     remainingMs: 1000,
     targetMs: -100,
+    hasReturned: true,
   });
   const unkeyed = parseHop(formatHop({ ...request, key: undefined }, 1000));
   assert.is(unkeyed?.key, undefined);
--- a/gateway/instance_port_test.ts
+++ b/gateway/instance_port_test.ts
@@ -28,6 +28,7 @@
   body: null,
   deadlineAt: clock.now() + 1000,
   targetAt: clock.now() + 300,
+  hasReturned: false,
   signal,
 });
 
--- a/gateway/local_service.ts
+++ b/gateway/local_service.ts
@@ -78,7 +78,8 @@
   const handle: LocalService['handle'] = async (request, sink) => {
     const refusedBefore = check(request, options.instance());
     if (refusedBefore !== undefined) return refusedBefore;
-    if (request.key !== undefined) keys.record(request.key);
+    // Load decides about moves, and a caller that returns would count as several.
+    if (request.key !== undefined && !request.hasReturned) keys.record(request.key);
     const permit = await queue.acquire({
       priority: request.priority,
       workClass: request.workClass,
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -24,6 +24,8 @@
   readonly deadlineAt: number;
   /** Time by which the answer has its full worth; past for a caller that returned too late. */
   readonly targetAt: number;
+  /** The caller was refused before, so that this is not further demand. */
+  readonly hasReturned: boolean;
   /** Aborts when the answer is no longer wanted. */
   readonly signal: AbortSignal;
 }
--- a/gateway/work_times.ts
+++ b/gateway/work_times.ts
@@ -19,6 +19,8 @@
 const DEFAULT_DEVIATION_MS = 20;
 /** Weight of one run in the figures of its class: the last 16 or so count. */
 const RUN_WEIGHT = 0.06;
+/** Weight of one run in the mean of all; the capacity that it gives decides about moves of keys. */
+const OVERALL_RUN_WEIGHT = 0.02;
 /** A run this many times as long as usual is a straggler and counts as one of this length. */
 const MAX_STRAGGLER_FACTOR = 3;
 
@@ -53,7 +55,7 @@
         deviation: known.deviation + (bounded - known.deviation) * RUN_WEIGHT,
       });
       samples += 1;
-      overall += (durationMs - overall) / Math.min(samples, 1 / RUN_WEIGHT);
+      overall += (durationMs - overall) / Math.min(samples, 1 / OVERALL_RUN_WEIGHT);
     },
     overallMean: () => (samples === 0 ? undefined : overall),
   };
--- a/ranges/mod.ts
+++ b/ranges/mod.ts
@@ -22,9 +22,9 @@
 export {
   KEY_COUNT, keyCount, type KeyRange, overlaps,
 } from './key_range.ts';
-export {
-  type Candidate, type LoadPicture, planAssignments, planMoves,
-} from './plan_ranges.ts';
+export type { Candidate, LoadPicture } from './_accounts.ts';
+export { planMoves } from './plan_moves.ts';
+export { planAssignments } from './plan_ranges.ts';
 export {
   decodeRecord,
   emptyRecord,
--- a/ranges/plan_ranges_test.ts
+++ b/ranges/plan_ranges_test.ts
@@ -82,4 +82,32 @@
   assert.ok(keysOf(next, equal[3]!) > KEY_COUNT / 8);
 });
 
+test('two full owners do not exchange keys, since neither serves more afterwards', () => {
+  const record = assignAll(equal);
+  const quarter = KEY_COUNT / 4;
+  const rates = [300, 160, 160, 160];
+  const cells: LoadCell[] = rates.flatMap((rate, owner) => (
+    Array.from({ length: 4 }, (_, index) => ({
+      from: owner * quarter + index * 1000,
+      to: owner * quarter + index * 1000 + 999,
+      rate: rate / 4,
+    }))
+  ));
+  assert.equal(planMoves(record, { candidates: equal, cells }), []);
+});
+
+test('a full owner gives keys to one with room, even if a busier one cannot be helped', () => {
+  const record = assignAll(equal);
+  const quarter = KEY_COUNT / 4;
+  const cells: LoadCell[] = [
+    // A single key that no other instance could serve better.
+    { from: 10, to: 10, rate: 400 },
+    ...Array.from({ length: 8 }, (_, index) => ({
+      from: quarter + index * 100, to: quarter + index * 100 + 99, rate: 20,
+    })),
+  ];
+  const moves = planMoves(record, { candidates: equal, cells });
+  assert.ok(moves.some(({ from }) => from >= quarter && from < 2 * quarter), 'helps the second');
+});
+
 test.run();
