Learn the time of first attempts as a range, and log what callers name

No caller was ever found to return: toTargetMs was 300 on all 1,663 lines.

Change: the times are learned while under 5 % of the requests are refused; less than nearly all of them is a returning caller's.

--- a/gateway/caller_age.ts
+++ b/gateway/caller_age.ts
@@ -1,5 +1,3 @@
-import type { Clock } from '../clock/mod.ts';
-
 /** Tells how long callers have been waiting since their first attempt. */
 export interface CallerAge {
   /**
@@ -7,65 +5,80 @@
    *
    * @param route Name of the route.
    * @param leftMs Time in ms that the caller names.
-   * @returns Time in ms since the caller's first attempt; 0 for a first attempt.
+   * @returns Least time in ms since the caller's first attempt; 0 for what may be a first attempt.
    */
   readonly ageMs: (route: string, leftMs: number) => number;
+  /** Notes whether a request of the route was refused, so that its caller may return. */
+  readonly noteEnd: (route: string, wasRefused: boolean) => void;
 }
 
-interface Deadlines {
-  /** Recent requests by the time that they named. */
-  readonly counts: Map<number, number>;
-  halvedAt: number;
-  usual: number;
+interface RouteCallers {
+  /** Times that callers named while few were refused, the newest last. */
+  readonly firstTimes: number[];
+  /** Fraction of recent requests that were refused. */
+  refusedShare: number;
+  /** Least time that first attempts name; 0 before enough are known. */
+  leastFirstMs: number;
+  learned: number;
 }
 
-/** The usual deadline follows a change of the callers within some of these intervals, in ms. */
-const HALVING_INTERVAL_MS = 2000;
-/** Distinct times that are counted for one route; returning callers name many. */
-const MAX_TIMES = 256;
-/** A time that so few callers named is not the usual one. */
-const MIN_COUNT = 3;
+/** While more requests than this are refused, callers that return are among the new ones. */
+const CALM_REFUSED_SHARE = 0.05;
+const REFUSED_WEIGHT = 0.05;
+const MAX_TIMES = 64;
+const MIN_TIMES = 16;
+/** The bound is derived again after so many new times. */
+const LEARN_INTERVAL = 8;
+/** A few callers with less time than all others do not set the bound. */
+const LEAST_QUANTILE = 0.06;
 
 /**
  * Creates the ages of callers. A caller that returns after a refusal names what is left of its
- * time, so the times of returning callers differ from each other, while those of first attempts
- * are alike. The most frequent one is taken for the time of a first attempt.
+ * time. The times of first attempts are learned while few requests are refused; what is less than
+ * nearly all of them is the time of a returning caller.
  *
  * Answers the crest of a swing with returning callers: only the time since the first attempt tells
  * whose answer can still arrive by its target.
  *
- * @param clock Clock.
  * @returns The ages.
  *
  * @example
  * const targetAt = arrivedAt - ages.ageMs('entries', 1400) + targetLatencyMs;
  */
-export const createCallerAge = (clock: Clock): CallerAge => {
-  const routes = new Map<string, Deadlines>();
+export const createCallerAge = (): CallerAge => {
+  const routes = new Map<string, RouteCallers>();
+
+  const callersOf = (route: string): RouteCallers => {
+    const known = routes.get(route);
+    if (known !== undefined) return known;
+    const callers = {
+      firstTimes: [], refusedShare: 0, leastFirstMs: 0, learned: 0,
+    };
+    routes.set(route, callers);
+    return callers;
+  };
 
-  const halve = (deadlines: Deadlines) => {
-    const now = clock.now();
-    const { counts } = deadlines;
-    if (now - deadlines.halvedAt < HALVING_INTERVAL_MS && counts.size < MAX_TIMES) return;
-    Object.assign(deadlines, { halvedAt: now });
-    for (const [time, count] of counts) {
-      if (count < 2) counts.delete(time);
-      else counts.set(time, count / 2);
-    }
+  const learn = (callers: RouteCallers, leftMs: number) => {
+    const { firstTimes } = callers;
+    firstTimes.push(leftMs);
+    if (firstTimes.length > MAX_TIMES) firstTimes.shift();
+    const learned = callers.learned + 1;
+    Object.assign(callers, { learned });
+    if (firstTimes.length < MIN_TIMES || learned % LEARN_INTERVAL !== 0) return;
+    const sorted = [...firstTimes].sort((left, right) => left - right);
+    const leastFirstMs = sorted[Math.floor(sorted.length * LEAST_QUANTILE)]!;
+    Object.assign(callers, { leastFirstMs });
   };
 
   return {
     ageMs: (route, leftMs) => {
-      const deadlines = routes.get(route) ?? {
-        counts: new Map<number, number>(), halvedAt: clock.now(), usual: 0,
-      };
-      routes.set(route, deadlines);
-      halve(deadlines);
-      const count = (deadlines.counts.get(leftMs) ?? 0) + 1;
-      deadlines.counts.set(leftMs, count);
-      const usualCount = deadlines.counts.get(deadlines.usual) ?? 0;
-      if (count >= MIN_COUNT && count >= usualCount) deadlines.usual = leftMs;
-      return Math.max(0, deadlines.usual - leftMs);
+      const callers = callersOf(route);
+      if (callers.refusedShare < CALM_REFUSED_SHARE) learn(callers, leftMs);
+      return Math.max(0, callers.leastFirstMs - leftMs);
+    },
+    noteEnd: (route, wasRefused) => {
+      const callers = callersOf(route);
+      callers.refusedShare += (Number(wasRefused) - callers.refusedShare) * REFUSED_WEIGHT;
     },
   };
 };
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -87,7 +87,7 @@
   const { clock, headers: names } = options;
   const logger = options.logger.forPart('caller');
   const dropped = new Set([names.callerService, names.remainingMs]);
-  const ages = createCallerAge(clock);
+  const ages = createCallerAge();
 
   const toRequest = (
     message: IncomingMessage,
@@ -173,6 +173,7 @@
     const durationMs = clock.now() - arrivedAt;
     const isGone = request.signal.aborted;
     const refusal = outcome.kind === 'refused' ? outcome.refusal : undefined;
+    ages.noteEnd(route.name, outcome.kind === 'refused');
     options.onEnd?.({
       route: route.name,
       kind: route.kind,
@@ -187,6 +188,8 @@
       revision: options.routes()?.revision,
       outcome: isGone ? 'gone' : outcome.kind,
       durationMs: Math.round(durationMs),
+      leftMs: headerOf(message, names.remainingMs),
+      toTargetMs: Math.round(request.targetAt - arrivedAt),
     };
     if (outcome.kind === 'answered') {
       logger.info({ ...fields, status: outcome.status }, 'answered');
