Let a few nodes of a large failure domain watch the store for the others

Each change of an entry or a range record answers the watch of every node, so the calls grow with changes times nodes.

Change: with more than eight nodes in a failure domain, two of them watch the store and the others ask these by long polls on the peer listener; the store itself is asked when neither answers, and for every read that decides. Ways weighed: a longer pause after each change (later news for all, and still one call a node), gossip of versions (a second protocol).

--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -10,4 +10,5 @@
   createStoreView, type StoreView, type StoreViewOptions, type ViewChange,
 } from './store_view.ts';
 export { createFleetMembership, type FleetMembershipOptions } from './fleet_membership.ts';
+export { createViewHistory, type ViewHistory } from './view_history.ts';
 export { createFleetView, type FleetView, type FleetViewOptions } from './fleet_view.ts';
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { EntryChanges, LeasedStore, StoreEntry } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import type { ViewHistory } from './view_history.ts';
 
 /** The newest known entries under a prefix of the store. */
 export interface StoreView {
@@ -34,6 +35,10 @@
   readonly store: LeasedStore;
   readonly prefix: string;
   readonly logger: Logger;
+  /** Watch in place of the store's own, for example that of a peer. */
+  readonly watch?: LeasedStore['changes'];
+  /** Told of all changes, for peers that follow this view. */
+  readonly history?: ViewHistory;
   /** Longest time in ms that the store holds a watch. */
   readonly waitMs?: number;
   /** Pause in ms after a change, so that a burst of changes costs one call. */
@@ -61,6 +66,7 @@
  */
 export const createStoreView = (options: StoreViewOptions): StoreView => {
   const { clock, store, prefix } = options;
+  const watch = options.watch ?? store.changes;
   const waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
   const pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
   const logger = options.logger.forPart('store view');
@@ -104,6 +110,7 @@
     }
     at = listed.value.at;
     loaded = true;
+    options.history?.reset(at);
     logger.info({ prefix, revision: at, entries: entries.size }, 'read all entries');
     notify([...changed], true);
     return true;
@@ -121,6 +128,7 @@
   const takeOver = (changes: EntryChanges) => {
     const keys = applyEvents(changes.events);
     at = Math.max(at, changes.at);
+    options.history?.add(changes);
     if (keys.length > 0) notify(keys, false);
   };
 
@@ -139,7 +147,7 @@
         stale = !await load();
         setConnected(!stale, 'the entries cannot be read');
       } else {
-        const changes = await store.changes(prefix, at, { waitMs, signal });
+        const changes = await watch(prefix, at, { waitMs, signal });
         if (signal.aborted) return;
         if (changes.isOk()) {
           takeOver(changes.value);
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createFleetMembership, type FleetView,
+  createFleetMembership, type FleetView, type ViewHistory,
 } from '../directory/mod.ts';
 import {
   type Attempts, createAttempts, createCallerListener, createLocalService, createPeerListener,
@@ -18,6 +18,7 @@
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { LoadCollector } from './load_collector.ts';
 import type { RangeKeeper } from './range_keeper.ts';
+import { CHANGES_PATH, tellChanges } from './relayed_changes.ts';
 import type { SelfDescription } from './_state_services.ts';
 
 /** Time from an announcement until its grants are in use. */
@@ -181,9 +182,10 @@
 
   kernel.register<HttpListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'local', 'collector', 'progress'],
+    needs: ['clock', 'logger', 'local', 'collector', 'progress', 'view-history'],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
+      const history = find<ViewHistory>('view-history');
       const service = createPeerListener({
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
@@ -191,7 +193,11 @@
         local: find<LocalService>('local'),
         progress: find<StopProgress>('progress'),
         logger: find<Logger>('logger'),
-        control: (path) => (path === 'load' ? collector.own() : undefined),
+        control: async (path) => {
+          if (path === 'load') return collector.own();
+          if (path.startsWith(`${CHANGES_PATH}?`)) return tellChanges(history, path);
+          return undefined;
+        },
       });
       await service.listen();
       return { service, stop: service.stop };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createFleetView, createOwnEntry, createStoreView, type FleetView, type NodeEntry, OWN_PREFIX,
-  type OwnEntry, type StoreView,
+  createFleetView, createOwnEntry, createStoreView, createViewHistory, type FleetView,
+  type NodeEntry, OWN_PREFIX, type OwnEntry, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import { createInstancePort, type SlotQueue } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -20,6 +20,7 @@
 import { createLoadCollector, type LoadCollector } from './load_collector.ts';
 import { isRefused } from './_probe_address.ts';
 import { createRangeKeeper, grantableMs, type RangeKeeper } from './range_keeper.ts';
+import { askForChanges, createRelayedChanges } from './relayed_changes.ts';
 
 /** What the node says about itself. */
 export interface SelfDescription {
@@ -69,13 +70,33 @@
     },
   });
 
+  kernel.register<ViewHistory>({
+    name: 'view-history',
+    needs: ['clock'],
+    start: (find) => ({ service: createViewHistory(find<Clock>('clock')) }),
+  });
+
   kernel.register<StoreView>({
     name: 'view',
-    needs: ['clock', 'store', 'logger'],
+    needs: ['clock', 'store', 'logger', 'view-history'],
     start: (find) => {
+      const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
+      const store = find<LeasedStore>('store');
+      const watch = createRelayedChanges({
+        clock,
+        node: settings.node,
+        failureDomain: settings.failureDomain,
+        // The fleet is derived from this view, so it starts later.
+        entries: () => (
+          kernel.isRunning('fleet') ? find<FleetView>('fleet').present().values() : []
+        ),
+        direct: store.changes,
+        ask: askForChanges,
+        logger,
+      });
       const view = createStoreView({
-        clock: find<Clock>('clock'), store: find<LeasedStore>('store'), prefix: OWN_PREFIX, logger,
+        clock, store, prefix: OWN_PREFIX, logger, watch, history: find<ViewHistory>('view-history'),
       });
       return { service: view, stop: runUntilStop(view.follow, logger, 'view') };
     },
--- /dev/null
+++ b/fleet/relayed_changes_test.ts
@@ -0,0 +1,134 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import {
+  createStoreView, createViewHistory, type NodeEntry, OWN_PREFIX,
+} from '../directory/mod.ts';
+import { createMemoryLeasedStore, type EntryChanges } from '../store/mod.ts';
+import { silentLogger } from '../telemetry/mod.ts';
+import { createRelayedChanges, encodeChanges, tellChanges } from './relayed_changes.ts';
+
+const test = suite('relayed changes');
+
+const entryOf = (index: number, failureDomain = 'd1'): NodeEntry => ({
+  node: `host-${String(index).padStart(2, '0')}`,
+  startedAt: 1,
+  peerAddress: `10.0.0.${index}:1`,
+  region: 'r',
+  failureDomain,
+  isStopping: false,
+  instance: undefined,
+});
+
+const setUp = (nodes: number) => {
+  const clock = createFakeClock();
+  const store = createMemoryLeasedStore(clock);
+  const entries = Array.from({ length: nodes }, (_, index) => entryOf(index));
+  const asked: string[] = [];
+  let direct = 0;
+  const answers = new Map<string, EntryChanges>();
+  const watchOf = (node: string) => createRelayedChanges({
+    clock,
+    node,
+    failureDomain: 'd1',
+    entries: () => entries,
+    direct: async (prefix, after, wait) => {
+      direct += 1;
+      return store.changes(prefix, after, wait);
+    },
+    ask: async (address) => {
+      asked.push(address);
+      return answers.get(address);
+    },
+    logger: silentLogger,
+  });
+  return {
+    clock, store, watchOf, asked, answers, directCalls: () => direct,
+  };
+};
+
+test('in a small failure domain each node watches the store', async () => {
+  const { watchOf, asked, directCalls } = setUp(8);
+  await watchOf('host-07')('p/', 0, { waitMs: 0 });
+  assert.equal(asked, []);
+  assert.is(directCalls(), 1);
+});
+
+test('in a large one, calls to the store do not grow with the nodes', async () => {
+  const { watchOf, answers, directCalls } = setUp(30);
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, { events: [], at: 9 });
+  for (let index = 0; index < 30; index += 1) {
+    const node = `host-${String(index).padStart(2, '0')}`;
+    assert.is((await watchOf(node)('p/', 0, { waitMs: 0 })).isOk(), true);
+  }
+  assert.is(directCalls(), 2);
+});
+
+test('a lost relay is replaced by the other one, and both by the store', async () => {
+  const {
+    watchOf, asked, answers, directCalls,
+  } = setUp(20);
+  const watch = watchOf('host-10');
+  answers.set('10.0.0.1:1', { events: [], at: 9 });
+  await watch('p/', 0, { waitMs: 0 });
+  assert.equal(asked, ['10.0.0.0:1', '10.0.0.1:1']);
+  assert.is(directCalls(), 0);
+  answers.clear();
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(directCalls(), 1);
+  // Relays that failed a short time ago are not asked again.
+  const before = asked.length;
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(asked.length, before);
+  assert.is(directCalls(), 2);
+});
+
+test('a peer that follows a view misses no change and no removal', async () => {
+  const { clock, store } = setUp(1);
+  const history = createViewHistory(clock);
+  const stopping = new AbortController();
+  const view = createStoreView({
+    clock, store, prefix: OWN_PREFIX, logger: silentLogger, history,
+  });
+  view.follow(stopping.signal);
+  await clock.advance(100);
+  const key = `${OWN_PREFIX}a`;
+  const revision = (await store.transact({
+    expect: [], puts: [{ key, value: 'x' }],
+  }))._unsafeUnwrap();
+  store.withdraw(key);
+  await clock.advance(500);
+  const text = await tellChanges(history, `changes?after=${revision - 1}&wait=0`);
+  const expected: EntryChanges = {
+    at: view.revision(),
+    events: [{ key, revision, value: 'x' }, { key, revision: revision + 1, removed: true }],
+  };
+  assert.is(text, encodeChanges(expected));
+  stopping.abort();
+});
+
+test('changes from before a gap are not told, so that the peer reads all entries', async () => {
+  const history = createViewHistory(createFakeClock());
+  assert.is(await tellChanges(history, 'changes?after=5&wait=0'), undefined);
+  history.reset(10);
+  assert.is(await tellChanges(history, 'changes?after=5&wait=0'), undefined);
+  assert.is(await tellChanges(history, 'changes?after=10&wait=0'), '{"at":10,"events":[]}');
+  assert.is(await tellChanges(history, 'changes?after=x&wait=0'), undefined);
+});
+
+test('a waiting peer is told a change at once', async () => {
+  const clock = createFakeClock();
+  const history = createViewHistory(clock);
+  history.reset(10);
+  let text: string | undefined;
+  tellChanges(history, 'changes?after=10&wait=2000').then((told) => {
+    text = told;
+  });
+  await clock.advance(300);
+  assert.is(text, undefined);
+  history.add({ events: [{ key: 'a', revision: 11, value: 'x' }], at: 11 });
+  await clock.advance(0);
+  assert.is(text, '{"at":11,"events":[["a",11,"x"]]}');
+});
+
+test.run();
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -28,7 +28,7 @@
   readonly progress: StopProgress;
   readonly logger: Logger;
   /** Answers a control message of a peer; undefined for an unknown path. */
-  readonly control: (path: string) => string | undefined;
+  readonly control: (path: string) => Promise<string | undefined>;
 }
 
 const MAX_HEADER_BYTES = 65_536;
@@ -142,10 +142,14 @@
     const isControl = message.url?.startsWith(CONTROL_PREFIX)
       && message.headers[HOP_HEADER] === undefined;
     if (isControl) {
-      const text = options.control(message.url!.slice(CONTROL_PREFIX.length));
       message.resume();
-      const status = text === undefined ? STATUS_BAD_REQUEST : STATUS_OK;
-      answerText(response, status, [], text ?? '{}');
+      options.control(message.url!.slice(CONTROL_PREFIX.length)).then((text) => {
+        const status = text === undefined ? STATUS_BAD_REQUEST : STATUS_OK;
+        answerText(response, status, [], text ?? '{}');
+      }, (error: unknown) => {
+        logger.error({ path: message.url, reason: String(error) }, 'failed to answer a peer');
+        resetConnection(response);
+      });
       return;
     }
     response.once('close', options.progress.begin());
