Bound the further nodes that are asked after a refusal

Change: a further node is asked only from an allowance of a quarter of the requests and a small burst. The test with all nodes full made 3,000 sends for 1,000 requests before.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -26,6 +26,13 @@
 const MIN_KEY_RETRY_AFTER_MS = 50;
 /** Cold instances become warm and suspect peers usable without a change of the directory. */
 const VIEW_REFRESH_MS = 500;
+/**
+ * A quarter of the requests, the part of a ratio that an allowance uses, may ask another node after
+ * a refusal: enough for loads that differ between nodes, and no second load when all are full.
+ */
+const SEARCH_RATIO = 1;
+/** Further nodes that may be asked in a window beside that, for services with few requests. */
+const SEARCH_EXTRA = 40;
 
 /** Registers what the path of a request needs. */
 export const registerRequestServices = (
@@ -173,6 +180,13 @@
             windowMs: settings.bounds.retryWindowMs,
             nodeCount: () => Math.max(1, fleet.usable().length),
           }),
+          search: createRetryAllowance({
+            clock,
+            ratio: SEARCH_RATIO,
+            extra: SEARCH_EXTRA,
+            windowMs: settings.bounds.retryWindowMs,
+            nodeCount: () => 1,
+          }),
           logger: find<Logger>('logger'),
           onRetry: find<NodeMetrics>('metrics').retried,
         }),
--- a/gateway/attempts.ts
+++ b/gateway/attempts.ts
@@ -22,6 +22,8 @@
   readonly local: LocalService;
   readonly peers: PeerPort;
   readonly allowance: RetryAllowance;
+  /** Bounds the nodes that are asked after another one has refused; no instance is reached. */
+  readonly search: RetryAllowance;
   readonly logger: Logger;
   readonly onRetry?: (service: string, reason: string) => void;
 }
@@ -89,6 +91,7 @@
     };
 
     allowance.deposit(service);
+    options.search.deposit(service);
     for (;;) {
       const target = chooser.choose(request, excluded);
       if (target.kind === 'none') {
@@ -142,6 +145,8 @@
       nodeRefusals += 1;
       // The owner of a key is one; another attempt at once would be refused too.
       if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return last;
+      // When a whole service is full, asking more nodes would only multiply the load.
+      if (!options.search.withdraw(service)) return last;
     }
   };
 
