Keep callers that return in calm times out of the bound for first attempts

While 5 % of the requests are refused, about as many callers return, and the bound was the sixth part in a hundred, which is theirs. It is the fifth part now, and a caller that lacks under a tenth of it counts as new. The test with one returning caller in twelve failed before (age 0).

--- a/gateway/caller_age.ts
+++ b/gateway/caller_age.ts
@@ -29,8 +29,10 @@
 const MIN_TIMES = 16;
 /** The bound is derived again after so many new times. */
 const LEARN_INTERVAL = 8;
-/** A few callers with less time than all others do not set the bound. */
-const LEAST_QUANTILE = 0.06;
+/** Callers in a hurry, and those that return while few are refused, do not set the bound. */
+const LEAST_QUANTILE = 0.2;
+/** A caller that lacks less than this part of the bound may be at its first attempt. */
+const MIN_AGE_FRACTION = 0.1;
 
 /**
  * Creates the ages of callers. A caller that returns after a refusal names what is left of its
@@ -74,7 +76,8 @@
     ageMs: (route, leftMs) => {
       const callers = callersOf(route);
       if (callers.refusedShare < CALM_REFUSED_SHARE) learn(callers, leftMs);
-      return Math.max(0, callers.leastFirstMs - leftMs);
+      const age = callers.leastFirstMs - leftMs;
+      return age > callers.leastFirstMs * MIN_AGE_FRACTION ? age : 0;
     },
     noteEnd: (route, wasRefused) => {
       const callers = callersOf(route);
--- a/gateway/caller_age_test.ts
+++ b/gateway/caller_age_test.ts
@@ -33,6 +33,16 @@
   assert.ok(ages.ageMs('lookup', 1200) >= 500);
 });
 
+test('a few callers that return while others are served do not set the bound', () => {
+  const ages = createCallerAge();
+  for (let index = 0; index < 300; index += 1) {
+    const isReturning = index % 12 === 0;
+    ages.ageMs('lookup', isReturning ? 1100 : 1700 + ((index * 37) % 300));
+    ages.noteEnd('lookup', index % 25 === 0);
+  }
+  assert.ok(ages.ageMs('lookup', 1100) >= 550);
+});
+
 test('the times of returning callers are not learned while many are refused', () => {
   const ages = createCallerAge();
   callCalmly(ages, 100);
