--- a/fleet/fleet_node_test.ts
+++ b/fleet/fleet_node_test.ts
@@ -149,4 +149,14 @@
   assert.ok(Date.now() - startedAt < settings.bounds.graceMs);
 });
 
+test('a request that a peer of another version describes is refused as not run', async () => {
+  const response = await request(`http://${fleet.hosts[2]!.settings.listen.peer}/orders/a`, {
+    headers: { 'request-id': 'other-version', 'mh-hop': '{"v":2}' },
+  });
+  await response.body.dump();
+  assert.is(response.statusCode, 503);
+  assert.is(response.headers['mh-outcome'], 'not run');
+  assert.is(runsOf('other-version'), 0);
+});
+
 test.run();
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -93,7 +93,13 @@
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
     const request = toRequest(message, abortOnClose(response));
     if (request === undefined) {
-      answerText(response, STATUS_BAD_REQUEST, [], '{"error":"not a request of a peer"}');
+      // A peer of another version may describe requests in another way; its callers may come back.
+      const { refusal } = refuseNotRun('the hop header cannot be read', STOPPING_RETRY_AFTER_MS, {
+        step: 'peer.receive',
+      });
+      const from = message.socket.remoteAddress;
+      logger.warn({ from, reason: refusal.message }, 'refused a peer');
+      answerText(response, refusal.status, refusalHeaders(refusal), '');
       return;
     }
     const body = await readBody(message, MAX_BODY_BYTES);
