Tell returning callers by the longest time that callers name

The ninth decile of recent times needs no calm: at a crest a third of the requests are first attempts. The test of a crest with two returning callers of three fails on the former module.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -27,10 +27,10 @@
 /** Cold instances become warm and suspect peers usable without a change of the directory. */
 const VIEW_REFRESH_MS = 500;
 /**
- * A quarter of the requests, the part of a ratio that an allowance uses, may ask another node after
- * a refusal: enough for loads that differ between nodes, and no second load when all are full.
+ * Half of the requests may ask another node after a refusal, as an allowance uses a quarter of its
+ * ratio: enough for loads that differ between nodes, and no second load when all are full.
  */
-const SEARCH_RATIO = 1;
+const SEARCH_RATIO = 2;
 /** Further nodes that may be asked in a window beside that, for services with few requests. */
 const SEARCH_EXTRA = 40;
 
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -173,7 +173,6 @@
     const durationMs = clock.now() - arrivedAt;
     const isGone = request.signal.aborted;
     const refusal = outcome.kind === 'refused' ? outcome.refusal : undefined;
-    ages.noteEnd(route.name, outcome.kind === 'refused');
     options.onEnd?.({
       route: route.name,
       kind: route.kind,
