--- a/daemon/_ownership_services.ts
+++ b/daemon/_ownership_services.ts
@@ -17,6 +17,7 @@
   type Placer,
   type SlotOfKey,
 } from '../placement/mod.ts';
+import type { GuardedStore } from '../store/mod.ts';
 import type { Logger, Metrics } from '../telemetry/mod.ts';
 import { type Announcements, createAnnouncements } from './announcements.ts';
 import type { Contracts } from './contracts.ts';
@@ -108,7 +109,7 @@
 
   register<Placer>({
     name: 'placer',
-    needs: ['clock', 'logger', 'placements', 'membership', 'random', 'slot-of-key'],
+    needs: ['clock', 'logger', 'placements', 'membership', 'random', 'slot-of-key', 'store'],
     start: (find) => {
       const placer = createPlacer({
         clock: find<Clock>('clock'),
@@ -120,6 +121,7 @@
         loadOf: (service) => (kernel.isRunning('load-reports')
           ? find<LoadReports>('load-reports').loadOf(service)
           : undefined),
+        onDrain: find<GuardedStore>('store').setUrgent,
       });
       return { service: placer, stop: placer.stop };
     },
--- a/placement/create_placer.ts
+++ b/placement/create_placer.ts
@@ -37,6 +37,8 @@
   /** Load of a service over the last period; without it no hot key gets an owner of its own. */
   readonly loadOf?: (service: string) => ServiceLoad | undefined;
   readonly rebalance?: RebalanceOptions;
+  /** Told when a drain begins and ends; callers wait for its writes. */
+  readonly onDrain?: (isDraining: boolean) => void;
 }
 
 interface WantedOwner {
@@ -210,11 +212,12 @@
   return {
     join,
     ownerIdOf,
-    drain: (drainOptions = {}) => {
+    drain: async (drainOptions = {}) => {
       wanted.clear();
+      options.onDrain?.(true);
       const signals = [stopping.signal, drainOptions.signal]
         .filter((signal) => signal !== undefined);
-      return runDrain({
+      const drained = await runDrain({
         placements,
         clock,
         ownerIdOf,
@@ -224,6 +227,8 @@
         isPresent: (ownerId) => membership.members()
           .some(({ node, incarnation }) => `${node}#${incarnation}` === processIdOf(ownerId)),
       });
+      options.onDrain?.(false);
+      return drained;
     },
     confirmLost,
     stop: () => stopping.abort(),
--- a/store/create_guarded_store.ts
+++ b/store/create_guarded_store.ts
@@ -28,6 +28,8 @@
 /** A store whose calls have a deadline, a rate budget and a backoff. */
 export interface GuardedStore extends Store {
   readonly counters: () => GuardedStoreCounters;
+  /** While urgent, a store that answers again is found soon, within the rate budget. */
+  readonly setUrgent: (urgent: boolean) => void;
 }
 
 type Outcome<T> = Result<T, StoreError>;
@@ -41,6 +43,8 @@
 const DEFAULT_BURST = 20;
 const DEFAULT_INITIAL_BACKOFF_MS = 100;
 const DEFAULT_MAX_BACKOFF_MS = 10_000;
+/** A leaving owner gets no new work 2 s after the store answers; its moves take over a second. */
+const URGENT_MAX_BACKOFF_MS = 400;
 const MAX_WAITING_CALLS = 256;
 
 /**
@@ -83,6 +87,7 @@
   let failedAtMs = -Infinity;
   let blockedUntilMs = -Infinity;
   let waitingCalls = 0;
+  let isUrgent = false;
   let counters: GuardedStoreCounters = { sent: 0, refused: 0, failed: 0 };
 
   const refuse = (step: string, reason: string) => {
@@ -134,7 +139,8 @@
     // Calls that were in flight together count as one failure.
     if (startedAtMs < failedAtMs) return;
     failedAtMs = clock.now();
-    backoffMs = Math.min(maxBackoffMs, Math.max(initialBackoffMs, backoffMs * 2));
+    const limitMs = isUrgent ? Math.min(URGENT_MAX_BACKOFF_MS, maxBackoffMs) : maxBackoffMs;
+    backoffMs = Math.min(limitMs, Math.max(initialBackoffMs, backoffMs * 2));
     blockedUntilMs = failedAtMs + backoffMs * (0.5 + random() / 2);
   };
 
@@ -181,5 +187,9 @@
     ),
     watch,
     counters: () => counters,
+    setUrgent: (urgent) => {
+      isUrgent = urgent;
+      if (urgent) blockedUntilMs = Math.min(blockedUntilMs, clock.now() + URGENT_MAX_BACKOFF_MS);
+    },
   };
 };
--- a/store/create_guarded_store_test.ts
+++ b/store/create_guarded_store_test.ts
@@ -58,6 +58,21 @@
   assert.ok((await second).isOk());
 });
 
+test('an urgent caller finds a store soon that answers again after a long outage', async () => {
+  const { clock, memory, store } = setUp();
+  memory.setDown(true);
+  for (let second = 0; second < 60; second += 1) {
+    const read = store.get('a');
+    await clock.advance(1000);
+    await read;
+  }
+  store.setUrgent(true);
+  memory.setDown(false);
+  const read = store.get('a');
+  await clock.advance(400);
+  assert.ok((await read).isOk());
+});
+
 test('a waiting watch counts as one call and has no deadline', async () => {
   const { clock, memory, store } = setUp();
   const watch = store.watch('a', 0);
--- a/testing/_control_parts.ts
+++ b/testing/_control_parts.ts
@@ -132,7 +132,12 @@
   const ownership = createOwnership({ ...shared, takeover, slotOfKey });
   let loadOf: Parameters<typeof createPlacer>[0]['loadOf'];
   const placer = createPlacer({
-    ...shared, membership, logger, slotOfKey, loadOf: (service) => loadOf?.(service),
+    ...shared,
+    membership,
+    logger,
+    slotOfKey,
+    loadOf: (service) => loadOf?.(service),
+    onDrain: store.setUrgent,
   });
   const loadReports = createLoadReports({
     ...shared, membership, slotOfKey, ownerIdOf: placer.ownerIdOf,
--- a/testing/history_test.ts
+++ b/testing/history_test.ts
@@ -4,7 +4,8 @@
 import { checkHistory } from './check_history.ts';
 import { runHistory } from './run_history.ts';
 
-const SEEDS = [1, 2, 7, 12, 19];
+/** Seed 64: a planned stop in an outage of the store gave its slots away too late. */
+const SEEDS = [1, 2, 7, 12, 19, 64];
 const RECOVERY_MS = 11_000;
 
 for (const seed of SEEDS) {
