Relay only a current view of the store, and keep the message apart from the choice

Found while reading the change: a relay that is cut off from the store answered its followers with no changes, so that they stayed as old as it is. It now answers only while its watch works and its right to grant was confirmed in the last four seconds; followers then ask the other relay or the store. The small sites have no relays. Not measured yet.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createFleetMembership, type FleetView, type ViewHistory,
+  createFleetMembership, type FleetView, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import {
   type Attempts, createAttempts, createCallerListener, createLocalService, createPeerListener,
@@ -11,14 +11,15 @@
 import type { HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
-import type { GrantLedger, KeyLoad } from '../ranges/mod.ts';
+import type { GrantLedger, KeyLoad, RightToGrant } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import { CHANGES_PATH, tellChanges } from './changes_message.ts';
 import type { ContractSource } from './contract_source.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { LoadCollector } from './load_collector.ts';
 import type { RangeKeeper } from './range_keeper.ts';
-import { CHANGES_PATH, tellChanges } from './relayed_changes.ts';
+import { mayRelay } from './relayed_changes.ts';
 import type { SelfDescription } from './_state_services.ts';
 
 /** Time from an announcement until its grants are in use. */
@@ -196,10 +197,12 @@
 
   kernel.register<HttpListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'local', 'collector', 'progress', 'view-history'],
+    needs: ['clock', 'logger', 'local', 'collector', 'progress', 'view-history', 'view', 'right'],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
       const history = find<ViewHistory>('view-history');
+      const view = find<StoreView>('view');
+      const right = find<RightToGrant>('right');
       const service = createPeerListener({
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
@@ -209,8 +212,8 @@
         logger: find<Logger>('logger'),
         control: async (path) => {
           if (path === 'load') return collector.own();
-          if (path.startsWith(`${CHANGES_PATH}?`)) return tellChanges(history, path);
-          return undefined;
+          if (!path.startsWith(`${CHANGES_PATH}?`)) return undefined;
+          return mayRelay(view, right) ? tellChanges(history, path) : undefined;
         },
       });
       await service.listen();
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -15,12 +15,13 @@
 } from '../ranges/mod.ts';
 import { type LeasedStore, restartWatches } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import { askForChanges } from './changes_message.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { createLoadCollector, type LoadCollector } from './load_collector.ts';
 import { isRefused } from './_probe_address.ts';
 import { createRangeKeeper, grantableMs, type RangeKeeper } from './range_keeper.ts';
-import { askForChanges, createRelayedChanges } from './relayed_changes.ts';
+import { createRelayedChanges } from './relayed_changes.ts';
 
 /** What the node says about itself. */
 export interface SelfDescription {
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -1,15 +1,11 @@
 import { err, ok } from 'neverthrow';
-import { request } from 'undici';
-import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
-import type { NodeEntry, ViewHistory } from '../directory/mod.ts';
+import type { NodeEntry, StoreView } from '../directory/mod.ts';
 import { StoreError } from '../errors/mod.ts';
+import type { RightToGrant } from '../ranges/mod.ts';
 import type { EntryChanges, LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
-/** Path of a control message that asks a peer for changes of its view. */
-export const CHANGES_PATH = 'changes';
-
 /** Options of relayed changes. */
 export interface RelayedChangesOptions {
   readonly clock: Clock;
@@ -29,65 +25,21 @@
 const RELAYS = 2;
 /** A relay that did not answer is left alone for this time in ms. */
 const RELAY_PAUSE_MS = 5000;
-/** A relay that is lost is noticed after this time in ms. */
-const RELAY_WAIT_MS = 2000;
-const RELAY_SLACK_MS = 500;
-const STATUS_OK = 200;
-
-const changesSchema = z.object({
-  at: z.number(),
-  events: z.array(z.tuple([z.string(), z.number(), z.string().nullable()])),
-});
 
 /**
- * Writes changes as the text of a control message.
- *
- * @example
- * const text = encodeChanges({ events: [], at: 17 });
+ * The right to grant is confirmed every three seconds. With less than this left in ms, the store
+ * has not answered for over four seconds.
  */
-export const encodeChanges = ({ events, at }: EntryChanges): string => JSON.stringify({
-  at,
-  events: events.map((event) => (
-    [event.key, event.revision, 'removed' in event ? null : event.value]
-  )),
-});
-
-const decodeChanges = (text: string): EntryChanges => {
-  const { at, events } = changesSchema.parse(JSON.parse(text));
-  return {
-    at,
-    events: events.map(([key, revision, value]) => (
-      value === null ? { key, revision, removed: true } : { key, revision, value }
-    )),
-  };
-};
-
-/** Asks a peer by HTTP for the changes of its view; undefined when it does not know them. */
-export const askForChanges = async (
-  address: string,
-  after: number,
-): Promise<EntryChanges | undefined> => {
-  const query = `after=${after}&wait=${RELAY_WAIT_MS}`;
-  const { statusCode, body } = await request(
-    `http://${address}/marjoramhollow/${CHANGES_PATH}?${query}`,
-    { signal: AbortSignal.timeout(RELAY_WAIT_MS + RELAY_SLACK_MS) },
-  );
-  const text = await body.text();
-  return statusCode === STATUS_OK ? decodeChanges(text) : undefined;
-};
+const MIN_RIGHT_MS = 8000;
 
-/** Answers a peer that asks for changes; undefined when they are not known here. */
-export const tellChanges = async (
-  history: ViewHistory,
-  path: string,
-): Promise<string | undefined> => {
-  const query = new URLSearchParams(path.slice(path.indexOf('?') + 1));
-  const after = Number(query.get('after') ?? Number.NaN);
-  const waitMs = Number(query.get('wait') ?? Number.NaN);
-  if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
-  const changes = await history.changesAfter(after, Math.min(waitMs, RELAY_WAIT_MS));
-  return changes && encodeChanges(changes);
-};
+/**
+ * Tells whether a node may pass its view of the store on as that of now. A node that is cut off
+ * from the store would hold its followers back with it.
+ */
+export const mayRelay = (
+  view: Pick<StoreView, 'isConnected'>,
+  right: Pick<RightToGrant, 'remainingMs'>,
+): boolean => view.isConnected() && right.remainingMs() > MIN_RIGHT_MS;
 
 /**
  * Creates the watch of a node in a large failure domain: a few nodes watch the store, and the
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -6,7 +6,8 @@
 } from '../directory/mod.ts';
 import { createMemoryLeasedStore, type EntryChanges } from '../store/mod.ts';
 import { silentLogger } from '../telemetry/mod.ts';
-import { createRelayedChanges, encodeChanges, tellChanges } from './relayed_changes.ts';
+import { encodeChanges, tellChanges } from './changes_message.ts';
+import { createRelayedChanges, mayRelay } from './relayed_changes.ts';
 
 const test = suite('relayed changes');
 
@@ -116,6 +117,14 @@
   assert.is(await tellChanges(history, 'changes?after=x&wait=0'), undefined);
 });
 
+test('a node that is cut off from the store does not hold its followers back', () => {
+  const connected = { isConnected: () => true };
+  assert.is(mayRelay(connected, { remainingMs: () => 12_000 }), true);
+  assert.is(mayRelay({ isConnected: () => false }, { remainingMs: () => 12_000 }), false);
+  // A silent partition shows in the right to grant before it shows in the watch.
+  assert.is(mayRelay(connected, { remainingMs: () => 7500 }), false);
+});
+
 test('a waiting peer is told a change at once', async () => {
   const clock = createFakeClock();
   const history = createViewHistory(clock);
