--- a/store/create_guarded_store_test.ts
+++ b/store/create_guarded_store_test.ts
@@ -38,14 +38,20 @@
   assert.equal(store.counters(), { sent, refused: 20 - sent, failed: 0 });
 });
 
-test('failures back off up to the limit, and one success ends the backoff', async () => {
-  const { clock, memory, store } = setUp();
+/** An outage of a minute in which a caller tries once a second. */
+const callInOutage = async ({ clock, memory, store }: ReturnType<typeof setUp>) => {
   memory.setDown(true);
   for (let second = 0; second < 60; second += 1) {
     const read = store.get('a');
     await clock.advance(1000);
     await read;
   }
+};
+
+test('failures back off up to the limit, and one success ends the backoff', async () => {
+  const parts = setUp();
+  const { clock, memory, store } = parts;
+  await callInOutage(parts);
   const callsWhileDown = memory.counters().reads;
   assert.ok(callsWhileDown <= 14, `${callsWhileDown} calls in 60 s of outage`);
   memory.setDown(false);
@@ -59,13 +65,9 @@
 });
 
 test('an urgent caller finds a store soon that answers again after a long outage', async () => {
-  const { clock, memory, store } = setUp();
-  memory.setDown(true);
-  for (let second = 0; second < 60; second += 1) {
-    const read = store.get('a');
-    await clock.advance(1000);
-    await read;
-  }
+  const parts = setUp();
+  const { clock, memory, store } = parts;
+  await callInOutage(parts);
   store.setUrgent(true);
   memory.setDown(false);
   const read = store.get('a');
