Name shared limits and the rank of calls once, and drop two unused headers

The two listeners repeated three limits; the rank of calls stood in the caller listener and in the slot queue; plan_moves computed the use of an owner beside the function that does; mh-priority and mh-target-ms are no longer sent since one hop header carries both.

--- a/forward/headers.ts
+++ b/forward/headers.ts
@@ -11,8 +11,6 @@
   instance: 'mh-instance',
   version: 'mh-version',
   load: 'mh-load',
-  priority: 'mh-priority',
-  targetMs: 'mh-target-ms',
   reached: 'mh-reached',
   outcome: 'mh-outcome',
   step: 'mh-step',
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -16,10 +16,11 @@
 import {
   abortOnClose, allowBody, answerText, describeRefusal, headerOf, readPendingEvents,
 } from './_answer.ts';
+import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import type { Attempts } from './attempts.ts';
 import { createCallerAge } from './caller_age.ts';
-import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { type AttemptOutcome, CALL_PRIORITY, type GatewayRequest } from './request.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { StopProgress } from './stop_progress.ts';
 
@@ -56,19 +57,12 @@
   readonly onEnd?: (summary: RequestSummary) => void;
 }
 
-/** Larger than the limit of any contract, which bounds what callers send. */
-const MAX_HEADER_BYTES = 65_536;
-const MAX_BODY_BYTES = 67_108_864;
-/** About two seconds of the smallest link of a host, 9 Mbit/s. */
-const MAX_BUFFERED_BYTES = 2_097_152;
 const IDLE_GRACE_MS = 1500;
 /** Deadline of a request that names none. */
 const DEFAULT_DEADLINE_MS = 30_000;
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
 /** A restarted node takes requests after about this time. */
 const STOPPING_RETRY_AFTER_S = '0.6';
-/** Rank of routes for the calls of running requests. */
-const CALL_PRIORITY = 0;
 /** Part of the time to come back by which callers are spread, so that they do not come at once. */
 const RETRY_SPREAD = 0.2;
 const STATUS_NOT_FOUND = 404;
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -12,6 +12,7 @@
   abortOnClose, answerText, headerOf, readPendingEvents,
 } from './_answer.ts';
 import { HOP_HEADER, parseHop } from './_hop.ts';
+import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { LocalService } from './local_service.ts';
@@ -32,10 +33,6 @@
   readonly control: (path: string) => Promise<string | undefined>;
 }
 
-const MAX_HEADER_BYTES = 65_536;
-const MAX_BODY_BYTES = 67_108_864;
-/** About two seconds of the smallest link of a host, 9 Mbit/s. */
-const MAX_BUFFERED_BYTES = 2_097_152;
 /** Peers learn from the directory and from refusals that this node stops. */
 const IDLE_GRACE_MS = 1000;
 /** Three interim answers within the silence that a peer tolerates. */
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -1,6 +1,9 @@
 import type { RequestClass, RouteKind } from '../contract/mod.ts';
 import type { RefusalError, StepError } from '../errors/mod.ts';
 
+/** Rank of the calls that running requests make. */
+export const CALL_PRIORITY = 0;
+
 /** One request on its way to an instance; times are monotonic in ms. */
 export interface GatewayRequest {
   readonly requestId: string;
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -2,6 +2,7 @@
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { RefusalError } from '../errors/mod.ts';
+import { CALL_PRIORITY } from './request.ts';
 import { createWorkTimes } from './work_times.ts';
 
 /** A request that asks for a slot of the instance; times are monotonic in ms. */
@@ -59,8 +60,6 @@
 const LATE_WAIT_FRACTION = 0.1;
 /** A request with less than this part of its mean until its target cannot end by it. */
 const LATE_WORK_FRACTION = 0.5;
-/** Rank of the calls that running requests make. */
-const CALL_PRIORITY = 0;
 const STATUS_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1000;
 const MIN_RETRY_AFTER_MS = 60;
--- a/ranges/plan_moves.ts
+++ b/ranges/plan_moves.ts
@@ -46,11 +46,11 @@
 };
 
 /** Requests a second that an instance serves in time; it levels off as the load rises. */
-const timelyRate = ({ load, candidate }: Account, more = 0) => {
-  const use = (load + more) / Math.max(candidate.capacity, Number.EPSILON);
+const timelyRate = (account: Account, more = 0) => {
+  const use = utilisation(account, more);
   const calm = Math.min(use, TIMELY_UTILISATION);
   const busy = Math.max(0, Math.min(use, 1) - TIMELY_UTILISATION) * BUSY_TIMELY_PART;
-  return (calm + busy) * candidate.capacity;
+  return (calm + busy) * account.candidate.capacity;
 };
 
 /** Requests served in time that a move gains, less those that are refused while it lasts. */
