Do not truncate a complete response whose connection closes

Callers that read slowly saw their connection reset at the end of a response with a Content-Length, most likely of a download, although every byte of it had arrived at the node.

Cause: when the sink applies backpressure on the last chunk, the response is paused before undici has seen its end. If the instance or peer then closes its connection, undici fails the paused response with "other side closed", the outcome is `truncated` and the caller's connection is reset.

After the last byte there is nothing left to hold back, so the response is not paused any more and undici reports its end before the close.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -99,6 +99,8 @@
   /** True if the connection closes after this response. */
   let closesConnection = false;
   let discardedBytes = 0;
+  /** Body bytes that are still to come; infinite if the response states no length. */
+  let missingBytes = Number.POSITIVE_INFINITY;
   let cause: FailureCause = 'connection';
   let isSettled = false;
   let lastProgressAt = clock.now();
@@ -198,7 +200,9 @@
       }
       status = statusCode;
       rawHead = raw;
-      const endsWithConnection = findHeader(raw, 'content-length') === undefined
+      const contentLength = findHeader(raw, 'content-length');
+      if (contentLength !== undefined) missingBytes = Number(contentLength);
+      const endsWithConnection = contentLength === undefined
         && findHeader(raw, 'transfer-encoding') === undefined;
       closesConnection = endsWithConnection
         || findHeader(raw, 'connection')?.toLowerCase().includes('close') === true;
@@ -224,8 +228,10 @@
         }
         return;
       }
-      // undici fails a paused response when its connection closes, so the last one is not paused.
-      if (!sink.write(chunk) && !closesConnection) {
+      missingBytes -= chunk.length;
+      // undici fails a paused response when its connection closes, so the last one on a connection
+      // is not paused, nor any after its last byte.
+      if (!sink.write(chunk) && !closesConnection && missingBytes > 0) {
         current.pause();
         sink.onDrain(resumeBody);
       }
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -110,6 +110,20 @@
   }
 });
 
+// Slow callers lost complete responses when the sender closed its connection after the last byte.
+test('a complete response is not truncated by a close while the receiver is slow', async () => {
+  const large = Buffer.alloc(300_000, 'x').toString();
+  for (const closeDelayMs of [0, RESET_DELAY_MS]) {
+    const { outcome, body } = await runAgainst((socket) => {
+      socket.write(`${HEAD}content-length: ${large.length}\r\n\r\n${large}`, () => {
+        setTimeout(() => socket.end(), closeDelayMs);
+      });
+    }, 'slow');
+    assert.is(body.length, large.length);
+    assert.is(outcome.kind, 'answered', `closed after ${closeDelayMs} ms`);
+  }
+});
+
 test('a chunked response that ends before its last chunk is truncated', async () => {
   const begin = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n`;
   for (const cut of ['resetAndDestroy', 'end'] as const) {
