Catch signals from the start of the process

What callers saw: a node that got SIGHUP or SIGTERM while it was starting ended at once. Requests that it had accepted by then had no answer, and a changed settings file (SIGHUP) cost a whole further start.

Cause: the handlers were registered after `startFleetNode`, hence after the modules were loaded and the caller and peer listeners were open. Until then the default action of SIGHUP, SIGTERM and SIGINT ended the process.

The first module that the entry point loads now registers the handlers; a signal that comes before its handler is set runs it later. A process that is asked to stop before its listeners open ends at once, and one that is asked later stops gracefully as soon as it has started.

--- /dev/null
+++ b/fleet/_process_signals.ts
@@ -0,0 +1,44 @@
+/** Handlers for the signals of the process; a signal that came earlier runs its handler at once. */
+export interface ProcessSignals {
+  /** Returns whether the process has been asked to stop. */
+  readonly isStopRequested: () => boolean;
+  /** Sets the handler of SIGTERM and SIGINT, which runs once. */
+  readonly onStop: (handler: () => void) => void;
+  /** Sets the handler of SIGHUP. */
+  readonly onReload: (handler: () => void) => void;
+}
+
+const createProcessSignals = (): ProcessSignals => {
+  let isStopRequested = false;
+  let isReloadPending = false;
+  let stop = () => undefined as void;
+  let reload = () => {
+    isReloadPending = true;
+  };
+  const requestStop = () => {
+    if (isStopRequested) return;
+    isStopRequested = true;
+    stop();
+  };
+  process.on('SIGTERM', requestStop);
+  process.on('SIGINT', requestStop);
+  process.on('SIGHUP', () => reload());
+  return {
+    isStopRequested: () => isStopRequested,
+    onStop: (handler) => {
+      stop = handler;
+      if (isStopRequested) handler();
+    },
+    onReload: (handler) => {
+      reload = handler;
+      if (isReloadPending) handler();
+      isReloadPending = false;
+    },
+  };
+};
+
+/**
+ * Signals of this process. They are caught from the evaluation of this module on, which has to be
+ * the first import of an entry point: the default action of each of them ends the process.
+ */
+export const processSignals = createProcessSignals();
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -1,4 +1,6 @@
 import { readFileSync } from 'node:fs';
+import { setImmediate } from 'node:timers/promises';
+import { processSignals } from './_process_signals.ts';
 import { createSystemClock } from '../clock/mod.ts';
 import { parsePlatformSettings } from '../platform/mod.ts';
 import {
@@ -37,7 +39,7 @@
     if (settings.isOk()) node.reload(settings.value);
     else logger.error({ reason: settings.error.message }, 'rejected the changed settings');
   };
-  process.on('SIGHUP', check);
+  processSignals.onReload(check);
   setInterval(check, SETTINGS_POLL_INTERVAL_MS).unref();
 };
 
@@ -53,6 +55,9 @@
     fail(EXIT_INVALID_SETTINGS, settings.error.message);
     return;
   }
+  // Signals are delivered between turns of the event loop; no caller has been accepted before.
+  await setImmediate();
+  if (processSignals.isStopRequested()) return;
   const clock = createSystemClock();
   const logger = createRateLimitedLogger(
     createLogger('node', { node: settings.value.node, stream: openLogOutput() }),
@@ -60,7 +65,7 @@
   );
   const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
   watchSettings(path, text, node, logger);
-  const stop = () => {
+  processSignals.onStop(() => {
     node.stop().then(
       () => process.exit(0),
       (error: unknown) => {
@@ -68,9 +73,7 @@
         process.exit(EXIT_FAILED);
       },
     );
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  });
 };
 
 main().catch((error: unknown) => fail(EXIT_FAILED, String(error)));
--- /dev/null
+++ b/fleet/main_test.ts
@@ -0,0 +1,72 @@
+import { execFileSync, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import {
+  mkdtempSync, rmSync, unlinkSync, writeFileSync,
+} from 'node:fs';
+import { open } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+const test = suite('fleet process');
+
+/** A loopback address of this process alone, as the port of the metrics endpoint is fixed. */
+const host = `127.1.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const settings = JSON.stringify({
+  node: 'host-1',
+  region: 'r',
+  failureDomain: 'd',
+  announceInterval: '200ms',
+  bounds: { drain: '2s', grace: '6s' },
+  listen: {
+    caller: `${host}:7001`,
+    peer: `${host}:7002`,
+    readiness: `${host}:7003`,
+    announcements: `${host}:7004`,
+  },
+  store: { address: `${host}:7005`, writesPerSecond: 400, readsPerSecond: 2000 },
+});
+
+/** Starts the process and sends it a signal while it waits for its settings. */
+const startWithSignal = async (signal: 'SIGHUP' | 'SIGTERM') => {
+  const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
+  const path = join(directory, 'settings.json');
+  execFileSync('mkfifo', [path]);
+  const child = spawn(process.execPath, ['--import', 'tsx', 'fleet/main.ts'], {
+    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path },
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  let output = '';
+  const started = new Promise<string>((resolve) => {
+    child.stdout.on('data', (data: Buffer) => {
+      output += data.toString();
+      if (output.includes('"node: started"')) resolve('started');
+    });
+  });
+  const ended = once(child, 'exit').then(([code, endSignal]) => `ended: ${code ?? endSignal}`);
+  // The open succeeds once the process reads its settings.
+  const pipe = await open(path, 'w');
+  child.kill(signal);
+  unlinkSync(path);
+  writeFileSync(path, settings);
+  await pipe.write(settings).catch(() => undefined);
+  await pipe.close();
+  const outcome = await Promise.race([started, ended]);
+  child.kill('SIGKILL');
+  await ended;
+  rmSync(directory, { recursive: true });
+  return outcome;
+};
+
+// SIGHUP ended a process that was starting, and with it the requests that it had accepted.
+test('a SIGHUP during the start does not end the process', async () => {
+  assert.is(await startWithSignal('SIGHUP'), 'started');
+});
+
+// SIGTERM ended a process that was starting by its default action, without a graceful stop.
+test('a SIGTERM before the listeners open ends the process with status 0', async () => {
+  assert.is(await startWithSignal('SIGTERM'), 'ended: 0');
+});
+
+test.run();
