Log the step and cause of each request that ends without an answer

A caller's request whose response was cut had a line with the reason "the response was truncated" alone, and the line of the peer listener had none, so a log could not tell a peer that was lost from a stalled body, a close of the instance or a reset. Both lines now name the step, the peer and the cause, and the caller's line has a message of its own, "ended without an answer", to be counted by.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -216,8 +216,8 @@
       status: refusal?.status,
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
-      reason: refusal?.message ?? 'the response was truncated',
-    }, 'not answered');
+      reason: outcome.kind === 'truncated' ? outcome.error.message : refusal?.message,
+    }, outcome.kind === 'truncated' ? 'ended without an answer' : 'not answered');
   };
 
   const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -141,7 +141,9 @@
       ], '');
       return;
     }
-    logger.warn(fields, 'response to peer was truncated');
+    logger.warn({
+      ...fields, reason: outcome.kind === 'truncated' ? outcome.error.message : undefined,
+    }, 'response to peer was truncated');
     resetConnection(response);
   };
 
@@ -164,7 +166,9 @@
     response.once('close', options.shutdown.trackRequest());
     if (options.shutdown.phase() !== 'running') response.shouldKeepAlive = false;
     serve(message, response).catch((error: unknown) => {
-      logger.error({ reason: String(error) }, 'failed to handle request from peer');
+      logger.error({
+        request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
+      }, 'failed to handle request from peer');
       resetConnection(response);
     });
   };
