Answer a request whose handling throws with 502

What callers saw: any exception in the request path reset the connection, so an accepted request ended without an answer; around a planned stop or change that is LOST. The line in the log named no request.

Cause: the caller listener reset the connection in its last catch, also when no byte of a response had been sent.

A response that has not begun can still be a complete 502 with the outcome "unknown". One that has begun is cut as before, as its rest cannot be known.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -267,8 +267,14 @@
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
     serve(message, response, route, arrivedAt).catch((error: unknown) => {
-      logger.error({ route: route.name, reason: String(error) }, 'failed to handle request');
-      resetConnection(response);
+      const isAnswerable = !response.headersSent;
+      logger.error({
+        request: requestId, route: route.name, reason: String(error),
+      }, isAnswerable ? 'failed to handle request' : 'ended without an answer');
+      const idHeader = [headerNames.requestId, requestId ?? ''];
+      const text = '{"error":"the request could not be handled","outcome":"unknown"}';
+      if (isAnswerable) respondWithJson(response, STATUS_BAD_GATEWAY, idHeader, text);
+      else resetConnection(response);
     });
   };
 
--- /dev/null
+++ b/gateway/unhandled_failure_test.ts
@@ -0,0 +1,76 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { request } from 'undici';
+import { createSystemClock } from '../clock/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import {
+  createCallerListener, createRouteTable, createShutdownTracker, type RequestSender,
+} from './mod.ts';
+
+const test = suite('unhandled failure');
+
+const clock = createSystemClock();
+const routes = createRouteTable({
+  revision: 1,
+  routes: [{
+    name: 'orders',
+    host: 'shop.example',
+    prefix: '/orders/',
+    kind: 'unsafe',
+    timeoutMs: 1000,
+    targetLatencyMs: 300,
+    priority: 1,
+    maxAttempts: 2,
+    targets: [{ service: 'orders', weight: 1 }],
+  }],
+  services: new Map(),
+});
+
+const sendThrough = async (send: RequestSender['send']) => {
+  const listener = createCallerListener({
+    clock,
+    address: '127.0.0.1:0',
+    headers: {
+      requestId: 'request-id',
+      remainingMs: 'deadline-ms',
+      callerService: 'caller-service',
+      key: 'shard-key',
+    },
+    callerService: () => 'shop',
+    routes: () => routes,
+    sender: { send },
+    shutdown: createShutdownTracker(clock),
+    logger: noopLogger,
+    random: () => 0,
+  });
+  const address = await listener.listen();
+  try {
+    const { statusCode, headers, body } = await request(`http://${address}/orders/1`, {
+      headers: { host: 'shop.example', 'request-id': 'r-1' },
+    });
+    return { status: statusCode, id: headers['request-id'], text: await body.text() };
+  } catch (error) {
+    return { status: 0, id: undefined, text: String(error) };
+  } finally {
+    listener.kill();
+  }
+};
+
+// An exception in the request path reset the connection of the caller.
+test('a request whose handling throws gets a complete answer', async () => {
+  const { status, id, text } = await sendThrough(() => Promise.reject(new Error('a defect')));
+  assert.is(status, 502, text);
+  assert.is(id, 'r-1');
+  assert.match(text, '"outcome":"unknown"');
+});
+
+test('a response that has begun is cut when the handling throws', async () => {
+  const { status } = await sendThrough((_, __, sink) => {
+    sink.start(200, ['content-length', '10'], false);
+    sink.write(Buffer.from('hello'));
+    return Promise.reject(new Error('a defect'));
+  });
+  assert.is(status, 0);
+});
+
+test.run();
