--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -79,6 +79,13 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 
+/** Returns why a request was not answered, for the log. */
+const reasonOf = (outcome: Exclude<AttemptOutcome, { kind: 'answered' }>) => {
+  if (outcome.kind === 'truncated') return outcome.error.message;
+  if (outcome.kind === 'failed') return `an instance failed with ${outcome.status}`;
+  return outcome.refusal.message;
+};
+
 /**
  * Creates the listener for the callers of this host.
  *
@@ -216,7 +223,7 @@
       status: refusal?.status,
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
-      reason: outcome.kind === 'truncated' ? outcome.error.message : refusal?.message,
+      reason: reasonOf(outcome),
     }, outcome.kind === 'truncated' ? 'ended without an answer' : 'not answered');
   };
 
