--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -79,6 +79,13 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 
+/** Returns why a request was not answered, for the log. */
+const reasonOf = (outcome: Exclude<AttemptOutcome, { kind: 'answered' }>) => {
+  if (outcome.kind === 'truncated') return outcome.error.message;
+  if (outcome.kind === 'failed') return `an instance failed with ${outcome.status}`;
+  return outcome.refusal.message;
+};
+
 /**
  * Creates the listener for the callers of this host.
  *
@@ -216,8 +223,8 @@
       status: refusal?.status,
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
-      reason: refusal?.message ?? 'the response was truncated',
-    }, 'not answered');
+      reason: reasonOf(outcome),
+    }, outcome.kind === 'truncated' ? 'ended without an answer' : 'not answered');
   };
 
   const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
@@ -267,8 +274,14 @@
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
     serve(message, response, route, arrivedAt).catch((error: unknown) => {
-      logger.error({ route: route.name, reason: String(error) }, 'failed to handle request');
-      resetConnection(response);
+      const isAnswerable = !response.headersSent;
+      logger.error({
+        request: requestId, route: route.name, reason: String(error),
+      }, isAnswerable ? 'failed to handle request' : 'ended without an answer');
+      const idHeader = [headerNames.requestId, requestId ?? ''];
+      const text = '{"error":"the request could not be handled","outcome":"unknown"}';
+      if (isAnswerable) respondWithJson(response, STATUS_BAD_GATEWAY, idHeader, text);
+      else resetConnection(response);
     });
   };
 
