Detect a reset that follows the last bytes of an answer without a length

Callers would get a success that looks complete, though the instance, or the peer in between, was cut off within it: the answer has no length and ends with its connection, and the connection was reset right after some of its bytes.

Cause: the pool took an `error` event of the socket for the sign of a reset. When a reset arrives together with data, libuv reads the data, sees that the other end has hung up and reports the end of the stream; the error is never read. So the pool saw a plain end. The existing test waits 20 ms before the reset, and the error arrives alone.

A truncated answer over a peer is reset by the peer listener in the same way, so the second hop had the fault too.

--- a/forward/truncation_aware_pool.ts
+++ b/forward/truncation_aware_pool.ts
@@ -59,6 +59,9 @@
       });
       socket?.on('end', () => {
         isEnded = true;
+        // libuv reports a reset that arrives right after data as the end of the connection; the
+        // socket then has no remote address any more.
+        if (socket.remoteAddress === undefined) isReset = true;
         process.nextTick(clearFlags);
       });
       done(...result);
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -98,6 +98,17 @@
   assert.is(outcome.kind, 'truncated');
 });
 
+// Guards against an answer cut off by a reset that callers took for a whole one.
+test('a response without a length is truncated when a reset follows its last bytes', async () => {
+  for (const size of [3, 3000, 300_000]) {
+    const { outcome } = await runAgainst((socket) => {
+      socket.write(`${HEAD}connection: close\r\n\r\n${'x'.repeat(size)}`);
+      socket.resetAndDestroy();
+    });
+    assert.is(outcome.kind, 'truncated', `${size} bytes`);
+  }
+});
+
 test('a connection that closes while the receiver is slow does not crash the process', async () => {
   const large = Buffer.alloc(300_000, 'x').toString();
   for (const cut of ['end', 'resetAndDestroy'] as const) {
