Accept no request between the last response of a stopping node and its exit

Cause: the stop waited until no request was in flight, slept 60 ms and let the process exit. During the sleep the node still accepted requests with the priority of nested calls, and nothing waited for them.

Evidence: the test `a request that arrives once the stopping node is idle gets an answer` failed before with

{"error":"SocketError: other side closed"} (ok)

and `a request on an idle connection gets an answer while the node closes` failed in the same way. The late body and the request from a peer held before.

The tracker now enters a last phase, `closed`, in the same turn in which the last request in flight ends. Every request that arrives from then on is refused as not run, with Connection: close and Retry-After. The process exits when the listeners have closed all connections, which they do only after the responses have been handed to the operating system. Requests accepted while stopping get a deadline before the exit, so that the instance can answer in time. Requests of peers that will be refused no longer delay the end of the requests in flight. A second call of `stop` joins the first one instead of reopening the node.

--- /dev/null
+++ b/fleet/_create_graceful_stop.ts
@@ -0,0 +1,69 @@
+import type { Clock } from '../clock/mod.ts';
+import type { ShutdownTracker } from '../gateway/mod.ts';
+import type { HttpListener } from '../http/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+
+/** Options of {@link createGracefulStop}. */
+export interface GracefulStopOptions {
+  readonly clock: Clock;
+  readonly graceMs: number;
+  readonly shutdown: ShutdownTracker;
+  /** Listeners whose requests must be answered before the node ends. */
+  readonly listeners: readonly HttpListener[];
+  /** Announces that the node is stopping. */
+  readonly announceStop: () => void;
+  readonly logger: Logger;
+}
+
+/** Readiness is probed once a second, and two failed probes end the flow of new callers. */
+const READINESS_DRAIN_MS = 2800;
+/** Part of the grace time that is reserved for the end of the process. */
+const STOP_RESERVE_MS = 500;
+/** Time before the end in which responses that have begun are still sent. */
+const FLUSH_RESERVE_MS = 300;
+/** Late requests get a refusal with Retry-After in this time instead of a refused connection. */
+const LISTENER_CLOSE_DELAY_MS = 60;
+
+/**
+ * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
+ * node is not ready, then only nested calls of running requests, and none once no request is in
+ * flight. It ends when every response has been handed to the operating system, at the latest
+ * shortly before the end of the grace time.
+ *
+ * @param options Clock, grace time, shutdown tracker, listeners and logger.
+ * @returns A function that stops the node; further calls return the promise of the first one.
+ *
+ * @example
+ * const stop = createGracefulStop(options);
+ * process.on('SIGTERM', () => stop().then(() => process.exit(0)));
+ */
+export const createGracefulStop = (options: GracefulStopOptions): () => Promise<void> => {
+  const { clock, shutdown, logger } = options;
+  let stopped: Promise<void> | undefined;
+
+  const run = async () => {
+    const endsBy = clock.now() + options.graceMs - STOP_RESERVE_MS;
+    shutdown.leave(endsBy - FLUSH_RESERVE_MS);
+    options.announceStop();
+    logger.info({ graceMs: options.graceMs }, 'stopping');
+    await clock.sleep(READINESS_DRAIN_MS);
+    const closed = shutdown.close();
+    logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
+    await closed;
+    await clock.sleep(LISTENER_CLOSE_DELAY_MS);
+    const timeout = new AbortController();
+    await Promise.race([
+      Promise.all(options.listeners.map((listener) => listener.stop())),
+      clock.sleep(endsBy - clock.now(), timeout.signal),
+    ]);
+    timeout.abort();
+    logger.info({
+      active: shutdown.activeRequests(), leftMs: Math.round(endsBy - clock.now()),
+    }, 'stopped');
+  };
+
+  return () => {
+    stopped ??= run();
+    return stopped;
+  };
+};
--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -5,7 +5,7 @@
 import {
   type PlatformInstance, type PlatformStoreServer, startPlatformInstance, startPlatformStore,
 } from '../standins/mod.ts';
-import { noopLogger } from '../telemetry/mod.ts';
+import { type Logger, noopLogger } from '../telemetry/mod.ts';
 import { type FleetNode, startFleetNode } from './start_fleet_node.ts';
 
 /** A host of a fleet that runs on the loopback interface. */
@@ -24,8 +24,19 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Published routes: `/keyed/` is partitioned by key, `/orders/` must not run twice. */
+/** Options of a fleet on the loopback interface. */
+export interface LoopbackFleetOptions {
+  readonly logger?: Logger;
+  /** Time in ms that an instance takes for a request. */
+  readonly workMs?: number;
+}
+
+/**
+ * Published routes: `/keyed/` is partitioned by key, `/orders/` must not run twice, `/calls/` has
+ * the priority of nested calls.
+ */
 const routesOf = (extraPrefix?: string) => [
+  { prefix: '/calls/', kind: 'safe', service: 'orders' },
   { prefix: '/keyed/', kind: 'safe', service: 'ledger' },
   { prefix: '/orders/', kind: 'unsafe', service: 'orders' },
   { prefix: '/reads/', kind: 'safe', service: 'orders' },
@@ -44,7 +55,7 @@
         route_type: kind,
         timeout: '1000ms',
         target_latency: '300ms',
-        priority: 1,
+        priority: prefix === '/calls/' ? 0 : 1,
         max_attempts: 2,
         service,
       },
@@ -73,6 +84,7 @@
 /** Starts one host, with a node and an instance, for each of the services. */
 export const startLoopbackFleet = async (
   services: readonly string[],
+  { logger = noopLogger, workMs }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
   const server = await startPlatformStore(clock);
@@ -113,9 +125,11 @@
       store: { address: server.address, writesPerSecond: 400, readsPerSecond: 2000 },
     };
     const node = await startFleetNode(settings, {
-      clock, logger: noopLogger, metricsPort: Number(metrics!.split(':')[1]),
+      clock, logger, metricsPort: Number(metrics!.split(':')[1]),
+    });
+    const instance = await startPlatformInstance({
+      service, announceAddress: announcements!, ...(workMs === undefined ? {} : { workMs }),
     });
-    const instance = await startPlatformInstance({ service, announceAddress: announcements! });
     hosts.push({ settings, node, instance });
   }
   return {
--- /dev/null
+++ b/fleet/graceful_stop_test.ts
@@ -0,0 +1,170 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Agent, request } from 'undici';
+import { splitAddress } from '../http/mod.ts';
+import { type Logger, noopLogger } from '../telemetry/mod.ts';
+import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
+
+const test = suite('graceful stop');
+
+/** Longer than the pause between the last request in flight and the end of a stopping node. */
+const WORK_MS = 300;
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+  readonly connection: string | undefined;
+  readonly retryAfter: string | undefined;
+}
+
+let fleet: LoopbackFleet;
+let nextId = 0;
+let onMessage = (_message: string) => undefined as void;
+
+const logger: Logger = {
+  ...noopLogger,
+  info: (_, message) => onMessage(message),
+  forComponent: () => noopLogger,
+};
+
+/** Sends a request on a connection of its own. */
+const send = async (path: string, host: number): Promise<Answer> => {
+  nextId += 1;
+  const response = await request(`http://${fleet.hosts[host]!.settings.listen.caller}${path}`, {
+    dispatcher: new Agent({ connections: 1, pipelining: 1 }),
+    headers: { host: 'shop.example', 'request-id': `request-${nextId}`, 'deadline-ms': '1500' },
+  });
+  return {
+    status: response.statusCode,
+    text: await response.body.text(),
+    connection: response.headers.connection as string | undefined,
+    retryAfter: response.headers['retry-after'] as string | undefined,
+  };
+};
+
+const toError = (error: unknown) => ({ error: String(error) });
+
+/** Opens a connection and collects what is received on it. */
+const openConnection = async (address: string) => {
+  const { host, port } = splitAddress(address);
+  const socket = connect(port, host);
+  let received = '';
+  socket.setEncoding('latin1').on('data', (chunk: string) => {
+    received += chunk;
+  });
+  const closed = once(socket, 'close');
+  await once(socket, 'connect');
+  return {
+    write: (text: string) => {
+      socket.write(text);
+    },
+    received: () => received,
+    closed,
+  };
+};
+
+const formatHead = (method: string, path: string, ...fields: readonly string[]) => [
+  `${method} ${path} HTTP/1.1`,
+  'host: shop.example',
+  `request-id: ${path}`,
+  'deadline-ms: 4000',
+  ...fields,
+  '\r\n',
+].join('\r\n');
+
+const HOP = JSON.stringify(['orders', 'safe', 0, 'safe/0/300', 1500, 300, null, null, 0]);
+
+const waitFor = async (isDone: () => boolean) => {
+  for (let attempt = 0; attempt < 100 && !isDone(); attempt += 1) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+};
+
+const waitUntilServed = async (path: string) => {
+  for (let attempt = 0; attempt < 160; attempt += 1) {
+    if ((await send(path, 0)).status === 200) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+  throw new Error(`${path} is not served`);
+};
+
+test.before.each(async () => {
+  onMessage = () => undefined;
+  fleet = await startLoopbackFleet(['orders', 'orders'], { logger, workMs: WORK_MS });
+  await waitUntilServed('/calls/a');
+});
+
+test.after.each(() => fleet.stop());
+
+// A request that arrived after the last one in flight had ended was accepted, and the exit of the
+// process closed its connection without an answer.
+test('a request that arrives once the stopping node is idle gets an answer', async () => {
+  const { node } = fleet.hosts[0]!;
+  let late: Promise<Answer | { readonly error: string }> | undefined;
+  onMessage = (message) => {
+    if (message !== 'no longer accepting requests') return;
+    late = send('/calls/late', 0).catch(toError);
+  };
+  await node.stop();
+  await node.kill();
+  const answer = await late!;
+  assert.ok('status' in answer, JSON.stringify(answer));
+  assert.is(answer.status, 503);
+  assert.is(answer.connection, 'close');
+  assert.ok(Number(answer.retryAfter) > 0);
+});
+
+// Responses of a stopping node announce the end of their connection, but an idle connection stays
+// open until the node closes.
+test('a request on an idle connection gets an answer while the node closes', async () => {
+  const { node, settings } = fleet.hosts[0]!;
+  const socket = await openConnection(settings.listen.caller);
+  socket.write(formatHead('GET', '/reads/first'));
+  await waitFor(() => /ran at/u.test(socket.received()));
+  onMessage = (message) => {
+    if (message === 'no longer accepting requests') socket.write(formatHead('GET', '/calls/late'));
+  };
+  await node.stop();
+  await node.kill();
+  await socket.closed;
+  const [, second] = socket.received().split(/(?=HTTP\/1\.1 )/u);
+  assert.match(second ?? '', /^HTTP\/1\.1 503 .*connection: close.*not run/isu);
+});
+
+test('a request whose body arrives late is answered before the node ends', async () => {
+  const { node, settings } = fleet.hosts[0]!;
+  const socket = await openConnection(settings.listen.caller);
+  const stopped = node.stop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2500);
+  });
+  socket.write(formatHead('POST', '/orders/late', 'content-length: 5'));
+  onMessage = (message) => {
+    if (message === 'no longer accepting requests') socket.write('order');
+  };
+  await stopped;
+  await node.kill();
+  await socket.closed;
+  assert.match(socket.received(), /^HTTP\/1\.1 200 .*ran at/isu);
+});
+
+test('a request from a peer that arrives while the node closes is refused as not run', async () => {
+  const { node, settings } = fleet.hosts[0]!;
+  const socket = await openConnection(settings.listen.peer);
+  onMessage = (message) => {
+    if (message !== 'no longer accepting requests') return;
+    socket.write(formatHead('GET', '/calls/late', `mh-hop: ${HOP}`));
+  };
+  await node.stop();
+  await node.kill();
+  await socket.closed;
+  assert.match(socket.received(), /^HTTP\/1\.1 503 .*mh-outcome: not run/isu);
+});
+
+test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -11,6 +11,7 @@
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { LoadCollector } from './load_collector.ts';
 import type { RangeController } from './range_controller.ts';
+import { createGracefulStop } from './_create_graceful_stop.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
 
@@ -35,11 +36,6 @@
 const RECONCILE_INTERVAL_MS = 200;
 const COLLECT_INTERVAL_MS = 1000;
 const PROBE_INTERVAL_MS = 250;
-/** Readiness is probed once a second, and two failed probes end the flow of new callers. */
-const READINESS_DRAIN_MS = 2800;
-/** Part of the grace time that is reserved for closing down. */
-const STOP_RESERVE_MS = 500;
-const LISTENER_CLOSE_DELAY_MS = 60;
 
 /** Runs a task at an interval; a failure is logged and does not stop later runs. */
 const runPeriodically = (
@@ -172,24 +168,19 @@
   for (const listener of controlListeners) await listener.listen();
   logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
 
-  const stop = async () => {
-    const stopAt = clock.now() + settings.bounds.graceMs - STOP_RESERVE_MS;
-    localNode.setStopping();
-    kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
-    logger.info({ graceMs: settings.bounds.graceMs }, 'stopping');
-    const shutdown = kernel.find<ShutdownTracker>('progress');
-    shutdown.setPhase('leaving');
-    await clock.sleep(READINESS_DRAIN_MS);
-    shutdown.setPhase('closing');
-    logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
-    await shutdown.waitForIdle(stopAt);
-    // Requests that arrive while the listeners close are refused, so that no connection is cut.
-    await clock.sleep(LISTENER_CLOSE_DELAY_MS);
-    tasks.stop();
-    logger.info({
-      active: shutdown.activeRequests(), leftMs: Math.round(stopAt - clock.now()),
-    }, 'stopped');
-  };
+  const requestListeners = ['caller-listener', 'peer-listener']
+    .map((name) => kernel.find<HttpListener>(name));
+  const stop = createGracefulStop({
+    clock,
+    graceMs: settings.bounds.graceMs,
+    shutdown: kernel.find<ShutdownTracker>('progress'),
+    listeners: requestListeners,
+    announceStop: () => {
+      localNode.setStopping();
+      kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
+    },
+    logger,
+  });
 
   return {
     reload: (changed) => {
@@ -199,13 +190,10 @@
       callerService = changed.service;
       logger.info({ service: callerService }, 'reloaded the settings');
     },
-    stop,
+    stop: () => stop().finally(tasks.stop),
     kill: async () => {
       tasks.stop();
-      for (const listener of controlListeners) listener.kill();
-      for (const name of ['caller-listener', 'peer-listener']) {
-        kernel.find<HttpListener>(name).kill();
-      }
+      for (const listener of [...controlListeners, ...requestListeners]) listener.kill();
       await kernel.stop();
     },
   };
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -66,7 +66,8 @@
   readonly onRequestEnd?: (summary: RequestSummary) => void;
 }
 
-const IDLE_GRACE_MS = 1500;
+/** Requests in transit on open connections still get a response in this time. */
+const IDLE_GRACE_MS = 40;
 /** Time to the deadline of a request that states no valid remaining time. */
 const DEFAULT_DEADLINE_MS = 30_000;
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
@@ -124,7 +125,11 @@
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers,
-      deadlineAt: arrivedAt + Math.min(remainingMs, route.timeoutMs),
+      deadlineAt: Math.min(
+        arrivedAt + remainingMs,
+        arrivedAt + route.timeoutMs,
+        options.shutdown.answerBy(),
+      ),
       latencyTargetAt: Math.min(
         arrivedAt + remainingMs,
         firstAttemptAt + route.targetLatencyMs,
@@ -165,6 +170,19 @@
     );
   };
 
+  const refuseWhileStopping = (
+    requestId: string | undefined,
+    route: PublishedRoute,
+    response: ServerResponse,
+  ) => {
+    const text = '{"error":"the node stops","outcome":"not run"}';
+    const retryAfter = ['retry-after', STOPPING_RETRY_AFTER_S];
+    respondWithJson(response, STATUS_UNAVAILABLE, retryAfter, text);
+    logger.info({
+      request: requestId, route: route.name, notRun: true,
+    }, 'request refused: the node is stopping');
+  };
+
   const serve = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -184,6 +202,10 @@
     }
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
+    if (options.shutdown.phase() === 'closed') {
+      refuseWhileStopping(request.requestId, route, response);
+      return;
+    }
     const sink = createResponseSink(response, () => undefined, responseBuffer);
     const outcome = await options.sender.send({ ...request, body }, route.maxAttempts, sink);
     respondWithOutcome(request, outcome, response);
@@ -229,12 +251,8 @@
         request: requestId, notRun: true,
       }, 'request refused: no contract is known yet');
       const text = '{"error":"no contract is known yet","outcome":"not run"}';
-      respondWithJson(
-        response,
-        STATUS_UNAVAILABLE,
-        ['retry-after', NO_CONTRACT_RETRY_AFTER_S],
-        text,
-      );
+      const retryAfter = ['retry-after', NO_CONTRACT_RETRY_AFTER_S];
+      respondWithJson(response, STATUS_UNAVAILABLE, retryAfter, text);
       return;
     }
     const route = table.match(firstHeaderValue(message, 'host') ?? '', message.url ?? '/');
@@ -248,20 +266,13 @@
       respondWithJson(response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
-    const { phase } = options.shutdown;
-    if (phase() !== 'running') response.shouldKeepAlive = false;
+    const phase = options.shutdown.phase();
+    if (phase !== 'running') response.shouldKeepAlive = false;
     // The instance on this host still runs requests, which may depend on nested calls.
-    if (phase() === 'closing' && route.priority > NESTED_CALL_PRIORITY) {
-      const text = '{"error":"the node stops","outcome":"not run"}';
-      respondWithJson(
-        response,
-        STATUS_UNAVAILABLE,
-        ['retry-after', STOPPING_RETRY_AFTER_S],
-        text,
-      );
-      logger.info({
-        request: requestId, route: route.name, notRun: true,
-      }, 'request refused: the node is stopping');
+    const isAccepted = phase !== 'closed'
+      && (phase !== 'closing' || route.priority <= NESTED_CALL_PRIORITY);
+    if (!isAccepted) {
+      refuseWhileStopping(requestId, route, response);
       return;
     }
     response.once('close', options.shutdown.trackRequest());
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -33,8 +33,8 @@
   readonly handleControlMessage: (path: string) => Promise<string | undefined>;
 }
 
-/** Short, as peers learn from the directory and from refusals that this node is stopping. */
-const IDLE_GRACE_MS = 1000;
+/** Requests in transit on open connections still get a response in this time. */
+const IDLE_GRACE_MS = 40;
 /** Three interim responses within the silence that a peer tolerates. */
 const INTERIM_INTERVAL_MS = MAX_PEER_SILENCE_MS / 3;
 /** Path prefix of control messages; forwarded requests always carry a hop header. */
@@ -59,6 +59,11 @@
   const logger = options.logger.forComponent('peer');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
 
+  const isAccepting = () => {
+    const phase = options.shutdown.phase();
+    return phase === 'running' || phase === 'leaving';
+  };
+
   const toRequest = (
     message: IncomingMessage,
     signal: AbortSignal,
@@ -73,7 +78,7 @@
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers: endToEndHeaders(message.rawHeaders),
-      deadlineAt: now + remainingMs,
+      deadlineAt: Math.min(now + remainingMs, options.shutdown.answerBy()),
       latencyTargetAt: now + latencyTargetMs,
       signal,
     };
@@ -114,9 +119,9 @@
     const sink = createResponseSink(response, (headers) => {
       headers.push(hopHeaders.load, formatLoad(local.load()));
     }, responseBuffer);
-    const outcome: AttemptOutcome = options.shutdown.phase() === 'closing'
-      ? refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
-      : await local.forward({ ...request, body }, sink);
+    const outcome: AttemptOutcome = isAccepting()
+      ? await local.forward({ ...request, body }, sink)
+      : refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' });
     stopInterimResponses();
     const fields = {
       request: request.requestId,
@@ -161,7 +166,8 @@
       });
       return;
     }
-    response.once('close', options.shutdown.trackRequest());
+    // A request that will be refused must not delay the end of the requests in flight.
+    if (isAccepting()) response.once('close', options.shutdown.trackRequest());
     if (options.shutdown.phase() !== 'running') response.shouldKeepAlive = false;
     serve(message, response).catch((error: unknown) => {
       logger.error({ reason: String(error) }, 'failed to handle request from peer');
