--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -21,7 +21,9 @@
 import { readBody } from './_read_body.ts';
 import type { RequestSender } from './request_sender.ts';
 import { createRequestAgeEstimator } from './request_age_estimator.ts';
-import { type AttemptOutcome, NESTED_CALL_PRIORITY, type GatewayRequest } from './request.ts';
+import {
+  type AttemptOutcome, failureReason, NESTED_CALL_PRIORITY, type GatewayRequest,
+} from './request.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
@@ -80,13 +82,6 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 
-/** Returns why a request was not answered, for the log. */
-const reasonOf = (outcome: Exclude<AttemptOutcome, { kind: 'answered' }>) => {
-  if (outcome.kind === 'truncated') return outcome.error.message;
-  if (outcome.kind === 'failed') return `an instance failed with ${outcome.status}`;
-  return outcome.refusal.message;
-};
-
 /**
  * Creates the listener for the callers of this host.
  *
@@ -245,7 +240,7 @@
       status: refusal?.status,
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
-      reason: reasonOf(outcome),
+      reason: failureReason(outcome),
     }, outcome.kind === 'truncated' ? 'ended without an answer' : 'not answered');
   };
 
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -48,6 +48,15 @@
   }
   | { readonly kind: 'truncated'; readonly error: StepError };
 
+/** Returns why a request was not answered, for the log. */
+export const failureReason = (
+  outcome: Exclude<AttemptOutcome, { kind: 'answered' }>,
+): string => {
+  if (outcome.kind === 'truncated') return outcome.error.message;
+  if (outcome.kind === 'failed') return `an instance failed with ${outcome.status}`;
+  return outcome.refusal.message;
+};
+
 /** Request class in the routing statistics, by kind of route. */
 export const requestClassByKind: Readonly<Record<RouteKind, RequestClass>> = {
   safe: 'lookup', unsafe: 'submission', download: 'bulk',
