--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -2,7 +2,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
-import { endToEndHeaders } from '../forward/mod.ts';
 import {
   createResponseBuffer,
   createHttpServer,
@@ -13,6 +12,7 @@
   resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
 import {
   abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondWithJson,
   sendContinueIfExpected,
@@ -20,24 +20,12 @@
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import type { RequestSender } from './request_sender.ts';
-import { createRequestAgeEstimator } from './request_age_estimator.ts';
 import {
   type AttemptOutcome, failureReason, NESTED_CALL_PRIORITY, type GatewayRequest,
 } from './request.ts';
-import { chooseService, type RouteTable } from './route_table.ts';
+import type { RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
-/** Lower-case names of the headers that callers and instances use. */
-export interface CallerHeaders {
-  readonly requestId: string;
-  /** Time in ms that the caller waits for the response. */
-  readonly remainingMs: string;
-  /** Service of the calling instance; set by the node. */
-  readonly callerService: string;
-  /** Key of the request at a keyed service. */
-  readonly key: string;
-}
-
 /** How a request of a caller ended. */
 export interface RequestSummary {
   readonly route: string;
@@ -70,8 +58,6 @@
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
-/** Time to the deadline of a request that states no valid remaining time. */
-const DEFAULT_DEADLINE_MS = 30_000;
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
 /** Approximate time until a restarted node accepts requests. */
 const STOPPING_RETRY_AFTER_S = '0.6';
@@ -96,50 +82,8 @@
   const { clock, headers: headerNames } = options;
   const logger = options.logger.forComponent('caller');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
-  const replacedHeaders = new Set([headerNames.callerService, headerNames.remainingMs]);
-  const ageEstimator = createRequestAgeEstimator();
 
-  const toRequest = (
-    message: IncomingMessage,
-    route: PublishedRoute,
-    arrivedAt: number,
-    signal: AbortSignal,
-  ): Omit<GatewayRequest, 'body'> | undefined => {
-    const service = chooseService(route, options.random);
-    if (service === undefined) return undefined;
-    const sentMs = Number(
-      firstHeaderValue(message, headerNames.remainingMs) ?? DEFAULT_DEADLINE_MS,
-    );
-    const remainingMs = Number.isFinite(sentMs) ? sentMs : DEFAULT_DEADLINE_MS;
-    const key = firstHeaderValue(message, headerNames.key);
-    const isKeyed = options.routes()?.contract.services.get(service)?.keyed === true;
-    const firstAttemptAt = arrivedAt - ageEstimator.ageMs(route.name, remainingMs);
-    const headers = endToEndHeaders(message.rawHeaders, replacedHeaders);
-    headers.push(headerNames.callerService, options.callerService());
-    return {
-      requestId: firstHeaderValue(message, headerNames.requestId) ?? '',
-      service,
-      kind: route.kind,
-      priority: route.priority,
-      workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
-      key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
-      instance: undefined,
-      method: message.method ?? 'GET',
-      path: message.url ?? '/',
-      headers,
-      deadlineAt: Math.min(
-        arrivedAt + remainingMs,
-        arrivedAt + route.timeoutMs,
-        options.shutdown.answerBy(),
-      ),
-      latencyTargetAt: Math.min(
-        arrivedAt + remainingMs,
-        firstAttemptAt + route.targetLatencyMs,
-      ),
-      isCallerRetry: firstAttemptAt < arrivedAt,
-      signal,
-    };
-  };
+  const toRequest = createCallerRequestReader(options);
 
   const retryAfterHeader = ({ retryAfterSeconds }: RefusalError) => {
     if (retryAfterSeconds === undefined) return [];
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -1,9 +1,10 @@
 /** The request path of a node, from a caller's connection to the instance that runs the request. */
+export type { CallerHeaders } from './_caller_request.ts';
 export {
   createRequestSender, type RequestSender, type RequestSenderOptions,
 } from './request_sender.ts';
 export {
-  type CallerHeaders, type CallerListenerOptions, createCallerListener, type RequestSummary,
+  type CallerListenerOptions, createCallerListener, type RequestSummary,
 } from './caller_listener.ts';
 export {
   createTargetChooser,
