Log and count which step refuses a request, by which estimate

The incident left open whether admission, the slot queue or the hop refused, with what estimate, and how old the load view was. Refusals now carry the figures they were based on (expected and allowed wait, queue, slots, class mean); an attempt logs the load view it was chosen by with its age, and its time to the head; the instance's host logs wait and run. New metrics: slot_refusals_total by cause, run_duration_ms by kind, attempt_duration_ms by target and outcome, load_report_age_ms. No bytes are added between hosts.

--- a/errors/domain_errors.ts
+++ b/errors/domain_errors.ts
@@ -41,8 +41,13 @@
   readonly outcome: Outcome;
   /** Seconds after which the caller may retry. */
   readonly retryAfterSeconds?: number;
+  /** Figures on which the decision was based, for logs. They are not sent to callers or peers. */
+  readonly figures?: RefusalFigures;
 }
 
+/** Names and values of the figures on which a refusal was based. */
+export type RefusalFigures = Readonly<Record<string, number>>;
+
 /** The refusal of a request, which is sent to the caller in place of an upstream response. */
 export class RefusalError extends StepError {
   readonly status: number;
@@ -51,10 +56,13 @@
 
   readonly retryAfterSeconds: number | undefined;
 
+  readonly figures: RefusalFigures;
+
   constructor(reason: string, options: RefusalOptions) {
     super(reason, options);
     this.status = options.status;
     this.outcome = options.outcome;
     this.retryAfterSeconds = options.retryAfterSeconds;
+    this.figures = options.figures ?? {};
   }
 }
--- a/errors/mod.ts
+++ b/errors/mod.ts
@@ -6,6 +6,7 @@
   type Outcome,
   PeerError,
   RefusalError,
+  type RefusalFigures,
   type RefusalOptions,
   SettingsError,
   StoreError,
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -50,7 +50,7 @@
 
   kernel.register<SlotQueue>({
     name: 'queue',
-    needs: ['clock', 'registry'],
+    needs: ['clock', 'registry', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       return {
@@ -58,6 +58,7 @@
           clock: find<Clock>('clock'),
           slots: registry.slots,
           instance: () => registry.local()?.instance ?? '',
+          onRefused: find<NodeMetrics>('metrics').recordSlotRefusal,
         }),
       };
     },
@@ -82,6 +83,7 @@
           },
           queue: find<SlotQueue>('queue'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
+          onRun: find<NodeMetrics>('metrics').recordRun,
         }),
       };
     },
@@ -169,6 +171,7 @@
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
+      const metrics = find<NodeMetrics>('metrics');
       return {
         service: createRequestSender({
           clock,
@@ -190,7 +193,11 @@
             nodeCount: () => 1,
           }),
           logger: find<Logger>('logger'),
-          onRetry: find<NodeMetrics>('metrics').recordRetry,
+          onRetry: metrics.recordRetry,
+          onAttempt: ({ kind, view }, outcome, durationMs) => {
+            metrics.recordAttempt(kind, outcome, durationMs);
+            if (view?.ageMs !== undefined) metrics.recordLoadAge(view.ageMs);
+          },
         }),
       };
     },
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -184,6 +184,7 @@
     }
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
+    const readMs = clock.now() - arrivedAt;
     const sink = createResponseSink(response, () => undefined, responseBuffer);
     const outcome = await options.sender.send({ ...request, body }, route.maxAttempts, sink);
     respondWithOutcome(request, outcome, response);
@@ -204,6 +205,7 @@
       revision: options.routes()?.revision,
       outcome: isDisconnected ? 'gone' : outcome.kind,
       durationMs: Math.round(durationMs),
+      readMs: Math.round(readMs),
       leftMs: firstHeaderValue(message, headerNames.remainingMs),
       toTargetMs: Math.round(request.latencyTargetAt - arrivedAt),
     };
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -41,6 +41,8 @@
   readonly queue: SlotQueue;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
+  /** Called with the kind of the route and the time in ms from the start to the end of a run. */
+  readonly onRun?: (kind: string, runMs: number) => void;
 }
 
 /** A stopped instance restarts after some seconds, or other instances take over. */
@@ -91,7 +93,8 @@
       signal: request.signal,
     });
     if (permit.isErr()) return { kind: 'refused', refusal: permit.error, reachedInstance: false };
-    options.onQueued?.(permit.value.queuedMs);
+    const { queuedMs } = permit.value;
+    options.onQueued?.(queuedMs);
     const current = options.instance();
     const refusedAfter = checkServable(request, current);
     if (refusedAfter !== undefined || current === undefined) {
@@ -100,9 +103,12 @@
         step: 'local.check',
       });
     }
+    const startedAt = clock.now();
     const outcome = await current.client.send(request, sink);
     permit.value.release(outcome.kind === 'answered' && outcome.status < 500);
-    return outcome;
+    const runMs = clock.now() - startedAt;
+    options.onRun?.(request.kind, runMs);
+    return outcome.kind === 'answered' ? { ...outcome, timing: { queuedMs, runMs } } : outcome;
   };
 
   return { forward, load: queue.load };
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -15,6 +15,7 @@
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import { refuseNotRun } from './_refusals.ts';
+import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import { MAX_PEER_SILENCE_MS } from './peer_client.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
@@ -92,6 +93,7 @@
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
+    const arrivedAt = clock.now();
     const request = toRequest(message, abortOnClose(response));
     if (request === undefined) {
       // A peer of another version may use another header format; its callers may retry.
@@ -124,15 +126,19 @@
       key: request.key,
       outcome: outcome.kind,
       from: message.socket.remoteAddress,
+      durationMs: Math.round(clock.now() - arrivedAt),
+      unsentBytes: responseBuffer.unsentBytes(),
     };
     if (outcome.kind === 'answered') {
-      logger.info({ ...fields, status: outcome.status }, 'answered request from peer');
+      logger.info({
+        ...fields, status: outcome.status, ...timingFields(outcome),
+      }, 'answered request from peer');
       return;
     }
     if (outcome.kind === 'refused') {
       const { refusal, reachedInstance } = outcome;
       logger.warn({
-        ...fields, notRun: refusal.outcome === 'not run', reason: refusal.message,
+        ...fields, ...refusalFields(outcome),
       }, 'refused request from peer');
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -33,12 +33,25 @@
   readonly signal: AbortSignal;
 }
 
+/** Parts of the duration of an attempt at the node of the instance, in ms. */
+export interface AttemptTiming {
+  /** Wait for a slot of the instance. */
+  readonly queuedMs: number;
+  /** Time from the start at the instance to the end of its response. */
+  readonly runMs: number;
+}
+
 /**
  * How an attempt ended. `answered`: the response was delivered. `failed`: the instance returned an
  * error that was not delivered, so that another attempt can be made. `refused`: nothing was
  * delivered. `truncated`: the response was cut off after its delivery had begun.
  */
-export type AttemptOutcome = | { readonly kind: 'answered'; readonly status: number }
+export type AttemptOutcome = | {
+  readonly kind: 'answered';
+  readonly status: number;
+  /** Known at the node of the instance only. */
+  readonly timing?: AttemptTiming;
+}
   | { readonly kind: 'failed'; readonly status: number }
   | {
     readonly kind: 'refused';
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -5,6 +5,7 @@
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import type { PeerClient } from './peer_client.ts';
+import { refusalFields, timingFields } from './_log_fields.ts';
 import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 
@@ -35,6 +36,8 @@
   readonly failoverBudget: ServiceRetryBudget;
   readonly logger: Logger;
   readonly onRetry?: (service: string, reason: string) => void;
+  /** Called at the end of each attempt with its result and its duration in ms. */
+  readonly onAttempt?: (target: Target, outcome: string, durationMs: number) => void;
 }
 
 /** Nodes that may refuse a request before the caller gets the refusal with its Retry-After. */
@@ -85,6 +88,7 @@
     let nodeRefusals = 0;
     let mayHaveRun = false;
     let lastOutcome: AttemptOutcome | undefined;
+    let headAt: number | undefined;
 
     const hasTime = () => request.deadlineAt - clock.now() > MIN_ATTEMPT_MS && !signal.aborted;
     const mayRetry = () => sends < maxSends && hasTime() && retryBudget.withdraw(service);
@@ -94,6 +98,7 @@
       start: (status, headers, endsWithConnection) => {
         const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
         sends += 1;
+        headAt = clock.now();
         if (isServerError && idempotent && mayRetry()) return 'drain';
         return sink.start(status, headers, endsWithConnection);
       },
@@ -108,6 +113,7 @@
         return lastOutcome ?? refuseNotRun(reason, retryAfterMs, { step: 'routing.choose' });
       }
       const startedAt = clock.now();
+      headAt = undefined;
       const sendsBefore = sends;
       const { outcome, load } = await sendTo(
         target,
@@ -115,9 +121,8 @@
         attemptSink,
       );
       const durationMs = clock.now() - startedAt;
-      chooser.report(request, target, {
-        durationMs, outcome: reportedOutcome(outcome, signal.aborted), load,
-      });
+      const reported = reportedOutcome(outcome, signal.aborted);
+      chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         request: requestId,
         service,
@@ -126,12 +131,14 @@
         instance: target.instance,
         version: target.version,
         reason: target.reason,
+        view: target.view,
         outcome: outcome.kind,
-        ...(outcome.kind === 'refused' ? {
-          refusal: outcome.refusal.message, mayHaveRun: outcome.refusal.outcome === 'unknown',
-        } : {}),
+        ...refusalFields(outcome),
+        ...timingFields(outcome),
+        headMs: headAt === undefined ? undefined : Math.round(headAt - startedAt),
         durationMs: Math.round(durationMs),
       }, 'attempt finished');
+      options.onAttempt?.(target, reported, durationMs);
       if (outcome.kind === 'answered' || outcome.kind === 'truncated') return outcome;
       if (outcome.kind === 'failed') {
         mayHaveRun = true;
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
-import { RefusalError } from '../errors/mod.ts';
+import { RefusalError, type RefusalFigures } from '../errors/mod.ts';
 import { NESTED_CALL_PRIORITY } from './request.ts';
 import { createProcessingTimes } from './processing_times.ts';
 
@@ -33,6 +33,9 @@
   readonly load: () => AdmissionLoad;
 }
 
+/** Why the slot queue refused a request. */
+export type SlotRefusalCause = 'wait' | 'expired' | 'deadline' | 'gone';
+
 /** Options of the slot queue. */
 export interface SlotQueueOptions {
   readonly clock: Clock;
@@ -40,6 +43,7 @@
   readonly slots: () => number;
   /** Name of the instance, which refusals carry. */
   readonly instance: () => string;
+  readonly onRefused?: (cause: SlotRefusalCause) => void;
 }
 
 interface QueuedRequest {
@@ -62,6 +66,12 @@
 const LATE_WAIT_FRACTION = 0.1;
 /** A request is late when less than this fraction of its class mean is left to its target. */
 const LATE_MEAN_FRACTION = 0.5;
+const reasonByCause: Readonly<Record<SlotRefusalCause, string>> = {
+  wait: 'the wait would be too long',
+  expired: 'no slot was free in time',
+  deadline: 'the deadline has passed',
+  gone: 'the caller has gone',
+};
 const STATUS_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1000;
 const MIN_RETRY_AFTER_MS = 60;
@@ -108,13 +118,31 @@
     return !isLate(one) || isLate(other);
   };
 
-  const refuse = (reason: string, retryAfterMs: number) => err(new RefusalError(reason, {
-    step: 'admission.acquire',
-    peer: options.instance(),
-    status: STATUS_UNAVAILABLE,
-    outcome: 'not run',
-    retryAfterSeconds: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) / MS_PER_SECOND,
-  }));
+  const refuse = (
+    cause: SlotRefusalCause,
+    retryAfterMs: number,
+    { workClass, latencyTargetAt, deadlineAt }: SlotRequest,
+    estimates: RefusalFigures = {},
+  ) => {
+    const now = clock.now();
+    options.onRefused?.(cause);
+    return err(new RefusalError(reasonByCause[cause], {
+      step: 'admission.acquire',
+      peer: options.instance(),
+      status: STATUS_UNAVAILABLE,
+      outcome: 'not run',
+      retryAfterSeconds: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) / MS_PER_SECOND,
+      figures: {
+        ...estimates,
+        inFlight: running.size,
+        queued: queue.length,
+        slots: slots(),
+        classMeanMs: Math.round(meanOf(workClass)),
+        toTargetMs: Math.round(latencyTargetAt - now),
+        toDeadlineMs: Math.round(deadlineAt - now),
+      },
+    }));
+  };
 
   /** Returns a Retry-After that staggers refused callers at the rate at which slots become free. */
   const scheduleRetryMs = ({ workClass }: SlotRequest, excessMs: number) => {
@@ -202,7 +230,9 @@
 
   const expire = (queued: QueuedRequest) => {
     if (!dequeue(queued)) return;
-    queued.settle(refuse('no slot was free in time', expectedWaitMs(queued.request)));
+    const { request, arrivedAt } = queued;
+    const waitedMs = Math.round(clock.now() - arrivedAt);
+    queued.settle(refuse('expired', expectedWaitMs(request), request, { waitedMs }));
   };
 
   const acquire: SlotQueue['acquire'] = (request) => new Promise((resolve) => {
@@ -210,7 +240,7 @@
     const waitMs = expectedWaitMs(request);
     const allowedMs = allowedWaitMs(request);
     if (request.signal.aborted || request.deadlineAt <= now) {
-      resolve(refuse('the deadline has passed', 0));
+      resolve(refuse('deadline', 0, request));
       return;
     }
     if (waitMs === 0) {
@@ -219,7 +249,9 @@
     }
     if (waitMs > allowedMs) {
       const excessMs = waitMs - Math.max(0, allowedMs);
-      resolve(refuse('the wait would be too long', scheduleRetryMs(request, excessMs)));
+      resolve(refuse('wait', scheduleRetryMs(request, excessMs), request, {
+        expectedWaitMs: Math.round(waitMs), allowedWaitMs: Math.round(allowedMs),
+      }));
       return;
     }
     const settled = new AbortController();
@@ -233,7 +265,7 @@
       cancelTimer: () => undefined,
     };
     request.signal.addEventListener('abort', () => {
-      if (dequeue(queued)) queued.settle(refuse('the caller has gone', 0));
+      if (dequeue(queued)) queued.settle(refuse('gone', 0, request));
     }, { once: true, signal: settled.signal });
     queued.cancelTimer = clock.schedule(Math.max(1, allowedMs), () => expire(queued));
     queue.push(queued);
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -39,6 +39,28 @@
   assert.ok(refused._unsafeUnwrapErr().retryAfterSeconds! > 0);
 });
 
+// Without the estimates, logs did not tell whether the queue or a wrong estimate refused a request.
+test('a refusal carries the estimates on which it was based', async () => {
+  const causes: string[] = [];
+  const clock = createFakeClock();
+  const queue = createSlotQueue({
+    clock, slots: () => 1, instance: () => 'i-1', onRefused: (cause) => causes.push(cause),
+  });
+  const request = {
+    priority: 2,
+    workClass: 'lookup',
+    deadlineAt: clock.now() + 1000,
+    latencyTargetAt: clock.now() + 50,
+    signal: new AbortController().signal,
+  };
+  await queue.acquire(request);
+  const { figures } = (await queue.acquire(request))._unsafeUnwrapErr();
+  assert.equal(causes, ['wait']);
+  assert.ok(figures.expectedWaitMs! > figures.allowedWaitMs!);
+  assert.is(figures.inFlight, 1);
+  assert.is(figures.toTargetMs, 50);
+});
+
 test('refused callers get staggered Retry-After times', async () => {
   const { queue, requestOf } = setUp();
   const results = await Promise.all(Array.from({ length: 30 }, async () => {
--- a/gateway/target_chooser.ts
+++ b/gateway/target_chooser.ts
@@ -16,6 +16,18 @@
   readonly reason: string;
   /** Revision of the range record that named the owner; 0 for a choice by load. */
   readonly version: number;
+  /** What this node knew of the instance; undefined for the owner of a key. */
+  readonly view?: TargetView;
+}
+
+/** Load of an instance as this node saw it when it chose the instance. */
+export interface TargetView {
+  /** 0: same failure domain, 1: same region, 2: another region. */
+  readonly distance: number;
+  readonly load: number;
+  readonly slots: number;
+  /** Age in ms of the latest load report; undefined before the first one. */
+  readonly ageMs: number | undefined;
 }
 
 /** No instance can serve the request now. */
@@ -70,6 +82,7 @@
 /** Keys without an owner are assigned when the next instance announces itself. */
 const NO_OWNER_RETRY_AFTER_MS = 400;
 const NO_INSTANCE_RETRY_AFTER_MS = 300;
+const TENTHS = 10;
 
 /**
  * Creates a chooser. A request with a key goes to the owner of the key. Any other request goes to
@@ -131,7 +144,9 @@
         retryAfterMs: NO_INSTANCE_RETRY_AFTER_MS,
       };
     }
-    const { node, peerAddress, instance } = choice.view;
+    const {
+      node, peerAddress, instance, distance, load, slots, loadAgeMs,
+    } = choice.view;
     return {
       kind: node === self ? 'local' : 'peer',
       node,
@@ -139,6 +154,12 @@
       instance,
       reason: choice.reason,
       version: 0,
+      view: {
+        distance,
+        load: Math.round(load * TENTHS) / TENTHS,
+        slots,
+        ageMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
+      },
     };
   };
 
--- a/http/response_buffer.ts
+++ b/http/response_buffer.ts
@@ -6,6 +6,8 @@
   readonly track: (response: ServerResponse) => void;
   /** Returns whether more bytes may be buffered while sockets apply backpressure. */
   readonly hasRoom: () => boolean;
+  /** Returns the bytes of all open responses that are buffered here. */
+  readonly unsentBytes: () => number;
 }
 
 /**
@@ -22,15 +24,17 @@
  */
 export const createResponseBuffer = (maxBytes: number): ResponseBuffer => {
   const responses = new Set<ServerResponse>();
+  const unsentBytes = () => {
+    let bufferedBytes = 0;
+    for (const { writableLength } of responses) bufferedBytes += writableLength;
+    return bufferedBytes;
+  };
   return {
+    unsentBytes,
     track: (response) => {
       responses.add(response);
       response.once('close', () => responses.delete(response));
     },
-    hasRoom: () => {
-      let bufferedBytes = 0;
-      for (const { writableLength } of responses) bufferedBytes += writableLength;
-      return bufferedBytes < maxBytes;
-    },
+    hasRoom: () => unsentBytes() < maxBytes,
   };
 };
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -14,6 +14,8 @@
 export interface InstanceEndpoint extends InstanceView {
   readonly node: string;
   readonly peerAddress: string;
+  /** Age in ms of the latest load report; undefined before the first one. */
+  readonly loadAgeMs: number | undefined;
 }
 
 /** The instances of one service, with the load, latency and health that this node observes. */
@@ -165,6 +167,9 @@
     get load() {
       return loadOf(entry);
     },
+    get loadAgeMs() {
+      return entry.load === undefined ? undefined : clock.now() - entry.loadReportedAt;
+    },
     get slots() {
       return entry.load?.limit ?? Math.max(1, info.slots);
     },
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -6,7 +6,13 @@
 export interface NodeMetrics {
   readonly recordRequest: (kind: string, outcome: string, durationMs: number) => void;
   readonly recordRefusal: (step: string) => void;
+  /** Counts a refusal by the slot queue of the local instance. */
+  readonly recordSlotRefusal: (cause: string) => void;
   readonly recordQueueTime: (durationMs: number) => void;
+  readonly recordRun: (kind: string, durationMs: number) => void;
+  readonly recordAttempt: (target: string, outcome: string, durationMs: number) => void;
+  /** Records the age in ms of the load report by which an instance was chosen. */
+  readonly recordLoadAge: (ageMs: number) => void;
   readonly recordRetry: (service: string, reason: string) => void;
   readonly recordStoreCall: (call: string, outcome: string) => void;
   readonly recordRows: (reason: string, rows: number) => void;
@@ -57,6 +63,32 @@
     buckets: DURATION_BUCKETS_MS,
     registers,
   });
+  const slotRefusals = new Counter({
+    name: `${PREFIX}slot_refusals_total`,
+    help: 'Requests that the slot queue of the local instance refused, by cause',
+    labelNames: ['cause'],
+    registers,
+  });
+  const runs = new Histogram({
+    name: `${PREFIX}run_duration_ms`,
+    help: 'Time from the start of a request at the local instance to the end of its response',
+    labelNames: ['kind'],
+    buckets: DURATION_BUCKETS_MS,
+    registers,
+  });
+  const attempts = new Histogram({
+    name: `${PREFIX}attempt_duration_ms`,
+    help: 'Duration of an attempt at the instance of this or another host, by outcome',
+    labelNames: ['target', 'outcome'],
+    buckets: DURATION_BUCKETS_MS,
+    registers,
+  });
+  const loadAges = new Histogram({
+    name: `${PREFIX}load_report_age_ms`,
+    help: 'Age of the load report by which an instance was chosen',
+    buckets: DURATION_BUCKETS_MS,
+    registers,
+  });
   const retries = new Counter({
     name: `${PREFIX}retries_total`,
     help: 'Sends beyond the first of a request',
@@ -81,6 +113,13 @@
       durations.observe({ kind }, durationMs);
     },
     recordRefusal: (step) => refusals.inc({ step }),
+    recordSlotRefusal: (cause) => slotRefusals.inc({ cause }),
+    recordRun: (kind, durationMs) => runs.observe({ kind }, durationMs),
+    recordAttempt: (target, outcome, durationMs) => attempts.observe(
+      { target, outcome },
+      durationMs,
+    ),
+    recordLoadAge: (ageMs) => loadAges.observe(ageMs),
     recordQueueTime: (durationMs) => queueTimes.observe(durationMs),
     recordRetry: (service, reason) => retries.inc({ service, reason }),
     recordStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
