Keep downloads from filling the link of their host

Cause: a download's body was written to its connection as fast as the instance sent it. Six hosts of 9.1 Mbit/s got 45 to 70 Mbit/s of downloads, and short answers waited behind them in the queue of the link.

Change: the link of a host is known (settings). The time until a further bulk response would be sent counts as wait in the slot queue, so a download that would come too late is refused at once. The instance's slot is still freed as soon as its response has been read.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -5,10 +5,10 @@
 import {
   createCallerListener, createLocalForwarder, createPeerClient, createPeerListener,
   createRequestSender, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
-  createTargetChooser, type LocalForwarder, type PeerClient, type RequestSender,
+  createTargetChooser, type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
   type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
-import type { HttpListener } from '../http/mod.ts';
+import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad, RightToGrant } from '../ranges/mod.ts';
@@ -64,9 +64,21 @@
     },
   });
 
+  kernel.register<EgressLink>({
+    name: 'link',
+    needs: ['clock'],
+    start: (find) => ({
+      service: createEgressLink({
+        clock: find<Clock>('clock'),
+        megabitsPerSecond: settings.linkMegabitsPerSecond,
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+      }),
+    }),
+  });
+
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -82,6 +94,7 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
+          link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
@@ -205,7 +218,9 @@
 
   kernel.register<HttpListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'local', 'collector', 'progress', 'view-history', 'view', 'right'],
+    needs: [
+      'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
+    ],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
       const history = find<ViewHistory>('view-history');
@@ -216,6 +231,7 @@
         address: settings.listen.peer,
         requestIdHeader: platformHeaders.requestId,
         local: find<LocalForwarder>('local'),
+        link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         logger: find<Logger>('logger'),
         handleControlMessage: async (path) => {
@@ -231,7 +247,7 @@
 
   kernel.register<HttpListener>({
     name: 'caller-listener',
-    needs: ['clock', 'logger', 'contracts', 'attempts', 'metrics', 'progress'],
+    needs: ['clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress'],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
@@ -241,6 +257,7 @@
         callerService,
         routes: find<ContractSource>('contracts').routes,
         sender: find<RequestSender>('attempts'),
+        link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         logger: find<Logger>('logger'),
         random: Math.random,
--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -110,6 +110,7 @@
       listen: {
         caller: caller!, peer: peer!, readiness: readiness!, announcements: announcements!,
       },
+      linkMegabitsPerSecond: 1000,
       store: { address: server.address, writesPerSecond: 400, readsPerSecond: 2000 },
     };
     const node = await startFleetNode(settings, {
--- /dev/null
+++ b/gateway/_simulated_fleet.ts
@@ -0,0 +1,199 @@
+import { createRandom } from '../admission/_test_support.ts';
+import { createVirtualClock, type VirtualClock } from '../bench/_virtual_clock.ts';
+import type { RouteKind } from '../contract/mod.ts';
+import type { ResponseSink } from '../forward/mod.ts';
+import { instance, member } from '../routing/_test_support.ts';
+import {
+  createSimulatedNode, type SimulatedNode, type SimulationContext, STATUS_FAILED,
+} from './_simulated_node.ts';
+import type { GatewayRequest, RequestSender } from './mod.ts';
+
+/** A host of a simulated fleet, with one instance. */
+export interface SimulatedHost {
+  readonly failureDomain: string;
+  readonly service: string;
+  readonly slots: number;
+  /** Factor on the processing time of the instance. */
+  readonly slowness: number;
+  readonly linkMbps: number;
+}
+
+/** A route of a simulated fleet. Times are in ms. */
+export interface SimulatedRoute {
+  readonly name: string;
+  readonly service: string;
+  readonly kind: RouteKind;
+  readonly priority: number;
+  readonly targetLatencyMs: number;
+  readonly deadlineMs: number;
+  readonly meanMs: number;
+  readonly responseBytes: number;
+  readonly requestBytes: number;
+  /** Nested calls that a run makes after its own processing, with their probability. */
+  readonly calls?: {
+    readonly route: string;
+    readonly times: number;
+    readonly probability: number;
+    readonly inParallel: boolean;
+  };
+}
+
+/** Requests of one route, as seen by their callers. */
+export interface RouteResult {
+  asked: number;
+  inTime: number;
+  late: number;
+  /** Refused without having run. */
+  refused: number;
+  /** Failed after a run, for example since a nested call was refused. */
+  failed: number;
+  readonly durations: number[];
+  /** Bytes of responses that crossed failure domains. */
+  crossDomainBytes: number;
+}
+
+/** A running simulation. */
+export interface SimulatedFleet {
+  readonly clock: VirtualClock;
+  /** Sends requests of a route from random hosts at a rate per second for a time in ms. */
+  readonly load: (route: string, perSecond: (domain: string) => number, durationMs: number) => (
+    Promise<void>
+  );
+  readonly resultOf: (route: string) => RouteResult;
+}
+
+/**
+ * Creates a fleet of the modules that decide about requests (chooser, sender, slot queue), joined
+ * by simulated links with a delay and a bandwidth. Requests have no keys.
+ */
+export const createSimulatedFleet = (
+  hosts: readonly SimulatedHost[],
+  routes: readonly SimulatedRoute[],
+  seed: number,
+): SimulatedFleet => {
+  const clock = createVirtualClock();
+  const random = createRandom(seed);
+  const routeByName = new Map(routes.map((route) => [route.name, route]));
+  const results = new Map(routes.map((route): [string, RouteResult] => [route.name, {
+    asked: 0, inTime: 0, late: 0, refused: 0, failed: 0, durations: [], crossDomainBytes: 0,
+  }]));
+  const nodes = new Map<string, SimulatedNode>();
+  const members = hosts.map(({ failureDomain, service, slots }, index) => member(
+    `n${index}`,
+    [instance(`i-n${index}`, { service, slots })],
+    failureDomain,
+  ));
+
+  const toRequest = (route: SimulatedRoute, parentDeadlineAt = Infinity): GatewayRequest => ({
+    requestId: route.name,
+    service: route.service,
+    kind: route.kind,
+    priority: route.priority,
+    workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
+    key: undefined,
+    instance: undefined,
+    method: 'GET',
+    path: route.name,
+    headers: [],
+    body: null,
+    deadlineAt: Math.min(clock.now() + route.deadlineMs, parentDeadlineAt),
+    latencyTargetAt: clock.now() + route.targetLatencyMs,
+    isCallerRetry: false,
+    signal: new AbortController().signal,
+  });
+
+  /** Exponential between half and full mean; the tail of the real distributions is not needed. */
+  const draw = (mean: number) => mean * (0.5 + 0.5 * -Math.log(1 - random()));
+
+  const runRequest = async (
+    sender: RequestSender,
+    route: SimulatedRoute,
+    parentDeadlineAt?: number,
+  ): Promise<boolean> => {
+    const result = results.get(route.name)!;
+    const request = toRequest(route, parentDeadlineAt);
+    const startedAt = clock.now();
+    let status = 0;
+    const sink: ResponseSink = {
+      start: (received) => {
+        status = received;
+        return 'deliver';
+      },
+      write: () => true,
+      onDrain: () => undefined,
+      end: () => undefined,
+    };
+    result.asked += 1;
+    const outcome = await sender.send(request, 2, sink);
+    const durationMs = clock.now() - startedAt;
+    if (outcome.kind === 'refused' && outcome.refusal.outcome === 'not run') {
+      result.refused += 1;
+      return false;
+    }
+    if (outcome.kind !== 'answered' || status >= STATUS_FAILED) {
+      result.failed += 1;
+      return false;
+    }
+    result.durations.push(durationMs);
+    if (durationMs <= route.targetLatencyMs) result.inTime += 1;
+    else if (clock.now() <= request.deadlineAt) result.late += 1;
+    else result.failed += 1;
+    return clock.now() <= request.deadlineAt;
+  };
+
+  const runNested: SimulationContext['runNested'] = async (sender, { calls }, deadlineAt) => {
+    if (calls === undefined || random() >= calls.probability) return true;
+    const route = routeByName.get(calls.route)!;
+    const callOnce = () => runRequest(sender, route, deadlineAt);
+    const count = Array.from({ length: calls.times });
+    if (calls.inParallel) {
+      return (await Promise.all(count.map(callOnce))).every((succeeded) => succeeded);
+    }
+    for (let index = 0; index < calls.times; index += 1) {
+      if (!await callOnce()) return false;
+    }
+    return true;
+  };
+
+  const context: SimulationContext = {
+    clock,
+    random,
+    hosts,
+    members,
+    routeByName,
+    nodes,
+    draw,
+    runNested,
+    onCrossDomain: (route, bytes) => {
+      results.get(route)!.crossDomainBytes += bytes;
+    },
+  };
+  for (const index of hosts.keys()) {
+    nodes.set(`n${index}`, createSimulatedNode(index, context));
+  }
+
+  const callers = (domain: string) => (
+    [...nodes.values()].filter(({ host }) => host.failureDomain === domain)
+  );
+
+  return {
+    clock,
+    load: async (name, perSecond, durationMs) => {
+      const route = routeByName.get(name)!;
+      const domains = [...new Set(hosts.map(({ failureDomain }) => failureDomain))];
+      await Promise.all(domains.map(async (domain) => {
+        const senders = callers(domain);
+        const endAt = clock.now() + durationMs;
+        for (;;) {
+          await clock.sleep((-Math.log(1 - random()) * 1000) / perSecond(domain));
+          if (clock.now() >= endAt) return;
+          const { sender } = senders[Math.floor(random() * senders.length)]!;
+          runRequest(sender, route).catch((error: unknown) => {
+            throw error;
+          });
+        }
+      }));
+    },
+    resultOf: (name) => results.get(name)!,
+  };
+};
--- /dev/null
+++ b/gateway/_simulated_node.ts
@@ -0,0 +1,182 @@
+import type { Clock } from '../clock/mod.ts';
+import type { ResponseSink } from '../forward/mod.ts';
+import { createEgressLink, type EgressLink } from '../http/mod.ts';
+import { createFakeMembership } from '../membership/mod.ts';
+import type { MemberUpdate } from '../proto/mod.ts';
+import { createServiceView, type ServiceView } from '../routing/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import type { SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
+import { createSimulatedLink, type SimulatedLink } from './_simulated_link.ts';
+import {
+  type AttemptOutcome, createLocalForwarder, createRequestSender, createServiceRetryBudget,
+  createSlotQueue, createTargetChooser, type GatewayRequest, isBulk, type LocalForwarder,
+  MAX_BUFFERED_BYTES, type RequestSender,
+} from './mod.ts';
+
+/** The request path of one simulated host. */
+export interface SimulatedNode {
+  readonly host: SimulatedHost;
+  readonly local: LocalForwarder;
+  readonly sender: RequestSender;
+  readonly link: SimulatedLink;
+  readonly egress: EgressLink;
+}
+
+/** What the nodes of a simulation share. */
+export interface SimulationContext {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly hosts: readonly SimulatedHost[];
+  readonly members: readonly MemberUpdate[];
+  readonly routeByName: ReadonlyMap<string, SimulatedRoute>;
+  readonly nodes: ReadonlyMap<string, SimulatedNode>;
+  /** Draws a time or a size around its mean. */
+  readonly draw: (mean: number) => number;
+  /** Makes the nested calls of a run; resolves to false when one of them fails. */
+  readonly runNested: (
+    sender: RequestSender,
+    route: SimulatedRoute,
+    deadlineAt: number,
+  ) => Promise<boolean>;
+  readonly onCrossDomain: (route: string, bytes: number) => void;
+}
+
+/** Heads of requests and responses. */
+const HEAD_BYTES = 500;
+const CHUNK_BYTES = 16_384;
+/** First status that counts as a failure of the instance. */
+export const STATUS_FAILED = 500;
+
+/** Sends a bulk response as the peer listener does; resolves when it has arrived. */
+const sendBulk = ({ egress, link }: SimulatedNode, bytes: number) => (
+  new Promise<void>((resolve) => {
+    let arrived = Promise.resolve();
+    const body = egress.openBulk({
+      send: (chunk) => {
+        arrived = link.transfer(chunk.length);
+        return true;
+      },
+      finish: () => {
+        arrived.then(resolve, resolve);
+      },
+      onRoom: () => undefined,
+    });
+    for (let left = bytes; left > 0; left -= CHUNK_BYTES) {
+      body.write(Buffer.alloc(Math.min(left, CHUNK_BYTES)));
+    }
+    body.end();
+  })
+);
+
+/** Creates the node of one host. */
+export const createSimulatedNode = (
+  index: number,
+  context: SimulationContext,
+): SimulatedNode => {
+  const {
+    clock, random, hosts, members, routeByName, nodes, runNested,
+  } = context;
+  const host = hosts[index]!;
+  const name = `n${index}`;
+  const link = createSimulatedLink(clock, host.linkMbps);
+  const egress = createEgressLink({
+    clock, megabitsPerSecond: host.linkMbps, maxBufferedBytes: MAX_BUFFERED_BYTES,
+  });
+  const { membership } = createFakeMembership(members, members[index]);
+  const views = new Map<string, ServiceView>();
+  const viewOf = (service: string) => {
+    const known = views.get(service);
+    if (known !== undefined) return known;
+    const view = createServiceView(service, { clock, membership });
+    views.set(service, view);
+    return view;
+  };
+  const runAtInstance = async (
+    request: GatewayRequest,
+    sink: ResponseSink,
+  ): Promise<AttemptOutcome> => {
+    const route = routeByName.get(request.path)!;
+    await clock.sleep(context.draw(route.meanMs) * host.slowness);
+    const { sender } = nodes.get(name)!;
+    const succeeded = await runNested(sender, route, request.deadlineAt);
+    const status = succeeded ? 200 : STATUS_FAILED;
+    const action = sink.start(status, []);
+    let bytes = succeeded ? context.draw(route.responseBytes) : 0;
+    while (action === 'deliver' && bytes > 0) {
+      sink.write(Buffer.alloc(Math.min(CHUNK_BYTES, bytes)));
+      bytes -= CHUNK_BYTES;
+    }
+    sink.end();
+    return action === 'drain' ? { kind: 'failed', status } : { kind: 'answered', status };
+  };
+  const local = createLocalForwarder({
+    clock,
+    instance: () => ({
+      instance: `i-${name}`,
+      service: host.service,
+      state: 'ready',
+      acceptsUntil: Infinity,
+      client: { send: runAtInstance, close: () => undefined },
+    }),
+    keys: { mayServe: () => true, retryAfterMs: () => 100, record: () => undefined },
+    queue: createSlotQueue({ clock, slots: () => host.slots, instance: () => `i-${name}` }),
+    link: egress,
+  });
+
+  const sendToPeer = async (address: string, request: GatewayRequest, sink: ResponseSink) => {
+    const peer = nodes.get(address.split(':')[0]!)!;
+    const route = routeByName.get(request.path)!;
+    await link.transfer(HEAD_BYTES + route.requestBytes);
+    let bytes = HEAD_BYTES;
+    let status = 0;
+    const outcome = await peer.local.forward(request, {
+      ...sink,
+      start: (received) => {
+        status = received;
+        return 'deliver';
+      },
+      write: (chunk) => {
+        bytes += chunk.length;
+        return true;
+      },
+    });
+    const load = peer.local.load();
+    if (isBulk(request.kind)) await sendBulk(peer, bytes);
+    else {
+      peer.egress.count(bytes);
+      await peer.link.transfer(bytes);
+    }
+    if (peer.host.failureDomain !== host.failureDomain) {
+      context.onCrossDomain(route.name, bytes);
+    }
+    if (outcome.kind !== 'answered') return { outcome, load };
+    const action = sink.start(status, []);
+    return {
+      outcome: action === 'drain' ? { kind: 'failed' as const, status } : outcome, load,
+    };
+  };
+  const budgetOf = (ratio: number, extraRetries: number, nodeCount: number) => (
+    createServiceRetryBudget({
+      clock, ratio, extraRetries, windowMs: 10_000, nodeCount: () => nodeCount,
+    })
+  );
+  const sender = createRequestSender({
+    clock,
+    chooser: createTargetChooser({
+      self: name, random, viewOf, recordOf: () => undefined, nodeOf: () => undefined,
+    }),
+    local,
+    peers: {
+      send: sendToPeer,
+      isSuspect: () => false,
+      retain: () => undefined,
+      close: async () => undefined,
+    },
+    retryBudget: budgetOf(0.2, 180, hosts.length),
+    failoverBudget: budgetOf(2, 40, 1),
+    logger: noopLogger,
+  });
+  return {
+    host, local, sender, link, egress,
+  };
+};
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -4,9 +4,12 @@
 import type { RefusalError } from '../errors/mod.ts';
 import { endToEndHeaders } from '../forward/mod.ts';
 import {
+  createBulkSink,
+  createCountedSink,
   createResponseBuffer,
   createHttpServer,
   createResponseSink,
+  type EgressLink,
   type Expectation,
   type HttpListener,
   renderMalformed,
@@ -21,7 +24,9 @@
 import { readBody } from './_read_body.ts';
 import type { RequestSender } from './request_sender.ts';
 import { createRequestAgeEstimator } from './request_age_estimator.ts';
-import { type AttemptOutcome, NESTED_CALL_PRIORITY, type GatewayRequest } from './request.ts';
+import {
+  type AttemptOutcome, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
+} from './request.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
@@ -58,6 +63,8 @@
   /** Returns the current routes; undefined until the first contract has been read. */
   readonly routes: () => RouteTable | undefined;
   readonly sender: RequestSender;
+  /** Link of this host, over which responses are sent. */
+  readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
   readonly logger: Logger;
   /** Returns uniform numbers from 0 to less than 1. */
@@ -90,7 +97,7 @@
  * await listener.listen();
  */
 export const createCallerListener = (options: CallerListenerOptions): HttpListener => {
-  const { clock, headers: headerNames } = options;
+  const { clock, headers: headerNames, link } = options;
   const logger = options.logger.forComponent('caller');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
   const replacedHeaders = new Set([headerNames.callerService, headerNames.remainingMs]);
@@ -185,7 +192,9 @@
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
     const readMs = clock.now() - arrivedAt;
-    const sink = createResponseSink(response, () => undefined, responseBuffer);
+    const sink = isBulk(route.kind)
+      ? createBulkSink(response, () => undefined, link)
+      : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
     const outcome = await options.sender.send({ ...request, body }, route.maxAttempts, sink);
     respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -1,9 +1,10 @@
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
+import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
 
 /** State of the instance on this host. */
@@ -39,6 +40,8 @@
   readonly instance: () => LocalInstance | undefined;
   readonly keys: KeyOwnership;
   readonly queue: SlotQueue;
+  /** Link of this host, over which responses are sent. */
+  readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called with the kind of the route and the time in ms from the start to the end of a run. */
@@ -60,7 +63,9 @@
  * const outcome = await local.forward(request, sink);
  */
 export const createLocalForwarder = (options: LocalForwarderOptions): LocalForwarder => {
-  const { clock, keys, queue } = options;
+  const {
+    clock, keys, queue, link,
+  } = options;
 
   const checkServable = (request: GatewayRequest, current: LocalInstance | undefined) => {
     const step = 'local.check';
@@ -80,12 +85,17 @@
     return undefined;
   };
 
-  const forward: LocalForwarder['forward'] = async (request, sink) => {
+  const runInSlot = async (
+    request: GatewayRequest,
+    sendMs: number | undefined,
+    sink: ResponseSink,
+  ): Promise<AttemptOutcome> => {
     const refusedBefore = checkServable(request, options.instance());
     if (refusedBefore !== undefined) return refusedBefore;
     // The key load drives rebalancing, and retries of one caller would be counted several times.
     if (request.key !== undefined && !request.isCallerRetry) keys.record(request.key);
     const permit = await queue.acquire({
+      sendMs,
       priority: request.priority,
       workClass: request.workClass,
       deadlineAt: request.deadlineAt,
@@ -111,5 +121,14 @@
     return outcome.kind === 'answered' ? { ...outcome, timing: { queuedMs, runMs } } : outcome;
   };
 
+  const forward: LocalForwarder['forward'] = async (request, sink) => {
+    if (!isBulk(request.kind)) return runInSlot(request, undefined, sink);
+    const sendMs = link.bulkDelayMs();
+    const endExpectation = link.expectBulk();
+    const outcome = await runInSlot(request, sendMs, sink);
+    endExpectation();
+    return outcome;
+  };
+
   return { forward, load: queue.load };
 };
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -1,4 +1,5 @@
 /** The request path of a node, from a caller's connection to the instance that runs the request. */
+export { MAX_BUFFERED_BYTES } from './_limits.ts';
 export {
   createRequestSender, type RequestSender, type RequestSenderOptions,
 } from './request_sender.ts';
@@ -28,7 +29,9 @@
 export {
   createPeerClient, type PeerClientOptions, type PeerClient, type PeerSendResult,
 } from './peer_client.ts';
-export { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
+export {
+  type AttemptOutcome, type GatewayRequest, isBulk, isIdempotent,
+} from './request.ts';
 export {
   createServiceRetryBudget, type ServiceRetryBudget, type ServiceRetryBudgetOptions,
 } from './service_retry_budget.ts';
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -4,8 +4,8 @@
   endToEndHeaders, formatLoad, hopHeaders, encodeRefusal,
 } from '../forward/mod.ts';
 import {
-  createResponseBuffer, createHttpServer, createResponseSink, type HttpListener, renderMalformed,
-  resetConnection,
+  createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
+  type EgressLink, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
@@ -18,7 +18,7 @@
 import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import { MAX_PEER_SILENCE_MS } from './peer_client.ts';
-import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
 /** Options of the peer listener. */
@@ -28,6 +28,8 @@
   /** Lower-case name of the header that carries the request identifier. */
   readonly requestIdHeader: string;
   readonly local: LocalForwarder;
+  /** Link of this host, over which responses are sent. */
+  readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
   readonly logger: Logger;
   /** Handles a control message from a peer; resolves to undefined for an unknown path. */
@@ -56,7 +58,7 @@
  * await listener.listen();
  */
 export const createPeerListener = (options: PeerListenerOptions): HttpListener => {
-  const { clock, local } = options;
+  const { clock, local, link } = options;
   const logger = options.logger.forComponent('peer');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
 
@@ -113,9 +115,12 @@
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
     const stopInterimResponses = startInterimResponses(response);
-    const sink = createResponseSink(response, (headers) => {
+    const addLoad = (headers: string[]) => {
       headers.push(hopHeaders.load, formatLoad(local.load()));
-    }, responseBuffer);
+    };
+    const sink = isBulk(request.kind)
+      ? createBulkSink(response, addLoad, link)
+      : createCountedSink(createResponseSink(response, addLoad, responseBuffer), link);
     const outcome: AttemptOutcome = options.shutdown.phase() === 'closing'
       ? refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
       : await local.forward({ ...request, body }, sink);
@@ -127,7 +132,7 @@
       outcome: outcome.kind,
       from: message.socket.remoteAddress,
       durationMs: Math.round(clock.now() - arrivedAt),
-      unsentBytes: responseBuffer.unsentBytes(),
+      unsentBytes: responseBuffer.unsentBytes() + link.backlogBytes(),
     };
     if (outcome.kind === 'answered') {
       logger.info({
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -66,5 +66,8 @@
   safe: 'lookup', unsafe: 'submission', download: 'bulk',
 };
 
+/** Returns whether responses of this kind are large. */
+export const isBulk = (kind: RouteKind): boolean => kind === 'download';
+
 /** Returns whether requests of this kind may safely run more than once. */
 export const isIdempotent = (kind: RouteKind): boolean => kind !== 'unsafe';
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -14,6 +14,8 @@
   readonly deadlineAt: number;
   /** Time of the route's latency target; in the past for a retry that came too late to meet it. */
   readonly latencyTargetAt: number;
+  /** Expected time in ms that the response waits for the link of this host and takes on it. */
+  readonly sendMs?: number;
   /** Aborts when the caller no longer waits for the response. */
   readonly signal: AbortSignal;
 }
@@ -239,18 +241,22 @@
     const now = clock.now();
     const waitMs = expectedWaitMs(request);
     const allowedMs = allowedWaitMs(request);
+    const { sendMs = 0 } = request;
     if (request.signal.aborted || request.deadlineAt <= now) {
       resolve(refuse('deadline', 0, request));
       return;
     }
-    if (waitMs === 0) {
+    // A free slot is of no use to a response that the link cannot send in time.
+    if (waitMs === 0 && (sendMs === 0 || sendMs <= allowedMs)) {
       resolve(ok(start(request, now)));
       return;
     }
-    if (waitMs > allowedMs) {
-      const excessMs = waitMs - Math.max(0, allowedMs);
+    if (waitMs + sendMs > allowedMs) {
+      const excessMs = waitMs + sendMs - Math.max(0, allowedMs);
       resolve(refuse('wait', scheduleRetryMs(request, excessMs), request, {
-        expectedWaitMs: Math.round(waitMs), allowedWaitMs: Math.round(allowedMs),
+        expectedWaitMs: Math.round(waitMs),
+        allowedWaitMs: Math.round(allowedMs),
+        sendMs: Math.round(sendMs),
       }));
       return;
     }
@@ -267,7 +273,7 @@
     request.signal.addEventListener('abort', () => {
       if (dequeue(queued)) queued.settle(refuse('gone', 0, request));
     }, { once: true, signal: settled.signal });
-    queued.cancelTimer = clock.schedule(Math.max(1, allowedMs), () => expire(queued));
+    queued.cancelTimer = clock.schedule(Math.max(1, allowedMs - sendMs), () => expire(queued));
     queue.push(queued);
   });
 
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -143,6 +143,15 @@
   assert.equal(order, ['first', 'retry']);
 });
 
+// A download was admitted to a free slot although its host's link was busy for seconds.
+test('a response that the link cannot send in time is refused at once', async () => {
+  const { queue, requestOf } = setUp();
+  const refused = await queue.acquire(requestOf({ sendMs: 400 }));
+  assert.is(refused._unsafeUnwrapErr().outcome, 'not run');
+  assert.ok(refused._unsafeUnwrapErr().retryAfterSeconds! >= 0.1);
+  assert.is((await queue.acquire(requestOf({ sendMs: 80 }))).isOk(), true);
+});
+
 // In FIFO order, a load peak with retries would make every response late.
 test('a load peak with retries uses most of the capacity for responses in time', async () => {
   const clock = createFakeClock();
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -2,6 +2,10 @@
 export {
   createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
 } from './create_http_server.ts';
+export { createBulkSink, createCountedSink } from './bulk_sink.ts';
+export {
+  type BulkBody, type BulkDestination, createEgressLink, type EgressLink, type EgressLinkOptions,
+} from './egress_link.ts';
 export { hasBody } from './has_body.ts';
 export { renderMalformed } from './render_malformed.ts';
 export { type ResponseBuffer, createResponseBuffer } from './response_buffer.ts';
