--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -5,10 +5,10 @@
 import {
   createCallerListener, createLocalForwarder, createPeerClient, createPeerListener,
   createRequestSender, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
-  createTargetChooser, type LocalForwarder, type PeerClient, type RequestSender,
+  createTargetChooser, type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
   type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
-import type { HttpListener } from '../http/mod.ts';
+import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad, RightToGrant } from '../ranges/mod.ts';
@@ -50,7 +50,7 @@
 
   kernel.register<SlotQueue>({
     name: 'queue',
-    needs: ['clock', 'registry'],
+    needs: ['clock', 'registry', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       return {
@@ -58,14 +58,27 @@
           clock: find<Clock>('clock'),
           slots: registry.slots,
           instance: () => registry.local()?.instance ?? '',
+          onRefused: find<NodeMetrics>('metrics').recordSlotRefusal,
         }),
       };
     },
   });
 
+  kernel.register<EgressLink>({
+    name: 'link',
+    needs: ['clock'],
+    start: (find) => ({
+      service: createEgressLink({
+        clock: find<Clock>('clock'),
+        megabitsPerSecond: settings.linkMegabitsPerSecond,
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+      }),
+    }),
+  });
+
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -81,7 +94,9 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
+          link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
+          onRun: find<NodeMetrics>('metrics').recordRun,
         }),
       };
     },
@@ -169,6 +184,7 @@
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
+      const metrics = find<NodeMetrics>('metrics');
       return {
         service: createRequestSender({
           clock,
@@ -190,7 +206,11 @@
             nodeCount: () => 1,
           }),
           logger: find<Logger>('logger'),
-          onRetry: find<NodeMetrics>('metrics').recordRetry,
+          onRetry: metrics.recordRetry,
+          onAttempt: ({ kind, view }, outcome, durationMs) => {
+            metrics.recordAttempt(kind, outcome, durationMs);
+            if (view?.ageMs !== undefined) metrics.recordLoadAge(view.ageMs);
+          },
         }),
       };
     },
@@ -198,7 +218,9 @@
 
   kernel.register<HttpListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'local', 'collector', 'progress', 'view-history', 'view', 'right'],
+    needs: [
+      'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
+    ],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
       const history = find<ViewHistory>('view-history');
@@ -209,6 +231,7 @@
         address: settings.listen.peer,
         requestIdHeader: platformHeaders.requestId,
         local: find<LocalForwarder>('local'),
+        link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         logger: find<Logger>('logger'),
         handleControlMessage: async (path) => {
@@ -224,7 +247,7 @@
 
   kernel.register<HttpListener>({
     name: 'caller-listener',
-    needs: ['clock', 'logger', 'contracts', 'attempts', 'metrics', 'progress'],
+    needs: ['clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress'],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
@@ -234,6 +257,7 @@
         callerService,
         routes: find<ContractSource>('contracts').routes,
         sender: find<RequestSender>('attempts'),
+        link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         logger: find<Logger>('logger'),
         random: Math.random,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -3,9 +3,12 @@
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
 import {
+  createBulkSink,
+  createCountedSink,
   createResponseBuffer,
   createHttpServer,
   createResponseSink,
+  type EgressLink,
   type Expectation,
   type HttpListener,
   renderMalformed,
@@ -21,7 +24,7 @@
 import { readBody } from './_read_body.ts';
 import type { RequestSender } from './request_sender.ts';
 import {
-  type AttemptOutcome, failureReason, NESTED_CALL_PRIORITY, type GatewayRequest,
+  type AttemptOutcome, failureReason, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
 } from './request.ts';
 import type { RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
@@ -48,6 +51,8 @@
   /** Returns the current routes; undefined until the first contract has been read. */
   readonly routes: () => RouteTable | undefined;
   readonly sender: RequestSender;
+  /** Link of this host, over which responses are sent. */
+  readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
   readonly logger: Logger;
   /** Returns uniform numbers from 0 to less than 1. */
@@ -79,7 +84,7 @@
  * await listener.listen();
  */
 export const createCallerListener = (options: CallerListenerOptions): HttpListener => {
-  const { clock, headers: headerNames } = options;
+  const { clock, headers: headerNames, link } = options;
   const logger = options.logger.forComponent('caller');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
 
@@ -152,7 +157,10 @@
       refuseWhileStopping(request.requestId, route, response);
       return;
     }
-    const sink = createResponseSink(response, () => undefined, responseBuffer);
+    const readMs = clock.now() - arrivedAt;
+    const sink = isBulk(route.kind)
+      ? createBulkSink(response, () => undefined, link)
+      : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
     const outcome = await options.sender.send({ ...request, body }, route.maxAttempts, sink);
     respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
@@ -172,6 +180,7 @@
       revision: options.routes()?.revision,
       outcome: isDisconnected ? 'gone' : outcome.kind,
       durationMs: Math.round(durationMs),
+      readMs: Math.round(readMs),
       leftMs: firstHeaderValue(message, headerNames.remainingMs),
       toTargetMs: Math.round(request.latencyTargetAt - arrivedAt),
     };
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -4,8 +4,8 @@
   endToEndHeaders, formatLoad, hopHeaders, encodeRefusal,
 } from '../forward/mod.ts';
 import {
-  createResponseBuffer, createHttpServer, createResponseSink, type HttpListener, renderMalformed,
-  resetConnection,
+  createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
+  type EgressLink, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
@@ -15,9 +15,10 @@
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import { refuseNotRun } from './_refusals.ts';
+import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import { MAX_PEER_SILENCE_MS } from './peer_client.ts';
-import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
 /** Options of the peer listener. */
@@ -27,6 +28,8 @@
   /** Lower-case name of the header that carries the request identifier. */
   readonly requestIdHeader: string;
   readonly local: LocalForwarder;
+  /** Link of this host, over which responses are sent. */
+  readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
   readonly logger: Logger;
   /** Handles a control message from a peer; resolves to undefined for an unknown path. */
@@ -55,7 +58,7 @@
  * await listener.listen();
  */
 export const createPeerListener = (options: PeerListenerOptions): HttpListener => {
-  const { clock, local } = options;
+  const { clock, local, link } = options;
   const logger = options.logger.forComponent('peer');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
 
@@ -97,6 +100,7 @@
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
+    const arrivedAt = clock.now();
     const request = toRequest(message, abortOnClose(response));
     if (request === undefined) {
       // A peer of another version may use another header format; its callers may retry.
@@ -116,9 +120,12 @@
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
     const stopInterimResponses = startInterimResponses(response);
-    const sink = createResponseSink(response, (headers) => {
+    const addLoad = (headers: string[]) => {
       headers.push(hopHeaders.load, formatLoad(local.load()));
-    }, responseBuffer);
+    };
+    const sink = isBulk(request.kind)
+      ? createBulkSink(response, addLoad, link)
+      : createCountedSink(createResponseSink(response, addLoad, responseBuffer), link);
     const outcome: AttemptOutcome = isAccepting()
       ? await local.forward({ ...request, body }, sink)
       : refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' });
@@ -129,15 +136,19 @@
       key: request.key,
       outcome: outcome.kind,
       from: message.socket.remoteAddress,
+      durationMs: Math.round(clock.now() - arrivedAt),
+      unsentBytes: responseBuffer.unsentBytes() + link.backlogBytes(),
     };
     if (outcome.kind === 'answered') {
-      logger.info({ ...fields, status: outcome.status }, 'answered request from peer');
+      logger.info({
+        ...fields, status: outcome.status, ...timingFields(outcome),
+      }, 'answered request from peer');
       return;
     }
     if (outcome.kind === 'refused') {
       const { refusal, reachedInstance } = outcome;
       logger.warn({
-        ...fields, notRun: refusal.outcome === 'not run', reason: refusal.message,
+        ...fields, ...refusalFields(outcome),
       }, 'refused request from peer');
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
--- a/gateway/unhandled_failure_test.ts
+++ b/gateway/unhandled_failure_test.ts
@@ -2,9 +2,11 @@
 import * as assert from 'uvu/assert';
 import { request } from 'undici';
 import { createSystemClock } from '../clock/mod.ts';
+import { createEgressLink } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
-  createCallerListener, createRouteTable, createShutdownTracker, type RequestSender,
+  createCallerListener, createRouteTable, createShutdownTracker, MAX_BUFFERED_BYTES,
+  type RequestSender,
 } from './mod.ts';
 
 const test = suite('unhandled failure');
@@ -40,6 +42,7 @@
     routes: () => routes,
     sender: { send },
     shutdown: createShutdownTracker(clock),
+    link: createEgressLink({ clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES }),
     logger: noopLogger,
     random: () => 0,
   });
