Estimate the capacity of an owner from what others need for the same requests

A real capacity there is 20 to 60. 8,995 attempts were refused as the wait would be too long.

Cause: the capacity was slots over the mean run of all requests. An owner without busy keys has run little but configuration requests of 2 ms.

Change: load reports carry the recent runs by class, and the planner takes the speed of an instance from its runs compared with the mean of all instances for the same classes, with a second of work as prior. Reports of earlier versions are still read.

--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -277,6 +277,7 @@
         logger: find<Logger>('logger'),
         ownRanges: find<GrantTracker>('ledger').ranges,
         ownCapacity: () => find<SlotQueue>('queue').load().serviceRate,
+        ownWork: find<SlotQueue>('queue').recentWork,
       }),
     }),
   });
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -3,6 +3,8 @@
 import type { Clock } from '../clock/mod.ts';
 import {
   type Candidate,
+  estimateCapacities,
+  type InstanceWork,
   keyCount,
   type KeyLoad,
   type KeyRange,
@@ -18,6 +20,8 @@
   /** Requests per second that the instance can serve. */
   readonly capacity: number;
   readonly cells: readonly LoadCell[];
+  /** Absent in the reports of earlier versions, whose capacity is used instead. */
+  readonly work?: InstanceWork;
 }
 
 /** Collects load reports from the owners of a service; used by the node that plans moves. */
@@ -46,6 +50,8 @@
   readonly ownRanges: () => readonly KeyRange[];
   /** Requests per second that the instance of this host can serve; 0 while unknown. */
   readonly ownCapacity: () => number;
+  /** Recent runs of the instance of this host. */
+  readonly ownWork: () => InstanceWork;
 }
 
 /** Maximum number of cells in a report; a cell is the smallest unit of a move. */
@@ -59,8 +65,38 @@
 const reportSchema = z.object({
   capacity: z.number().positive(),
   cells: z.array(z.object({ from: z.int(), to: z.int(), rate: z.number().min(0) })),
+  work: z.object({
+    slots: z.number().positive(),
+    classes: z.array(z.object({
+      workClass: z.string(), runs: z.number().positive(), totalMs: z.number().min(0),
+    })),
+  }).optional(),
 });
 
+const roundToHundredths = (value: number) => Math.round(value * 100) / 100;
+
+const roundWork = ({ slots, classes }: InstanceWork): InstanceWork => ({
+  slots,
+  classes: classes.map(({ workClass, runs, totalMs }) => ({
+    workClass, runs: roundToHundredths(runs), totalMs: Math.round(totalMs),
+  })),
+});
+
+/** Returns the capacities by the work that all owners report; the default without a report. */
+const createCapacityLookup = (reports: readonly (LoadReport | undefined)[]) => {
+  const measured = reports.flatMap((report) => (report?.work === undefined ? [] : [report]));
+  const estimates = estimateCapacities(measured.map(({ work }) => work!));
+  const capacities = new Map<LoadReport, number>();
+  for (const [index, report] of measured.entries()) {
+    const estimate = estimates?.[index];
+    if (estimate !== undefined) capacities.set(report, estimate);
+  }
+  return (report: LoadReport | undefined): number => {
+    if (report === undefined) return DEFAULT_CAPACITY;
+    return capacities.get(report) ?? report.capacity;
+  };
+};
+
 /**
  * Creates a collector without any reports.
  *
@@ -79,7 +115,8 @@
   const ownReport = (): LoadReport => ({
     capacity: options.ownCapacity() || DEFAULT_CAPACITY,
     cells: options.load.cells(options.ownRanges(), MAX_REPORT_CELLS)
-      .map(({ from, to, rate }) => ({ from, to, rate: Math.round(rate * 100) / 100 })),
+      .map(({ from, to, rate }) => ({ from, to, rate: roundToHundredths(rate) })),
+    work: roundWork(options.ownWork()),
   });
 
   const fetchReport = async (address: string): Promise<LoadReport | undefined> => {
@@ -108,13 +145,17 @@
 
   const loadSnapshotOf: LoadCollector['loadSnapshotOf'] = (owners) => {
     const cells: LoadCell[] = [];
-    const candidates = owners.map((owner): Candidate => {
+    const recent = owners.map((owner) => {
       const found = reports.get(ownerKey(owner));
-      if (found === undefined || clock.now() - found.at > MAX_REPORT_AGE_MS) {
-        return { owner, capacity: DEFAULT_CAPACITY };
-      }
-      cells.push(...found.report.cells);
-      return { owner, capacity: found.report.capacity };
+      return found === undefined || clock.now() - found.at > MAX_REPORT_AGE_MS
+        ? undefined
+        : found.report;
+    });
+    const capacityOf = createCapacityLookup(recent);
+    const candidates = owners.map((owner, index): Candidate => {
+      const report = recent[index];
+      if (report !== undefined) cells.push(...report.cells);
+      return { owner, capacity: capacityOf(report) };
     });
     cells.sort((left, right) => left.from - right.from || keyCount(left) - keyCount(right));
     return { candidates, cells };
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -2,6 +2,7 @@
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { RefusalError, type RefusalFigures } from '../errors/mod.ts';
+import type { InstanceWork } from '../ranges/mod.ts';
 import { NESTED_CALL_PRIORITY } from './request.ts';
 import { createProcessingTimes } from './processing_times.ts';
 
@@ -33,6 +34,8 @@
   /** Waits for a slot; fails with a refusal when none is expected to be free in time. */
   readonly acquire: (request: SlotRequest) => Promise<Result<SlotPermit, RefusalError>>;
   readonly load: () => AdmissionLoad;
+  /** Recent runs of the instance, by which keys are moved. */
+  readonly recentWork: () => InstanceWork;
 }
 
 /** Why the slot queue refused a request. */
@@ -100,7 +103,7 @@
   const { clock } = options;
   const queue: QueuedRequest[] = [];
   const running = new Set<RunningSlot>();
-  const times = createProcessingTimes();
+  const times = createProcessingTimes(clock);
   /** Time up to which the retries of refused callers have been scheduled. */
   let retriesScheduledUntil = -Infinity;
 
@@ -279,6 +282,7 @@
 
   return {
     acquire,
+    recentWork: () => ({ slots: slots(), classes: times.recentWork() }),
     load: () => ({
       inFlight: running.size,
       queued: queue.length,
--- a/ranges/mod.ts
+++ b/ranges/mod.ts
@@ -24,6 +24,7 @@
 } from './key_range.ts';
 export type { Candidate, LoadSnapshot } from './_candidate_usage.ts';
 export { planMoves } from './plan_moves.ts';
+export { type ClassWork, estimateCapacities, type InstanceWork } from './estimate_capacities.ts';
 export { planAssignments } from './plan_assignments.ts';
 export {
   decodeRecord,
