Let a plan of moves grow with the number of owners

Cause: busy keys lie together, and keys are first assigned by number. The owners of the busy keys have to give away twenty cells or more, and a plan moved twelve, once a second.

Change: a plan moves up to 0.6 ranges per owner, twelve at least, which is what it was for up to 20 owners.

--- a/ranges/plan_moves.ts
+++ b/ranges/plan_moves.ts
@@ -8,8 +8,12 @@
   type Owner, ownerKey, type RangeRecord, type RangeRow,
 } from './range_record.ts';
 
-/** Bounds the size of the record and of the answers that carry grants. */
-const MAX_MOVES_PER_PLAN = 12;
+/**
+ * Bounds on the moves of a plan, as each makes the record longer. Busy keys lie together, so that
+ * in a large fleet a few owners have the load of many and need many moves at once.
+ */
+const MIN_MOVE_LIMIT = 12;
+const MOVES_PER_OWNER = 0.6;
 /**
  * Minimum ratio of the source's utilisation to that of the destination with the moved load; with
  * less, the keys would move back.
@@ -165,7 +169,8 @@
   };
 
   const moves: RangeAssignment[] = [];
-  while (moves.length < MAX_MOVES_PER_PLAN) {
+  const moveLimit = Math.max(MIN_MOVE_LIMIT, Math.ceil(usages.length * MOVES_PER_OWNER));
+  while (moves.length < moveLimit) {
     const move = nextMove();
     if (move === undefined) break;
     moves.push(move);
