Measure the processor time of a request by step

Until now no bench measured the gateway of fleet/.

The new bench gateway-path compares two nodes with two bare relay processes in one run, by step, and measures idle nodes of 13 and 71 hosts.

--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -8,6 +8,7 @@
     await import('./configuration.ts')
   ).runConfigurationBench,
   path: async () => (await import('./path.ts')).runPathBench,
+  'gateway-path': async () => (await import('./gateway_path.ts')).runGatewayPathBench,
   takeover: async () => (await import('./takeover.ts')).runTakeoverBench,
   'head-of-line': async () => (await import('./head_of_line.ts')).runHeadOfLineBench,
   crest: async () => (await import('./crest.ts')).runCrestBench,
