Decode a directory entry once per revision

Hosts of 71 spend processor time on other hosts' changes.

Cause: each change of the store view decoded and validated the entries of all nodes again. An entry that cannot be decoded is therefore logged once per revision, no longer at each change of another.

--- a/directory/fleet_view.ts
+++ b/directory/fleet_view.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
+import type { StoreEntry } from '../store/mod.ts';
 import { decodeNodeEntry, type NodeEntry } from './node_entry.ts';
 import { NODES_PREFIX } from './store_keys.ts';
 import type { StoreView, ViewChange } from './store_view.ts';
@@ -25,7 +26,7 @@
 export interface FleetViewOptions {
   readonly clock: Clock;
   readonly view: StoreView;
-  /** Called with the key of each entry that cannot be decoded. */
+  /** Called with the key of each entry that cannot be decoded, once per revision. */
   readonly onUnreadable?: (key: string) => void;
 }
 
@@ -35,6 +36,13 @@
   missingAtMs: number;
 }
 
+/** A store entry is decoded once per revision, since each change of the view lists all of them. */
+interface DecodedEntry {
+  readonly revision: number;
+  /** `undefined` if the value is not a valid entry. */
+  readonly entry: NodeEntry | undefined;
+}
+
 /**
  * The store may drop the entries of nodes that are serving, for example when their leases expire
  * during a store outage. Such nodes rewrite their entries within 2 s of the store's recovery.
@@ -57,15 +65,27 @@
   const known = new Map<string, KnownNode>();
   const listeners: ((change: ViewChange) => void)[] = [];
   let present = new Map<string, NodeEntry>();
+  let decodedByKey = new Map<string, DecodedEntry>();
+
+  const decode = (stored: StoreEntry): DecodedEntry => {
+    const { key, revision } = stored;
+    const before = decodedByKey.get(key);
+    if (before?.revision === revision) return before;
+    const entry = decodeNodeEntry(stored.value);
+    if (entry === undefined) options.onUnreadable?.(key);
+    return { revision, entry };
+  };
 
   const rebuild = () => {
     const next = new Map<string, NodeEntry>();
-    for (const { key, value } of view.entries()) {
-      if (!key.startsWith(NODES_PREFIX)) continue;
-      const entry = decodeNodeEntry(value);
-      if (entry === undefined) options.onUnreadable?.(key);
-      else next.set(entry.node, entry);
+    const decoded = new Map<string, DecodedEntry>();
+    for (const stored of view.entries()) {
+      if (!stored.key.startsWith(NODES_PREFIX)) continue;
+      const result = decode(stored);
+      decoded.set(stored.key, result);
+      if (result.entry !== undefined) next.set(result.entry.node, result.entry);
     }
+    decodedByKey = decoded;
     const now = clock.now();
     for (const [node, knownNode] of known) {
       if (next.has(node)) continue;
