End an answer whose body does not end by the deadline

Callers of an instance that sends a body without end got no final answer at all: the bytes went on until the caller left, also past the deadline that it had named and past the route's timeout, and the slot and the connection of the instance stayed in use. A caller that stopped reading held them for 300 s.

Cause: the deadline of an exchange covered the head of the answer only. After it, any byte of the body, or an unread caller, counted as progress.

Evidence: the new test plays such bodies (chunks, a chunk extension, zeros before a chunk size, no length, a length that is never reached; at full speed and slowly) through the caller listener, the sender, for one part the peer hop, and the instance client.

Why it works: an exchange may now have a deadline for the end of the answer too. The product's own routes have a deadline for the beginning of an answer by definition, and keep that.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -21,6 +21,8 @@
   readonly signal: AbortSignal;
   /** Deadline, in ms of the monotonic clock, for the head of the final response. */
   readonly deadlineAt: number;
+  /** Deadline for the end of the response; without it, a body may take any time. */
+  readonly endDeadlineAt?: number;
   /** Aborts when the lease under which the request runs expires. */
   readonly leaseExpiry?: AbortSignal;
   /** Timeout in ms without progress before the final head; interim responses count as progress. */
@@ -128,6 +130,9 @@
     if (responseAction === undefined) return options.headProgressTimeoutMs;
     return controller?.paused ? PAUSED_BODY_TIMEOUT_MS : options.bodyProgressTimeoutMs;
   };
+  const limitAt = () => (
+    responseAction === undefined ? options.deadlineAt : options.endDeadlineAt ?? Infinity
+  );
   const checkProgress = () => {
     const now = clock.now();
     // If the check runs late, this process was paused, and received bytes may still be unread.
@@ -137,11 +142,12 @@
       fail(responseAction === undefined ? 'silent' : 'stall', new Error('no progress in time'));
       return;
     }
-    if (responseAction === undefined && now >= options.deadlineAt) {
-      fail('deadline', new Error('no answer within the deadline'));
+    if (now >= limitAt()) {
+      const missed = responseAction === undefined ? 'answer' : 'end of the answer';
+      fail('deadline', new Error(`no ${missed} within the deadline`));
       return;
     }
-    checkAt = responseAction === undefined ? Math.min(timeoutAt, options.deadlineAt) : timeoutAt;
+    checkAt = Math.min(timeoutAt, limitAt());
     cancelCheck = clock.schedule(Math.ceil(checkAt - now), checkProgress);
   };
   const resumeBody = () => {
--- /dev/null
+++ b/gateway/_test_caller.ts
@@ -0,0 +1,118 @@
+import { once } from 'node:events';
+import { request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createSystemClock } from '../clock/mod.ts';
+import type { RouteKind } from '../contract/mod.ts';
+
+const clock = createSystemClock();
+
+/** Outcome of a request as its caller sees it. */
+export interface CallerAnswer {
+  /** Status; undefined when the connection ended before a whole head. */
+  readonly status: number | undefined;
+  readonly headers: IncomingMessage['headers'];
+  /** The answer ended as its framing tells, and its connection was not reset. */
+  readonly isComplete: boolean;
+  readonly text: string;
+  readonly durationMs: number;
+}
+
+export interface CallOptions {
+  readonly kind?: RouteKind;
+  readonly deadlineMs?: number;
+  /** A stalled caller reads nothing after the head. */
+  readonly reader?: 'quick' | 'stalled';
+  /** The caller leaves after this time in ms. */
+  readonly leaveAfterMs?: number;
+}
+
+let nextId = 0;
+
+/** Sends a request and resolves once its connection has closed. */
+export const sendAsCaller = async (
+  address: string,
+  options: CallOptions,
+): Promise<CallerAnswer> => {
+  nextId += 1;
+  const startedAt = clock.now();
+  const { kind = 'safe' } = options;
+  const request = httpRequest(`http://${address}/${kind}/a`, {
+    method: kind === 'unsafe' ? 'POST' : 'GET',
+    agent: false,
+    headers: {
+      host: 'shop.example',
+      'request-id': `r-${nextId}`,
+      'deadline-ms': String(options.deadlineMs ?? 5000),
+    },
+  });
+  if (options.leaveAfterMs !== undefined) {
+    setTimeout(() => request.destroy(), options.leaveAfterMs);
+  }
+  let isReset = false;
+  // libuv reports a reset that arrives right after data as the end of the connection.
+  request.once('socket', (socket) => socket.once('end', () => {
+    isReset ||= socket.remoteAddress === undefined;
+  }));
+  request.on('error', () => {
+    isReset = true;
+  });
+  request.end(kind === 'unsafe' ? 'order' : undefined);
+  const result = {
+    status: undefined, headers: {}, isComplete: false, text: '',
+  };
+  try {
+    const [response] = await once(request, 'response') as [IncomingMessage];
+    let text = '';
+    if (options.reader === 'stalled') response.pause();
+    else {
+      response.on('data', (chunk: Buffer) => {
+        if (text.length < 1000) text += chunk.toString('latin1');
+      });
+    }
+    await new Promise((resolve) => {
+      response.once('error', () => undefined);
+      request.once('close', resolve);
+    });
+    return {
+      status: response.statusCode,
+      headers: response.headers,
+      isComplete: response.complete && !isReset,
+      text,
+      durationMs: clock.now() - startedAt,
+    };
+  } catch {
+    return { ...result, durationMs: clock.now() - startedAt };
+  }
+};
+
+/** Polls until `check` returns true; returns false when the time limit in ms has passed. */
+export const isMet = async (check: () => boolean, limitMs = 500) => {
+  const endsAt = clock.now() + limitMs;
+  while (!check()) {
+    if (clock.now() > endsAt) return false;
+    await sleep(5);
+  }
+  return true;
+};
+
+/** Samples the buffers of this process until stopped; returns their largest growth in bytes. */
+export const watchBuffers = () => {
+  const start = process.memoryUsage().arrayBuffers;
+  let peak = start;
+  const timer = setInterval(() => {
+    peak = Math.max(peak, process.memoryUsage().arrayBuffers);
+  }, 5);
+  return () => {
+    clearInterval(timer);
+    return peak - start;
+  };
+};
+
+/** Returns the processor time in ms that this process uses within 100 ms. */
+export const processorTimeMs = async () => {
+  const before = process.cpuUsage();
+  await sleep(100);
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1000;
+};
--- /dev/null
+++ b/gateway/_test_path.ts
@@ -0,0 +1,214 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { createSystemClock } from '../clock/mod.ts';
+import type { PublishedRoute, RouteKind } from '../contract/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import { type CallOptions, sendAsCaller } from './_test_caller.ts';
+import {
+  createCallerListener, createInstanceClient, createLocalForwarder, createPeerClient,
+  createPeerListener, createRequestSender, createRouteTable, createServiceRetryBudget,
+  createShutdownTracker, createSlotQueue,
+} from './mod.ts';
+
+const clock = createSystemClock();
+
+export const ROUTE_TIMEOUT_MS = 400;
+
+const HEADERS = {
+  requestId: 'request-id',
+  remainingMs: 'deadline-ms',
+  callerService: 'caller-service',
+  key: 'shard-key',
+  signature: 'response-seal',
+  expectedInstance: 'expect-instance',
+  notRun: 'not-executed',
+};
+
+/** An instance whose answers are raw bytes. */
+export interface RawInstance {
+  readonly address: string;
+  readonly counts: { connections: number; requests: number };
+  /** Returns the number of open connections that carried a request. */
+  readonly usedConnections: () => number;
+  readonly close: () => void;
+}
+
+/** Answers a request; `headOf` starts a sound answer to it. */
+export type Respond = (
+  socket: Socket,
+  headOf: (status?: number) => string,
+  requestCount: number,
+) => void;
+
+/** Writes a chunk again and again until the other end closes the connection. */
+export const writeEndlessly = (socket: Socket, chunk: string) => {
+  const bytes = Buffer.from(chunk.repeat(Math.max(1, Math.ceil(65_536 / chunk.length))), 'latin1');
+  const write = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on('drain', write);
+  write();
+};
+
+export const answerSoundly: Respond = (socket, headOf) => {
+  socket.write(`${headOf()}content-length: 5\r\n\r\nsound`);
+};
+
+const startRawInstance = async (respond: Respond): Promise<RawInstance> => {
+  const sockets = new Set<Socket>();
+  const usedSockets = new Set<Socket>();
+  const counts = { connections: 0, requests: 0 };
+  const server = await new Promise<Server>((resolve) => {
+    const started = createServer((socket) => {
+      counts.connections += 1;
+      sockets.add(socket);
+      socket.on('error', () => undefined).once('close', () => sockets.delete(socket));
+      socket.on('data', (data) => {
+        const id = /request-id: (\S+)/iu.exec(data.toString())?.[1];
+        if (id === undefined) return;
+        counts.requests += 1;
+        usedSockets.add(socket);
+        const headOf = (status = 200) => (
+          `HTTP/1.1 ${status} Text\r\nRequest-Id: ${id}\r\nResponse-Seal: s\r\n`
+        );
+        respond(socket, headOf, counts.requests);
+      });
+    });
+    started.listen(0, '127.0.0.1', () => resolve(started));
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    counts,
+    usedConnections: () => [...usedSockets].filter((socket) => sockets.has(socket)).length,
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+};
+
+const routeOf = (kind: RouteKind): PublishedRoute => ({
+  name: kind,
+  host: 'shop.example',
+  prefix: `/${kind}/`,
+  kind,
+  timeoutMs: ROUTE_TIMEOUT_MS,
+  targetLatencyMs: 300,
+  priority: 1,
+  maxAttempts: 2,
+  targets: [{ service: 'ledger', weight: 1 }],
+});
+
+const table = createRouteTable({
+  revision: 1,
+  routes: [routeOf('safe'), routeOf('unsafe'), routeOf('download')],
+  services: new Map(),
+});
+
+/** Starts the destination of one raw instance, with a peer listener in front of it. */
+const startDestination = async (name: string, respond: Respond) => {
+  const instance = await startRawInstance(respond);
+  const queue = createSlotQueue({ clock, slots: () => 4, instance: () => name });
+  const client = createInstanceClient({
+    clock,
+    address: instance.address,
+    instance: name,
+    connections: 6,
+    headers: HEADERS,
+    onConnectionRefused: () => undefined,
+  });
+  const forwarder = createLocalForwarder({
+    clock,
+    instance: () => ({
+      instance: name, service: 'ledger', state: 'ready', acceptsUntil: Infinity, client,
+    }),
+    keys: { mayServe: () => true, retryAfterMs: () => 50, record: () => undefined },
+    queue,
+  });
+  const listener = createPeerListener({
+    clock,
+    address: '127.0.0.1:0',
+    requestIdHeader: HEADERS.requestId,
+    local: forwarder,
+    shutdown: createShutdownTracker(clock),
+    logger: noopLogger,
+    handleControlMessage: async () => undefined,
+  });
+  const address = await listener.listen();
+  return {
+    name,
+    instance,
+    queue,
+    forwarder,
+    address,
+    close: () => {
+      client.close();
+      listener.kill();
+      instance.close();
+    },
+  };
+};
+
+/**
+ * Starts a path from a caller listener to raw instances. The first instance is on the caller's host
+ * with the hop `local`; all others are behind peer listeners and get what the first one failed.
+ */
+export const startPath = async (hop: 'local' | 'peer', ...responds: readonly Respond[]) => {
+  const destinations = await Promise.all(responds.map((respond, index) => (
+    startDestination(`i-${index}`, respond)
+  )));
+  const peers = createPeerClient({ clock });
+  const budget = () => createServiceRetryBudget({
+    clock, ratio: 1, extraRetries: 1000, windowMs: 10_000, nodeCount: () => 1,
+  });
+  const sender = createRequestSender({
+    clock,
+    chooser: {
+      choose: (_, excluded) => {
+        const index = destinations.findIndex(({ name }) => !excluded.has(name));
+        const found = destinations[index];
+        if (found === undefined) return { kind: 'none', reason: 'none left', retryAfterMs: 100 };
+        return {
+          kind: index === 0 ? hop : 'peer',
+          node: found.name,
+          address: found.address,
+          instance: found.name,
+          reason: 'next',
+          version: 0,
+        };
+      },
+      report: () => undefined,
+    },
+    local: destinations[0]!.forwarder,
+    peers,
+    retryBudget: budget(),
+    failoverBudget: budget(),
+    logger: noopLogger,
+  });
+  const outcomes: string[] = [];
+  const listener = createCallerListener({
+    clock,
+    address: '127.0.0.1:0',
+    headers: HEADERS,
+    callerService: () => 'caller',
+    routes: () => table,
+    sender,
+    shutdown: createShutdownTracker(clock),
+    logger: noopLogger,
+    random: () => 0,
+    onRequestEnd: ({ outcome }) => outcomes.push(outcome),
+  });
+  const address = await listener.listen();
+  return {
+    instances: destinations.map(({ instance }) => instance),
+    /** Outcomes of the requests, as the caller listener reports them. */
+    outcomes,
+    slotsInUse: () => destinations.reduce((sum, { queue }) => sum + queue.load().inFlight, 0),
+    call: (options: CallOptions = {}) => sendAsCaller(address, options),
+    stop: async () => {
+      listener.kill();
+      await peers.close();
+      for (const destination of destinations) destination.close();
+    },
+  };
+};
--- /dev/null
+++ b/gateway/endless_bytes_test.ts
@@ -0,0 +1,101 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type CallOptions, isMet, processorTimeMs, watchBuffers,
+} from './_test_caller.ts';
+import {
+  answerSoundly, type Respond, ROUTE_TIMEOUT_MS, startPath, writeEndlessly,
+} from './_test_path.ts';
+
+const test = suite('bytes without end from an instance');
+
+/** Time after the route's timeout by which each caller must have its final answer. */
+const MAX_OVERRUN_MS = 450;
+const MAX_BUFFER_GROWTH = 150_000_000;
+const MAX_IDLE_PROCESSOR_MS = 60;
+const STREAM_INTERVAL_MS = 20;
+
+const hops = ['local', 'peer'] as const;
+
+/** Writes a short text at an interval until the other end closes the connection. */
+const writeSlowly = (socket: Parameters<Respond>[0], text: string) => {
+  const timer = setInterval(() => socket.write(text), STREAM_INTERVAL_MS);
+  socket.once('close', () => clearInterval(timer));
+};
+
+/** Sends a request to an instance that is sick once, and checks all that must hold afterwards. */
+const callSick = async (hop: typeof hops[number], sick: Respond, options: CallOptions = {}) => {
+  let isSick = true;
+  const path = await startPath(hop, (...args) => {
+    if (isSick) sick(...args);
+    else answerSoundly(...args);
+    isSick = false;
+  }, answerSoundly);
+  const stopWatching = watchBuffers();
+  const limit = sleep(ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS, undefined, { ref: false });
+  const answer = await Promise.race([path.call(options), limit]);
+  const growth = stopWatching();
+  const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+  const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
+  const processorMs = await processorTimeMs();
+  const runs = path.instances.map(({ counts }) => counts.requests);
+  const next = await path.call(options.kind === undefined ? {} : { kind: options.kind });
+  const outcome = path.outcomes[0];
+  await path.stop();
+  assert.ok(answer !== undefined, 'no final answer in time');
+  assert.ok(growth < MAX_BUFFER_GROWTH, `buffers grew by ${growth} bytes`);
+  assert.ok(areSlotsFree, 'the slot was not released');
+  assert.ok(isClosed, 'the connection to the instance stays open');
+  assert.ok(processorMs < MAX_IDLE_PROCESSOR_MS, `${processorMs} ms of processor time afterwards`);
+  assert.is(next.text, 'sound');
+  return { answer, runs, outcome };
+};
+
+const chunked = (write: Respond): Respond => (socket, headOf, count) => {
+  socket.write(`${headOf()}transfer-encoding: chunked\r\n\r\n`);
+  write(socket, headOf, count);
+};
+
+const endlessBodies: Readonly<Record<string, Respond>> = {
+  'chunks at full speed': chunked((socket) => {
+    writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
+  }),
+  'slow chunks': chunked((socket) => writeSlowly(socket, '1\r\nx\r\n')),
+  'a chunk extension': chunked((socket) => {
+    socket.write('5\r\nhello\r\n5;');
+    writeEndlessly(socket, 'x');
+  }),
+  'zeros before a chunk size': chunked((socket) => {
+    socket.write('5\r\nhello\r\n');
+    writeEndlessly(socket, '0');
+  }),
+  'a body without a length': (socket, headOf) => {
+    socket.write(`${headOf()}\r\n`);
+    writeEndlessly(socket, 'x');
+  },
+  'a slow body without a length': (socket, headOf) => {
+    socket.write(`${headOf()}\r\n`);
+    writeSlowly(socket, 'x');
+  },
+  'a length that is never reached': (socket, headOf) => {
+    socket.write(`${headOf()}content-length: 900000000000\r\n\r\n`);
+    writeEndlessly(socket, 'x');
+  },
+};
+
+// Guards against a body that keeps its slot and its caller until the caller leaves.
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(endlessBodies)) {
+    for (const kind of hop === 'local' ? ['download', 'unsafe'] as const : ['download'] as const) {
+      test(`${hop}, ${kind}: ${name} ends at the deadline with a reset`, async () => {
+        const { answer, runs, outcome } = await callSick(hop, respond, { kind });
+        assert.is(answer.isComplete, false);
+        assert.equal(runs, [1, 0]);
+        assert.is(outcome, 'truncated');
+      });
+    }
+  }
+}
+
+test.run();
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -44,6 +44,8 @@
 const KEEP_ALIVE_MS = 4000;
 /** Extra time after the deadline, as an instance that reaches it sends its own response. */
 const DEADLINE_SLACK_MS = 40;
+/** Time after the deadline in which a response that has begun may end. */
+const BODY_SLACK_MS = 150;
 const BODY_STALL_MS = 10_000;
 const STATUS_MISDIRECTED = 421;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -150,6 +152,7 @@
       clock,
       signal: request.signal,
       deadlineAt: request.deadlineAt + DEADLINE_SLACK_MS,
+      endDeadlineAt: request.deadlineAt + BODY_SLACK_MS,
       headProgressTimeoutMs: Number.POSITIVE_INFINITY,
       bodyProgressTimeoutMs: BODY_STALL_MS,
       checkHead: checkHead(request),
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -56,6 +56,8 @@
 export const MAX_PEER_SILENCE_MS = 900;
 /** Extra time after the deadline to receive the peer's own timeout response. */
 const DEADLINE_SLACK_MS = 80;
+/** Time after the deadline in which a response that has begun may end. */
+const BODY_SLACK_MS = 180;
 const BODY_STALL_MS = 10_000;
 /** Time for which a suspect peer gets no requests that other nodes can serve. */
 const SUSPICION_MS = 1200;
@@ -146,6 +148,7 @@
       clock,
       signal: request.signal,
       deadlineAt: request.deadlineAt + DEADLINE_SLACK_MS,
+      endDeadlineAt: request.deadlineAt + BODY_SLACK_MS,
       headProgressTimeoutMs: isIdempotent(request.kind)
         ? MAX_PEER_SILENCE_MS
         : Number.POSITIVE_INFINITY,
