Bound the memory of an answer that cannot be paused

Callers of all routes of a host would lose their node: an instance that sends a body without end on a connection that closes afterwards (no length, or `Connection: close`) filled the memory of the node as fast as it could send, if the caller did not read as fast.

Cause: undici fails a paused response when its connection closes, so an exchange does not pause the last response of a connection. Nothing else bounded what waited for the receiver.

The cases on a kept connection passed before; they stay as a guard.

Why it works: the sink reports its unsent bytes, and the exchange ends such a response once more than 16 MiB wait; the caller sees a reset. The largest answers of the platform's site files are 540 kB, so only endless answers, and very large ones to callers that are far behind, are ended.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -60,6 +60,8 @@
 const MAX_DISCARDED_BYTES = 65_536;
 /** Longest time in ms for which an unwanted body is read so that its connection can be reused. */
 const MAX_DRAIN_MS = 100;
+/** Largest number of bytes that wait for the receiver of a response that cannot be paused. */
+const MAX_UNSENT_BYTES = 16_777_216;
 const MIN_FINAL_STATUS = 200;
 /** Delay of a progress check from which on this process is assumed to have been paused. */
 const LATE_CHECK_MS = 250;
@@ -240,10 +242,13 @@
         if (discardedBytes > MAX_DISCARDED_BYTES) stopDrain();
         return;
       }
+      if (sink.write(chunk)) return;
       // undici fails a paused response when its connection closes, so the last one is not paused.
-      if (!sink.write(chunk) && !closesConnection) {
+      if (!closesConnection) {
         current.pause();
         sink.onDrain(resumeBody);
+      } else if ((sink.unsentBytes?.() ?? 0) > MAX_UNSENT_BYTES) {
+        fail('stall', new Error('the receiver reads too slowly'));
       }
     },
     onResponseEnd: () => {
--- a/forward/hop.ts
+++ b/forward/hop.ts
@@ -20,6 +20,8 @@
   /** Returns false when the sink is full; wait for the callback given to `onDrain`. */
   readonly write: (chunk: Buffer) => boolean;
   readonly onDrain: (resume: () => void) => void;
+  /** Returns the number of accepted bytes that are not sent yet; missing if none are kept. */
+  readonly unsentBytes?: () => number;
   /** Called when the response is complete. */
   readonly end: () => void;
 }
--- a/gateway/_test_caller.ts
+++ b/gateway/_test_caller.ts
@@ -7,6 +7,8 @@
 
 const clock = createSystemClock();
 
+const STALLED_CALLER_MS = 1500;
+
 /** Processor time in ms of 100 ms below which this process counts as calm. */
 export const MAX_CALM_PROCESSOR_MS = 60;
 
@@ -24,7 +26,7 @@
 export interface CallOptions {
   readonly kind?: RouteKind;
   readonly deadlineMs?: number;
-  /** A stalled caller reads nothing after the head. */
+  /** A stalled caller reads nothing after the head, and leaves after some seconds. */
   readonly reader?: 'quick' | 'stalled';
   /** The caller leaves after this time in ms. */
   readonly leaveAfterMs?: number;
@@ -67,8 +69,10 @@
   try {
     const [response] = await once(request, 'response') as [IncomingMessage];
     let text = '';
-    if (options.reader === 'stalled') response.pause();
-    else {
+    if (options.reader === 'stalled') {
+      // A paused socket does not notice that its connection was reset.
+      setTimeout(() => request.destroy(), STALLED_CALLER_MS);
+    } else {
       response.on('data', (chunk: Buffer) => {
         if (text.length < 1000) text += chunk.toString('latin1');
       });
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -13,6 +13,7 @@
 /** Time after the route's timeout by which each caller must have its final answer. */
 const MAX_OVERRUN_MS = 450;
 const MAX_BUFFER_GROWTH = 150_000_000;
+const MAX_STALLED_GROWTH = 60_000_000;
 const STREAM_INTERVAL_MS = 20;
 
 const hops = ['local', 'peer'] as const;
@@ -134,4 +135,37 @@
   }
 }
 
+const closingBodies: Readonly<Record<string, Respond>> = {
+  'a body without a length': endlessBodies['a body without a length']!,
+  'chunks before a close': (socket, headOf) => {
+    socket.write(`${headOf()}connection: close\r\ntransfer-encoding: chunked\r\n\r\n`);
+    writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
+  },
+  'chunks on a kept connection': endlessBodies['chunks at full speed']!,
+};
+
+// Guards against a node that keeps an endless body in memory for a caller that does not read.
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(closingBodies)) {
+    test(`${hop}: ${name} to a caller that does not read takes little memory`, async () => {
+      const path = await startPath(hop, respond, answerSoundly);
+      const stopWatching = watchBuffers();
+      const answer = path.call({ kind: 'download', reader: 'stalled' });
+      const isEnded = await isMet(
+        () => path.outcomes.length === 1,
+        ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS,
+      );
+      const growth = stopWatching();
+      const [outcome] = path.outcomes;
+      const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+      await path.stop();
+      await answer;
+      assert.ok(isEnded, 'the request goes on');
+      assert.is(outcome, 'truncated');
+      assert.ok(growth < MAX_STALLED_GROWTH, `buffers grew by ${growth} bytes`);
+      assert.ok(areSlotsFree, 'the slot was not released');
+    });
+  }
+}
+
 test.run();
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -39,6 +39,7 @@
   onDrain: (resume) => {
     response.once('drain', resume);
   },
+  unsentBytes: () => response.writableLength,
   end: () => {
     response.end();
   },
