--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -61,6 +61,7 @@
   'chunks at full speed': chunked((socket) => {
     writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
   }),
+  'tiny chunks at full speed': chunked((socket) => writeEndlessly(socket, '1\r\nx\r\n')),
   'slow chunks': chunked((socket) => writeSlowly(socket, '1\r\nx\r\n')),
   'a chunk extension': chunked((socket) => {
     socket.write('5\r\nhello\r\n5;');
--- a/http/response_buffer_test.ts
+++ b/http/response_buffer_test.ts
@@ -44,6 +44,17 @@
   assert.is(second.write(Buffer.alloc(100)), true);
 });
 
+// Guards against tiny chunks, whose unsent writes take hundreds of times the memory of their bytes.
+test('a response of tiny chunks is not read ahead up to the limit in bytes', () => {
+  const buffer = createResponseBuffer(2_000_000);
+  const sink = createResponseSink(createStalledResponse(), () => undefined, buffer);
+  sink.start(200, []);
+  let writes = 1;
+  while (writes < 100_000 && sink.write(Buffer.alloc(1))) writes += 1;
+  assert.ok(writes < 2000, `${writes} writes wait`);
+  assert.ok(sink.unsentBytes!() > 100 * writes, 'the memory of the writes is not counted');
+});
+
 test('without a buffer, a response is read only as fast as it is sent', () => {
   const sink = createResponseSink(createStalledResponse(), () => undefined);
   sink.start(200, []);
