--- a/bench/_gateway_fleet.ts
+++ b/bench/_gateway_fleet.ts
@@ -89,6 +89,7 @@
     service: SERVICES[index] ?? SERVICES[0]!,
     instanceAddress: '',
     isFirstStart: false,
+    linkMegabitsPerSecond: 1000,
     announceIntervalMs: ANNOUNCE_INTERVAL_MS,
     bounds: {
       drainMs: 2000,
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -21,6 +21,8 @@
   readonly signal: AbortSignal;
   /** Deadline, in ms of the monotonic clock, for the head of the final response. */
   readonly deadlineAt: number;
+  /** Deadline for the end of the response; without it, a body may take any time. */
+  readonly endDeadlineAt?: number;
   /** Aborts when the lease under which the request runs expires. */
   readonly leaseExpiry?: AbortSignal;
   /** Timeout in ms without progress before the final head; interim responses count as progress. */
@@ -56,6 +58,10 @@
 
 /** Largest unwanted body that is read so that its connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536;
+/** Longest time in ms for which an unwanted body is read so that its connection can be reused. */
+const MAX_DRAIN_MS = 100;
+/** Largest number of bytes that wait for the receiver of a response that cannot be paused. */
+const MAX_UNSENT_BYTES = 16_777_216;
 const MIN_FINAL_STATUS = 200;
 /** Delay of a progress check from which on this process is assumed to have been paused. */
 const LATE_CHECK_MS = 250;
@@ -101,6 +107,7 @@
   let discardedBytes = 0;
   /** Body bytes that are still to come; infinite if the response states no length. */
   let missingBytes = Number.POSITIVE_INFINITY;
+  let drainEndsAt = Infinity;
   let cause: FailureCause = 'connection';
   let isSettled = false;
   let lastProgressAt = clock.now();
@@ -130,20 +137,33 @@
     if (responseAction === undefined) return options.headProgressTimeoutMs;
     return controller?.paused ? PAUSED_BODY_TIMEOUT_MS : options.bodyProgressTimeoutMs;
   };
+  const limitAt = () => {
+    if (responseAction === undefined) return options.deadlineAt;
+    return responseAction === 'drain' ? drainEndsAt : options.endDeadlineAt ?? Infinity;
+  };
+  const stopDrain = () => {
+    settle({ kind: 'complete', status });
+    controller?.abort(new Error('the rest of the response is not needed'));
+  };
   const checkProgress = () => {
     const now = clock.now();
     // If the check runs late, this process was paused, and received bytes may still be unread.
     if (now - checkAt > LATE_CHECK_MS) lastProgressAt = now;
     const timeoutAt = lastProgressAt + progressTimeoutMs();
+    if (responseAction === 'drain' && now >= drainEndsAt) {
+      stopDrain();
+      return;
+    }
     if (now >= timeoutAt) {
       fail(responseAction === undefined ? 'silent' : 'stall', new Error('no progress in time'));
       return;
     }
-    if (responseAction === undefined && now >= options.deadlineAt) {
-      fail('deadline', new Error('no answer within the deadline'));
+    if (now >= limitAt()) {
+      const missed = responseAction === undefined ? 'answer' : 'end of the answer';
+      fail('deadline', new Error(`no ${missed} within the deadline`));
       return;
     }
-    checkAt = responseAction === undefined ? Math.min(timeoutAt, options.deadlineAt) : timeoutAt;
+    checkAt = Math.min(timeoutAt, limitAt());
     cancelCheck = clock.schedule(Math.ceil(checkAt - now), checkProgress);
   };
   const resumeBody = () => {
@@ -211,7 +231,8 @@
       if (action === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
       else {
         responseAction = action;
-        if (checkAt > lastProgressAt + options.bodyProgressTimeoutMs) {
+        drainEndsAt = lastProgressAt + MAX_DRAIN_MS;
+        if (checkAt > Math.min(lastProgressAt + options.bodyProgressTimeoutMs, limitAt())) {
           cancelCheck();
           checkProgress();
         }
@@ -222,18 +243,18 @@
       lastProgressAt = clock.now();
       if (responseAction === 'drain') {
         discardedBytes += chunk.length;
-        if (discardedBytes > MAX_DISCARDED_BYTES) {
-          settle({ kind: 'complete', status });
-          current.abort(new Error('the rest of the response is not needed'));
-        }
+        if (discardedBytes > MAX_DISCARDED_BYTES) stopDrain();
         return;
       }
       missingBytes -= chunk.length;
+      if (sink.write(chunk)) return;
       // undici fails a paused response when its connection closes, so the last one on a connection
       // is not paused, nor any after its last byte.
-      if (!sink.write(chunk) && !closesConnection && missingBytes > 0) {
+      if (!closesConnection && missingBytes > 0) {
         current.pause();
         sink.onDrain(resumeBody);
+      } else if ((sink.unsentBytes?.() ?? 0) > MAX_UNSENT_BYTES) {
+        fail('stall', new Error('the receiver reads too slowly'));
       }
     },
     onResponseEnd: () => {
--- /dev/null
+++ b/gateway/endless_bytes_test.ts
@@ -0,0 +1,172 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type CallOptions, isMet, MAX_CALM_PROCESSOR_MS, processorTimeMs, watchBuffers,
+} from './_test_caller.ts';
+import {
+  answerSoundly, type Respond, ROUTE_TIMEOUT_MS, startPath, writeEndlessly,
+} from './_test_path.ts';
+
+const test = suite('bytes without end from an instance');
+
+/** Time after the route's timeout by which each caller must have its final answer. */
+const MAX_OVERRUN_MS = 450;
+const MAX_BUFFER_GROWTH = 150_000_000;
+const MAX_STALLED_GROWTH = 60_000_000;
+const STREAM_INTERVAL_MS = 20;
+
+const hops = ['local', 'peer'] as const;
+
+/** Writes a short text at an interval until the other end closes the connection. */
+const writeSlowly = (socket: Parameters<Respond>[0], text: string) => {
+  const timer = setInterval(() => socket.write(text), STREAM_INTERVAL_MS);
+  socket.once('close', () => clearInterval(timer));
+};
+
+/** Sends a request to an instance that is sick once, and checks all that must hold afterwards. */
+const callSick = async (hop: typeof hops[number], sick: Respond, options: CallOptions = {}) => {
+  let isSick = true;
+  const path = await startPath(hop, (...args) => {
+    if (isSick) sick(...args);
+    else answerSoundly(...args);
+    isSick = false;
+  }, answerSoundly);
+  const stopWatching = watchBuffers();
+  const limit = sleep(ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS, undefined, { ref: false });
+  const answer = await Promise.race([path.call(options), limit]);
+  const growth = stopWatching();
+  const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+  const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
+  const processorMs = await processorTimeMs();
+  const runs = path.instances.map(({ counts }) => counts.requests);
+  const next = await path.call(options.kind === undefined ? {} : { kind: options.kind });
+  const outcome = path.outcomes[0];
+  await path.stop();
+  assert.ok(answer !== undefined, 'no final answer in time');
+  assert.ok(growth < MAX_BUFFER_GROWTH, `buffers grew by ${growth} bytes`);
+  assert.ok(areSlotsFree, 'the slot was not released');
+  assert.ok(isClosed, 'the connection to the instance stays open');
+  assert.ok(processorMs < MAX_CALM_PROCESSOR_MS, `${processorMs} ms of processor time afterwards`);
+  assert.is(next.text, 'sound');
+  return { answer, runs, outcome };
+};
+
+const chunked = (write: Respond): Respond => (socket, headOf, count) => {
+  socket.write(`${headOf()}transfer-encoding: chunked\r\n\r\n`);
+  write(socket, headOf, count);
+};
+
+const endlessBodies: Readonly<Record<string, Respond>> = {
+  'chunks at full speed': chunked((socket) => {
+    writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
+  }),
+  'tiny chunks at full speed': chunked((socket) => writeEndlessly(socket, '1\r\nx\r\n')),
+  'slow chunks': chunked((socket) => writeSlowly(socket, '1\r\nx\r\n')),
+  'a chunk extension': chunked((socket) => {
+    socket.write('5\r\nhello\r\n5;');
+    writeEndlessly(socket, 'x');
+  }),
+  'zeros before a chunk size': chunked((socket) => {
+    socket.write('5\r\nhello\r\n');
+    writeEndlessly(socket, '0');
+  }),
+  'a body without a length': (socket, headOf) => {
+    socket.write(`${headOf()}\r\n`);
+    writeEndlessly(socket, 'x');
+  },
+  'a slow body without a length': (socket, headOf) => {
+    socket.write(`${headOf()}\r\n`);
+    writeSlowly(socket, 'x');
+  },
+  'a length that is never reached': (socket, headOf) => {
+    socket.write(`${headOf()}content-length: 900000000000\r\n\r\n`);
+    writeEndlessly(socket, 'x');
+  },
+};
+
+// Guards against a body that keeps its slot and its caller until the caller leaves.
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(endlessBodies)) {
+    for (const kind of hop === 'local' ? ['download', 'unsafe'] as const : ['download'] as const) {
+      test(`${hop}, ${kind}: ${name} ends at the deadline with a reset`, async () => {
+        const { answer, runs, outcome } = await callSick(hop, respond, { kind });
+        assert.is(answer.isComplete, false);
+        assert.equal(runs, [1, 0]);
+        assert.is(outcome, 'truncated');
+      });
+    }
+  }
+}
+
+const unwantedBodies: Readonly<Record<string, (socket: Parameters<Respond>[0]) => void>> = {
+  'chunks at full speed': (socket) => writeEndlessly(socket, '5\r\nhello\r\n'),
+  'slow chunks': (socket) => writeSlowly(socket, '1\r\nx\r\n'),
+  'a chunk extension': (socket) => {
+    socket.write('5;');
+    writeEndlessly(socket, 'x');
+  },
+  silence: () => undefined,
+};
+
+const startsBody = new Set(['chunks at full speed', 'slow chunks']);
+
+const failure: Respond = (socket, headOf) => {
+  socket.write(`${headOf(500)}transfer-encoding: chunked\r\n\r\n`);
+};
+const refusal: Respond = (socket, headOf) => {
+  socket.write(`${headOf(503)}not-executed: 1\r\ntransfer-encoding: chunked\r\n\r\n`);
+};
+
+// Guards against a retry that waits for the end of an error's body, which never comes.
+for (const hop of hops) {
+  for (const [name, write] of Object.entries(unwantedBodies)) {
+    test(`${hop}: ${name} after an error or a refusal do not delay the retry`, async () => {
+      for (const writeHead of [failure, refusal]) {
+        const { answer, runs } = await callSick(hop, (...args) => {
+          writeHead(...args);
+          write(args[0]);
+        });
+        // A peer passes on the head of an error together with the first bytes of its body.
+        const isHeadHeld = hop === 'peer' && writeHead === failure && !startsBody.has(name);
+        assert.is(answer.status, isHeadHeld ? 504 : 200);
+        assert.equal(runs, [1, isHeadHeld ? 0 : 1]);
+      }
+    });
+  }
+}
+
+const closingBodies: Readonly<Record<string, Respond>> = {
+  'a body without a length': endlessBodies['a body without a length']!,
+  'chunks before a close': (socket, headOf) => {
+    socket.write(`${headOf()}connection: close\r\ntransfer-encoding: chunked\r\n\r\n`);
+    writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
+  },
+  'chunks on a kept connection': endlessBodies['chunks at full speed']!,
+};
+
+// Guards against a node that keeps an endless body in memory for a caller that does not read.
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(closingBodies)) {
+    test(`${hop}: ${name} to a caller that does not read takes little memory`, async () => {
+      const path = await startPath(hop, respond, answerSoundly);
+      const stopWatching = watchBuffers();
+      const answer = path.call({ kind: 'download', reader: 'stalled' });
+      const isEnded = await isMet(
+        () => path.outcomes.length === 1,
+        ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS,
+      );
+      const growth = stopWatching();
+      const [outcome] = path.outcomes;
+      const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+      await path.stop();
+      await answer;
+      assert.ok(isEnded, 'the request goes on');
+      assert.is(outcome, 'truncated');
+      assert.ok(growth < MAX_STALLED_GROWTH, `buffers grew by ${growth} bytes`);
+      assert.ok(areSlotsFree, 'the slot was not released');
+    });
+  }
+}
+
+test.run();
--- a/gateway/unhandled_failure_test.ts
+++ b/gateway/unhandled_failure_test.ts
@@ -42,7 +42,9 @@
     routes: () => routes,
     sender: { send },
     shutdown: createShutdownTracker(clock),
-    link: createEgressLink({ clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES }),
+    link: createEgressLink({
+      clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
+    }),
     logger: noopLogger,
     random: () => 0,
   });
--- a/http/bulk_sink.ts
+++ b/http/bulk_sink.ts
@@ -51,6 +51,7 @@
     onDrain: (resume) => {
       resumeReading = resume;
     },
+    unsentBytes: () => (unpaced.unsentBytes?.() ?? 0) + (body?.waitingBytes() ?? 0),
     end: () => body?.end(),
   };
 };
--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -12,6 +12,8 @@
   readonly discard: () => void;
   /** Continues after the receiver has caught up. */
   readonly resume: () => void;
+  /** Returns the memory in bytes of the chunks that wait here. */
+  readonly waitingBytes: () => number;
 }
 
 /** Destination of a bulk body. */
@@ -52,6 +54,8 @@
   readonly destination: BulkDestination;
   readonly chunks: Buffer[];
   bytes: number;
+  /** Memory in bytes of the waiting chunks. */
+  waitingBytes: number;
   hasEnded: boolean;
   isBlocked: boolean;
   isWaitingForRoom: boolean;
@@ -65,9 +69,13 @@
 const MIN_BURST_BYTES = 16_384;
 /** Timers fire a few ms late; a fast link must not idle meanwhile. */
 const BURST_MS = 5;
+/** Memory of a waiting chunk at least, which takes far more than a few bytes of body. */
+const MIN_CHUNK_MEMORY_BYTES = 2048;
 /** Weight of the latest body in the mean size of bulk bodies. */
 const SIZE_SAMPLE_WEIGHT = 0.1;
 
+const memoryOf = ({ length }: Buffer) => Math.max(length, MIN_CHUNK_MEMORY_BYTES);
+
 /**
  * Creates an idle link. Without pacing, the responses of a few downloads fill the queue of a slow
  * link for hundreds of ms, and every short response of the host waits behind them. Bulk bodies are
@@ -91,6 +99,8 @@
   let credit = burstBytes;
   let creditAt = clock.now();
   let backlogBytes = 0;
+  /** Memory in bytes of the chunks of all bodies. */
+  let waitingBytes = 0;
   let expectedBodies = 0;
   let meanBodyBytes = 0;
   let cancelTimer: CancelTask | undefined;
@@ -101,11 +111,17 @@
     creditAt = now;
   };
 
-  const hasRoom = () => backlogBytes < options.maxBufferedBytes;
+  const hasRoom = () => waitingBytes < options.maxBufferedBytes;
+
+  const addWaiting = (body: OpenBody, bytes: number) => {
+    waitingBytes += bytes;
+    Object.assign(body, { waitingBytes: body.waitingBytes + bytes });
+  };
 
   const takeChunk = (body: OpenBody) => {
     const chunk = body.chunks.shift();
     if (chunk === undefined) return undefined;
+    addWaiting(body, -memoryOf(chunk));
     backlogBytes -= chunk.length;
     credit -= chunk.length;
     return chunk;
@@ -155,6 +171,7 @@
       destination,
       chunks: [],
       bytes: 0,
+      waitingBytes: 0,
       hasEnded: false,
       isBlocked: false,
       isWaitingForRoom: false,
@@ -165,6 +182,7 @@
         body.chunks.push(chunk);
         body.bytes += chunk.length;
         backlogBytes += chunk.length;
+        addWaiting(body, memoryOf(chunk));
         if (cancelTimer === undefined) pump();
         body.isWaitingForRoom = !hasRoom();
       },
@@ -176,9 +194,11 @@
       discard: () => {
         if (!bodies.delete(body)) return;
         for (const { length } of body.chunks) backlogBytes -= length;
+        addWaiting(body, -body.waitingBytes);
         body.chunks.length = 0;
         notifyRoom();
       },
+      waitingBytes: () => body.waitingBytes,
       resume: () => {
         body.isBlocked = false;
         if (cancelTimer === undefined) pump();
