Keep waiting for a silent peer instead of breaking a run off

What callers saw: on hosts with narrow links, accepted lookups and downloads were answered with 502 about 900 ms after they came, although an instance had run them.

Cause: a safe request was broken off after 900 ms without a byte from the peer. The silence was taken for a dead host, but a full link (9 Mbit/s at the smallest) or a busy processor delays answers and interim responses as much. When no retry was allowed, or none was accepted, the caller got 502.

A silent peer is suspected, as before, and the request is tried at another peer under the same limits, but the first attempt goes on. The answer that begins first is delivered and the other attempt is cancelled, so a host that is really dead costs no more than before where a retry is possible. Otherwise the request goes on until its deadline.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -25,6 +25,8 @@
   readonly leaseExpiry?: AbortSignal;
   /** Timeout in ms without progress before the final head; interim responses count as progress. */
   readonly headProgressTimeoutMs: number;
+  /** Called at each timeout before the final head; without it, the timeout fails the exchange. */
+  readonly onSilent?: () => void;
   /** Timeout in ms without progress of the response body. */
   readonly bodyProgressTimeoutMs: number;
   /**
@@ -134,7 +136,12 @@
     const now = clock.now();
     // If the check runs late, this process was paused, and received bytes may still be unread.
     if (now - checkAt > LATE_CHECK_MS) lastProgressAt = now;
-    const timeoutAt = lastProgressAt + progressTimeoutMs();
+    let timeoutAt = lastProgressAt + progressTimeoutMs();
+    if (now >= timeoutAt && responseAction === undefined && options.onSilent !== undefined) {
+      options.onSilent();
+      lastProgressAt = now;
+      timeoutAt = now + progressTimeoutMs();
+    }
     if (now >= timeoutAt) {
       fail(responseAction === undefined ? 'silent' : 'stall', new Error('no progress in time'));
       return;
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -24,11 +24,15 @@
 
 /** HTTP client for the nodes on other hosts. */
 export interface PeerClient {
-  /** Sends a request to the peer at `address` and streams the response into `sink`. */
+  /**
+   * Sends a request to the peer at `address` and streams the response into `sink`. `onSilent` is
+   * called when nothing arrives for some time; the request goes on until its deadline.
+   */
   readonly send: (
     address: string,
     request: GatewayRequest,
     sink: ResponseSink,
+    onSilent?: () => void,
   ) => Promise<PeerSendResult>;
   /** Returns whether a connection to the peer recently failed or went silent. */
   readonly isSuspect: (address: string) => boolean;
@@ -51,7 +55,8 @@
 const MAX_CONNECTIONS = 128;
 /**
  * Maximum time without a byte from a peer. A live peer sends three interim responses in this time
- * while a request waits or runs, so a longer silence means that the connection or host is dead.
+ * while a request waits or runs, so after a longer silence its connection or host may be dead. It
+ * may as well be busy or have a full link.
  */
 export const MAX_PEER_SILENCE_MS = 900;
 /** Extra time after the deadline to receive the peer's own timeout response. */
@@ -104,16 +109,14 @@
     if (end.kind === 'complete') return { kind: 'answered', status: end.status };
     const context = { step: 'peer.send', peer: address };
     if (end.begun) return { kind: 'truncated', error: new StepError(end.error.message, context) };
-    if (end.cause === 'silent' || (end.cause === 'connection' && !end.written)) {
-      markSuspect(address, end.error.message);
-    }
+    if (end.cause === 'connection' && !end.written) markSuspect(address, end.error.message);
     if (!end.written) return refuseNotRun(end.error.message, RETRY_AFTER_MS, context);
     const isTimeout = end.cause === 'deadline' || clock.now() >= deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
     return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
   };
 
-  const send: PeerClient['send'] = async (address, request, sink) => {
+  const send: PeerClient['send'] = async (address, request, sink, onSilent) => {
     let load: AdmissionLoad | undefined;
     let refusedOutcome: AttemptOutcome | undefined;
     let failedStatus: number | undefined;
@@ -149,6 +152,10 @@
       headProgressTimeoutMs: isIdempotent(request.kind)
         ? MAX_PEER_SILENCE_MS
         : Number.POSITIVE_INFINITY,
+      onSilent: () => {
+        markSuspect(address, 'no progress in time');
+        onSilent?.();
+      },
       bodyProgressTimeoutMs: BODY_STALL_MS,
       checkHead,
       checkEnd,
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { type AttemptRace, createAttemptRace } from './_attempt_race.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
@@ -55,6 +56,12 @@
   return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
 };
 
+/** Returns the outcome to report of two; one that may have run goes before one that has not. */
+const mergeOutcomes = (one: AttemptOutcome | undefined, other: AttemptOutcome): AttemptOutcome => {
+  const isNotRun = other.kind === 'refused' && other.refusal.outcome === 'not run';
+  return isNotRun && one !== undefined ? one : other;
+};
+
 /**
  * Creates the sender of a node. A request that is not idempotent is retried only while no instance
  * can have run it.
@@ -69,15 +76,27 @@
   const { clock, chooser, retryBudget } = options;
   const logger = options.logger.forComponent('routing');
 
-  const sendTo = async (target: Target, request: GatewayRequest, sink: ResponseSink) => {
+  const sendTo = async (
+    target: Target,
+    request: GatewayRequest,
+    sink: ResponseSink,
+    onSilent: () => void,
+  ) => {
     if (target.kind === 'local') {
       const outcome = await options.local.forward(request, sink);
       return { outcome, load: options.local.load() };
     }
-    return options.peers.send(target.address, request, sink);
+    return options.peers.send(target.address, request, sink, onSilent);
   };
 
-  const send: RequestSender['send'] = async (request, maxSends, sink) => {
+  /** Makes attempts one after the other; those at silent peers go on in `silentAttempts`. */
+  const sendInTurn = async (
+    request: GatewayRequest,
+    maxSends: number,
+    sink: ResponseSink,
+    race: AttemptRace,
+    silentAttempts: Promise<AttemptOutcome>[],
+  ): Promise<AttemptOutcome | undefined> => {
     const { requestId, service, signal } = request;
     const idempotent = isIdempotent(request.kind);
     const excluded = new Set<string>();
@@ -86,17 +105,38 @@
     let mayHaveRun = false;
     let lastOutcome: AttemptOutcome | undefined;
 
-    const hasTime = () => request.deadlineAt - clock.now() > MIN_ATTEMPT_MS && !signal.aborted;
+    const hasTime = () => (
+      request.deadlineAt - clock.now() > MIN_ATTEMPT_MS && !signal.aborted && !race.isWon()
+    );
     const mayRetry = () => sends < maxSends && hasTime() && retryBudget.withdraw(service);
 
-    const attemptSink: ResponseSink = {
-      ...sink,
-      start: (status, headers, endsWithConnection) => {
-        const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
-        sends += 1;
-        if (isServerError && idempotent && mayRetry()) return 'drain';
-        return sink.start(status, headers, endsWithConnection);
-      },
+    const startAttempt = (target: Target) => {
+      let isSilent = false;
+      let reportSilence = () => undefined as void;
+      const { signal: attemptSignal, sink: attemptSink } = race.enter({
+        ...sink,
+        start: (status, headers, endsWithConnection) => {
+          const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
+          if (!isSilent) {
+            sends += 1;
+            if (isServerError && idempotent && mayRetry()) return 'drain';
+          }
+          return sink.start(status, headers, endsWithConnection);
+        },
+      });
+      const silence = new Promise<undefined>((resolve) => {
+        reportSilence = () => resolve(undefined);
+      });
+      const ended = sendTo(
+        target,
+        { ...request, instance: target.instance, signal: attemptSignal },
+        attemptSink,
+        () => {
+          isSilent = true;
+          reportSilence();
+        },
+      );
+      return { ended, silence, signal: attemptSignal };
     };
 
     retryBudget.deposit(service);
@@ -109,16 +149,10 @@
       }
       const startedAt = clock.now();
       const sendsBefore = sends;
-      const { outcome, load } = await sendTo(
-        target,
-        { ...request, instance: target.instance },
-        attemptSink,
-      );
+      const attempt = startAttempt(target);
+      const result = await Promise.race([attempt.ended, attempt.silence]);
       const durationMs = clock.now() - startedAt;
-      chooser.report(request, target, {
-        durationMs, outcome: reportedOutcome(outcome, signal.aborted), load,
-      });
-      logger.info({
+      const fields = {
         request: requestId,
         service,
         key: request.key,
@@ -126,11 +160,32 @@
         instance: target.instance,
         version: target.version,
         reason: target.reason,
+        durationMs: Math.round(durationMs),
+      };
+      if (result === undefined) {
+        mayHaveRun = true;
+        if (sends === sendsBefore) sends += 1;
+        const silentOutcome = attempt.ended.then(({ outcome }) => outcome);
+        silentOutcome.catch(() => undefined);
+        silentAttempts.push(silentOutcome);
+        chooser.report(request, target, { durationMs, outcome: 'failure', load: undefined });
+        logger.info(fields, 'waiting for a silent peer');
+        // A key has one owner, which would run the request twice.
+        if (request.key !== undefined || !mayRetry()) return lastOutcome;
+        options.onRetry?.(service, 'silence');
+        excluded.add(target.instance);
+        continue;
+      }
+      const { outcome, load } = result;
+      chooser.report(request, target, {
+        durationMs, outcome: reportedOutcome(outcome, attempt.signal.aborted), load,
+      });
+      logger.info({
+        ...fields,
         outcome: outcome.kind,
         ...(outcome.kind === 'refused' ? {
           refusal: outcome.refusal.message, mayHaveRun: outcome.refusal.outcome === 'unknown',
         } : {}),
-        durationMs: Math.round(durationMs),
       }, 'attempt finished');
       if (outcome.kind === 'answered' || outcome.kind === 'truncated') return outcome;
       if (outcome.kind === 'failed') {
@@ -161,5 +216,20 @@
     }
   };
 
+  const send: RequestSender['send'] = async (request, maxSends, sink) => {
+    const silentAttempts: Promise<AttemptOutcome>[] = [];
+    const race = createAttemptRace(request.signal);
+    try {
+      let lastOutcome = await sendInTurn(request, maxSends, sink, race, silentAttempts);
+      for (const silentAttempt of silentAttempts) {
+        if (lastOutcome?.kind === 'answered' || lastOutcome?.kind === 'truncated') break;
+        lastOutcome = mergeOutcomes(lastOutcome, await silentAttempt);
+      }
+      return lastOutcome!;
+    } finally {
+      race.close();
+    }
+  };
+
   return { send };
 };
