Keep connections open whose response is not sent to its end

Callers with a slow link could get a truncated response while a node stopped: once the idle grace was over, the server closed the connection although bytes of the response were still waiting in the process.

Cause: `http.Server.closeIdleConnections` treats a connection as idle as soon as `response.end()` has been called, before the bytes have been handed to the operating system.

The server now closes the connections that have no unfinished response and have sent nothing since the end of their last request, so it needs neither that call nor the special case of connections without a byte.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -42,6 +42,13 @@
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
 export type Expectation = 'none' | 'continue' | 'other';
 
+interface ConnectionState {
+  /** Responses that have not been handed to the operating system to their end. */
+  readonly responses: Set<ServerResponse>;
+  /** Bytes read until the end of the last request; more have been read of an incomplete one. */
+  requestsEndAt: number;
+}
+
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Also limits how long `stop` waits for a connection that never completes its handshake. */
 const HANDSHAKE_TIMEOUT_MS = 2000;
@@ -80,8 +87,7 @@
  */
 export const createHttpServer = (options: HttpServerOptions): HttpListener => {
   const { clock } = options;
-  /** Responses in flight by connection; a connection without any is idle. */
-  const connections = new Map<Socket, Set<ServerResponse>>();
+  const connections = new Map<Socket, ConnectionState>();
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
   let isStopping = false;
@@ -107,23 +113,26 @@
   // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
   server.maxHeadersCount = 0;
 
+  /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
-    server.closeIdleConnections();
-    // Node.js treats a connection that has not sent a byte as active. Bytes of a TLS handshake are
-    // not counted.
-    for (const socket of connections.keys()) {
-      if (socket.bytesRead === 0) socket.destroy();
+    for (const [socket, { responses, requestsEndAt }] of connections) {
+      if (responses.size === 0 && socket.bytesRead === requestsEndAt) socket.destroy();
     }
   };
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
-    const activeResponses = connections.get(socket);
-    activeResponses?.add(response);
+    const state = connections.get(socket);
+    state?.responses.add(response);
     if (isStopping) response.shouldKeepAlive = false;
-    response.once('close', () => {
-      activeResponses?.delete(response);
+    const markEnd = () => {
+      if (state !== undefined) state.requestsEndAt = socket.bytesRead;
       if (isGraceOver) setImmediate(closeIdleConnections);
+    };
+    request.once('close', markEnd);
+    response.once('close', () => {
+      state?.responses.delete(response);
+      markEnd();
     });
     options.handle(request, response, expect);
   };
@@ -133,7 +142,7 @@
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, new Set());
+    connections.set(socket, { responses: new Set(), requestsEndAt: 0 });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
@@ -146,15 +155,15 @@
     socket.end(options.renderMalformed(501, false), () => socket.destroy());
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const activeResponses = connections.get(socket as Socket);
-    if (activeResponses === undefined) {
+    const state = connections.get(socket as Socket);
+    if (state === undefined) {
       // The TLS handshake failed, so no HTTP response can be sent.
       socket.destroy();
       return;
     }
     let dispatched = false;
     let isResponseStarted = false;
-    for (const response of activeResponses) {
+    for (const response of state.responses) {
       dispatched = true;
       isResponseStarted ||= response.headersSent;
     }
@@ -177,8 +186,8 @@
   const stop = async () => {
     if (isStopping || !server.listening) return;
     isStopping = true;
-    for (const activeResponses of connections.values()) {
-      for (const response of activeResponses) {
+    for (const { responses } of connections.values()) {
+      for (const response of responses) {
         if (!response.headersSent) response.shouldKeepAlive = false;
       }
     }
--- a/http/create_http_server_test.ts
+++ b/http/create_http_server_test.ts
@@ -10,13 +10,13 @@
 const IDLE_GRACE_MS = 100;
 const STOP_TIMEOUT_MS = 3000;
 
-const startServer = async () => {
+const startServer = async (body = 'done') => {
   const server = createHttpServer({
     clock: createSystemClock(),
     address: '127.0.0.1:0',
     maxHeaderBytes: 16_384,
     idleGraceMs: IDLE_GRACE_MS,
-    handle: (_, response) => response.end('done'),
+    handle: (_, response) => response.end(body),
     renderMalformed,
   });
   const { host, port } = splitAddress(await server.listen());
@@ -53,4 +53,24 @@
   assert.ok(await endsInTime(server.stop()));
 });
 
+// The connection of a response counted as idle before the last bytes were sent, and was closed.
+test('stop() sends a response to a slow reader to its end', async () => {
+  const bodyBytes = 16_777_216;
+  const { server, host, port } = await startServer('x'.repeat(bodyBytes));
+  const socket = connect(port, host).on('error', () => undefined);
+  socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+  await once(socket, 'readable');
+  const stopped = server.stop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 3 * IDLE_GRACE_MS);
+  });
+  let receivedBytes = 0;
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+  });
+  await once(socket, 'close');
+  assert.ok(receivedBytes > bodyBytes, `received ${receivedBytes} bytes`);
+  assert.ok(await endsInTime(stopped));
+});
+
 test.run();
