Read the body of a refused request before its connection is closed

Callers that sent a body to a stopping node could see a reset instead of the refusal, and so did every caller whose body was too large.

Cause: the refusal was sent before the body had been read, and with `Connection: close` Node.js closes the socket right after it. Closing a socket with unread bytes resets the connection, and the reset can discard the response that was already written.

The tests failed before with

FAIL caller listener "a request refused before its body has been read gets the whole refusal" Expected value to match `/^HTTP\/1\.1 404 .*no route matches/su` pattern (match) FAIL caller listener "a request whose body is too large gets the whole refusal" Expected value to match `/^HTTP\/1\.1 413 .*too large/su` pattern (match)

The refusal is still sent at once, but the connection is closed only when the rest of the body has been read and discarded, at most 0.5 s later. A stopping node now closes the connection after a 404 or a missing contract as well.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '../clock/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
+import { hasBody } from '../http/mod.ts';
 
+const MAX_DISCARD_MS = 500;
 /** The end of a connection is read one turn after its last bytes and emitted in the turn after. */
 const PENDING_EVENT_TURNS = 2;
 
@@ -30,6 +33,17 @@
   JSON.stringify({ error: message, outcome })
 );
 
+const writeHead = (
+  response: ServerResponse,
+  status: number,
+  headers: readonly string[],
+  text: string,
+) => response.writeHead(status, [
+  ...headers,
+  ...(text === '' ? [] : ['content-type', 'application/json']),
+  'content-length', String(Buffer.byteLength(text)),
+]);
+
 /**
  * Sends a complete response with a JSON body, or without a body when `text` is empty. Does nothing
  * when the connection is closed or the headers were already sent.
@@ -41,12 +55,37 @@
   text: string,
 ): void => {
   if (response.destroyed || response.headersSent) return;
-  response.writeHead(status, [
-    ...headers,
-    ...(text === '' ? [] : ['content-type', 'application/json']),
-    'content-length', String(Buffer.byteLength(text)),
-  ]);
-  response.end(text);
+  writeHead(response, status, headers, text).end(text);
+};
+
+/**
+ * Sends a complete response like {@link respondWithJson} to a request whose body may be unread. If
+ * the connection is to be closed, the rest of the body is read and discarded first, for a limited
+ * time: closing a socket with unread bytes resets it, and the reset can discard the response.
+ */
+export const respondBeforeBody = (
+  clock: Clock,
+  response: ServerResponse,
+  status: number,
+  headers: readonly string[],
+  text: string,
+): void => {
+  const message = response.req;
+  if (response.shouldKeepAlive || message.complete || !hasBody(message)) {
+    respondWithJson(response, status, headers, text);
+    return;
+  }
+  if (response.destroyed || response.headersSent) return;
+  writeHead(response, status, headers, text);
+  if (text === '') response.flushHeaders();
+  else response.write(text);
+  const end = () => {
+    response.end();
+  };
+  const cancel = clock.schedule(MAX_DISCARD_MS, end);
+  message.once('end', end);
+  response.once('close', cancel);
+  message.resume();
 };
 
 /** Sends 100 Continue to a caller that waits for it before it sends the body. */
--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -7,7 +7,7 @@
  * @param message The request.
  * @param maxBytes Maximum size of the body in bytes.
  * @returns The body; null when there is none; undefined when the connection closed early or the
- * body exceeds `maxBytes`.
+ * body exceeds `maxBytes`; the rest of such a body is discarded.
  */
 export const readBody = (
   message: IncomingMessage,
@@ -23,7 +23,7 @@
   message.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
     if (receivedBytes > maxBytes) {
-      message.pause();
+      chunks.length = 0;
       resolve(undefined);
     } else chunks.push(chunk);
   });
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -17,8 +17,8 @@
 import type { Logger } from '../telemetry/mod.ts';
 import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
 import {
-  abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondWithJson,
-  sendContinueIfExpected,
+  abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondBeforeBody,
+  respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
@@ -128,7 +128,7 @@
   ) => {
     const text = '{"error":"the node stops","outcome":"not run"}';
     const retryAfter = ['retry-after', STOPPING_RETRY_AFTER_S];
-    respondWithJson(response, STATUS_UNAVAILABLE, retryAfter, text);
+    respondBeforeBody(clock, response, STATUS_UNAVAILABLE, retryAfter, text);
     logger.info({
       request: requestId, route: route.name, notRun: true,
     }, 'request refused: the node is stopping');
@@ -142,13 +142,14 @@
   ) => {
     const request = toRequest(message, route, arrivedAt, abortOnClose(response));
     if (request === undefined) {
-      respondWithJson(response, STATUS_UNAVAILABLE, [], '{"error":"the route has no service"}');
+      const text = '{"error":"the route has no service"}';
+      respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
       return;
     }
     const body = await readBody(message, MAX_BODY_BYTES);
     if (body === undefined) {
       response.shouldKeepAlive = false;
-      respondWithJson(response, STATUS_TOO_LARGE, [], '{"error":"the body is too large"}');
+      respondBeforeBody(clock, response, STATUS_TOO_LARGE, [], '{"error":"the body is too large"}');
       return;
     }
     await processPendingSocketEvents();
@@ -199,6 +200,8 @@
 
   const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
     const arrivedAt = clock.now();
+    const phase = options.shutdown.phase();
+    if (phase !== 'running') response.shouldKeepAlive = false;
     const table = options.routes();
     const requestId = firstHeaderValue(message, headerNames.requestId);
     if (table === undefined) {
@@ -207,7 +210,7 @@
       }, 'request refused: no contract is known yet');
       const text = '{"error":"no contract is known yet","outcome":"not run"}';
       const retryAfter = ['retry-after', NO_CONTRACT_RETRY_AFTER_S];
-      respondWithJson(response, STATUS_UNAVAILABLE, retryAfter, text);
+      respondBeforeBody(clock, response, STATUS_UNAVAILABLE, retryAfter, text);
       return;
     }
     const route = table.match(firstHeaderValue(message, 'host') ?? '', message.url ?? '/');
@@ -218,11 +221,9 @@
         host: message.headers.host,
         path: message.url,
       }, 'no route matches the request');
-      respondWithJson(response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
+      respondBeforeBody(clock, response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
-    const phase = options.shutdown.phase();
-    if (phase !== 'running') response.shouldKeepAlive = false;
     // The instance on this host still runs requests, which may depend on nested calls.
     const isAccepted = phase !== 'closed'
       && (phase !== 'closing' || route.priority <= NESTED_CALL_PRIORITY);
--- /dev/null
+++ b/gateway/caller_listener_test.ts
@@ -0,0 +1,88 @@
+import { connect } from 'node:net';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import type { PublishedRoute } from '../contract/mod.ts';
+import { splitAddress } from '../http/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import {
+  createCallerListener, createRouteTable, createShutdownTracker, type RequestSender,
+} from './mod.ts';
+
+const test = suite('caller listener');
+
+const route: PublishedRoute = {
+  name: 'orders',
+  host: 'shop.example',
+  prefix: '/orders/',
+  kind: 'unsafe',
+  timeoutMs: 1000,
+  targetLatencyMs: 300,
+  priority: 1,
+  maxAttempts: 1,
+  targets: [{ service: 'orders', weight: 1 }],
+};
+
+const setUp = async (send: RequestSender['send']) => {
+  const clock = createSystemClock();
+  const shutdown = createShutdownTracker(clock);
+  const table = createRouteTable({ revision: 1, routes: [route], services: new Map() });
+  const listener = createCallerListener({
+    clock,
+    address: '127.0.0.1:0',
+    headers: {
+      requestId: 'request-id', remainingMs: 'deadline-ms', callerService: 'caller', key: 'key',
+    },
+    callerService: () => 'orders',
+    routes: () => table,
+    sender: { send },
+    shutdown,
+    logger: noopLogger,
+    random: () => 0,
+  });
+  return { listener, shutdown, address: await listener.listen() };
+};
+
+/** Sends a request with a body, and reads the response only once the connection has settled. */
+const post = async (address: string, path: string, bodyBytes: number) => {
+  const { host, port } = splitAddress(address);
+  const socket = connect(port, host).on('error', () => undefined);
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  socket.write([
+    `POST ${path} HTTP/1.1`, 'host: shop.example', 'connection: close',
+    `content-length: ${bodyBytes}`, '\r\n',
+  ].join('\r\n'));
+  socket.write(Buffer.alloc(bodyBytes));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 200);
+  });
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  await closed;
+  return received;
+};
+
+const neverSend: RequestSender['send'] = () => Promise.reject(new Error('not expected'));
+
+// The connection of a refused request was closed while its body was arriving. The reset that this
+// causes discarded the refusal.
+test('a request refused before its body has been read gets the whole refusal', async () => {
+  const { listener, shutdown, address } = await setUp(neverSend);
+  assert.match(await post(address, '/unknown/', 8_388_608), /^HTTP\/1\.1 404 .*no route matches/su);
+  shutdown.leave(Number.MAX_SAFE_INTEGER);
+  shutdown.close();
+  assert.match(await post(address, '/orders/', 8_388_608), /^HTTP\/1\.1 503 .*not run/su);
+  await listener.stop();
+});
+
+test('a request whose body is too large gets the whole refusal', async () => {
+  const { listener, address } = await setUp(neverSend);
+  assert.match(await post(address, '/orders/', 75_497_472), /^HTTP\/1\.1 413 .*too large/su);
+  await listener.stop();
+});
+
+test.run();
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -9,7 +9,8 @@
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, firstHeaderValue, processPendingSocketEvents, respondWithJson,
+  abortOnClose, firstHeaderValue, processPendingSocketEvents, respondBeforeBody,
+  respondWithJson,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
@@ -109,7 +110,7 @@
       });
       const from = message.socket.remoteAddress;
       logger.warn({ from, reason: refusal.message }, 'refused request from peer');
-      respondWithJson(response, refusal.status, encodeRefusal(refusal), '');
+      respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
       return;
     }
     const body = await readBody(message, MAX_BODY_BYTES);
