Limit the wait for connections without an accepted request

A client that never completes its request would have kept a stopping node from ending until shortly before the end of the grace time, and its host without a node for that long. The wait for the listeners, added with the last phase of the stop, had no shorter limit.

Once no accepted request is in flight, the node waits for a second at most, longer than a refused body is read.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -23,6 +23,8 @@
 const FLUSH_RESERVE_MS = 300;
 /** Late requests get a refusal with Retry-After in this time instead of a refused connection. */
 const LISTENER_CLOSE_DELAY_MS = 60;
+/** Limits the wait for connections that have only refused or incomplete requests. */
+const UNUSED_CONNECTION_LIMIT_MS = 1000;
 
 /**
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
@@ -51,10 +53,14 @@
     logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
     await clock.sleep(LISTENER_CLOSE_DELAY_MS);
+    const leftMs = endsBy - clock.now();
+    const limitMs = shutdown.activeRequests() === 0
+      ? Math.min(leftMs, UNUSED_CONNECTION_LIMIT_MS)
+      : leftMs;
     const timeout = new AbortController();
     await Promise.race([
       Promise.all(options.listeners.map((listener) => listener.stop())),
-      clock.sleep(endsBy - clock.now(), timeout.signal),
+      clock.sleep(limitMs, timeout.signal),
     ]);
     timeout.abort();
     logger.info({
