--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -137,6 +137,19 @@
   assert.match(second ?? '', /^HTTP\/1\.1 503 .*connection: close.*not run/isu);
 });
 
+// A connection that had been accepted but not read was served, and then cut by the exit.
+test('the first request on an open connection gets an answer while the node closes', async () => {
+  const { node, settings } = fleet.hosts[0]!;
+  const socket = await openConnection(settings.listen.caller);
+  onMessage = (message) => {
+    if (message === 'no longer accepting requests') socket.write(formatHead('GET', '/calls/late'));
+  };
+  await node.stop();
+  await node.kill();
+  await socket.closed;
+  assert.match(socket.received(), /^HTTP\/1\.1 503 .*connection: close.*not run/isu);
+});
+
 test('a request whose body arrives late is answered before the node ends', async () => {
   const { node, settings } = fleet.hosts[0]!;
   const socket = await openConnection(settings.listen.caller);
