--- a/fleet/main_test.ts
+++ b/fleet/main_test.ts
@@ -69,4 +69,28 @@
   assert.is(await startWithSignal('SIGTERM'), 'ended: 0');
 });
 
+// The handler of the signal was removed after the first one, so that the next one ended the process
+// with requests in flight.
+test('a second SIGTERM does not end the process before its graceful stop', async () => {
+  const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
+  const path = join(directory, 'settings.json');
+  writeFileSync(path, settings);
+  const child = spawn(process.execPath, ['--import', 'tsx', 'fleet/main.ts'], {
+    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const exited = once(child, 'exit');
+  let log = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    const before = log;
+    const isNew = (message: string) => log.includes(message) && !before.includes(message);
+    log += chunk.toString();
+    if (isNew('node: started') || isNew('node: stopping')) child.kill('SIGTERM');
+  });
+  const [status, signal] = await exited as [number | null, string | null];
+  rmSync(directory, { recursive: true });
+  assert.is(signal, null);
+  assert.is(status, 0);
+  assert.match(log, /node: no longer accepting requests/u);
+});
+
 test.run();
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -3,10 +3,11 @@
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
-import { splitAddress } from '../http/mod.ts';
+import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
-  createCallerListener, createRouteTable, createShutdownTracker, type RequestSender,
+  createCallerListener, createRouteTable, createShutdownTracker, MAX_BUFFERED_BYTES,
+  type RequestSender,
 } from './mod.ts';
 
 const test = suite('caller listener');
@@ -37,6 +38,9 @@
     routes: () => table,
     sender: { send },
     shutdown,
+    link: createEgressLink({
+      clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
+    }),
     logger: noopLogger,
     random: () => 0,
   });
