Limit the size of an announcement

A sick instance could end its node, and with it all callers of the host: an announcement whose body has no end was read and kept until the memory was full, with no limit in bytes or time.

Cause: the handler read the body as text without a limit.

Evidence: the new test sends such bodies, with chunks and with a length, to the announcement, the deregistration and an unknown path. The other two paths passed before: the HTTP adapter closes a connection on which an unread body goes on for 500 ms. They stay as a guard.

Why it works: bodies to this listener are read up to 1 MiB and then answered with 413; the adapter then closes the connection.

--- a/fleet/control_listeners.ts
+++ b/fleet/control_listeners.ts
@@ -1,5 +1,6 @@
 import { getRequestListener } from '@hono/node-server';
 import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
 import type { Clock } from '../clock/mod.ts';
 import { createHttpServer, type HttpListener, renderMalformed } from '../http/mod.ts';
 import { decodeAnnouncement, encodeAnnouncementAnswer, nodePaths } from '../platform/mod.ts';
@@ -23,6 +24,8 @@
 }
 
 const MAX_HEADER_BYTES = 16_384;
+/** Far above the size of an announcement with as many ranges as a node ever grants. */
+const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
 const IDLE_GRACE_MS = 200;
 
 /**
@@ -45,6 +48,13 @@
   ));
 
   const announcements = new Hono();
+  announcements.use(bodyLimit({
+    maxSize: MAX_ANNOUNCEMENT_BYTES,
+    onError: (context) => {
+      logger.warn({ path: context.req.path }, 'rejected an announcement that is too long');
+      return context.json({ error: 'the announcement is too long' }, 413);
+    },
+  }));
   announcements.post(nodePaths.announce, async (context) => {
     const instance = context.req.param('id');
     const announcement = decodeAnnouncement(instance, await context.req.text());
