Limit the size of an answer of the HTTP store

The same fault as in the client of the platform's store: an answer without end was kept until the timeout of the call, and for a watch, which has separate connections, for up to 32 s.

Why it works: both agents end an answer that exceeds 64 MiB, the size of a list of 64 values of the largest size.

--- a/store/create_http_store.ts
+++ b/store/create_http_store.ts
@@ -38,6 +38,8 @@
 const DEFAULT_WATCH_WAIT_MS = 30_000;
 const WATCH_TIMEOUT_MARGIN_MS = 2000;
 const MAX_CONNECTIONS = 8;
+/** Leaves room for a list of many values of the maximum size, 1 MiB. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 
 const entrySchema = z.object({ key: z.string(), revision: z.number(), value: z.string() });
 const getSchema = z.object({ entry: entrySchema.nullable() });
@@ -90,9 +92,11 @@
   const { clock, url } = options;
   const callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   const watchWaitMs = options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
-  const dispatcher = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 });
+  const dispatcher = new Agent({
+    connections: MAX_CONNECTIONS, pipelining: 1, maxResponseSize: MAX_RESPONSE_BYTES,
+  });
   // Watches use separate connections, so that long polls never block other calls.
-  const watchDispatcher = new Agent({ pipelining: 1 });
+  const watchDispatcher = new Agent({ pipelining: 1, maxResponseSize: MAX_RESPONSE_BYTES });
   const headers = {
     'content-type': 'text/plain; charset=utf-8',
     ...(options.credential === undefined
