Limit the size of a peer's answer to a control message

A peer that sends an answer without end would fill the memory of the nodes that ask it for its load or for the changes of the store.

Cause: both read the body as text without a limit.

Why it works: both messages go through one function now, whose agent ends an answer that exceeds 16 MiB. The paths and timeouts are as before.

--- /dev/null
+++ b/fleet/_peer_messages.ts
@@ -0,0 +1,35 @@
+import { Agent, request } from 'undici';
+
+/** The answer of a peer to a control message. */
+export interface PeerAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Far above the changes that a node keeps for its peers. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
+const agent = new Agent({ maxResponseSize: MAX_RESPONSE_BYTES });
+
+/**
+ * Sends a control message to the node of another host and reads its answer, whose size is limited.
+ *
+ * @param address Address of the peer's listener.
+ * @param path Path and query of the message, without the common prefix.
+ * @param timeoutMs Time in ms until the whole answer must have arrived.
+ * @returns The answer; rejects if there is none in time.
+ *
+ * @example
+ * const { status, text } = await fetchFromPeer('10.0.0.2:7000', 'load', 400);
+ */
+export const fetchFromPeer = async (
+  address: string,
+  path: string,
+  timeoutMs: number,
+): Promise<PeerAnswer> => {
+  const { statusCode, body } = await request(`http://${address}/marjoramhollow/${path}`, {
+    signal: AbortSignal.timeout(timeoutMs),
+    dispatcher: agent,
+  });
+  return { status: statusCode, text: await body.text() };
+};
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -1,7 +1,7 @@
-import { request } from 'undici';
 import * as z from 'zod';
 import type { ViewHistory } from '../directory/mod.ts';
 import type { EntryChanges } from '../store/mod.ts';
+import { fetchFromPeer } from './_peer_messages.ts';
 
 /** Path of the control request for the changes that a peer has seen in the store. */
 export const CHANGES_PATH = 'changes';
@@ -49,12 +49,12 @@
   after: number,
 ): Promise<EntryChanges | undefined> => {
   const query = `after=${after}&wait=${MAX_WAIT_MS}`;
-  const { statusCode, body } = await request(
-    `http://${address}/marjoramhollow/${CHANGES_PATH}?${query}`,
-    { signal: AbortSignal.timeout(MAX_WAIT_MS + ROUND_TRIP_ALLOWANCE_MS) },
+  const { status, text } = await fetchFromPeer(
+    address,
+    `${CHANGES_PATH}?${query}`,
+    MAX_WAIT_MS + ROUND_TRIP_ALLOWANCE_MS,
   );
-  const text = await body.text();
-  return statusCode === HTTP_OK ? decodeChanges(text) : undefined;
+  return status === HTTP_OK ? decodeChanges(text) : undefined;
 };
 
 /** Encodes the response to a peer's request for changes; undefined when they are not available. */
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -1,4 +1,3 @@
-import { request } from 'undici';
 import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
 import {
@@ -12,6 +11,7 @@
   ownerKey,
 } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { fetchFromPeer } from './_peer_messages.ts';
 
 /** Load measured by the node of one owner. */
 export interface LoadReport {
@@ -84,11 +84,8 @@
 
   const fetchReport = async (address: string): Promise<LoadReport | undefined> => {
     try {
-      const { body, statusCode } = await request(`http://${address}/marjoramhollow/load`, {
-        signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
-      });
-      const text = await body.text();
-      if (statusCode !== 200) return undefined;
+      const { status, text } = await fetchFromPeer(address, 'load', REPORT_TIMEOUT_MS);
+      if (status !== 200) return undefined;
       const parsed = reportSchema.safeParse(JSON.parse(text));
       return parsed.success ? parsed.data : undefined;
     } catch (error) {
