Close an idle connection that receives bytes

A sick instance or peer could cost its node all of its processor time without any request: line breaks without end after a complete answer were read for as long as the connection was kept, and the connection was used again.

Cause: undici skips line breaks before a response and reports nothing, so an idle connection that receives them stays in the pool.

Garbage, interim responses and further answers closed the connection before too and stay as a guard.

Why it works: each connection of the pool has a client of its own, whose public statistics tell whether a request runs. Bytes that arrive while none does close the connection. Sound answers keep their connection: a further test sends 20 requests and sees one connection.

--- a/forward/truncation_aware_pool.ts
+++ b/forward/truncation_aware_pool.ts
@@ -1,7 +1,7 @@
-import { buildConnector, Pool } from 'undici';
+import { buildConnector, Client, Pool } from 'undici';
 import { findHeader } from './headers.ts';
 
-/** A connection pool that detects truncated responses. */
+/** A connection pool that detects truncated responses and closes misused idle connections. */
 export interface TruncationAwarePool {
   readonly pool: Pool;
   /**
@@ -25,7 +25,8 @@
 );
 
 /**
- * Creates a connection pool without pipelining that detects truncated responses.
+ * Creates a connection pool without pipelining that detects truncated responses. A connection that
+ * receives bytes while no request runs on it is closed.
  *
  * @param address Host and port.
  * @param options Connection limit and timeouts.
@@ -46,26 +47,39 @@
     isReset = false;
     isEnded = false;
   };
+  const createClient = (origin: URL, clientOptions: object) => {
+    const client: Client = new Client(origin, {
+      ...clientOptions,
+      connect: (target, done) => connect(target, (...result) => {
+        const [, socket] = result;
+        let expectedBytes = 0;
+        // undici adds its listeners later, so these run first.
+        socket?.on('readable', () => {
+          // undici skips line breaks before a response, however many there are.
+          if (client.stats.running > 0) expectedBytes = socket.bytesRead;
+          else if (socket.bytesRead > expectedBytes) socket.destroy();
+        });
+        socket?.on('error', () => {
+          isReset = true;
+          process.nextTick(clearFlags);
+        });
+        socket?.on('end', () => {
+          isEnded = true;
+          // libuv reports a reset that arrives right after data as the end of the connection; the
+          // socket then has no remote address any more.
+          if (socket.remoteAddress === undefined) isReset = true;
+          process.nextTick(clearFlags);
+        });
+        done(...result);
+      }),
+    });
+    return client;
+  };
   const pool = new Pool(`http://${address}`, {
     connections: options.connections,
     pipelining: 1,
     keepAliveTimeout: options.keepAliveMs,
-    connect: (target, done) => connect(target, (...result) => {
-      const [, socket] = result;
-      // undici adds its listeners later, so these run first.
-      socket?.on('error', () => {
-        isReset = true;
-        process.nextTick(clearFlags);
-      });
-      socket?.on('end', () => {
-        isEnded = true;
-        // libuv reports a reset that arrives right after data as the end of the connection; the
-        // socket then has no remote address any more.
-        if (socket.remoteAddress === undefined) isReset = true;
-        process.nextTick(clearFlags);
-      });
-      done(...result);
-    }),
+    factory: createClient,
   });
   return {
     pool,
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -169,4 +169,37 @@
   }
 }
 
+const bytesAfterAnswer: Readonly<Record<string, string>> = {
+  'line breaks': '\r\n',
+  garbage: '\0x',
+  'interim responses': 'HTTP/1.1 102 Processing\r\n\r\n',
+  answers: 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello',
+};
+
+// Guards against bytes on an idle connection that cost processor time or count for a later request.
+for (const [name, text] of Object.entries(bytesAfterAnswer)) {
+  for (const delayMs of [0, 50]) {
+    test(`${name} ${delayMs} ms after a complete answer close the connection`, async () => {
+      const { answer, runs, outcome } = await callSick('local', (socket, headOf) => {
+        socket.write(`${headOf()}content-length: 5\r\n\r\nhello`);
+        if (delayMs === 0) writeEndlessly(socket, text);
+        else setTimeout(() => writeEndlessly(socket, text), delayMs);
+      });
+      assert.is(answer.text, 'hello');
+      assert.ok(answer.isComplete);
+      assert.is(outcome, 'answered');
+      assert.equal(runs, [1, 0]);
+    });
+  }
+}
+
+test('sound answers keep their connection', async () => {
+  const path = await startPath('local', answerSoundly);
+  for (let count = 0; count < 20; count += 1) assert.is((await path.call()).text, 'sound');
+  const { connections, requests } = path.instances[0]!.counts;
+  await path.stop();
+  assert.is(requests, 20);
+  assert.is(connections, 1);
+});
+
 test.run();
