Write log lines in batches of 100 ms

A busy host makes a system call for each log line, up to 100 a second, each with the cost of two streams. Lines are now collected for at most 100 ms or 16 kB and written together; the last ones are written when the process exits. A process that is killed loses at most 100 ms of lines.

--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -55,7 +55,7 @@
   }
   const clock = createSystemClock();
   const logger = createRateLimitedLogger(
-    createLogger('node', { node: settings.value.node, stream: openLogOutput() }),
+    createLogger('node', { node: settings.value.node, stream: openLogOutput(clock) }),
     { clock },
   );
   const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
--- a/telemetry/output_stream.ts
+++ b/telemetry/output_stream.ts
@@ -1,6 +1,8 @@
-import { fstatSync } from 'node:fs';
+import { fstatSync, writeSync } from 'node:fs';
 import { Socket } from 'node:net';
 import { Writable } from 'node:stream';
+import type { Clock } from '../clock/mod.ts';
+import { createLineBuffer } from './_line_buffer.ts';
 
 /** Lines are dropped while a slow reader of standard output leaves this much unread. */
 const MAX_BUFFERED_BYTES = 262_144;
@@ -17,20 +19,37 @@
 
 /**
  * Opens standard output for log lines. Writes never block; lines are dropped while the buffer is
- * full.
+ * full. Lines are written in batches, and the last ones when the process exits.
  *
+ * @param clock Clock of the batches.
  * @returns The stream.
  *
  * @example
- * const logger = createLogger('node', { stream: openLogOutput() });
+ * const logger = createLogger('node', { stream: openLogOutput(clock) });
  */
-export const openLogOutput = (): NodeJS.WritableStream => {
+export const openLogOutput = (clock: Clock): NodeJS.WritableStream => {
   const output = openOutput();
   // When the reader has gone, there is nowhere to report the error.
   output.on('error', () => undefined);
+  const buffer = createLineBuffer({
+    clock,
+    write: (lines) => {
+      if (output.writableLength < MAX_BUFFERED_BYTES) output.write(lines);
+    },
+  });
+  process.once('exit', () => {
+    const lines = buffer.take();
+    if (lines === '') return;
+    try {
+      writeSync(STDOUT_FD, lines);
+    } catch {
+      // The reader has gone, or the pipe is full.
+    }
+  });
   return new Writable({
-    write: (chunk: Buffer, _, done) => {
-      if (output.writableLength < MAX_BUFFERED_BYTES) output.write(chunk);
+    decodeStrings: false,
+    write: (line: string | Buffer, _, done) => {
+      buffer.append(String(line));
       done();
     },
   });
