Move a hot key to the owner with the most capacity to spare

Cause: only the least utilised owner was considered as destination. And the loss during a move was taken to be the whole load of the range, although an overloaded owner refuses most of it anyway, so that a move of a hot key seemed not to pay off.

Change: the owner with the most capacity to spare is considered too, and only the served part of the load is lost during a move.

Test: ranges/range_planning_test.ts; no move was planned before.

--- a/ranges/plan_moves.ts
+++ b/ranges/plan_moves.ts
@@ -73,27 +73,40 @@
 ) => {
   const before = goodput(source) + goodput(destination);
   const after = goodput(source, -load) + goodput(destination, load);
-  return (after - before) * BENEFIT_DURATION_S - load * MOVE_PAUSE_S;
+  // An overloaded source refuses most requests of the range without a move, too.
+  const servedFraction = Math.min(1, goodput(source) / Math.max(source.load, Number.EPSILON));
+  return (after - before) * BENEFIT_DURATION_S - load * servedFraction * MOVE_PAUSE_S;
 };
 
-/** Returns the range with the largest gain, or undefined when no move has a positive gain. */
-const chooseRange = (
+/** Returns the move with the largest gain, or undefined when no move has a positive gain. */
+const chooseMove = (
   ranges: readonly MovableRange[],
   source: CandidateUsage,
-  destination: CandidateUsage,
+  destinations: ReadonlySet<CandidateUsage>,
 ) => {
-  let best: MovableRange | undefined;
+  let best: { readonly range: MovableRange; readonly destination: CandidateUsage } | undefined;
   let bestGain = 0;
-  for (const range of ranges) {
-    if (utilisation(destination, range.load) * HYSTERESIS_RATIO > utilisation(source)) continue;
-    const gain = goodputGain(range, source, destination);
-    if (gain <= bestGain) continue;
-    best = range;
-    bestGain = gain;
+  for (const destination of destinations) {
+    for (const range of ranges) {
+      if (utilisation(destination, range.load) * HYSTERESIS_RATIO > utilisation(source)) continue;
+      const gain = goodputGain(range, source, destination);
+      if (gain <= bestGain) continue;
+      best = { range, destination };
+      bestGain = gain;
+    }
   }
   return best;
 };
 
+const headroom = ({ candidate, load }: CandidateUsage) => candidate.capacity - load;
+
+/** The least utilised owner, and that with most capacity to spare, which suits a single hot key. */
+const listDestinations = (sorted: readonly CandidateUsage[]): ReadonlySet<CandidateUsage> => {
+  let roomiest = sorted.at(-1)!;
+  for (const usage of sorted) if (headroom(usage) > headroom(roomiest)) roomiest = usage;
+  return new Set([sorted.at(-1)!, roomiest]);
+};
+
 /**
  * Plans the first keys of an instance that owns none: as many as its share of the capacity, taken
  * from the upper ends of the largest rows of the two most utilised owners, half of an owner's keys
@@ -154,12 +167,14 @@
 
   const nextMove = (): RangeAssignment | undefined => {
     const sorted = [...usages].sort((left, right) => utilisation(right) - utilisation(left));
-    const destination = sorted.at(-1)!;
+    const destinations = listDestinations(sorted);
     for (const source of sorted) {
-      if (source === destination || utilisation(source) < CONGESTION_UTILISATION) return undefined;
+      const isCongested = utilisation(source) >= CONGESTION_UTILISATION;
+      if (destinations.has(source) || !isCongested) return undefined;
       const sourceRanges = ranges.get(source)!;
-      const range = chooseRange(sourceRanges, source, destination);
-      if (range === undefined) continue;
+      const move = chooseMove(sourceRanges, source, destinations);
+      if (move === undefined) continue;
+      const { range, destination } = move;
       sourceRanges.splice(sourceRanges.indexOf(range), 1);
       source.load -= range.load;
       destination.load += range.load;
--- a/ranges/range_planning_test.ts
+++ b/ranges/range_planning_test.ts
@@ -110,4 +110,19 @@
   assert.ok(moves.some(({ from }) => from >= quarter && from < 2 * quarter), 'no key moves');
 });
 
+// The least utilised instance got a hot key although another could serve twice as many requests.
+test('a single hot key moves to the instance with the most capacity to spare', () => {
+  const candidates = [
+    candidateOf('slow', 24), candidateOf('fast', 57), candidateOf('idle', 24),
+  ];
+  const record = assignAll(candidates);
+  const { from } = record.rows.find(({ owner }) => owner?.node === 'slow')!;
+  const { from: other } = record.rows.find(({ owner }) => owner?.node === 'fast')!;
+  const cells: LoadCell[] = [
+    { from, to: from, rate: 150 }, { from: other, to: other, rate: 5 },
+  ];
+  const [move] = planMoves(record, { candidates, cells });
+  assert.equal([move?.from, move?.to, move?.owner.node], [from, from, 'fast']);
+});
+
 test.run();
