Keep the field names of the refusal line at the instance's node

The line that says which step refused a request of a peer had lost notRun and reason, by which explain finds the cause when the caller's line is missing. They are back, beside the step and the figures.

--- a/gateway/_log_fields.ts
+++ b/gateway/_log_fields.ts
@@ -1,15 +1,11 @@
 import type { AttemptOutcome } from './request.ts';
 
-/** Log fields of a refusal: reason, step and the figures that the decision was based on. */
-export const refusalFields = (outcome: AttemptOutcome) => {
-  if (outcome.kind !== 'refused') return {};
-  const {
-    message, step, outcome: ran, figures,
-  } = outcome.refusal;
-  return {
-    refusal: message, step, mayHaveRun: ran === 'unknown', ...figures,
-  };
-};
+/** Log fields of a refusal: the step that refused and the figures that it went by. */
+export const refusalFields = (outcome: AttemptOutcome) => (
+  outcome.kind === 'refused'
+    ? { step: outcome.refusal.step, ...outcome.refusal.figures }
+    : {}
+);
 
 /** Log fields of the time that an attempt spent at the node of the instance, in ms. */
 export const timingFields = (outcome: AttemptOutcome) => {
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -143,7 +143,10 @@
     if (outcome.kind === 'refused') {
       const { refusal, reachedInstance } = outcome;
       logger.warn({
-        ...fields, ...refusalFields(outcome),
+        ...fields,
+        notRun: refusal.outcome === 'not run',
+        reason: refusal.message,
+        ...refusalFields(outcome),
       }, 'refused request from peer');
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -133,6 +133,9 @@
         reason: target.reason,
         view: target.view,
         outcome: outcome.kind,
+        ...(outcome.kind === 'refused' ? {
+          refusal: outcome.refusal.message, mayHaveRun: outcome.refusal.outcome === 'unknown',
+        } : {}),
         ...refusalFields(outcome),
         ...timingFields(outcome),
         headMs: headAt === undefined ? undefined : Math.round(headAt - startedAt),
