--- a/fleet/peer_messages_test.ts
+++ b/fleet/peer_messages_test.ts
@@ -22,6 +22,7 @@
     logger: noopLogger,
     ownRanges: () => [],
     ownCapacity: () => 0,
+    ownWork: () => ({ slots: 1, classes: [] }),
   });
   const owner = { node: 'n-2', instance: 'i-2', startedAt: 1 };
   await collector.collect([{ owner, address }]);
