--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -224,7 +224,9 @@
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
       reason: reasonOf(outcome),
-    }, outcome.kind === 'truncated' ? 'ended without an answer' : 'not answered');
+    }, outcome.kind === 'truncated' && !isDisconnected
+      ? 'ended without an answer'
+      : 'not answered');
   };
 
   const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
