End an attempt with too many interim responses

An instance that sends interim responses without end cost its node all of its processor time until the deadline of the request, and a safe request was not repeated in time: the caller got 504 at its deadline.

Cause: an interim response counts as progress, and their number had no limit.

Why it works: the exchange fails after 10,000 interim responses, which a live peer, with a few in a second, does not reach within any deadline. The attempt counts as a broken connection: a safe request may be repeated, any other one is unknown.

The other endless heads held before and stay as guards: headers and garbage without end fail the attempt at once; a status line, line breaks and slow interim responses end at the deadline with 504 and the outcome `unknown`.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -62,6 +62,8 @@
 const MAX_DRAIN_MS = 100;
 /** Largest number of bytes that wait for the receiver of a response that cannot be paused. */
 const MAX_UNSENT_BYTES = 16_777_216;
+/** Far above what a live peer sends, which is a few in a second. */
+const MAX_INTERIM_RESPONSES = 10_000;
 const MIN_FINAL_STATUS = 200;
 /** Delay of a progress check from which on this process is assumed to have been paused. */
 const LATE_CHECK_MS = 250;
@@ -104,6 +106,7 @@
   let rawHead: readonly string[] = [];
   /** True if the connection closes after this response. */
   let closesConnection = false;
+  let interimCount = 0;
   let discardedBytes = 0;
   let drainEndsAt = Infinity;
   let cause: FailureCause = 'connection';
@@ -209,7 +212,13 @@
     onResponseStart: (current, statusCode) => {
       if (isSettled) return;
       lastProgressAt = clock.now();
-      if (statusCode < MIN_FINAL_STATUS) return;
+      if (statusCode < MIN_FINAL_STATUS) {
+        interimCount += 1;
+        if (interimCount > MAX_INTERIM_RESPONSES) {
+          fail('connection', new Error('too many interim responses'));
+        }
+        return;
+      }
       const raw = toStrings(current.rawHeaders);
       const mismatch = options.checkHead?.(raw);
       if (mismatch !== undefined) {
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -99,6 +99,60 @@
   }
 }
 
+/** Endless bytes in place of a head that end the attempt at once. */
+const brokenHeads: Readonly<Record<string, Respond>> = {
+  'a header without end': (socket, headOf) => {
+    socket.write(`${headOf()}x-a: `);
+    writeEndlessly(socket, 'x');
+  },
+  'headers without end': (socket, headOf) => {
+    socket.write(headOf());
+    writeEndlessly(socket, 'x-a: b\r\n');
+  },
+  garbage: (socket) => writeEndlessly(socket, '\0garbage'),
+  'interim responses': (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
+};
+
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(brokenHeads)) {
+    test(`${hop}: ${name} in place of an answer let a safe request be repeated`, async () => {
+      const { answer, runs } = await callSick(hop, respond);
+      assert.is(answer.text, 'sound');
+      assert.equal(runs, [1, 1]);
+    });
+
+    test(`${hop}: ${name} in place of an answer leave an unsafe request unknown`, async () => {
+      const { answer, runs } = await callSick(hop, respond, { kind: 'unsafe' });
+      assert.is(answer.status, 502);
+      assert.match(answer.text, '"outcome":"unknown"');
+      assert.equal(runs, [1, 0]);
+    });
+  }
+}
+
+/** Endless bytes in place of a head, which are read until the deadline. */
+const delayedHeads: Readonly<Record<string, Respond>> = {
+  'a status line without end': (socket) => {
+    socket.write('HTTP/1.1 200 ');
+    writeEndlessly(socket, 'x');
+  },
+  'line breaks': (socket) => writeEndlessly(socket, '\r\n'),
+  'slow interim responses': (socket) => writeSlowly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
+};
+
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(delayedHeads)) {
+    test(`${hop}: ${name} in place of an answer end at the deadline`, async () => {
+      for (const kind of ['safe', 'unsafe'] as const) {
+        const { answer, runs } = await callSick(hop, respond, { kind });
+        assert.is(answer.status, 504);
+        assert.match(answer.text, '"outcome":"unknown"');
+        assert.equal(runs, [1, 0]);
+      }
+    });
+  }
+}
+
 const unwantedBodies: Readonly<Record<string, (socket: Parameters<Respond>[0]) => void>> = {
   'chunks at full speed': (socket) => writeEndlessly(socket, '5\r\nhello\r\n'),
   'slow chunks': (socket) => writeSlowly(socket, '1\r\nx\r\n'),
