Answer a request whose handling fails inside the node

A caller whose accepted request met an error inside the node got a closed connection instead of an answer. An error after the end of a response, for example in a metric, cut the part of it that was not yet sent.

Cause: the error handlers of both request listeners reset the connection, whatever had been sent before.

The error handlers now answer 502, or to a peer a refusal with an unknown outcome, if no response has begun. They cut a response that has begun, which must not look complete, and leave one that has ended alone.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
-import { hasBody } from '../http/mod.ts';
+import { hasBody, resetConnection } from '../http/mod.ts';
 
 const MAX_DISCARD_MS = 500;
 /** The end of a connection is read one turn after its last bytes and emitted in the turn after. */
@@ -88,6 +88,22 @@
   message.resume();
 };
 
+/**
+ * Ends a request whose handling threw an error: with the given response if none has begun. A
+ * response that has begun is cut, and one that has ended is still sent.
+ */
+export const respondToError = (
+  clock: Clock,
+  response: ServerResponse,
+  status: number,
+  headers: readonly string[],
+  text: string,
+): void => {
+  if (response.writableEnded) return;
+  if (response.headersSent) resetConnection(response);
+  else respondBeforeBody(clock, response, status, headers, text);
+};
+
 /** Sends 100 Continue to a caller that waits for it before it sends the body. */
 export const sendContinueIfExpected = (
   expect: 'none' | 'continue' | 'other',
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -18,7 +18,7 @@
 import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
 import {
   abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondBeforeBody,
-  respondWithJson, sendContinueIfExpected,
+  respondToError, respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
@@ -236,14 +236,13 @@
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
     serve(message, response, route, arrivedAt).catch((error: unknown) => {
-      const isAnswerable = !response.headersSent;
+      const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
-      }, isAnswerable ? 'failed to handle request' : 'ended without an answer');
+      }, isCut ? 'ended without an answer' : 'failed to handle request');
       const idHeader = [headerNames.requestId, requestId ?? ''];
       const text = '{"error":"the request could not be handled","outcome":"unknown"}';
-      if (isAnswerable) respondWithJson(response, STATUS_BAD_GATEWAY, idHeader, text);
-      else resetConnection(response);
+      respondToError(clock, response, STATUS_BAD_GATEWAY, idHeader, text);
     });
   };
 
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -89,4 +89,26 @@
   await listener.stop();
 });
 
+// An error inside the node closed the connection of a request that had been accepted.
+test('a request whose handling fails gets an answer', async () => {
+  const { listener, address } = await setUp(neverSend);
+  assert.match(await post(address, '/orders/', 5), /^HTTP\/1\.1 502 .*unknown/su);
+  await listener.stop();
+});
+
+// An error after the end of a response reset the connection on which it was being sent.
+test('a response is sent to its end although its bookkeeping fails', async () => {
+  const { listener, address } = await setUp(async (_, __, sink) => {
+    const body = Buffer.alloc(16_777_216, 'x');
+    sink.start(200, ['content-length', String(body.length)], false);
+    sink.write(body);
+    sink.end();
+    throw new Error('the bookkeeping failed');
+  });
+  const received = await post(address, '/orders/', 5);
+  assert.match(received, /^HTTP\/1\.1 200 /u);
+  assert.ok(received.length > 16_777_216, `received ${received.length} bytes`);
+  await listener.stop();
+});
+
 test.run();
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -10,12 +10,12 @@
 import type { Logger } from '../telemetry/mod.ts';
 import {
   abortOnClose, firstHeaderValue, processPendingSocketEvents, respondBeforeBody,
-  respondWithJson,
+  respondToError, respondWithJson,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
-import { refuseNotRun } from './_refusals.ts';
+import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import { MAX_PEER_SILENCE_MS } from './peer_client.ts';
@@ -190,7 +190,9 @@
       logger.error({
         request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
       }, 'failed to handle request from peer');
-      resetConnection(response);
+      const { refusal } = refuseUnknown('the node failed', { step: 'peer.receive' });
+      const headers = [...encodeRefusal(refusal), hopHeaders.reached, '1'];
+      respondToError(clock, response, refusal.status, headers, '');
     });
   };
 
