Let a bulk body continue while others hold the buffer

Callers saw downloads cut at their deadline although the link was free: once receivers that had stopped reading (a partitioned host, a stopped caller) held the whole buffer of the link, each further download of the host was paused after its first chunk and continued only when the buffer had room again, which stalled receivers never give.

A body of which nothing waits may now be read on, as a response without room in the response buffer was before the pacing. Memory stays bounded by the buffer and one read of each body.

--- a/http/bulk_sink.ts
+++ b/http/bulk_sink.ts
@@ -46,7 +46,7 @@
     },
     write: (chunk) => {
       body?.write(chunk);
-      return link.hasRoom();
+      return body?.hasRoom() ?? true;
     },
     onDrain: (resume) => {
       resumeReading = resume;
--- a/http/bulk_sink_test.ts
+++ b/http/bulk_sink_test.ts
@@ -67,6 +67,32 @@
   assert.is(link.backlogBytes(), 0);
 });
 
+// A few receivers that had stopped reading held the whole buffer, and every other download of the
+// host was cut at its deadline.
+test('reading continues while other receivers hold the buffer', async () => {
+  const {
+    clock, link, response, sink: stalled,
+  } = setUp();
+  response.acceptsMore = false;
+  stalled.start(200, []);
+  for (let count = 0; count < 12; count += 1) stalled.write(Buffer.alloc(10_000));
+  const other = Object.assign(new EventEmitter(), {
+    destroyed: false, writeHead: () => undefined, write: () => true, end: () => undefined,
+  });
+  const sink = createBulkSink(other as unknown as ServerResponse, () => undefined, link);
+  sink.start(200, []);
+  let chunks = 0;
+  const read = () => {
+    chunks += 1;
+    if (chunks === 5) return;
+    if (sink.write(Buffer.alloc(10_000))) read();
+    else sink.onDrain(read);
+  };
+  read();
+  await clock.advance(100);
+  assert.is(chunks, 5);
+});
+
 test('the end of a response without a body is passed on', () => {
   const { response, sink } = setUp();
   sink.start(204, []);
--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -12,6 +12,8 @@
   readonly discard: () => void;
   /** Continues after the receiver has caught up. */
   readonly resume: () => void;
+  /** Returns whether more chunks of this body may be buffered. */
+  readonly hasRoom: () => boolean;
   /** Returns the memory in bytes of the chunks that wait here. */
   readonly waitingBytes: () => number;
 }
@@ -113,6 +115,9 @@
 
   const hasRoom = () => waitingBytes < options.maxBufferedBytes;
 
+  /** A body of which nothing waits has room, so that slow receivers of others do not stop it. */
+  const hasRoomFor = (body: OpenBody) => body.waitingBytes === 0 || hasRoom();
+
   const addWaiting = (body: OpenBody, bytes: number) => {
     waitingBytes += bytes;
     Object.assign(body, { waitingBytes: body.waitingBytes + bytes });
@@ -143,8 +148,7 @@
 
   const notifyRoom = () => {
     for (const body of bodies) {
-      if (!hasRoom()) return;
-      if (!body.isWaitingForRoom) continue;
+      if (!body.isWaitingForRoom || !hasRoomFor(body)) continue;
       Object.assign(body, { isWaitingForRoom: false });
       body.destination.onRoom();
     }
@@ -186,7 +190,7 @@
         backlogBytes += chunk.length;
         addWaiting(body, memoryOf(chunk));
         if (cancelTimer === undefined) pump();
-        body.isWaitingForRoom = !hasRoom();
+        body.isWaitingForRoom = !hasRoomFor(body);
       },
       end: () => {
         body.hasEnded = true;
@@ -200,6 +204,7 @@
         body.chunks.length = 0;
         notifyRoom();
       },
+      hasRoom: () => hasRoomFor(body),
       waitingBytes: () => body.waitingBytes,
       resume: () => {
         body.isBlocked = false;
