Do not resume a response from within the parser of another

Callers could see a download reset although its instance sent all of it, and a second one stop until its deadline. The last bytes or the end of one bulk response sent waiting chunks of others; if that freed room in the buffer, a paused response was resumed in the same turn, within the parser of the first one. undici has one active parser and fails the first response with an assertion; the second one stays paused.

The new test fails before the change, as reading continues within the call of end().

Calls that come from a parser now let reading continue in a microtask, which runs once the parser has returned.

--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -154,16 +154,27 @@
     }
   };
 
-  const pump = () => {
+  const sendBodies = () => {
     cancelTimer?.();
     cancelTimer = undefined;
     refill();
     for (const body of bodies) {
       if (sendBody(body)) continue;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
       cancelTimer = clock.schedule(Math.max(1, Math.ceil((1 - credit) / bytesPerMs)), pump);
       break;
     }
+  };
+
+  function pump() {
+    sendBodies();
     notifyRoom();
+  }
+
+  /** For calls from within the parser of a response, in which undici cannot resume another one. */
+  const pumpInParser = () => {
+    sendBodies();
+    queueMicrotask(notifyRoom);
   };
 
   const recordSize = (bytes: number) => {
@@ -189,13 +200,13 @@
         body.bytes += chunk.length;
         backlogBytes += chunk.length;
         addWaiting(body, memoryOf(chunk));
-        if (cancelTimer === undefined) pump();
+        if (cancelTimer === undefined) pumpInParser();
         body.isWaitingForRoom = !hasRoomFor(body);
       },
       end: () => {
         body.hasEnded = true;
         recordSize(body.bytes);
-        if (cancelTimer === undefined || body.chunks.length === 0) pump();
+        if (cancelTimer === undefined || body.chunks.length === 0) pumpInParser();
       },
       discard: () => {
         if (!bodies.delete(body)) return;
--- a/http/egress_link_test.ts
+++ b/http/egress_link_test.ts
@@ -101,6 +101,20 @@
   assert.is(sent.includes('a:room'), true);
 });
 
+// undici fails a response when another one is resumed from within its parser.
+test('reading continues only after the call that made room', async () => {
+  const { clock, open, sent } = setUp(20_000);
+  const first = open('a');
+  for (let count = 0; count < 2; count += 1) first.write(Buffer.alloc(10_000));
+  const second = open('b');
+  for (let count = 0; count < 2; count += 1) second.write(Buffer.alloc(10_000));
+  await clock.advance(4.5);
+  first.end();
+  assert.is(sent.at(-1), 'b:10000');
+  await Promise.resolve();
+  assert.is(sent.at(-1), 'b:room');
+});
+
 test('the delay of a further body counts the backlog and the expected bodies', async () => {
   const { clock, link, open } = setUp();
   assert.is(link.bulkDelayMs(), 0);
