Give slot and expectation back when a run throws

An exception in the instance client was answered with 502, but its slot of the instance and its expected body on the link were never given back: the host would have served less with each one, until the end of the process.

Both are now given back in a finally block.

--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -114,8 +114,14 @@
       });
     }
     const startedAt = clock.now();
-    const outcome = await current.client.send(request, sink);
-    permit.value.release(outcome.kind === 'answered' && outcome.status < 500);
+    let isSample = false;
+    let outcome: AttemptOutcome;
+    try {
+      outcome = await current.client.send(request, sink);
+      isSample = outcome.kind === 'answered' && outcome.status < 500;
+    } finally {
+      permit.value.release(isSample);
+    }
     const runMs = clock.now() - startedAt;
     options.onRun?.(request.kind, runMs);
     return outcome.kind === 'answered' ? { ...outcome, timing: { queuedMs, runMs } } : outcome;
@@ -125,9 +131,11 @@
     if (!isBulk(request.kind)) return runInSlot(request, undefined, sink);
     const sendMs = link.bulkDelayMs();
     const endExpectation = link.expectBulk();
-    const outcome = await runInSlot(request, sendMs, sink);
-    endExpectation();
-    return outcome;
+    try {
+      return await runInSlot(request, sendMs, sink);
+    } finally {
+      endExpectation();
+    }
   };
 
   return { forward, load: queue.load };
