--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -12,6 +12,8 @@
   readonly discard: () => void;
   /** Continues after the receiver has caught up. */
   readonly resume: () => void;
+  /** Returns whether more chunks of this body may be buffered. */
+  readonly hasRoom: () => boolean;
   /** Returns the memory in bytes of the chunks that wait here. */
   readonly waitingBytes: () => number;
 }
@@ -113,6 +115,9 @@
 
   const hasRoom = () => waitingBytes < options.maxBufferedBytes;
 
+  /** A body of which nothing waits has room, so that slow receivers of others do not stop it. */
+  const hasRoomFor = (body: OpenBody) => body.waitingBytes === 0 || hasRoom();
+
   const addWaiting = (body: OpenBody, bytes: number) => {
     waitingBytes += bytes;
     Object.assign(body, { waitingBytes: body.waitingBytes + bytes });
@@ -143,23 +148,33 @@
 
   const notifyRoom = () => {
     for (const body of bodies) {
-      if (!hasRoom()) return;
-      if (!body.isWaitingForRoom) continue;
+      if (!body.isWaitingForRoom || !hasRoomFor(body)) continue;
       Object.assign(body, { isWaitingForRoom: false });
       body.destination.onRoom();
     }
   };
 
-  const pump = () => {
+  const sendBodies = () => {
     cancelTimer?.();
     cancelTimer = undefined;
     refill();
     for (const body of bodies) {
       if (sendBody(body)) continue;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
       cancelTimer = clock.schedule(Math.max(1, Math.ceil((1 - credit) / bytesPerMs)), pump);
       break;
     }
+  };
+
+  function pump() {
+    sendBodies();
     notifyRoom();
+  }
+
+  /** For calls from within the parser of a response, in which undici cannot resume another one. */
+  const pumpInParser = () => {
+    sendBodies();
+    queueMicrotask(notifyRoom);
   };
 
   const recordSize = (bytes: number) => {
@@ -185,13 +200,13 @@
         body.bytes += chunk.length;
         backlogBytes += chunk.length;
         addWaiting(body, memoryOf(chunk));
-        if (cancelTimer === undefined) pump();
-        body.isWaitingForRoom = !hasRoom();
+        if (cancelTimer === undefined) pumpInParser();
+        body.isWaitingForRoom = !hasRoomFor(body);
       },
       end: () => {
         body.hasEnded = true;
         recordSize(body.bytes);
-        if (cancelTimer === undefined || body.chunks.length === 0) pump();
+        if (cancelTimer === undefined || body.chunks.length === 0) pumpInParser();
       },
       discard: () => {
         if (!bodies.delete(body)) return;
@@ -200,6 +215,7 @@
         body.chunks.length = 0;
         notifyRoom();
       },
+      hasRoom: () => hasRoomFor(body),
       waitingBytes: () => body.waitingBytes,
       resume: () => {
         body.isBlocked = false;
