Do not count blocked bodies as wait for the link

Cause: the expected wait counted all bytes that wait, also those of bodies that wait for their receiver and not for the link.

Bodies that are blocked are passed over by the sender too, so they are not ahead of a new one.

--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -239,7 +239,11 @@
         isExpected = false;
       };
     },
-    bulkDelayMs: () => (backlogBytes + (expectedBodies + 1) * meanBodyBytes) / bytesPerMs,
+    bulkDelayMs: () => {
+      let aheadBytes = (expectedBodies + 1) * meanBodyBytes;
+      for (const { isBlocked, waitingBytes: bytes } of bodies) if (!isBlocked) aheadBytes += bytes;
+      return aheadBytes / bytesPerMs;
+    },
     backlogBytes: () => backlogBytes,
   };
 };
--- a/http/egress_link_test.ts
+++ b/http/egress_link_test.ts
@@ -41,6 +41,18 @@
   assert.ok(bytesOf('a') >= 100 * 900 * 0.9, `${bytesOf('a')} after 100 ms`);
 });
 
+// Bodies of receivers that had stopped reading made a host refuse all further downloads.
+test('a body whose receiver has stopped reading does not count as wait for the link', async () => {
+  const { clock, link, open } = setUp();
+  writeBody(open('stopped', () => false), 500_000);
+  await clock.advance(100);
+  writeBody(open('next'), 90_000);
+  await clock.advance(200);
+  assert.ok(link.backlogBytes() > 400_000, `${link.backlogBytes()} bytes wait`);
+  const oneBodyMs = 500_000 / 900;
+  assert.ok(link.bulkDelayMs() <= oneBodyMs, `${link.bulkDelayMs()} ms`);
+});
+
 // An instance sends chunks of 64 kB, each of which kept a link of 9 Mbit/s busy for 57 ms.
 test('a large chunk is not sent at once', async () => {
   const { clock, open, bytesOf } = setUp();
