End the process when its start fails

Callers could reach a listener of a node whose start had failed half-way: the process lived on and ignored SIGTERM, whose handler is set after the start; SIGKILL then cut what it had accepted.

Cause: a failed start only set the exit status. Since signals are caught from the first import on, nothing ended the process any more.

--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -76,4 +76,8 @@
   });
 };
 
-main().catch((error: unknown) => fail(EXIT_FAILED, String(error)));
+main().catch((error: unknown) => {
+  fail(EXIT_FAILED, String(error));
+  // Listeners and timers of a start that has failed half-way would keep the process alive.
+  process.exit();
+});
--- a/fleet/main_test.ts
+++ b/fleet/main_test.ts
@@ -4,6 +4,7 @@
   mkdtempSync, rmSync, unlinkSync, writeFileSync,
 } from 'node:fs';
 import { open } from 'node:fs/promises';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { suite } from 'uvu';
@@ -28,6 +29,8 @@
   store: { address: `${host}:7005`, writesPerSecond: 400, readsPerSecond: 2000 },
 });
 
+const START_LIMIT_MS = 15_000;
+
 /** Starts the process and sends it a signal while it waits for its settings. */
 const startWithSignal = async (signal: 'SIGHUP' | 'SIGTERM') => {
   const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
@@ -69,6 +72,24 @@
   assert.is(await startWithSignal('SIGTERM'), 'ended: 0');
 });
 
+// A process whose start had failed lived on with open listeners and ignored SIGTERM.
+test('a start that fails ends the process', async () => {
+  const server = createServer().listen(7001, host);
+  await once(server, 'listening');
+  const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
+  const path = join(directory, 'settings.json');
+  writeFileSync(path, settings);
+  const child = spawn(process.execPath, ['--import', 'tsx', 'fleet/main.ts'], {
+    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'ignore', 'ignore'],
+  });
+  const limit = setTimeout(() => child.kill('SIGKILL'), START_LIMIT_MS);
+  const [status] = await once(child, 'exit') as [number | null];
+  clearTimeout(limit);
+  server.close();
+  rmSync(directory, { recursive: true });
+  assert.is(status, 1);
+});
+
 // The handler of the signal was removed after the first one, so that the next one ended the process
 // with requests in flight.
 test('a second SIGTERM does not end the process before its graceful stop', async () => {
