Answer a request of which only the head of a response arrived

Callers saw their connection reset when the hop to the instance was cut after the head of a response and before its body, although nothing had been sent to them: the head is handed to the socket with the first part of the body only. It had been formatted by then, so that no other response could be sent.

The response sink now keeps the head until the first part of the body or the end arrives, and an exchange counts as begun from then on. A failure before is a refusal with an unknown outcome: an idempotent request is repeated within its budget, any other gets a complete 502, or 504 at its deadline. An attempt that had won the race with its head gives it up.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -54,7 +54,7 @@
     readonly error: Error;
     /** True if the request was handed to a connection, so the receiver may have it. */
     readonly written: boolean;
-    /** True if the sink received the response head and returned `deliver`. */
+    /** True if the sink received a part of the response body and may have sent the head too. */
     readonly begun: boolean;
   };
 
@@ -106,6 +106,8 @@
   let responseAction: ResponseAction | undefined;
   let status = 0;
   let rawHead: readonly string[] = [];
+  /** True once the sink received a part of the body, before which it sends nothing. */
+  let hasBegun = false;
   /** True if the connection closes after this response. */
   let closesConnection = false;
   let interimCount = 0;
@@ -130,9 +132,8 @@
   const fail = (reason: FailureCause, error: Error) => {
     if (isSettled) return;
     cause = reason;
-    const begun = responseAction === 'deliver';
     settle({
-      kind: 'failed', cause, error, written: controller !== undefined, begun,
+      kind: 'failed', cause, error, written: controller !== undefined, begun: hasBegun,
     });
     controller?.abort(error);
   };
@@ -263,6 +264,7 @@
         return;
       }
       missingBytes -= chunk.length;
+      hasBegun = true;
       if (sink.write(chunk)) return;
       // undici fails a paused response when its connection closes, so the last one on a connection
       // is not paused, nor any after its last byte.
--- a/forward/hop.ts
+++ b/forward/hop.ts
@@ -9,8 +9,10 @@
 /** Receives a response while it arrives. */
 export interface ResponseSink {
   /**
-   * Called once with the head of the final response; `headers` are end-to-end names and values in
-   * turn. `endsWithConnection`: the body has no declared length and ends with the connection.
+   * Called with the head of the final response; `headers` are end-to-end names and values in turn.
+   * `endsWithConnection`: the body has no declared length and ends with the connection. The head is
+   * sent with the first part of the body or at the end, so that the head of another response can
+   * replace it if this one fails before.
    */
   readonly start: (
     status: number,
--- a/gateway/_attempt_race.ts
+++ b/gateway/_attempt_race.ts
@@ -5,6 +5,8 @@
   /** Aborts when the caller has gone or another attempt delivers its response. */
   readonly signal: AbortSignal;
   readonly sink: ResponseSink;
+  /** Lets another attempt deliver its response after this one failed before it sent anything. */
+  readonly forfeit: () => void;
 }
 
 /** Delivers the response of that attempt of a request which begins one first. */
@@ -58,6 +60,9 @@
             return action;
           },
         },
+        forfeit: () => {
+          if (winner === attempt) winner = undefined;
+        },
       };
     },
     isWon: () => winner !== undefined,
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -117,7 +117,7 @@
       let isSilent = false;
       let headAt: number | undefined;
       let reportSilence = () => undefined as void;
-      const { signal: attemptSignal, sink: attemptSink } = race.enter({
+      const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
         ...sink,
         start: (status, headers, endsWithConnection) => {
           const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
@@ -142,7 +142,7 @@
         },
       );
       return {
-        ended, silence, signal: attemptSignal, headAt: () => headAt,
+        ended, silence, signal: attemptSignal, forfeit, headAt: () => headAt,
       };
     };
 
@@ -200,6 +200,7 @@
       }, 'attempt finished');
       options.onAttempt?.(target, reported, durationMs);
       if (outcome.kind === 'answered' || outcome.kind === 'truncated') return outcome;
+      attempt.forfeit();
       if (outcome.kind === 'failed') {
         mayHaveRun = true;
         options.onRetry?.(service, 'failure');
--- a/http/bulk_sink.ts
+++ b/http/bulk_sink.ts
@@ -41,7 +41,10 @@
   return {
     start: (status, headers, endsWithConnection) => {
       const action = unpaced.start(status, headers, endsWithConnection);
-      if (action === 'deliver') body = open();
+      if (action === 'deliver') {
+        body?.discard();
+        body = open();
+      }
       return action;
     },
     write: (chunk) => {
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from 'node:http';
+import { type ServerResponse, validateHeaderName, validateHeaderValue } from 'node:http';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { ResponseBuffer } from './response_buffer.ts';
 
@@ -7,8 +7,26 @@
 /** Approximate memory of an unsent write in addition to its bytes. */
 const WRITE_OVERHEAD_BYTES = 512;
 
+const MAX_STATUS = 999;
+
+interface PendingHead {
+  readonly status: number;
+  readonly headers: string[];
+  readonly endsWithConnection: boolean;
+}
+
+/** Throws an error if Node.js would not send a response with this status and these headers. */
+const validateHead = (status: number, headers: readonly string[]) => {
+  if (status > MAX_STATUS) throw new RangeError(`invalid status ${status}`);
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    validateHeaderName(headers[index]!);
+    validateHeaderValue(headers[index]!, headers[index + 1]!);
+  }
+};
+
 /**
- * Creates a sink that writes to an HTTP response.
+ * Creates a sink that writes to an HTTP response. The head is kept until the first part of the body
+ * or the end arrives, so that a response whose sender fails before can be replaced by another one.
  *
  * @param response Response to write to.
  * @param addHeaders Appends names and values in turn to the headers before they are sent.
@@ -25,25 +43,36 @@
 ): ResponseSink => {
   /** Writes since the response last had no unsent bytes. */
   let pendingWrites = 0;
+  let pendingHead: PendingHead | undefined;
+
+  const writePendingHead = () => {
+    if (pendingHead === undefined) return;
+    const { status, headers, endsWithConnection } = pendingHead;
+    pendingHead = undefined;
+    if (endsWithConnection) {
+      // Chunked encoding would make a response look complete whose sender may have aborted it.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
+    response.writeHead(status, headers);
+    buffer?.track(response);
+  };
+
   return {
-    start: (status, headers, endsWithConnection) => {
+    start: (status, headers, endsWithConnection = false) => {
       if (response.destroyed) return 'cancel';
       addHeaders(headers);
-      if (endsWithConnection) {
-        // Chunked encoding would make a response look complete whose sender may have aborted it.
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
-      }
       try {
-        response.writeHead(status, headers);
+        validateHead(status, headers);
       } catch {
         // The upstream sent a header that is not valid in HTTP.
         return 'cancel';
       }
-      buffer?.track(response);
+      pendingHead = { status, headers, endsWithConnection };
       return 'deliver';
     },
     write: (chunk) => {
+      writePendingHead();
       if (response.write(chunk)) {
         pendingWrites = 0;
         return true;
@@ -59,6 +88,7 @@
     },
     unsentBytes: () => response.writableLength + pendingWrites * WRITE_OVERHEAD_BYTES,
     end: () => {
+      writePendingHead();
       response.end();
     },
   };
