Answer requests that are followed by invalid input

A request in flight whose connection then delivered invalid bytes, a head that was too large, or a second head too slowly, got the 400, 431 or 408 of that input in place of its own answer; a response that had begun was cut.

The server now ends the connection after the response to the last complete request before the input. A request whose own body is invalid gets 400 as before. The input is read on, so that the close of the client is noticed, up to 64 KiB.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -47,6 +47,8 @@
   readonly responses: Set<ServerResponse>;
   /** Bytes read until the end of the last request; more have been read of an incomplete one. */
   requestsEndAt: number;
+  /** Last response before invalid input, after which the connection ends. */
+  lastResponse?: ServerResponse;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -54,12 +56,27 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Limits the input that is read and discarded while requests before it are answered. */
+const MAX_BYTES_AFTER_ERROR = 65_536;
 
 const statusByErrorCode: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+/** Returns whether the client sent invalid input, or input too slowly, and is still there. */
+const isInputError = (code = '') => (
+  code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  || (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE')
+);
+
+/** Returns the last response to a request that was read to its end. */
+const findLastComplete = (responses: ReadonlySet<ServerResponse>) => {
+  let last: ServerResponse | undefined;
+  for (const response of responses) if (response.req.complete) last = response;
+  return last;
+};
+
 /**
  * Splits an address into host and port.
  *
@@ -132,6 +149,7 @@
     request.once('close', markEnd);
     response.once('close', () => {
       state?.responses.delete(response);
+      if (state?.lastResponse === response) socket.end(() => socket.destroy());
       markEnd();
     });
     options.handle(request, response, expect);
@@ -161,6 +179,17 @@
       socket.destroy();
       return;
     }
+    if (state.lastResponse !== undefined && isInputError(error.code)) {
+      const discardedBytes = (socket as Socket).bytesRead - state.requestsEndAt;
+      if (discardedBytes > MAX_BYTES_AFTER_ERROR) socket.destroy();
+      return;
+    }
+    const lastComplete = findLastComplete(state.responses);
+    if (socket.writable && lastComplete !== undefined && isInputError(error.code)) {
+      state.lastResponse = lastComplete;
+      if (!lastComplete.headersSent) lastComplete.shouldKeepAlive = false;
+      return;
+    }
     let dispatched = false;
     let isResponseStarted = false;
     for (const response of state.responses) {
--- a/http/create_http_server_test.ts
+++ b/http/create_http_server_test.ts
@@ -1,4 +1,4 @@
-import { once } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import { connect } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -73,4 +73,105 @@
   assert.ok(await endsInTime(stopped));
 });
 
+/** Time in ms that a request takes, after the input that follows it has been read. */
+const WORK_MS = 150;
+
+/** Sends bytes on a connection and resolves to all that is received until it closes. */
+const sendBytes = async (bytes: string, workMs: number, isHeadSentFirst = false) => {
+  let isClosed = false;
+  const server = createHttpServer({
+    clock: createSystemClock(),
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: IDLE_GRACE_MS,
+    handle: ({ url }, response) => {
+      response.once('close', () => {
+        isClosed = !response.writableFinished;
+      });
+      if (isHeadSentFirst) response.writeHead(200, ['content-length', '6']).write('do');
+      setTimeout(() => response.end(isHeadSentFirst ? 'ne/a' : `done${url}`), workMs);
+    },
+    renderMalformed,
+  });
+  const { host, port } = splitAddress(await server.listen());
+  const socket = connect(port, host).on('error', () => undefined);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString('latin1');
+  });
+  socket.write(bytes);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  server.kill();
+  return { received, isClosed };
+};
+
+const sendWithInput = (input: string, workMs: number, isHeadSentFirst = false) => (
+  sendBytes(`GET /a HTTP/1.1\r\nhost: h\r\n\r\n${input}`, workMs, isHeadSentFirst)
+);
+
+const invalidInputs: Readonly<Record<string, string>> = {
+  'invalid bytes': '\0invalid\r\n\r\n',
+  'a head that is too large': `GET /b HTTP/1.1\r\nhost: h\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`,
+};
+
+// The error that answers the invalid input took the place of the answer in preparation.
+for (const [name, input] of Object.entries(invalidInputs)) {
+  test(`a request is answered although ${name} follow it`, async () => {
+    const { received } = await sendWithInput(input, WORK_MS);
+    assert.match(received, /^HTTP\/1\.1 200 .*connection: close.*done\/a$/isu);
+  });
+
+  test(`a response that has begun is sent to its end although ${name} follow`, async () => {
+    const { received } = await sendWithInput(input, WORK_MS, true);
+    assert.match(received, /^HTTP\/1\.1 200 .*done\/a$/isu);
+  });
+}
+
+test('all complete requests before invalid bytes are answered', async () => {
+  const { received } = await sendWithInput('GET /b HTTP/1.1\r\nhost: h\r\n\r\n\0\r\n', WORK_MS);
+  assert.match(received, /^HTTP\/1\.1 200 .*done\/aHTTP\/1\.1 200 .*done\/b$/isu);
+});
+
+test('a request is answered although the next head arrives too slowly', async () => {
+  const { received } = await sendWithInput('GET /b HTTP/1.1\r\n', 12_000);
+  assert.match(received, /^HTTP\/1\.1 200 .*connection: close.*done\/a$/isu);
+});
+
+// Guards against a client that sends garbage for as long as its request is in flight.
+test('endless invalid bytes close the connection of a request in flight', async () => {
+  const { received, isClosed } = await sendWithInput('\0'.repeat(2_000_000), 2000);
+  assert.is(received, '');
+  assert.ok(isClosed);
+});
+
+// Guards against work for a client that left, which the invalid bytes before hide.
+test('the close of a client is noticed after invalid bytes', async () => {
+  for (const leave of ['end', 'destroy'] as const) {
+    const events = new EventEmitter();
+    const server = createHttpServer({
+      clock: createSystemClock(),
+      address: '127.0.0.1:0',
+      maxHeaderBytes: 16_384,
+      idleGraceMs: IDLE_GRACE_MS,
+      handle: (_, response) => response.once('close', () => events.emit('closed')),
+      renderMalformed,
+    });
+    const { host, port } = splitAddress(await server.listen());
+    const closed = once(events, 'closed');
+    const socket = connect(port, host).on('error', () => undefined);
+    socket.write('GET /a HTTP/1.1\r\nhost: h\r\n\r\n\0invalid\r\n');
+    setTimeout(() => socket[leave](), WORK_MS);
+    assert.ok(await endsInTime(closed), leave);
+    server.kill();
+  }
+});
+
+test('a request whose own body is invalid gets 400', async () => {
+  const head = 'POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n';
+  const { received } = await sendBytes(`${head}x\r\n`, WORK_MS);
+  assert.match(received, /^HTTP\/1\.1 400 /u);
+});
+
 test.run();
