Let requests end at a former instance process

When an instance registered again at its host, the node destroyed all connections to its former process: what that process still ran was cut, and an unsafe request got 502 in place of its answer.

The client of the former process is now closed gracefully. It sends nothing more, a request in flight keeps its deadline, and its connection ends with the process if that is gone.

gateway/instance_client_test.ts: "a request in flight is answered after the client is closed" and "a request on a closed client does not run" failed on the old code.

--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -23,7 +23,7 @@
 export interface InstanceClient {
   /** Sends a request to the instance and streams the response into `sink`. */
   readonly send: (request: GatewayRequest, sink: ResponseSink) => Promise<AttemptOutcome>;
-  /** Closes all connections at once; requests in flight fail. */
+  /** Sends no further requests and closes each connection once its request has ended. */
   readonly close: () => void;
 }
 
@@ -172,8 +172,8 @@
   return {
     send,
     close: () => {
-      // Requests in flight report their own errors, so an error here adds nothing.
-      pool.destroy().catch(() => undefined);
+      // The process may still answer what it runs; requests in flight report their own errors.
+      pool.close().catch(() => undefined);
     },
   };
 };
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
-import { createInstanceClient } from './instance_client.ts';
+import { createInstanceClient, type InstanceClient } from './instance_client.ts';
 import type { GatewayRequest } from './request.ts';
 
 const test = suite('instance client');
@@ -34,13 +34,14 @@
 
 /** Sends one request to a server that responds with raw bytes. */
 const runAgainst = async (
-  respond: (socket: Socket, requestHead: string) => void,
+  respond: (socket: Socket, requestHead: string, client: InstanceClient) => void,
   receiver: 'quick' | 'slow' = 'quick',
 ) => {
+  let client: InstanceClient;
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       socket.on('error', () => undefined);
-      socket.once('data', (data) => respond(socket, data.toString()));
+      socket.once('data', (data) => respond(socket, data.toString(), client));
     });
     started.listen(0, '127.0.0.1', () => resolve(started));
   });
@@ -54,7 +55,7 @@
     },
     end: () => undefined,
   };
-  const client = createInstanceClient({
+  client = createInstanceClient({
     clock,
     address: `127.0.0.1:${port}`,
     instance: 'i-1',
@@ -153,6 +154,40 @@
   assert.is(outcome.kind, 'truncated');
 });
 
+// An instance that registered again at its host cut the requests that its former process ran.
+test('a request in flight is answered after the client is closed', async () => {
+  const { outcome, body } = await runAgainst((socket, _, client) => {
+    client.close();
+    setTimeout(() => socket.write(`${HEAD}content-length: 5\r\n\r\nhello`), RESET_DELAY_MS);
+  });
+  assert.is(outcome.kind, 'answered');
+  assert.is(body, 'hello');
+});
+
+test('a request in flight on a closed client fails with the process that runs it', async () => {
+  const { outcome } = await runAgainst((socket, _, client) => {
+    client.close();
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  });
+  assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'unknown');
+});
+
+test('a request on a closed client does not run', async () => {
+  let requests = 0;
+  const { outcome } = await runAgainst((socket, _, client) => {
+    requests += 1;
+    client.close();
+    client.send(requestOf(), {
+      start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
+    }).then((second) => {
+      socket.write(`${HEAD}content-length: 0\r\n\r\n`);
+      assert.is(second.kind === 'refused' && second.refusal.outcome, 'not run');
+    }, () => undefined);
+  });
+  assert.is(outcome.kind, 'answered');
+  assert.is(requests, 1);
+});
+
 test('a response to another request is not delivered', async () => {
   const { outcome, body } = await runAgainst((socket) => {
     socket.write(`${HEAD.replace('r1', 'r0')}content-length: 5\r\n\r\nhello`);
