--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -54,7 +54,7 @@
     readonly error: Error;
     /** True if the request was handed to a connection, so the receiver may have it. */
     readonly written: boolean;
-    /** True if the sink received the response head and returned `deliver`. */
+    /** True if the sink received a part of the response body and may have sent the head too. */
     readonly begun: boolean;
   };
 
@@ -106,10 +106,13 @@
   let responseAction: ResponseAction | undefined;
   let status = 0;
   let rawHead: readonly string[] = [];
+  /** True once the sink received a part of the body, before which it sends nothing. */
+  let hasBegun = false;
   /** True if the connection closes after this response. */
   let closesConnection = false;
   let interimCount = 0;
   let discardedBytes = 0;
+  const drainedChunks: Buffer[] = [];
   /** Body bytes that are still to come; infinite if the response states no length. */
   let missingBytes = Number.POSITIVE_INFINITY;
   let drainEndsAt = Infinity;
@@ -130,9 +133,8 @@
   const fail = (reason: FailureCause, error: Error) => {
     if (isSettled) return;
     cause = reason;
-    const begun = responseAction === 'deliver';
     settle({
-      kind: 'failed', cause, error, written: controller !== undefined, begun,
+      kind: 'failed', cause, error, written: controller !== undefined, begun: hasBegun,
     });
     controller?.abort(error);
   };
@@ -260,9 +262,11 @@
       if (responseAction === 'drain') {
         discardedBytes += chunk.length;
         if (discardedBytes > MAX_DISCARDED_BYTES) stopDrain();
+        else if (sink.drained !== undefined) drainedChunks.push(chunk);
         return;
       }
       missingBytes -= chunk.length;
+      hasBegun = true;
       if (sink.write(chunk)) return;
       // undici fails a paused response when its connection closes, so the last one on a connection
       // is not paused, nor any after its last byte.
@@ -275,13 +279,14 @@
     },
     onResponseEnd: () => {
       if (isSettled) return;
-      const truncation = responseAction === 'deliver' ? options.checkEnd?.(rawHead) : undefined;
-      if (truncation !== undefined) {
+      const truncation = options.checkEnd?.(rawHead);
+      if (truncation !== undefined && responseAction === 'deliver') {
         fail('connection', new Error(truncation));
         return;
       }
       settle({ kind: 'complete', status });
       if (responseAction === 'deliver') sink.end();
+      else if (truncation === undefined) sink.drained?.(Buffer.concat(drainedChunks));
     },
     onResponseError: (_, error) => {
       if (responseAction === 'drain') settle({ kind: 'complete', status });
