--- a/fleet/control_listeners_test.ts
+++ b/fleet/control_listeners_test.ts
@@ -28,9 +28,12 @@
     leave: () => undefined,
     metricsText: async () => 'metrics',
   });
-  const [announceAddress] = await Promise.all(listeners.map(({ listen }) => listen()));
+  const [announceAddress, metricsAddress, readinessAddress] = await Promise.all(
+    listeners.map(({ listen }) => listen()),
+  );
   return {
     address: announceAddress!,
+    otherAddresses: { '/metrics': metricsAddress!, [nodePaths.readiness]: readinessAddress! },
     announcements: () => announcements,
     stop: () => {
       for (const { kill } of listeners) kill();
@@ -96,4 +99,17 @@
   }
 }
 
+// Guards against a body without end that is read on after its request was answered.
+for (const path of ['/metrics', nodePaths.readiness] as const) {
+  for (const framing of ['chunked', 'length'] as const) {
+    test(`an endless body to ${path} (${framing}) is neither kept nor read on`, async () => {
+      const { otherAddresses, stop } = await startListeners();
+      const { isClosedByNode, growth } = await sendEndlessly(otherAddresses[path], path, framing);
+      stop();
+      assert.ok(isClosedByNode, 'the node reads on');
+      assert.ok(growth < MAX_MEMORY_GROWTH, `the memory grew by ${growth} bytes`);
+    });
+  }
+}
+
 test.run();
