End the wait for a request body at the deadline

A caller that sent its body slowly, or stopped, held its request open without an answer for as long as it sent a byte now and then, and the node kept the body. The wait now ends at the deadline of the request: a caller gets 408 with `not run`, as nothing was sent to an instance; a peer's connection is reset.

Both new tests failed before: no answer within 2.5 s for a deadline of 300 ms.

--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { Clock } from '../clock/mod.ts';
 import { hasBody } from '../http/mod.ts';
 
 /**
@@ -6,13 +7,17 @@
  *
  * @param message The request.
  * @param maxBytes Maximum size of the body in bytes.
- * @returns The body; null when there is none; undefined when the connection closed early or the
- * body exceeds `maxBytes`; the rest of such a body is discarded.
+ * @param clock Clock of the deadline.
+ * @param deadlineAt Time in ms of the clock by which the whole body must have arrived.
+ * @returns The body; null when there is none; undefined when the connection closed early;
+ * otherwise why it was given up, and its rest is discarded.
  */
 export const readBody = (
   message: IncomingMessage,
   maxBytes: number,
-): Promise<Buffer | null | undefined> => new Promise((resolve) => {
+  clock: Clock,
+  deadlineAt: number,
+): Promise<Buffer | null | undefined | 'late' | 'too large'> => new Promise((resolve) => {
   if (!hasBody(message)) {
     message.resume();
     resolve(null);
@@ -20,13 +25,22 @@
   }
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
+  let isGivenUp = false;
+  const giveUp = (reason: 'late' | 'too large') => {
+    isGivenUp = true;
+    chunks.length = 0;
+    resolve(reason);
+  };
+  const remainingMs = Math.max(0, Math.ceil(deadlineAt - clock.now()));
+  const cancel = clock.schedule(remainingMs, () => giveUp('late'));
   message.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
-    if (receivedBytes > maxBytes) {
-      chunks.length = 0;
-      resolve(undefined);
-    } else chunks.push(chunk);
+    if (receivedBytes > maxBytes) giveUp('too large');
+    else if (!isGivenUp) chunks.push(chunk);
   });
   message.once('end', () => resolve(Buffer.concat(chunks)));
-  message.once('close', () => resolve(undefined));
+  message.once('close', () => {
+    cancel();
+    resolve(undefined);
+  });
 });
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -71,6 +71,7 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
+const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_TOO_LARGE = 413;
 
 /**
@@ -146,10 +147,13 @@
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
       return;
     }
-    const body = await readBody(message, MAX_BODY_BYTES);
-    if (body === undefined) {
+    const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
+    if (body === undefined || typeof body === 'string') {
       response.shouldKeepAlive = false;
-      respondBeforeBody(clock, response, STATUS_TOO_LARGE, [], '{"error":"the body is too large"}');
+      const [status, text] = body === 'late'
+        ? [STATUS_REQUEST_TIMEOUT, '{"error":"the body is late","outcome":"not run"}']
+        : [STATUS_TOO_LARGE, '{"error":"the body is too large"}'];
+      respondBeforeBody(clock, response, status, [], text);
       return;
     }
     await processPendingSocketEvents();
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -111,4 +111,36 @@
   await listener.stop();
 });
 
+// Guards against a request that stays open without an answer while its body trickles in.
+for (const framing of ['content-length: 100', 'transfer-encoding: chunked']) {
+  test(`a body that is late (${framing}) gets a final answer at the deadline`, async () => {
+    let sends = 0;
+    const { listener, address } = await setUp(async () => {
+      sends += 1;
+      return { kind: 'answered', status: 200 };
+    });
+    const { host, port } = splitAddress(address);
+    const socket = connect(port, host).on('error', () => undefined);
+    socket.write([
+      'POST /orders/a HTTP/1.1', 'host: shop.example', 'deadline-ms: 300', framing, '\r\n',
+    ].join('\r\n'));
+    const timer = setInterval(() => {
+      socket.write(framing.startsWith('content') ? 'x' : '1\r\nx\r\n');
+    }, 50);
+    const limit = setTimeout(() => socket.destroy(), 2500);
+    let text = '';
+    socket.on('data', (data) => {
+      text += data.toString();
+    });
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    clearInterval(timer);
+    clearTimeout(limit);
+    listener.kill();
+    assert.match(text, /^HTTP\/1\.1 408 [^]*"outcome":"not run"/u);
+    assert.is(sends, 0);
+  });
+}
+
 test.run();
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -113,8 +113,8 @@
       respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
       return;
     }
-    const body = await readBody(message, MAX_BODY_BYTES);
-    if (body === undefined) {
+    const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
+    if (body === undefined || typeof body === 'string') {
       resetConnection(response);
       return;
     }
