End an attempt after 1000 interim responses

An instance that sent thousands of interim responses took the time in which a second attempt could have been made. The limit was 10,000, more than a busy node reads before the deadline.

The new tests, locally and over a peer, failed before the change.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -65,7 +65,7 @@
 /** Largest number of bytes that wait for the receiver of a response that cannot be paused. */
 const MAX_UNSENT_BYTES = 16_777_216;
 /** Far above what a live peer sends, which is a few in a second. */
-const MAX_INTERIM_RESPONSES = 10_000;
+const MAX_INTERIM_RESPONSES = 1000;
 const MIN_FINAL_STATUS = 200;
 /** Delay of a progress check from which on this process is assumed to have been paused. */
 const LATE_CHECK_MS = 250;
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -153,6 +153,18 @@
   }
 }
 
+// Guards against interim responses that take the time that a second attempt needs.
+for (const hop of hops) {
+  test(`${hop}: thousands of interim responses before an answer end the attempt`, async () => {
+    const { answer, runs } = await callSick(hop, (...args) => {
+      args[0].write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(2000));
+      answerSoundly(...args);
+    });
+    assert.is(answer.text, 'sound');
+    assert.equal(runs, [1, 1]);
+  });
+}
+
 const unwantedBodies: Readonly<Record<string, (socket: Parameters<Respond>[0]) => void>> = {
   'chunks at full speed': (socket) => writeEndlessly(socket, '5\r\nhello\r\n'),
   'slow chunks': (socket) => writeSlowly(socket, '1\r\nx\r\n'),
