Close a connection that receives too many bytes outside an answer

A sick instance that sent a status line, line breaks or spaces without end kept its request until the deadline: callers got 504, and a safe request was not repeated. The pool now counts the bytes of a connection since the last head or part of a body and closes it at 512 KiB, so that the attempt fails at once.

A test of long answers to a slow caller guards against a limit that cuts sound answers.

--- a/forward/truncation_aware_pool.ts
+++ b/forward/truncation_aware_pool.ts
@@ -1,4 +1,6 @@
-import { buildConnector, Client, Pool } from 'undici';
+import {
+  buildConnector, Client, type Dispatcher, Pool,
+} from 'undici';
 import { findHeader } from './headers.ts';
 
 /** A connection pool that detects truncated responses and closes misused idle connections. */
@@ -20,13 +22,22 @@
   readonly keepAliveMs: number;
 }
 
+/** Largest number of bytes read without a head or a part of a body; far above any framing. */
+const MAX_FRAMING_BYTES = 524_288;
+const MIN_FINAL_STATUS = 200;
+
 const isChunked = (raw: readonly string[]) => (
   findHeader(raw, 'transfer-encoding')?.toLowerCase().includes('chunked') === true
 );
 
+interface ConnectionProgress {
+  /** Whether a request began, or a final head or a part of a body came, since the last read. */
+  hasProgress: boolean;
+}
+
 /**
  * Creates a connection pool without pipelining that detects truncated responses. A connection that
- * receives bytes while no request runs on it is closed.
+ * receives bytes while no request runs on it, or too many that are no part of an answer, is closed.
  *
  * @param address Host and port.
  * @param options Connection limit and timeouts.
@@ -47,17 +58,31 @@
     isReset = false;
     isEnded = false;
   };
+  /** Progress of the connection on which a request runs. */
+  const progressOf = new WeakMap<Dispatcher.DispatchOptions, ConnectionProgress>();
   const createClient = (origin: URL, clientOptions: object) => {
+    const progress: ConnectionProgress = { hasProgress: false };
     const client: Client = new Client(origin, {
       ...clientOptions,
       connect: (target, done) => connect(target, (...result) => {
         const [, socket] = result;
-        let expectedBytes = 0;
+        /** Bytes that undici has parsed, and those of them up to the last part of an answer. */
+        let parsedBytes = 0;
+        let answerBytes = 0;
         // undici adds its listeners later, so these run first.
         socket?.on('readable', () => {
           // undici skips line breaks before a response, however many there are.
-          if (client.stats.running > 0) expectedBytes = socket.bytesRead;
-          else if (socket.bytesRead > expectedBytes) socket.destroy();
+          if (client.stats.running === 0) {
+            if (socket.bytesRead > parsedBytes) socket.destroy();
+            return;
+          }
+          if (progress.hasProgress) {
+            progress.hasProgress = false;
+            answerBytes = parsedBytes;
+          } else if (parsedBytes - answerBytes > MAX_FRAMING_BYTES) {
+            socket.destroy(new Error('too many bytes that are no part of an answer'));
+          }
+          parsedBytes = socket.bytesRead;
         });
         socket?.on('error', () => {
           isReset = true;
@@ -73,6 +98,11 @@
         done(...result);
       }),
     });
+    const dispatch = client.dispatch.bind(client);
+    client.dispatch = (request, handler) => {
+      progressOf.set(request, progress);
+      return dispatch(request, handler);
+    };
     return client;
   };
   const pool = new Pool(`http://${address}`, {
@@ -81,6 +111,28 @@
     keepAliveTimeout: options.keepAliveMs,
     factory: createClient,
   });
+  const dispatchToPool = pool.dispatch.bind(pool);
+  pool.dispatch = (request, handler) => {
+    const markProgress = () => {
+      const progress = progressOf.get(request);
+      if (progress !== undefined) progress.hasProgress = true;
+    };
+    return dispatchToPool(request, {
+      ...handler,
+      onRequestStart: (...args) => {
+        markProgress();
+        handler.onRequestStart?.(...args);
+      },
+      onResponseStart: (controller, status, ...args) => {
+        if (status >= MIN_FINAL_STATUS) markProgress();
+        handler.onResponseStart?.(controller, status, ...args);
+      },
+      onResponseData: (...args) => {
+        markProgress();
+        handler.onResponseData?.(...args);
+      },
+    });
+  };
   return {
     pool,
     checkEnd: (raw) => {
--- a/gateway/_test_caller.ts
+++ b/gateway/_test_caller.ts
@@ -19,7 +19,9 @@
   readonly headers: IncomingMessage['headers'];
   /** The answer ended as its framing tells, and its connection was not reset. */
   readonly isComplete: boolean;
+  /** Start of the body. */
   readonly text: string;
+  readonly bodyBytes: number;
   readonly durationMs: number;
 }
 
@@ -65,16 +67,18 @@
   });
   request.end(kind === 'unsafe' ? 'order' : undefined);
   const result = {
-    status: undefined, headers: {}, isComplete: false, text: '',
+    status: undefined, headers: {}, isComplete: false, text: '', bodyBytes: 0,
   };
   try {
     const [response] = await once(request, 'response') as [IncomingMessage];
     let text = '';
+    let bodyBytes = 0;
     if (options.reader === 'stalled') {
       // A paused socket does not notice that its connection was reset.
       setTimeout(() => request.destroy(), STALLED_CALLER_MS);
     } else {
       response.on('data', (chunk: Buffer) => {
+        bodyBytes += chunk.length;
         if (text.length < 1000) text += chunk.toString('latin1');
       });
     }
@@ -87,6 +91,7 @@
       headers: response.headers,
       isComplete: response.complete && !isReset,
       text,
+      bodyBytes,
       durationMs: clock.now() - startedAt,
     };
   } catch {
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -71,6 +71,10 @@
     socket.write('5\r\nhello\r\n');
     writeEndlessly(socket, '0');
   }),
+  'trailers after the body': chunked((socket) => {
+    socket.write('5\r\nhello\r\n0\r\n');
+    writeEndlessly(socket, `x-a: ${'b'.repeat(200)}\r\n`);
+  }),
   'a body without a length': (socket, headOf) => {
     socket.write(`${headOf()}\r\n`);
     writeEndlessly(socket, 'x');
@@ -111,8 +115,18 @@
   },
   garbage: (socket) => writeEndlessly(socket, '\0garbage'),
   'interim responses': (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
+  'a status line without end': (socket) => {
+    socket.write('HTTP/1.1 200 ');
+    writeEndlessly(socket, 'x');
+  },
+  'line breaks': (socket) => writeEndlessly(socket, '\r\n'),
+  'spaces before the value of a header': (socket, headOf) => {
+    socket.write(`${headOf()}x-a:`);
+    writeEndlessly(socket, ' ');
+  },
 };
 
+// Guards against bytes before a head that are read at full speed until the deadline.
 for (const hop of hops) {
   for (const [name, respond] of Object.entries(brokenHeads)) {
     test(`${hop}: ${name} in place of an answer let a safe request be repeated`, async () => {
@@ -132,11 +146,6 @@
 
 /** Endless bytes in place of a head, which are read until the deadline. */
 const delayedHeads: Readonly<Record<string, Respond>> = {
-  'a status line without end': (socket) => {
-    socket.write('HTTP/1.1 200 ');
-    writeEndlessly(socket, 'x');
-  },
-  'line breaks': (socket) => writeEndlessly(socket, '\r\n'),
   'slow interim responses': (socket) => writeSlowly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
 };
 
@@ -255,6 +264,23 @@
   }
 }
 
+// Guards against a limit on bytes that are no answer that cuts a long answer to a slow caller.
+for (const hop of hops) {
+  test(`${hop}: a long sound answer arrives whole`, async () => {
+    const chunk = `8000\r\n${'x'.repeat(32_768)}\r\n`;
+    const path = await startPath(hop, chunked((socket) => {
+      for (let count = 0; count < 200; count += 1) socket.write(chunk);
+      socket.write('0\r\n\r\n');
+    }));
+    for (const kind of ['safe', 'download'] as const) {
+      const answer = await path.call({ kind });
+      assert.ok(answer.isComplete);
+      assert.is(answer.bodyBytes, 200 * 32_768);
+    }
+    await path.stop();
+  });
+}
+
 test('sound answers keep their connection', async () => {
   const path = await startPath('local', answerSoundly);
   for (let count = 0; count < 20; count += 1) assert.is((await path.call()).text, 'sound');
