Serve connections that are established when a listener stops

Peers of a stopping node saw 'read ECONNRESET' for requests on new connections; their callers got 502, and unsafe requests were not repeated.

Cause: libuv accepts one connection of a listener in each turn of the event loop. A stop closed the listener with all connections that still waited to be accepted, and closed idle connections in the timer phase, before the requests that had arrived meanwhile were read.

How many of them were not yet accepted is not known.

A stop now accepts until a turn brings no connection, for 200 ms at most, and closes idle connections after the poll of the event loop.

http/stop_test.ts: 'connections that are established when the server stops are served' failed before with ECONNRESET.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
 
@@ -56,6 +57,8 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Limits the time in which `stop` accepts the connections that are already established. */
+const MAX_ACCEPT_MS = 200;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
 
@@ -107,6 +110,7 @@
   const connections = new Map<Socket, ConnectionState>();
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
+  let acceptedCount = 0;
   let isStopping = false;
   let isGraceOver = false;
 
@@ -156,6 +160,7 @@
   };
 
   server.on('connection', (socket: Socket) => {
+    acceptedCount += 1;
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
@@ -212,6 +217,16 @@
     });
   });
 
+  /** Node.js accepts one connection in each turn of the event loop. */
+  const acceptEstablished = async () => {
+    const endsAt = clock.now() + MAX_ACCEPT_MS;
+    let countBefore: number;
+    do {
+      countBefore = acceptedCount;
+      await nextTurn();
+    } while (acceptedCount > countBefore && clock.now() < endsAt);
+  };
+
   const stop = async () => {
     if (isStopping || !server.listening) return;
     isStopping = true;
@@ -220,13 +235,15 @@
         if (!response.headersSent) response.shouldKeepAlive = false;
       }
     }
+    await acceptEstablished();
     // `http.Server.close` would drop requests that are in transit on idle connections.
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
     const cancelGraceTimer = clock.schedule(options.idleGraceMs, () => {
       isGraceOver = true;
-      closeIdleConnections();
+      // In the turn in which all requests that have arrived are read.
+      setImmediate(closeIdleConnections);
     });
     await closed;
     cancelGraceTimer();
