Refuse requests that are in transit to a stopping node

Callers got 502 for requests that their node had sent on a kept connection to a node that stopped meanwhile; unsafe ones were not repeated, although no instance had received them.

Cause: a stopping node destroyed its idle connections. A request in transit on one met a reset, and its sender cannot know that it has not run.

The other direction is closed by the peer, within the limit of the stop, so that no reset destroys the refusal.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -38,6 +38,12 @@
    * is true when the connection has a request in flight.
    */
   readonly renderMalformed: (status: number, dispatched: boolean) => string;
+  /**
+   * Renders a complete response for a request that is in transit on an idle connection when the
+   * server stops; the request is not handled. The response is sent on all idle connections, so the
+   * clients must accept one without a request. Without it, the request is reset.
+   */
+  readonly renderFinal?: () => string;
 }
 
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
@@ -50,6 +56,8 @@
   requestsEndAt: number;
   /** Last response before invalid input, after which the connection ends. */
   lastResponse?: ServerResponse;
+  /** The final response is sent, and further requests are discarded. */
+  isFinished: boolean;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -136,14 +144,24 @@
 
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
-    for (const [socket, { responses, requestsEndAt }] of connections) {
-      if (responses.size === 0 && socket.bytesRead === requestsEndAt) socket.destroy();
+    for (const [socket, state] of connections) {
+      if (state.responses.size > 0 || socket.bytesRead !== state.requestsEndAt) continue;
+      if (options.renderFinal === undefined) socket.destroy();
+      else if (!state.isFinished) {
+        // The other direction stays open, since closing it would reset a request in transit.
+        state.isFinished = true;
+        socket.end(options.renderFinal());
+      }
     }
   };
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
+    if (state?.isFinished) {
+      request.resume();
+      return;
+    }
     state?.responses.add(response);
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
@@ -165,7 +183,7 @@
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, { responses: new Set(), requestsEndAt: 0 });
+    connections.set(socket, { responses: new Set(), requestsEndAt: 0, isFinished: false });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
@@ -8,10 +9,13 @@
 const test = suite('stop of the http server');
 
 const IDLE_GRACE_MS = 50;
+/** Time after which the server has sent its final response on all idle connections. */
+const FINAL_MS = 200;
 const CONNECTIONS = 20;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+const FINAL_RESPONSE = 'HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n';
 
-const startServer = async () => {
+const startServer = async (renderFinal?: () => string) => {
   const paths: string[] = [];
   const server = createHttpServer({
     clock: createSystemClock(),
@@ -23,6 +27,7 @@
       response.end('done');
     },
     renderMalformed,
+    ...(renderFinal === undefined ? {} : { renderFinal }),
   });
   const { host, port } = splitAddress(await server.listen());
   const open = () => {
@@ -59,8 +64,34 @@
   }
 });
 
+// The stop reset requests that were on their way on idle connections, with an unknown outcome.
+test('a request that crosses the stop gets the final response and is not handled', async () => {
+  for (const isUsedBefore of [false, true]) {
+    const { server, paths, open } = await startServer(() => FINAL_RESPONSE);
+    const {
+      socket, closed, received, error,
+    } = open();
+    await once(socket, 'connect');
+    if (isUsedBefore) {
+      socket.write(REQUEST);
+      await once(socket, 'data');
+    }
+    socket.pause();
+    const stopped = server.stop();
+    await sleep(FINAL_MS);
+    socket.write('POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody');
+    await sleep(IDLE_GRACE_MS);
+    socket.resume();
+    await closed;
+    await stopped;
+    assert.is(error(), '');
+    assert.ok(received().endsWith(FINAL_RESPONSE), received());
+    assert.is(paths.includes('/late'), false);
+  }
+});
+
 test('a request that arrives during the stop is handled and gets one response', async () => {
-  const { server, paths, open } = await startServer();
+  const { server, paths, open } = await startServer(() => FINAL_RESPONSE);
   const { socket, closed, received } = open();
   await once(socket, 'connect');
   const stopped = server.stop();
@@ -71,4 +102,13 @@
   assert.match(received(), /^HTTP\/1\.1 200 .*connection: close.*done$/isu);
 });
 
+test('stop() resolves once the clients have closed their connections', async () => {
+  const { server, open } = await startServer(() => FINAL_RESPONSE);
+  const { socket, closed } = open();
+  await once(socket, 'connect');
+  const stopped = server.stop();
+  await closed;
+  await Promise.race([stopped, sleep(1000).then(() => assert.unreachable('stop() hangs'))]);
+});
+
 test.run();
