Keep the connections of peers until a stopping node refuses requests

Cause: from SIGTERM on, the peer listener ended each connection after its response. Each further request needed a new one, of which Node.js accepts one in each turn of the event loop; on a busy host they waited for more than 900 ms and the node was suspected.

Connections of peers now stay open while the node accepts requests.

gateway/peer_stop_test.ts: 'a node that still accepts requests keeps the connections of its peers' failed before with 3 connections in place of 1.

--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -213,7 +213,8 @@
     }
     // A request that will be refused must not delay the end of the requests in flight.
     if (isAccepting()) response.once('close', options.shutdown.trackRequest());
-    if (options.shutdown.phase() !== 'running') response.shouldKeepAlive = false;
+    // A new connection for each request would wait to be accepted, one in each turn.
+    else response.shouldKeepAlive = false;
     serve(message, response).catch((error: unknown) => {
       logger.error({
         request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -133,4 +133,17 @@
   assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'not run');
 });
 
+// Each request to a stopping node needed a new connection, and its node was taken for dead.
+test('a node that still accepts requests keeps the connections of its peers', async () => {
+  const peer = await startPeer();
+  peer.shutdown.leave(clock.now() + GRACE_MS);
+  for (const requestId of ['first', 'second', 'third']) {
+    assert.is((await peer.send(requestId)).kind, 'answered');
+    // The connection is idle in a later turn.
+    await sleep(1);
+  }
+  await peer.close();
+  assert.is(peer.connections(), 1);
+});
+
 test.run();
