--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
 
@@ -37,6 +38,12 @@
    * is true when the connection has a request in flight.
    */
   readonly renderMalformed: (status: number, dispatched: boolean) => string;
+  /**
+   * Renders a complete response for a request that is in transit on an idle connection when the
+   * server stops; the request is not handled. The response is sent on all idle connections, so the
+   * clients must accept one without a request. Without it, the request is reset.
+   */
+  readonly renderFinal?: () => string;
 }
 
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
@@ -49,6 +56,8 @@
   requestsEndAt: number;
   /** Last response before invalid input, after which the connection ends. */
   lastResponse?: ServerResponse;
+  /** The final response is sent, and further requests are discarded. */
+  isFinished: boolean;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -56,6 +65,8 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Limits the time in which `stop` accepts the connections that are already established. */
+const MAX_ACCEPT_MS = 200;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
 
@@ -107,6 +118,7 @@
   const connections = new Map<Socket, ConnectionState>();
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
+  let acceptedCount = 0;
   let isStopping = false;
   let isGraceOver = false;
 
@@ -132,14 +144,24 @@
 
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
-    for (const [socket, { responses, requestsEndAt }] of connections) {
-      if (responses.size === 0 && socket.bytesRead === requestsEndAt) socket.destroy();
+    for (const [socket, state] of connections) {
+      if (state.responses.size > 0 || socket.bytesRead !== state.requestsEndAt) continue;
+      if (options.renderFinal === undefined) socket.destroy();
+      else if (!state.isFinished) {
+        // The other direction stays open, since closing it would reset a request in transit.
+        state.isFinished = true;
+        socket.end(options.renderFinal());
+      }
     }
   };
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
+    if (state?.isFinished) {
+      request.resume();
+      return;
+    }
     state?.responses.add(response);
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
@@ -156,11 +178,12 @@
   };
 
   server.on('connection', (socket: Socket) => {
+    acceptedCount += 1;
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, { responses: new Set(), requestsEndAt: 0 });
+    connections.set(socket, { responses: new Set(), requestsEndAt: 0, isFinished: false });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
@@ -212,6 +235,16 @@
     });
   });
 
+  /** Node.js accepts one connection in each turn of the event loop. */
+  const acceptEstablished = async () => {
+    const endsAt = clock.now() + MAX_ACCEPT_MS;
+    let countBefore: number;
+    do {
+      countBefore = acceptedCount;
+      await nextTurn();
+    } while (acceptedCount > countBefore && clock.now() < endsAt);
+  };
+
   const stop = async () => {
     if (isStopping || !server.listening) return;
     isStopping = true;
@@ -220,13 +253,15 @@
         if (!response.headersSent) response.shouldKeepAlive = false;
       }
     }
+    await acceptEstablished();
     // `http.Server.close` would drop requests that are in transit on idle connections.
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
     const cancelGraceTimer = clock.schedule(options.idleGraceMs, () => {
       isGraceOver = true;
-      closeIdleConnections();
+      // In the turn in which all requests that have arrived are read.
+      setImmediate(closeIdleConnections);
     });
     await closed;
     cancelGraceTimer();
