Refuse requests that cross the close of a connection between nodes

A stopping node destroyed its idle connections, and a request of a peer that was on its way was reset. Its sender could not tell whether it had run: an unsafe request was answered with 502 and not tried at another node.

The node now ends an idle connection of a peer with a refusal, which a request in transit takes for its answer, and handles no request of that connection from then on. The connection is read until the peer closes it, for 300 ms at most, since a reset would discard the refusal. Connections of callers are closed as before.

--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -49,6 +49,21 @@
 const STATUS_OK = 200;
 const FIRST_SERVER_ERROR = 500;
 
+const refuseWhileStopping = () => (
+  refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
+);
+
+/** Renders the refusal of a request that crosses the close of its connection. */
+const renderIdleClose = () => {
+  const { refusal } = refuseWhileStopping();
+  const lines = [`HTTP/1.1 ${refusal.status} Stopping`];
+  const headers = [...encodeRefusal(refusal), 'connection', 'close', 'content-length', '0'];
+  for (let index = 0; index < headers.length; index += 2) {
+    lines.push(`${headers[index]}: ${headers[index + 1]}`);
+  }
+  return `${lines.join('\r\n')}\r\n\r\n`;
+};
+
 /** Sends the head of an error at once, which is all that the peer needs to try again. */
 const flushErrorHeads = (sink: ResponseSink): ResponseSink => ({
   ...sink,
@@ -140,7 +155,7 @@
       : createCountedSink(createResponseSink(response, addLoad, responseBuffer), link);
     const outcome: AttemptOutcome = isAccepting()
       ? await local.forward({ ...request, body }, flushErrorHeads(sink))
-      : refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' });
+      : refuseWhileStopping();
     stopInterimResponses();
     const fields = {
       request: request.requestId,
@@ -216,5 +231,6 @@
     idleGraceMs: IDLE_GRACE_MS,
     handle,
     renderMalformed,
+    idleCloseResponse: renderIdleClose(),
   });
 };
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -37,6 +37,11 @@
    * is true when the connection has a request in flight.
    */
   readonly renderMalformed: (status: number, dispatched: boolean) => string;
+  /**
+   * Complete response that `stop` sends on idle connections before it closes them. It answers a
+   * request that is in transit then, which is not handled; without it, the connection is reset.
+   */
+  readonly idleCloseResponse?: string;
 }
 
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
@@ -49,6 +54,8 @@
   requestsEndAt: number;
   /** Last response before invalid input, after which the connection ends. */
   lastResponse?: ServerResponse;
+  /** `idleCloseResponse` has been sent, so further requests are not handled. */
+  readonly isClosing?: boolean;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -56,6 +63,8 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Limits the wait for a client to close its connection after `idleCloseResponse`. */
+const IDLE_CLOSE_LIMIT_MS = 300;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
 
@@ -130,16 +139,34 @@
   // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
   server.maxHeadersCount = 0;
 
+  const closeIdleConnection = (socket: Socket, state: ConnectionState) => {
+    if (state.isClosing) return;
+    if (options.idleCloseResponse === undefined) {
+      socket.destroy();
+      return;
+    }
+    Object.assign(state, { isClosing: true });
+    // The socket is read on: closing it with unread bytes would reset it and discard the response.
+    socket.end(options.idleCloseResponse);
+    const cancel = clock.schedule(IDLE_CLOSE_LIMIT_MS, () => socket.destroy());
+    socket.once('close', cancel);
+  };
+
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
-    for (const [socket, { responses, requestsEndAt }] of connections) {
-      if (responses.size === 0 && socket.bytesRead === requestsEndAt) socket.destroy();
+    for (const [socket, state] of connections) {
+      const isIdle = state.responses.size === 0 && socket.bytesRead === state.requestsEndAt;
+      if (isIdle) closeIdleConnection(socket, state);
     }
   };
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
+    if (state?.isClosing) {
+      request.resume();
+      return;
+    }
     state?.responses.add(response);
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
--- a/http/create_http_server_test.ts
+++ b/http/create_http_server_test.ts
@@ -10,7 +10,9 @@
 const IDLE_GRACE_MS = 100;
 const STOP_TIMEOUT_MS = 3000;
 
-const startServer = async (body = 'done') => {
+const IDLE_CLOSE_RESPONSE = 'HTTP/1.1 503 Stopping\r\ncontent-length: 0\r\n\r\n';
+
+const startServer = async (body = 'done', idleCloseResponse?: string) => {
   const server = createHttpServer({
     clock: createSystemClock(),
     address: '127.0.0.1:0',
@@ -18,6 +20,7 @@
     idleGraceMs: IDLE_GRACE_MS,
     handle: (_, response) => response.end(body),
     renderMalformed,
+    ...(idleCloseResponse === undefined ? {} : { idleCloseResponse }),
   });
   const { host, port } = splitAddress(await server.listen());
   return { server, host, port };
@@ -73,6 +76,37 @@
   assert.ok(await endsInTime(stopped));
 });
 
+test('stop() sends the response for idle connections, also on unused ones', async () => {
+  for (const first of ['GET / HTTP/1.1\r\nHost: h\r\n\r\n', '']) {
+    const { server, host, port } = await startServer('done', IDLE_CLOSE_RESPONSE);
+    const socket = connect(port, host);
+    await once(socket, 'connect');
+    let received = '';
+    socket.setEncoding('latin1').on('data', (chunk: string) => {
+      received += chunk;
+    });
+    socket.write(first);
+    await new Promise((resolve) => {
+      setTimeout(resolve, IDLE_GRACE_MS);
+    });
+    const stopped = server.stop();
+    await once(socket, 'close');
+    assert.ok(received.endsWith(IDLE_CLOSE_RESPONSE), received);
+    assert.ok(await endsInTime(stopped));
+  }
+});
+
+// Guards against a stop that waits for the process at the other end of a connection.
+test('stop() closes idle connections whose client does not close', async () => {
+  const { server, host, port } = await startServer('done', IDLE_CLOSE_RESPONSE);
+  const socket = connect({ port, host, allowHalfOpen: true }).on('error', () => undefined);
+  socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+  socket.resume();
+  await once(socket, 'data');
+  assert.ok(await endsInTime(server.stop()));
+  socket.destroy();
+});
+
 /** Time in ms that a request takes, after the input that follows it has been read. */
 const WORK_MS = 150;
 
