--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -67,6 +67,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 /** Limits the time in which `stop` accepts the connections that are already established. */
 const MAX_ACCEPT_MS = 200;
+/** Limits the wait for a client to close its connection after the final response. */
+const FINAL_RESPONSE_LIMIT_MS = 300;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
 
@@ -151,6 +153,8 @@
         // The other direction stays open, since closing it would reset a request in transit.
         state.isFinished = true;
         socket.end(options.renderFinal());
+        const cancel = clock.schedule(FINAL_RESPONSE_LIMIT_MS, () => socket.destroy());
+        socket.once('close', cancel);
       }
     }
   };
