Let requests wait by the time that they have left

Callers of large fleets got a 500 of the instance for a tenth of their attempts. A nested call on a route below the highest priority waited behind new requests with a later latency target, and was refused after a quarter of its own target with most of its deadline left. The run that made it held a slot and had run in vain, and its caller sent it again. Nothing in the protocol tells these calls apart; what they have in common is a short time to live.

Within a priority the slot queue now serves the earliest latency target first, and a request that could not be sent again after a refusal, as less than 500 ms are left to its deadline, may wait for all of it.

Both new tests failed before.

--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -71,6 +71,8 @@
 const LATE_WAIT_FRACTION = 0.1;
 /** A request is late when less than this fraction of its class mean is left to its target. */
 const LATE_MEAN_FRACTION = 0.5;
+/** A request with less time to its deadline cannot be sent again after a refusal. */
+const MIN_RETURN_MS = 500;
 const reasonByCause: Readonly<Record<SlotRefusalCause, string>> = {
   wait: 'the wait would be too long',
   expired: 'no slot was free in time',
@@ -87,7 +89,7 @@
  * Creates an empty queue. It refuses a request at once when the wait would be too long for a
  * useful response, and serves requests by priority, so that nested calls of admitted requests and
  * urgent requests go before new ones. Within a priority, requests that can meet their latency
- * target go before late ones.
+ * target go before late ones, and the one with the earliest target is the first.
  *
  * The order matters in load peaks with retries, when requests exceed the slots for seconds: a FIFO
  * queue would then serve every request late.
@@ -120,7 +122,8 @@
   /** Returns whether a request is served before another one that arrived later. */
   const isServedBefore = (one: SlotRequest, other: SlotRequest) => {
     if (one.priority !== other.priority) return one.priority < other.priority;
-    return !isLate(one) || isLate(other);
+    if (isLate(one) !== isLate(other)) return isLate(other);
+    return isLate(one) || one.latencyTargetAt <= other.latencyTargetAt;
   };
 
   const refuse = (
@@ -189,6 +192,7 @@
     // The calling request already holds a slot and fails without the nested call.
     if (request.priority === NESTED_CALL_PRIORITY) return Math.min(toDeadline, toTarget);
     if (isLate(request)) return toDeadline * LATE_WAIT_FRACTION;
+    if (deadlineAt - now < MIN_RETURN_MS) return toDeadline;
     return Math.min(toDeadline, Math.max(toTarget - processingMs, toTarget * MIN_WAIT_FRACTION));
   };
 
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -187,4 +187,39 @@
   assert.ok(inTime >= capacity * 0.8, `${inTime} of ${capacity} in time`);
 });
 
+// Nested calls on routes without the highest priority were refused with most of their time left, and
+// the requests that made them had run in vain.
+test('a request that cannot come back after a refusal may wait until its deadline', async () => {
+  const { clock, queue, requestOf } = setUp(1);
+  const running = (await queue.acquire(requestOf({ workClass: 'order' })))._unsafeUnwrap();
+  const short = queue.acquire(requestOf({
+    workClass: 'state', deadlineAt: clock.now() + 340, latencyTargetAt: clock.now() + 136,
+  }));
+  await clock.advance(150);
+  running.release(true);
+  assert.ok((await short).isOk());
+});
+
+// Nested calls waited behind new requests with a much later latency target.
+test('the request with the earliest latency target is served first', async () => {
+  const { clock, queue, requestOf } = setUp(1);
+  const running = (await queue.acquire(requestOf()))._unsafeUnwrap();
+  const served: string[] = [];
+  const request = (name: string, targetMs: number) => {
+    queue.acquire(requestOf({
+      latencyTargetAt: clock.now() + targetMs, deadlineAt: clock.now() + 3 * targetMs,
+    })).then((permit) => {
+      if (permit.isErr()) return;
+      served.push(name);
+      permit.value.release(true);
+    });
+  };
+  request('order', 400);
+  request('state', 136);
+  await clock.advance(20);
+  running.release(true);
+  await clock.advance(0);
+  assert.equal(served, ['state', 'order']);
+});
+
 test.run();
