--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -187,8 +187,8 @@
   assert.ok(inTime >= capacity * 0.8, `${inTime} of ${capacity} in time`);
 });
 
-// Nested calls on routes without the highest priority were refused with most of their time left, and
-// the requests that made them had run in vain.
+// Nested calls on routes without the highest priority were refused with most of their time left,
+// and the requests that made them had run in vain.
 test('a request that cannot come back after a refusal may wait until its deadline', async () => {
   const { clock, queue, requestOf } = setUp(1);
   const running = (await queue.acquire(requestOf({ workClass: 'order' })))._unsafeUnwrap();
