End the suspicion of a peer with the proof that it is alive

Cause: one silent connection made the whole peer suspect for 1.2 s, whatever else arrived from it, and a refused connection did so beyond the restart.

A failure detector now decides. Bytes of the peer since the silence began prevent the suspicion and later ones end it. A refused connection is no silence: responses to earlier requests do not excuse it, only another process in the directory does. The lease in the directory is not used: a node that the store has dropped may serve, and one that is there may be frozen for its time.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -132,7 +132,9 @@
         },
       });
       fleet.onChange(() => {
-        peers.retain(new Set(fleet.usable().map(({ peerAddress }) => peerAddress)));
+        peers.retain(new Map(fleet.usable().map(({ peerAddress, startedAt }) => (
+          [peerAddress, startedAt]
+        ))));
       });
       return { service: peers, stop: peers.close };
     },
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -3,6 +3,7 @@
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
+import { toStrings } from './_to_strings.ts';
 
 /** An HTTP request to send over a connection pool. */
 export interface ExchangeRequest {
@@ -27,8 +28,13 @@
   readonly leaseExpiry?: AbortSignal;
   /** Timeout in ms without progress before the final head; interim responses count as progress. */
   readonly headProgressTimeoutMs: number;
-  /** Called at each timeout before the final head; without it, the timeout fails the exchange. */
-  readonly onSilent?: () => void;
+  /**
+   * Called at each timeout before the final head with the time of the last progress; without it,
+   * the timeout fails the exchange.
+   */
+  readonly onSilent?: (since: number) => void;
+  /** Called when a head, interim or final, or a part of the body arrives. */
+  readonly onReceive?: () => void;
   /** Timeout in ms without progress of the response body. */
   readonly bodyProgressTimeoutMs: number;
   /**
@@ -76,13 +82,6 @@
 /** The ingress sets its own request identifier on the response. */
 const REMOVED_RESPONSE_HEADERS = new Set([REQUEST_ID_HEADER]);
 
-const toStrings = (raw: Dispatcher.DispatchController['rawHeaders']): string[] => {
-  const text: string[] = [];
-  if (!Array.isArray(raw)) return text;
-  for (const part of raw) text.push(typeof part === 'string' ? part : part.toString('latin1'));
-  return text;
-};
-
 /**
  * Sends a request, streams its response into a sink and enforces the progress timeouts.
  *
@@ -162,7 +161,7 @@
     }
     let timeoutAt = lastProgressAt + progressTimeoutMs();
     if (now >= timeoutAt && responseAction === undefined && options.onSilent !== undefined) {
-      options.onSilent();
+      options.onSilent(lastProgressAt);
       lastProgressAt = now;
       timeoutAt = now + progressTimeoutMs();
     }
@@ -221,6 +220,7 @@
       lastProgressAt = clock.now();
     },
     onResponseStart: (current, statusCode) => {
+      options.onReceive?.();
       if (isSettled) return;
       lastProgressAt = clock.now();
       if (statusCode < MIN_FINAL_STATUS) {
@@ -257,6 +257,7 @@
       }
     },
     onResponseData: (current, chunk) => {
+      options.onReceive?.();
       if (isSettled) return;
       lastProgressAt = clock.now();
       if (responseAction === 'drain') {
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -26,6 +26,7 @@
   type LocalInstance,
   type LocalForwarder,
 } from './local_forwarder.ts';
+export { createFailureDetector, type FailureDetector } from './failure_detector.ts';
 export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
 export {
   createPeerClient, type PeerClientOptions, type PeerClient, type PeerSendResult,
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -13,6 +13,7 @@
   type TruncationAwarePool,
 } from '../forward/mod.ts';
 import { formatHop, HOP_HEADER } from './_hop_header.ts';
+import { createFailureDetector } from './failure_detector.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
 
@@ -34,10 +35,13 @@
     sink: ResponseSink,
     onSilent?: () => void,
   ) => Promise<PeerSendResult>;
-  /** Returns whether a connection to the peer recently failed or went silent. */
+  /** Returns whether the peer is suspected of having failed. */
   readonly isSuspect: (address: string) => boolean;
-  /** Closes the connections to all peers that are not in `addresses`. */
-  readonly retain: (addresses: ReadonlySet<string>) => void;
+  /**
+   * Closes the connections to all peers that are not in `peers`, which has the start time of the
+   * process at each address. A new process is not suspected for its predecessor.
+   */
+  readonly retain: (peers: ReadonlyMap<string, number>) => void;
   readonly close: () => Promise<void>;
 }
 
@@ -64,11 +68,11 @@
 /** Time after the deadline in which a response that has begun may end. */
 const BODY_SLACK_MS = 180;
 const BODY_STALL_MS = 10_000;
-/** Time for which a suspect peer gets no requests that other nodes can serve. */
-const SUSPICION_MS = 1200;
 const RETRY_AFTER_MS = 150;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
+const isConnectionRefused = (error: Error) => 'code' in error && error.code === 'ECONNREFUSED';
+
 /**
  * Creates a client that keeps one connection pool per peer.
  *
@@ -81,7 +85,7 @@
 export const createPeerClient = (options: PeerClientOptions): PeerClient => {
   const { clock, onSuspect = () => undefined } = options;
   const pools = new Map<string, TruncationAwarePool>();
-  const suspectUntil = new Map<string, number>();
+  const detector = createFailureDetector(clock);
 
   const poolOf = (address: string) => {
     const known = pools.get(address);
@@ -95,23 +99,25 @@
     return pool;
   };
 
-  const isSuspect = (address: string) => (suspectUntil.get(address) ?? -Infinity) > clock.now();
-
-  const markSuspect = (address: string, reason: string) => {
-    const wasSuspect = isSuspect(address);
-    suspectUntil.set(address, clock.now() + SUSPICION_MS);
-    if (!wasSuspect) onSuspect(address, reason);
+  const recordConnectionFailure = (address: string, error: Error, startedAt: number) => {
+    const isNewlySuspect = isConnectionRefused(error)
+      ? detector.recordClosed(address)
+      : detector.recordSilence(address, startedAt);
+    if (isNewlySuspect) onSuspect(address, error.message);
   };
 
   const toOutcome = (
     end: ExchangeResult,
     address: string,
+    startedAt: number,
     deadlineAt: number,
   ): AttemptOutcome => {
     if (end.kind === 'complete') return { kind: 'answered', status: end.status };
     const context = { step: 'peer.send', peer: address };
     if (end.begun) return { kind: 'truncated', error: new StepError(end.error.message, context) };
-    if (end.cause === 'connection' && !end.written) markSuspect(address, end.error.message);
+    if (end.cause === 'connection' && !end.written) {
+      recordConnectionFailure(address, end.error, startedAt);
+    }
     if (!end.written) return refuseNotRun(end.error.message, RETRY_AFTER_MS, context);
     const isTimeout = end.cause === 'deadline' || clock.now() >= deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
@@ -119,6 +125,7 @@
   };
 
   const send: PeerClient['send'] = async (address, request, sink, onSilent) => {
+    const startedAt = clock.now();
     let load: AdmissionLoad | undefined;
     let refusedOutcome: AttemptOutcome | undefined;
     let failedStatus: number | undefined;
@@ -158,8 +165,9 @@
       headProgressTimeoutMs: isIdempotent(request.kind)
         ? MAX_PEER_SILENCE_MS
         : Number.POSITIVE_INFINITY,
-      onSilent: () => {
-        markSuspect(address, 'no progress in time');
+      onReceive: () => detector.recordContact(address),
+      onSilent: (since) => {
+        if (detector.recordSilence(address, since)) onSuspect(address, 'no progress in time');
         onSilent?.();
       },
       bodyProgressTimeoutMs: BODY_STALL_MS,
@@ -170,23 +178,23 @@
     if (failedStatus !== undefined) {
       return { outcome: { kind: 'failed', status: failedStatus }, load };
     }
-    return { outcome: toOutcome(end, address, request.deadlineAt), load };
+    return { outcome: toOutcome(end, address, startedAt, request.deadlineAt), load };
   };
 
   const closePool = (address: string) => {
     const known = pools.get(address);
     pools.delete(address);
-    suspectUntil.delete(address);
     // The pool closes after its requests in flight have finished.
     return known?.pool.close();
   };
 
   return {
     send,
-    isSuspect,
-    retain: (addresses) => {
+    isSuspect: detector.isSuspect,
+    retain: (peers) => {
+      detector.retain(peers);
       for (const address of [...pools.keys()]) {
-        if (!addresses.has(address)) closePool(address)?.catch(() => undefined);
+        if (!peers.has(address)) closePool(address)?.catch(() => undefined);
       }
     },
     close: async () => {
