Send no requests to a node that has refused one because it stops

A stopping node that was waiting for its last requests got new ones for its keys all the time, each over a connection of its own, and refused them: 33 by its log in its last 0.6 s.

Cause: its refusal told the peer nothing for the next request, as the directory names a stopping node for the whole time in which it still serves its keys.

The refusal now says that the node accepts no further requests. The peer answers the next ones itself, as not run, until the directory names a new process or the suspicion ends.

gateway/peer_stop_test.ts: 'a peer gets no requests after it has refused one because it stops', and a check added to the test of a request in transit, failed before.

--- a/forward/headers.ts
+++ b/forward/headers.ts
@@ -15,6 +15,8 @@
   version: 'mh-version',
   load: 'mh-load',
   reached: 'mh-reached',
+  /** In a refusal of a node that accepts no further requests. */
+  stopping: 'mh-stopping',
   outcome: 'mh-outcome',
   step: 'mh-step',
   peer: 'mh-peer',
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -148,6 +148,8 @@
         if (refusal !== undefined) {
           const reachedInstance = findHeader(rawHeaders, hopHeaders.reached) !== undefined;
           refusedOutcome = { kind: 'refused', refusal, reachedInstance };
+          const isStopping = findHeader(rawHeaders, hopHeaders.stopping) !== undefined;
+          if (isStopping && detector.recordClosed(address)) onSuspect(address, 'the node stops');
           return 'drain';
         }
         const use = sink.start(status, headers, endsWithConnection);
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -56,7 +56,7 @@
 /** Renders the refusal of a request that is in transit when the listener closes. */
 const renderStopRefusal = () => {
   const { refusal } = refuseWhileStopping();
-  const headers = encodeRefusal(refusal);
+  const headers = [...encodeRefusal(refusal), hopHeaders.stopping, '1'];
   const lines = [`HTTP/1.1 ${refusal.status} Service Unavailable`];
   for (let index = 0; index + 1 < headers.length; index += 2) {
     lines.push(`${headers[index]}: ${headers[index + 1]}`);
@@ -186,6 +186,7 @@
         ...encodeRefusal(refusal),
         hopHeaders.load, formatLoad(local.load()),
         ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
+        ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
       ], '');
       return;
     }
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -107,6 +107,7 @@
     shutdown,
     runs,
     send,
+    isSuspect: () => peers.isSuspect(link.address),
     connections: () => link.counts.connections,
     close: async () => {
       listener.kill();
@@ -131,6 +132,7 @@
   assert.is(peer.connections(), 1);
   assert.is(outcome.kind, 'refused');
   assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'not run');
+  assert.is(peer.isSuspect(), true);
 });
 
 // Each request to a stopping node needed a new connection, and its node was taken for dead.
@@ -146,4 +148,25 @@
   assert.is(peer.connections(), 1);
 });
 
+// Each refusal was followed by the next request, which took the time to read those before.
+test('a peer gets no requests after it has refused one because it stops', async () => {
+  for (const isClosed of [false, true]) {
+    const peer = await startPeer();
+    assert.is((await peer.send('first')).kind, 'answered');
+    assert.is(peer.isSuspect(), false);
+    peer.shutdown.leave(clock.now() + GRACE_MS);
+    const endRequest = peer.shutdown.trackRequest();
+    const closed = peer.shutdown.close();
+    if (isClosed) {
+      endRequest();
+      await closed;
+    }
+    const outcome = await peer.send('late');
+    assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'not run');
+    assert.is(peer.isSuspect(), true);
+    endRequest();
+    await peer.close();
+  }
+});
+
 test.run();
