--- /dev/null
+++ b/gateway/_test_sick_call.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  type CallOptions, isMet, MAX_CALM_PROCESSOR_MS, processorTimeMs, watchBuffers,
+} from './_test_caller.ts';
+import {
+  answerSoundly, type Respond, ROUTE_TIMEOUT_MS, startPath,
+} from './_test_path.ts';
+
+/** Time after the route's timeout by which each caller must have its final answer. */
+export const MAX_OVERRUN_MS = 450;
+const MAX_BUFFER_GROWTH = 150_000_000;
+const STREAM_INTERVAL_MS = 20;
+
+export const hops = ['local', 'peer'] as const;
+
+/** Writes a short text at an interval until the other end closes the connection. */
+export const writeSlowly = (socket: Parameters<Respond>[0], text: string) => {
+  const timer = setInterval(() => socket.write(text), STREAM_INTERVAL_MS);
+  socket.once('close', () => clearInterval(timer));
+};
+
+/** Sends a request to an instance that is sick once, and checks all that must hold afterwards. */
+export const callSick = async (
+  hop: typeof hops[number],
+  sick: Respond,
+  options: CallOptions = {},
+) => {
+  let isSick = true;
+  const path = await startPath(hop, (...args) => {
+    if (isSick) sick(...args);
+    else answerSoundly(...args);
+    isSick = false;
+  }, answerSoundly);
+  const stopWatching = watchBuffers();
+  const limit = sleep(ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS, undefined, { ref: false });
+  const answer = await Promise.race([path.call(options), limit]);
+  const growth = stopWatching();
+  const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+  const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
+  const processorMs = await processorTimeMs();
+  const runs = path.instances.map(({ counts }) => counts.requests);
+  const next = await path.call(options.kind === undefined ? {} : { kind: options.kind });
+  const outcome = path.outcomes[0];
+  await path.stop();
+  assert.ok(answer !== undefined, 'no final answer in time');
+  assert.ok(growth < MAX_BUFFER_GROWTH, `buffers grew by ${growth} bytes`);
+  assert.ok(areSlotsFree, 'the slot was not released');
+  assert.ok(isClosed, 'the connection to the instance stays open');
+  assert.ok(processorMs < MAX_CALM_PROCESSOR_MS, `${processorMs} ms of processor time afterwards`);
+  assert.equal(next.text, 'sound');
+  return { answer, runs, outcome };
+};
