Tell an early end of an attempt from a stopped process in tests

The test of a header without end over a peer once got 504 instead of 502. The tests of endless heads told an attempt that ends at once from one that lasts until its deadline by the deadline alone, 400 ms.

Evidence: 11,791 requests of three kinds of endless heads over a peer, beside three busy processes at a load of 13 to 15 on 8 cores: 50% took 8 ms, 99% 48 ms, and one got 504. In it one turn of the event loop lasted 480 ms, in which the process used 2 ms of processor time: it was stopped, not busy, and its deadline had passed when it went on. An idle process beside it was stopped for up to 202 ms in the same minutes. No attempt was noticed late by a process that ran.

The tests now use a route timeout of 3 s, and check that the answer comes within 1.5 s and within 400 ms of processor time, which reading until the former deadline would exceed.

--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -88,21 +88,21 @@
   };
 };
 
-const routeOf = (kind: RouteKind): PublishedRoute => ({
+const routeOf = (kind: RouteKind, timeoutMs: number): PublishedRoute => ({
   name: kind,
   host: 'shop.example',
   prefix: `/${kind}/`,
   kind,
-  timeoutMs: ROUTE_TIMEOUT_MS,
+  timeoutMs,
   targetLatencyMs: 300,
   priority: 1,
   maxAttempts: 2,
   targets: [{ service: 'ledger', weight: 1 }],
 });
 
-const table = createRouteTable({
+const createRoutes = (timeoutMs: number) => createRouteTable({
   revision: 1,
-  routes: [routeOf('safe'), routeOf('unsafe'), routeOf('download')],
+  routes: (['safe', 'unsafe', 'download'] as const).map((kind) => routeOf(kind, timeoutMs)),
   services: new Map(),
 });
 
@@ -157,11 +157,23 @@
   };
 };
 
+/** Options of a path. */
+export interface PathOptions {
+  /** Whether the first instance is on the caller's host. */
+  readonly hop: 'local' | 'peer';
+  /** Timeout of the routes in ms. */
+  readonly timeoutMs?: number;
+}
+
 /**
  * Starts a path from a caller listener to raw instances. The first instance is on the caller's host
  * with the hop `local`; all others are behind peer listeners and get what the first one failed.
  */
-export const startPath = async (hop: 'local' | 'peer', ...responds: readonly Respond[]) => {
+export const startPath = async (
+  { hop, timeoutMs = ROUTE_TIMEOUT_MS }: PathOptions,
+  ...responds: readonly Respond[]
+) => {
+  const table = createRoutes(timeoutMs);
   const destinations = await Promise.all(responds.map((respond, index) => (
     startDestination(`i-${index}`, respond)
   )));
--- a/gateway/_test_sick_call.ts
+++ b/gateway/_test_sick_call.ts
@@ -24,17 +24,20 @@
 export const callSick = async (
   hop: typeof hops[number],
   sick: Respond,
-  options: CallOptions = {},
+  options: CallOptions & { readonly timeoutMs?: number } = {},
 ) => {
+  const { timeoutMs = ROUTE_TIMEOUT_MS } = options;
   let isSick = true;
-  const path = await startPath(hop, (...args) => {
+  const path = await startPath({ hop, timeoutMs }, (...args) => {
     if (isSick) sick(...args);
     else answerSoundly(...args);
     isSick = false;
   }, answerSoundly);
   const stopWatching = watchBuffers();
-  const limit = sleep(ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS, undefined, { ref: false });
+  const limit = sleep(timeoutMs + MAX_OVERRUN_MS, undefined, { ref: false });
+  const usedBefore = process.cpuUsage();
   const answer = await Promise.race([path.call(options), limit]);
+  const { user, system } = process.cpuUsage(usedBefore);
   const growth = stopWatching();
   const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
   const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
@@ -49,5 +52,28 @@
   assert.ok(isClosed, 'the connection to the instance stays open');
   assert.ok(processorMs < MAX_CALM_PROCESSOR_MS, `${processorMs} ms of processor time afterwards`);
   assert.equal(next.text, 'sound');
-  return { answer, runs, outcome };
+  return {
+    answer, runs, outcome, answerProcessorMs: (user + system) / 1000,
+  };
+};
+
+/** Timeout of a route in ms, far above the time for which a busy machine stops a process. */
+const PROMPT_ROUTE_TIMEOUT_MS = 3000;
+const MAX_PROMPT_MS = 1500;
+const MAX_PROMPT_PROCESSOR_MS = 400;
+
+/** Like {@link callSick}, and checks that the answer does not wait for the deadline. */
+export const callSickPromptly = async (
+  hop: typeof hops[number],
+  sick: Respond,
+  options: CallOptions = {},
+) => {
+  const result = await callSick(hop, sick, { ...options, timeoutMs: PROMPT_ROUTE_TIMEOUT_MS });
+  const { answer: { durationMs }, answerProcessorMs } = result;
+  assert.ok(durationMs < MAX_PROMPT_MS, `the answer took ${durationMs} ms`);
+  assert.ok(
+    answerProcessorMs < MAX_PROMPT_PROCESSOR_MS,
+    `the answer took ${answerProcessorMs} ms of processor time`,
+  );
+  return result;
 };
--- a/gateway/broken_head_test.ts
+++ b/gateway/broken_head_test.ts
@@ -1,7 +1,9 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { answerSoundly, type Respond, writeEndlessly } from './_test_path.ts';
-import { callSick, hops, writeSlowly } from './_test_sick_call.ts';
+import {
+  callSick, callSickPromptly, hops, writeSlowly,
+} from './_test_sick_call.ts';
 
 const test = suite('bytes without end in place of a head, or after an error');
 
@@ -32,13 +34,13 @@
 for (const hop of hops) {
   for (const [name, respond] of Object.entries(brokenHeads)) {
     test(`${hop}: ${name} in place of an answer let a safe request be repeated`, async () => {
-      const { answer, runs } = await callSick(hop, respond);
+      const { answer, runs } = await callSickPromptly(hop, respond);
       assert.is(answer.text, 'sound');
       assert.equal(runs, [1, 1]);
     });
 
     test(`${hop}: ${name} in place of an answer leave an unsafe request unknown`, async () => {
-      const { answer, runs } = await callSick(hop, respond, { kind: 'unsafe' });
+      const { answer, runs } = await callSickPromptly(hop, respond, { kind: 'unsafe' });
       assert.is(answer.status, 502);
       assert.match(answer.text, '"outcome":"unknown"');
       assert.equal(runs, [1, 0]);
@@ -67,7 +69,7 @@
 // Guards against interim responses that take the time that a second attempt needs.
 for (const hop of hops) {
   test(`${hop}: thousands of interim responses before an answer end the attempt`, async () => {
-    const { answer, runs } = await callSick(hop, (...args) => {
+    const { answer, runs } = await callSickPromptly(hop, (...args) => {
       args[0].write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(2000));
       answerSoundly(...args);
     });
@@ -98,7 +100,7 @@
   for (const [name, write] of Object.entries(unwantedBodies)) {
     test(`${hop}: ${name} after an error or a refusal do not delay the retry`, async () => {
       for (const writeHead of [failure, refusal]) {
-        const { answer, runs } = await callSick(hop, (...args) => {
+        const { answer, runs } = await callSickPromptly(hop, (...args) => {
           writeHead(...args);
           write(args[0]);
         });
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -76,7 +76,7 @@
 for (const hop of hops) {
   for (const [name, respond] of Object.entries(closingBodies)) {
     test(`${hop}: ${name} to a caller that does not read takes little memory`, async () => {
-      const path = await startPath(hop, respond, answerSoundly);
+      const path = await startPath({ hop }, respond, answerSoundly);
       const stopWatching = watchBuffers();
       const answer = path.call({ kind: 'download', reader: 'stalled' });
       const isEnded = await isMet(
@@ -124,7 +124,7 @@
 for (const hop of hops) {
   test(`${hop}: a long sound answer arrives whole`, async () => {
     const chunk = `8000\r\n${'x'.repeat(32_768)}\r\n`;
-    const path = await startPath(hop, chunked((socket) => {
+    const path = await startPath({ hop }, chunked((socket) => {
       for (let count = 0; count < 200; count += 1) socket.write(chunk);
       socket.write('0\r\n\r\n');
     }));
@@ -138,7 +138,7 @@
 }
 
 test('sound answers keep their connection', async () => {
-  const path = await startPath('local', answerSoundly);
+  const path = await startPath({ hop: 'local' }, answerSoundly);
   for (let count = 0; count < 20; count += 1) assert.is((await path.call()).text, 'sound');
   const { connections, requests } = path.instances[0]!.counts;
   await path.stop();
--- a/gateway/head_only_test.ts
+++ b/gateway/head_only_test.ts
@@ -26,7 +26,7 @@
   cut: typeof cuts[number] | undefined,
   options: CallOptions,
 ) => {
-  const path = await startPath(hop, (socket, ...rest) => {
+  const path = await startPath({ hop }, (socket, ...rest) => {
     writeHead(socket, ...rest);
     if (cut !== undefined) setTimeout(() => socket[cut](), CUT_DELAY_MS);
   }, answerSoundly);
--- a/gateway/held_error_test.ts
+++ b/gateway/held_error_test.ts
@@ -35,7 +35,7 @@
   kind: typeof kinds[number],
   responds: readonly Respond[],
 ) => {
-  const path = await startPath(hop, ...responds);
+  const path = await startPath({ hop }, ...responds);
   const answer = await path.call({ kind });
   const outcome = path.outcomes[0];
   await path.stop();
