Bound framing bytes of the store and of control messages

Line breaks, a status line or interim responses without end in place of an answer of the store, or of a peer to a control message, were read at full speed until the timeout of the call, 1.5 s or 2.5 s, and for a watch until the end of its wait, up to 30 s.

Cause: only the pools of instances and of forwarded requests counted these bytes. The counting is now a part of its own, createBoundedPool, which all of these pools use. An interceptor of undici marks the progress, so that handlers that are instances of a class keep their methods. A response always begins while its connection is read, which tells the connection without a map of requests.

--- a/fleet/_peer_messages.ts
+++ b/fleet/_peer_messages.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'undici';
+import { createBoundedPool } from '../http/mod.ts';
 
 /** The answer of a peer to a control message. */
 export interface PeerAnswer {
@@ -9,7 +10,9 @@
 /** Far above the changes that a node keeps for its peers. */
 const MAX_RESPONSE_BYTES = 16_777_216;
 
-const agent = new Agent({ maxResponseSize: MAX_RESPONSE_BYTES });
+const agent = new Agent({
+  factory: (origin) => createBoundedPool(origin, { maxBodyBytes: MAX_RESPONSE_BYTES }),
+});
 
 /**
  * Sends a control message to the node of another host and reads its answer, whose size is limited.
--- a/fleet/peer_messages_test.ts
+++ b/fleet/peer_messages_test.ts
@@ -4,7 +4,7 @@
 import { createSystemClock } from '../clock/mod.ts';
 import { createKeyLoad } from '../ranges/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { startEndlessServer, withMemoryGrowth } from '../testing/endless_server.ts';
+import { endlessFraming, startEndlessServer, withMemoryGrowth } from '../testing/endless_server.ts';
 import { fetchPeerChanges } from './changes_message.ts';
 import { createLoadCollector } from './load_collector.ts';
 
@@ -50,4 +50,15 @@
   });
 }
 
+// Guards against bytes that are no answer of a peer and are read until the message's timeout.
+for (const [bytes, answer] of Object.entries(endlessFraming)) {
+  test(`a report of changes does not wait for the end of ${bytes}`, async () => {
+    const server = await startEndlessServer(answer);
+    const result = await fetchPeerChanges(server.address, 1).catch((error: Error) => error);
+    server.close();
+    assert.instance(result, Error);
+    assert.is.not((result as Error).name, 'TimeoutError');
+  });
+}
+
 test.run();
--- a/forward/truncation_aware_pool.ts
+++ b/forward/truncation_aware_pool.ts
@@ -1,11 +1,10 @@
-import {
-  buildConnector, Client, type Dispatcher, Pool,
-} from 'undici';
+import type { Dispatcher } from 'undici';
+import { createBoundedPool } from '../http/mod.ts';
 import { findHeader } from './headers.ts';
 
-/** A connection pool that detects truncated responses and closes misused idle connections. */
+/** A connection pool that detects truncated responses and closes misused connections. */
 export interface TruncationAwarePool {
-  readonly pool: Pool;
+  readonly pool: Dispatcher;
   /**
    * Returns why a response is truncated, or undefined if it is complete; valid only while undici
    * reports the end of the response. undici takes the loss of a connection for the end of a
@@ -22,22 +21,12 @@
   readonly keepAliveMs: number;
 }
 
-/** Largest number of bytes read without a head or a part of a body; far above any framing. */
-const MAX_FRAMING_BYTES = 524_288;
-const MIN_FINAL_STATUS = 200;
-
 const isChunked = (raw: readonly string[]) => (
   findHeader(raw, 'transfer-encoding')?.toLowerCase().includes('chunked') === true
 );
 
-interface ConnectionProgress {
-  /** Whether a request began, or a final head or a part of a body came, since the last read. */
-  hasProgress: boolean;
-}
-
 /**
- * Creates a connection pool without pipelining that detects truncated responses. A connection that
- * receives bytes while no request runs on it, or too many that are no part of an answer, is closed.
+ * Creates a bounded connection pool that detects truncated responses.
  *
  * @param address Host and port.
  * @param options Connection limit and timeouts.
@@ -50,7 +39,6 @@
   address: string,
   options: TruncationAwarePoolOptions,
 ): TruncationAwarePool => {
-  const connect = buildConnector({ timeout: options.connectTimeoutMs });
   /** Whether some connection was reset or ended in the current turn of the event loop. */
   let isReset = false;
   let isEnded = false;
@@ -58,81 +46,22 @@
     isReset = false;
     isEnded = false;
   };
-  /** Progress of the connection on which a request runs. */
-  const progressOf = new WeakMap<Dispatcher.DispatchOptions, ConnectionProgress>();
-  const createClient = (origin: URL, clientOptions: object) => {
-    const progress: ConnectionProgress = { hasProgress: false };
-    const client: Client = new Client(origin, {
-      ...clientOptions,
-      connect: (target, done) => connect(target, (...result) => {
-        const [, socket] = result;
-        /** Bytes that undici has parsed, and those of them up to the last part of an answer. */
-        let parsedBytes = 0;
-        let answerBytes = 0;
-        // undici adds its listeners later, so these run first.
-        socket?.on('readable', () => {
-          // undici skips line breaks before a response, however many there are.
-          if (client.stats.running === 0) {
-            if (socket.bytesRead > parsedBytes) socket.destroy();
-            return;
-          }
-          if (progress.hasProgress) {
-            progress.hasProgress = false;
-            answerBytes = parsedBytes;
-          } else if (parsedBytes - answerBytes > MAX_FRAMING_BYTES) {
-            socket.destroy(new Error('too many bytes that are no part of an answer'));
-          }
-          parsedBytes = socket.bytesRead;
-        });
-        socket?.on('error', () => {
-          isReset = true;
-          process.nextTick(clearFlags);
-        });
-        socket?.on('end', () => {
-          isEnded = true;
-          // libuv reports a reset that arrives right after data as the end of the connection; the
-          // socket then has no remote address any more.
-          if (socket.remoteAddress === undefined) isReset = true;
-          process.nextTick(clearFlags);
-        });
-        done(...result);
-      }),
-    });
-    const dispatch = client.dispatch.bind(client);
-    client.dispatch = (request, handler) => {
-      progressOf.set(request, progress);
-      return dispatch(request, handler);
-    };
-    return client;
-  };
-  const pool = new Pool(`http://${address}`, {
-    connections: options.connections,
-    pipelining: 1,
-    keepAliveTimeout: options.keepAliveMs,
-    factory: createClient,
+  const pool = createBoundedPool(`http://${address}`, {
+    ...options,
+    onConnect: (socket) => {
+      socket.on('error', () => {
+        isReset = true;
+        process.nextTick(clearFlags);
+      });
+      socket.on('end', () => {
+        isEnded = true;
+        // libuv reports a reset that arrives right after data as the end of the connection; the
+        // socket then has no remote address any more.
+        if (socket.remoteAddress === undefined) isReset = true;
+        process.nextTick(clearFlags);
+      });
+    },
   });
-  const dispatchToPool = pool.dispatch.bind(pool);
-  pool.dispatch = (request, handler) => {
-    const markProgress = () => {
-      const progress = progressOf.get(request);
-      if (progress !== undefined) progress.hasProgress = true;
-    };
-    return dispatchToPool(request, {
-      ...handler,
-      onRequestStart: (...args) => {
-        markProgress();
-        handler.onRequestStart?.(...args);
-      },
-      onResponseStart: (controller, status, ...args) => {
-        if (status >= MIN_FINAL_STATUS) markProgress();
-        handler.onResponseStart?.(controller, status, ...args);
-      },
-      onResponseData: (...args) => {
-        markProgress();
-        handler.onResponseData?.(...args);
-      },
-    });
-  };
   return {
     pool,
     checkEnd: (raw) => {
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,7 +1,8 @@
-/** HTTP/1.1 listeners with graceful shutdown, and helpers that write their responses. */
+/** HTTP/1.1 listeners with graceful shutdown, bounded pools, and helpers that write responses. */
 export {
   createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
 } from './create_http_server.ts';
+export { type BoundedPoolOptions, createBoundedPool } from './create_bounded_pool.ts';
 export { createBulkSink, createCountedSink } from './bulk_sink.ts';
 export {
   type BulkBody, type BulkDestination, createEgressLink, type EgressLink, type EgressLinkOptions,
--- a/testing/endless_server.ts
+++ b/testing/endless_server.ts
@@ -9,30 +9,51 @@
   readonly close: () => void;
 }
 
-const CHUNK = Buffer.from(`8000\r\n${'x'.repeat(32_768)}\r\n`);
-const HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+/** What an endless server sends: the start once, and then the rest again and again. */
+export interface EndlessAnswer {
+  readonly start: string;
+  readonly rest: string;
+}
+
+const endlessBody: EndlessAnswer = {
+  start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+  rest: `8000\r\n${'x'.repeat(32_768)}\r\n`,
+};
+
+/** Bytes without end that are no part of an answer. */
+export const endlessFraming: Readonly<Record<string, EndlessAnswer>> = {
+  'line breaks': { start: '', rest: '\r\n'.repeat(16_384) },
+  'a status line': { start: 'HTTP/1.1 200 ', rest: 'x'.repeat(32_768) },
+  'interim responses': { start: '', rest: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(1000) },
+};
+
 const SAMPLE_INTERVAL_MS = 5;
 
 /**
- * Starts a server that answers each request with a body in chunks, as fast as it is read, until the
- * client closes the connection.
+ * Starts a server that answers each request with bytes without end, as fast as they are read, until
+ * the client closes the connection.
  *
+ * @param answer What it sends; a body in chunks if not given.
  * @returns The server, once it listens.
  *
  * @example
  * const server = await startEndlessServer();
  */
-export const startEndlessServer = async (): Promise<EndlessServer> => {
+export const startEndlessServer = async (
+  answer: EndlessAnswer = endlessBody,
+): Promise<EndlessServer> => {
+  const start = Buffer.from(answer.start);
+  const rest = Buffer.from(answer.rest);
   const sockets = new Set<Socket>();
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       sockets.add(socket);
       const write = () => {
-        while (!socket.destroyed && socket.write(CHUNK));
+        while (!socket.destroyed && socket.write(rest));
       };
       socket.on('error', () => undefined).once('close', () => sockets.delete(socket));
       socket.once('data', () => {
-        socket.write(HEAD);
+        socket.write(start);
         socket.on('drain', write).resume();
         write();
       });
