Bound the body of a control message

A peer that sent a body with a control message was answered, and its body was then read for as long as it came, which held the connection and cost processor time. Control messages have no body.

--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -5,7 +5,7 @@
 } from '../forward/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
-  type EgressLink, type HttpListener, renderMalformed, resetConnection,
+  type EgressLink, hasBody, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
@@ -184,10 +184,12 @@
     const isControl = message.url?.startsWith(CONTROL_PREFIX)
       && message.headers[HOP_HEADER] === undefined;
     if (isControl) {
-      message.resume();
+      // Control messages have no body, and the end of one that has may never come.
+      if (hasBody(message)) response.shouldKeepAlive = false;
+      else message.resume();
       options.handleControlMessage(message.url!.slice(CONTROL_PREFIX.length)).then((text) => {
         const status = text === undefined ? STATUS_BAD_REQUEST : STATUS_OK;
-        respondWithJson(response, status, [], text ?? '{}');
+        respondBeforeBody(clock, response, status, [], text ?? '{}');
       }, (error: unknown) => {
         logger.error({
           path: message.url, reason: String(error),
