Test that a slow body of a request at a peer ends at its deadline

Guard only: the wait for a body got its deadline in, which had a test for callers but none for peers.

--- a/gateway/peer_listener_test.ts
+++ b/gateway/peer_listener_test.ts
@@ -5,6 +5,7 @@
 import { createSystemClock } from '../clock/mod.ts';
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { HOP_HEADER } from './_hop_header.ts';
 import { createPeerListener, createShutdownTracker, MAX_BUFFERED_BYTES } from './mod.ts';
 
 const test = suite('peer listener');
@@ -15,12 +16,16 @@
 
 const setUp = async () => {
   const clock = createSystemClock();
+  let forwards = 0;
   const listener = createPeerListener({
     clock,
     address: '127.0.0.1:0',
     requestIdHeader: 'request-id',
     local: {
-      forward: async () => ({ kind: 'answered', status: 200 }),
+      forward: async () => {
+        forwards += 1;
+        return { kind: 'answered', status: 200 };
+      },
       load: () => ({
         inFlight: 0, queued: 0, slots: 1, runMs: 0,
       }) as never,
@@ -32,7 +37,7 @@
     logger: noopLogger,
     handleControlMessage: async () => '{"from":"control"}',
   });
-  return { listener, address: await listener.listen() };
+  return { listener, forwards: () => forwards, address: await listener.listen() };
 };
 
 interface Framing {
@@ -88,6 +93,18 @@
       assert.ok(isInTime, 'the connection stays open');
     });
   }
+
+  // Guards against a request of a peer that stays open while its body trickles in.
+  test(`a slow body ${name} of a request ends at the deadline with a reset`, async () => {
+    const { listener, forwards, address } = await setUp();
+    const hop = JSON.stringify(['ledger', 'unsafe', 1, 'short', 300, 100, null, null, 0]);
+    const head = `POST /orders/a HTTP/1.1\r\n${HOP_HEADER}: ${hop}\r\n`;
+    const { text, isInTime } = await sendBody(address, head, framing, true);
+    listener.kill();
+    assert.ok(isInTime, 'the connection stays open');
+    assert.is(text, '');
+    assert.is(forwards(), 0);
+  });
 }
 
 // Guards against a control message without a body that costs its connection.
