Close a kept connection that sends bytes but no request

A caller, or a peer, that sent line breaks on a connection after its first request kept it open without end: Node.js skips line breaks before a head, so no head begins whose timeout could end it, and each byte restarts its idle timeout. At full speed they also cost processor time without limit.

A check each second now closes a connection on which no request runs once it has sent 64 KiB more than a head may have, or, if it has sent anything, after the idle timeout and the timeout of a head. Requests need no timer of their own.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,8 +1,9 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
-import type { Clock } from '../clock/mod.ts';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
+import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
@@ -42,7 +43,9 @@
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
 export type Expectation = 'none' | 'continue' | 'other';
 
-interface ConnectionState {
+interface ConnectionState extends ConnectionInput {
+  requestCount: number;
+  unreadRequest?: IncomingMessage | undefined;
   /** Responses that have not been handed to the operating system to their end. */
   readonly responses: Set<ServerResponse>;
   /** Bytes read until the end of the last request; more have been read of an incomplete one. */
@@ -58,6 +61,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
+/** Largest number of bytes beyond a head that a connection without a request may send. */
+const MAX_IDLE_INPUT_BYTES = 65_536;
 
 const statusByErrorCode: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -109,6 +114,12 @@
   const sockets = new Set<Socket>();
   let isStopping = false;
   let isGraceOver = false;
+  let cancelInputCheck: CancelTask = () => undefined;
+  const checkIdleInput = createIdleInputCheck(clock, {
+    maxBytes: options.maxHeaderBytes + MAX_IDLE_INPUT_BYTES,
+    // A head that begins within the idle timeout has its own timeout.
+    maxMs: KEEP_ALIVE_TIMEOUT_MS + HEADERS_TIMEOUT_MS,
+  });
 
   const serverOptions = {
     maxHeaderSize: options.maxHeaderBytes,
@@ -140,7 +151,11 @@
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
-    state?.responses.add(response);
+    if (state !== undefined) {
+      state.responses.add(response);
+      state.requestCount += 1;
+      state.unreadRequest = request;
+    }
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
       if (state !== undefined) state.requestsEndAt = socket.bytesRead;
@@ -160,7 +175,7 @@
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, { responses: new Set(), requestsEndAt: 0 });
+    connections.set(socket, { responses: new Set(), requestsEndAt: 0, requestCount: 0 });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
@@ -202,11 +217,20 @@
     } else socket.destroy();
   });
 
+  const checkInput = () => {
+    for (const [socket, state] of connections) {
+      if (state.unreadRequest?.complete === true) state.unreadRequest = undefined;
+      checkIdleInput(socket, state);
+    }
+    cancelInputCheck = clock.schedule(CONNECTION_CHECK_INTERVAL_MS, checkInput);
+  };
+
   const listen = () => new Promise<string>((resolve, reject) => {
     const { host, port } = splitAddress(options.address);
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
+      checkInput();
       const bound = server.address() as AddressInfo;
       resolve(`${bound.family === 'IPv6' ? `[${bound.address}]` : bound.address}:${bound.port}`);
     });
@@ -230,11 +254,13 @@
     });
     await closed;
     cancelGraceTimer();
+    cancelInputCheck();
     server.close(() => undefined);
   };
 
   const kill = () => {
     isStopping = true;
+    cancelInputCheck();
     server.close(() => undefined);
     server.closeAllConnections();
     for (const socket of sockets) socket.destroy();
