Test that no other bytes take the place of the rest of a body

Guard only: an instance that answers on the head of a request, keeps the connection and reads on later gets the whole body, or its start and the end of the connection, before the next request.

--- a/gateway/_test_caller.ts
+++ b/gateway/_test_caller.ts
@@ -28,6 +28,8 @@
 export interface CallOptions {
   readonly kind?: RouteKind;
   readonly deadlineMs?: number;
+  /** Body of an unsafe request. */
+  readonly body?: string;
   /** A stalled caller reads nothing after the head, and leaves after some seconds. */
   readonly reader?: 'quick' | 'stalled';
   /** The caller leaves after this time in ms. */
@@ -65,7 +67,7 @@
   request.on('error', () => {
     isReset = true;
   });
-  request.end(kind === 'unsafe' ? 'order' : undefined);
+  request.end(kind === 'unsafe' ? options.body ?? 'order' : undefined);
   const result = {
     status: undefined, headers: {}, isComplete: false, text: '', bodyBytes: 0,
   };
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -31,6 +31,8 @@
   readonly counts: { connections: number; requests: number };
   /** Returns the number of open connections that carried a request. */
   readonly usedConnections: () => number;
+  /** Returns all that was received, one text for each connection. */
+  readonly received: () => readonly string[];
   readonly close: () => void;
 }
 
@@ -58,13 +60,17 @@
 const startRawInstance = async (respond: Respond): Promise<RawInstance> => {
   const sockets = new Set<Socket>();
   const usedSockets = new Set<Socket>();
+  const received: Buffer[][] = [];
   const counts = { connections: 0, requests: 0 };
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       counts.connections += 1;
       sockets.add(socket);
+      const chunks: Buffer[] = [];
+      received.push(chunks);
       socket.on('error', () => undefined).once('close', () => sockets.delete(socket));
-      socket.on('data', (data) => {
+      socket.on('data', (data: Buffer) => {
+        chunks.push(data);
         const id = /request-id: (\S+)/iu.exec(data.toString())?.[1];
         if (id === undefined) return;
         counts.requests += 1;
@@ -81,6 +87,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     counts,
     usedConnections: () => [...usedSockets].filter((socket) => sockets.has(socket)).length,
+    received: () => received.map((chunks) => Buffer.concat(chunks).toString('latin1')),
     close: () => {
       for (const socket of sockets) socket.destroy();
       server.close();
