--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -2,8 +2,10 @@
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import type { Clock } from '../clock/mod.ts';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
+import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
+import { splitAddress } from './split_address.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
@@ -49,7 +51,9 @@
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
 export type Expectation = 'none' | 'continue' | 'other';
 
-interface ConnectionState {
+interface ConnectionState extends ConnectionInput {
+  requestCount: number;
+  unreadRequest?: IncomingMessage | undefined;
   /** Responses that have not been handed to the operating system to their end. */
   readonly responses: Set<ServerResponse>;
   /** Bytes read until the end of the last request; more have been read of an incomplete one. */
@@ -71,6 +75,8 @@
 const FINAL_RESPONSE_LIMIT_MS = 300;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
+/** Largest number of bytes beyond a head that a connection without a request may send. */
+const MAX_IDLE_INPUT_BYTES = 65_536;
 
 const statusByErrorCode: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -90,21 +96,6 @@
   return last;
 };
 
-/**
- * Splits an address into host and port.
- *
- * @param address Host and port separated by a colon; an IPv6 host is in brackets.
- * @returns The host without brackets, and the port.
- *
- * @example
- * splitAddress('[::1]:8080'); // { host: '::1', port: 8080 }
- */
-export const splitAddress = (address: string) => {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[(.*)\]$/u, '$1');
-  return { host, port: Number(address.slice(separator + 1)) };
-};
-
 /**
  * Creates an HTTP/1.1 server with graceful shutdown.
  *
@@ -123,6 +114,12 @@
   let acceptedCount = 0;
   let isStopping = false;
   let isGraceOver = false;
+  let cancelInputCheck: CancelTask = () => undefined;
+  const checkIdleInput = createIdleInputCheck(clock, {
+    maxBytes: options.maxHeaderBytes + MAX_IDLE_INPUT_BYTES,
+    // A head that begins within the idle timeout has its own timeout.
+    maxMs: KEEP_ALIVE_TIMEOUT_MS + HEADERS_TIMEOUT_MS,
+  });
 
   const serverOptions = {
     maxHeaderSize: options.maxHeaderBytes,
@@ -166,7 +163,11 @@
       request.resume();
       return;
     }
-    state?.responses.add(response);
+    if (state !== undefined) {
+      state.responses.add(response);
+      state.requestCount += 1;
+      state.unreadRequest = request;
+    }
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
       if (state !== undefined) state.requestsEndAt = socket.bytesRead;
@@ -187,7 +188,9 @@
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, { responses: new Set(), requestsEndAt: 0, isFinished: false });
+    connections.set(socket, {
+      responses: new Set(), requestsEndAt: 0, requestCount: 0, isFinished: false,
+    });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
@@ -229,11 +232,20 @@
     } else socket.destroy();
   });
 
+  const checkInput = () => {
+    for (const [socket, state] of connections) {
+      if (state.unreadRequest?.complete === true) state.unreadRequest = undefined;
+      checkIdleInput(socket, state);
+    }
+    cancelInputCheck = clock.schedule(CONNECTION_CHECK_INTERVAL_MS, checkInput);
+  };
+
   const listen = () => new Promise<string>((resolve, reject) => {
     const { host, port } = splitAddress(options.address);
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
+      checkInput();
       const bound = server.address() as AddressInfo;
       resolve(`${bound.family === 'IPv6' ? `[${bound.address}]` : bound.address}:${bound.port}`);
     });
@@ -269,11 +281,13 @@
     });
     await closed;
     cancelGraceTimer();
+    cancelInputCheck();
     server.close(() => undefined);
   };
 
   const kill = () => {
     isStopping = true;
+    cancelInputCheck();
     server.close(() => undefined);
     server.closeAllConnections();
     for (const socket of sockets) socket.destroy();
