--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -13,7 +13,7 @@
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad, RightToGrant } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
-import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { CHANGES_PATH, serveChanges } from './changes_message.ts';
 import type { ContractSource } from './contract_source.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
@@ -220,6 +220,7 @@
     name: 'peer-listener',
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
+      'event-loop',
     ],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
@@ -233,6 +234,7 @@
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         handleControlMessage: async (path) => {
           if (path === 'load') return collector.encodeOwnReport();
@@ -247,7 +249,9 @@
 
   kernel.register<HttpListener>({
     name: 'caller-listener',
-    needs: ['clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress'],
+    needs: [
+      'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
+    ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
@@ -259,6 +263,7 @@
         sender: find<RequestSender>('attempts'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         random: Math.random,
         onRequestEnd: ({
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -5,7 +5,10 @@
 import { createKernel, type Kernel } from '../kernel/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import type { Announcement, RightToGrant } from '../ranges/mod.ts';
-import { createNodeMetrics, type Logger, type NodeMetrics } from '../telemetry/mod.ts';
+import {
+  createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type Logger, type NodeMetrics,
+  readProcessUsage,
+} from '../telemetry/mod.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlListeners } from './control_listeners.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
@@ -105,6 +108,9 @@
   const revision = () => contracts.routes()?.revision ?? 0;
   metrics.observe('contract_revision', 'Contract in force', revision);
   metrics.observe('store_connected', '1 while the store answers', () => Number(view.isConnected()));
+  const eventLoop = kernel.find<EventLoopMonitor>('event-loop');
+  metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
+  metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
   metrics.observe('fleet_nodes', 'Nodes in the directory', () => fleet.present().size);
 };
 
@@ -132,6 +138,13 @@
   kernel.register<NodeMetrics>({
     name: 'metrics', needs: [], start: () => ({ service: createNodeMetrics() }),
   });
+  kernel.register<EventLoopMonitor>({
+    name: 'event-loop',
+    needs: [],
+    start: () => ({
+      service: createEventLoopMonitor({ clock, logger, usage: readProcessUsage }),
+    }),
+  });
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings);
   await kernel.start();
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -14,7 +14,7 @@
   renderMalformed,
   resetConnection,
 } from '../http/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
 import {
   abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondBeforeBody,
@@ -54,6 +54,8 @@
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
+  /** Records how long requests wait for the event loop. */
+  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
   /** Returns uniform numbers from 0 to less than 1. */
   readonly random: () => number;
@@ -156,7 +158,9 @@
       respondBeforeBody(clock, response, status, [], text);
       return;
     }
+    const bodyReadAt = clock.now();
     await processPendingSocketEvents();
+    options.eventLoop?.record(clock.now() - bodyReadAt, request.signal.aborted);
     if (request.signal.aborted) return;
     if (options.shutdown.phase() === 'closed') {
       refuseWhileStopping(request.requestId, route, response);
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -7,7 +7,7 @@
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
   type EgressLink, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
   abortOnClose, firstHeaderValue, processPendingSocketEvents, respondBeforeBody,
   respondToError, respondWithJson,
@@ -32,6 +32,8 @@
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
+  /** Records how long requests wait for the event loop. */
+  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
   /** Handles a control message from a peer; resolves to undefined for an unknown path. */
   readonly handleControlMessage: (path: string) => Promise<string | undefined>;
@@ -129,7 +131,9 @@
       resetConnection(response);
       return;
     }
+    const bodyReadAt = clock.now();
     await processPendingSocketEvents();
+    options.eventLoop?.record(clock.now() - bodyReadAt, request.signal.aborted);
     if (request.signal.aborted) return;
     const stopInterimResponses = startInterimResponses(response);
     const addLoad = (headers: string[]) => {
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -12,5 +12,12 @@
   noopMetrics,
 } from './metrics.ts';
 export { type RateLimitedLoggerOptions, createRateLimitedLogger } from './rate_limited_logger.ts';
+export {
+  createEventLoopMonitor,
+  type EventLoopMonitor,
+  type EventLoopMonitorOptions,
+  type ProcessUsage,
+  readProcessUsage,
+} from './event_loop_monitor.ts';
 export { createNodeMetrics, type NodeMetrics } from './node_metrics.ts';
 export { openLogOutput } from './output_stream.ts';
