Recognize nested calls by the request that makes them

Cause: nested calls were known by priority 0 only. Their routes have priority 1, like new orders, so they waited behind these, were refused after a quarter of their latency target with 268 ms left to their deadline, and a stopping node refused them. The run that made such a call fails, and is tried again.

Change: the identifier of a nested call extends the one of a request that the instance on the host is running. Such a request gets the highest priority in the slot queues, and is accepted until no request is in flight.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -3,10 +3,11 @@
   createFleetMembership, type FleetView, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import {
-  createCallerListener, createLocalForwarder, createPeerClient, createPeerListener,
-  createRequestSender, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
-  createTargetChooser, type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
-  type ShutdownTracker, type SlotQueue, type TargetChooser,
+  createCallerListener, createLocalForwarder, createPeerClient,
+  createPeerListener, createRequestSender, createRunningRequests, createServiceRetryBudget,
+  createShutdownTracker, createSlotQueue, createTargetChooser,
+  type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
+  type RunningRequests, type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -76,9 +77,13 @@
     }),
   });
 
+  kernel.register<RunningRequests>({
+    name: 'running', needs: [], start: () => ({ service: createRunningRequests() }),
+  });
+
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['running', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -94,6 +99,7 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
+          running: find<RunningRequests>('running'),
           link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
@@ -251,6 +257,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
+      'running',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -261,6 +268,7 @@
         callerService,
         routes: find<ContractSource>('contracts').routes,
         sender: find<RequestSender>('attempts'),
+        running: find<RunningRequests>('running'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -34,6 +34,7 @@
 export type CallerRequestReader = (
   message: IncomingMessage,
   route: PublishedRoute,
+  priority: number,
   arrivedAt: number,
   signal: AbortSignal,
 ) => Omit<GatewayRequest, 'body'> | undefined;
@@ -54,7 +55,7 @@
   const replacedHeaders = new Set([headerNames.callerService, headerNames.remainingMs]);
   const ageEstimator = createRequestAgeEstimator();
 
-  return (message, route, arrivedAt, signal) => {
+  return (message, route, priority, arrivedAt, signal) => {
     const service = chooseService(route, options.random);
     if (service === undefined) return undefined;
     const sentMs = Number(
@@ -70,7 +71,7 @@
       requestId: firstHeaderValue(message, headerNames.requestId) ?? '',
       service,
       kind: route.kind,
-      priority: route.priority,
+      priority,
       workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
       key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
       instance: undefined,
