--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -3,17 +3,18 @@
   createFleetMembership, type FleetView, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import {
-  createCallerListener, createLocalForwarder, createPeerClient, createPeerListener,
-  createRequestSender, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
-  createTargetChooser, type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
-  type ShutdownTracker, type SlotQueue, type TargetChooser,
+  createCallerListener, createDispatchQueue, createLocalForwarder, createPeerClient,
+  createPeerListener, createRequestSender, createRunningRequests, createServiceRetryBudget,
+  createShutdownTracker, createSlotQueue, createTargetChooser, type DispatchQueue,
+  type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
+  type RunningRequests, type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad, RightToGrant } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
-import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { CHANGES_PATH, serveChanges } from './changes_message.ts';
 import type { ContractSource } from './contract_source.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
@@ -76,9 +77,19 @@
     }),
   });
 
+  kernel.register<DispatchQueue>({
+    name: 'dispatch',
+    needs: ['clock'],
+    start: (find) => ({ service: createDispatchQueue({ clock: find<Clock>('clock') }) }),
+  });
+
+  kernel.register<RunningRequests>({
+    name: 'running', needs: [], start: () => ({ service: createRunningRequests() }),
+  });
+
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['running', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -94,6 +105,7 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
+          running: find<RunningRequests>('running'),
           link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
@@ -222,6 +234,7 @@
     name: 'peer-listener',
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
+      'event-loop', 'dispatch',
     ],
     start: async (find) => {
       const collector = find<LoadCollector>('collector');
@@ -232,9 +245,11 @@
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
         requestIdHeader: platformHeaders.requestId,
+        dispatch: find<DispatchQueue>('dispatch'),
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         handleControlMessage: async (path) => {
           if (path === 'load') return collector.encodeOwnReport();
@@ -249,7 +264,10 @@
 
   kernel.register<HttpListener>({
     name: 'caller-listener',
-    needs: ['clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress'],
+    needs: [
+      'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
+      'running', 'dispatch',
+    ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
@@ -258,9 +276,12 @@
         headers: platformHeaders,
         callerService,
         routes: find<ContractSource>('contracts').routes,
+        dispatch: find<DispatchQueue>('dispatch'),
         sender: find<RequestSender>('attempts'),
+        running: find<RunningRequests>('running'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         random: Math.random,
         onRequestEnd: ({
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -14,19 +14,22 @@
   renderMalformed,
   resetConnection,
 } from '../http/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
 import {
-  abortOnClose, firstHeaderValue, formatRefusal, processPendingSocketEvents, respondBeforeBody,
-  respondToError, respondWithJson, sendContinueIfExpected,
+  abortOnClose, firstHeaderValue, formatRefusal, isClientGone, respondBeforeBody, respondToError,
+  respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
+import { refuseSaturated } from './_refusals.ts';
+import type { DispatchQueue } from './dispatch_queue.ts';
 import type { RequestSender } from './request_sender.ts';
 import {
   type AttemptOutcome, failureReason, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
 } from './request.ts';
 import type { RouteTable } from './route_table.ts';
+import type { RunningRequests } from './running_requests.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
 /** How a request of a caller ended. */
@@ -50,10 +53,16 @@
   readonly callerService: () => string;
   /** Returns the current routes; undefined until the first contract has been read. */
   readonly routes: () => RouteTable | undefined;
+  /** Orders the requests of both listeners of this process. */
+  readonly dispatch: DispatchQueue;
   readonly sender: RequestSender;
+  /** Tells which requests are calls of requests that the instance on this host is running. */
+  readonly running?: Pick<RunningRequests, 'isNestedCall'>;
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
+  /** Records how long requests wait for the event loop. */
+  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
   /** Returns uniform numbers from 0 to less than 1. */
   readonly random: () => number;
@@ -140,8 +149,9 @@
     response: ServerResponse,
     route: PublishedRoute,
     arrivedAt: number,
+    priority: number,
   ) => {
-    const request = toRequest(message, route, arrivedAt, abortOnClose(response));
+    const request = toRequest(message, route, priority, arrivedAt, abortOnClose(response));
     if (request === undefined) {
       const text = '{"error":"the route has no service"}';
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
@@ -156,8 +166,12 @@
       respondBeforeBody(clock, response, status, [], text);
       return;
     }
-    await processPendingSocketEvents();
-    if (request.signal.aborted) return;
+    const bodyReadAt = clock.now();
+    const decision = await options.dispatch.wait({
+      ...request, isFromPeer: false, isGone: () => isClientGone(response),
+    });
+    options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
+    if (decision === 'gone') return;
     if (options.shutdown.phase() === 'closed') {
       refuseWhileStopping(request.requestId, route, response);
       return;
@@ -166,7 +180,9 @@
     const sink = isBulk(route.kind)
       ? createBulkSink(response, () => undefined, link)
       : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
-    const outcome = await options.sender.send({ ...request, body }, route.maxAttempts, sink);
+    const outcome = decision === 'forward'
+      ? await options.sender.send({ ...request, body }, route.maxAttempts, sink)
+      : refuseSaturated();
     respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
     const isDisconnected = request.signal.aborted;
@@ -230,16 +246,19 @@
       respondBeforeBody(clock, response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
+    const priority = options.running?.isNestedCall(requestId ?? '')
+      ? NESTED_CALL_PRIORITY
+      : route.priority;
     // The instance on this host still runs requests, which may depend on nested calls.
     const isAccepted = phase !== 'closed'
-      && (phase !== 'closing' || route.priority <= NESTED_CALL_PRIORITY);
+      && (phase !== 'closing' || priority <= NESTED_CALL_PRIORITY);
     if (!isAccepted) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
-    serve(message, response, route, arrivedAt).catch((error: unknown) => {
+    serve(message, response, route, arrivedAt, priority).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -27,6 +27,10 @@
   type LocalForwarder,
 } from './local_forwarder.ts';
 export { createFailureDetector, type FailureDetector } from './failure_detector.ts';
+export {
+  createDispatchQueue, type DispatchDecision, type DispatchQueue, type DispatchQueueOptions,
+  type DispatchRequest,
+} from './dispatch_queue.ts';
 export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
 export {
   createPeerClient, type PeerClientOptions, type PeerClient, type PeerSendResult,
@@ -34,6 +38,7 @@
 export {
   type AttemptOutcome, type GatewayRequest, isBulk, isIdempotent,
 } from './request.ts';
+export { createRunningRequests, type RunningRequests } from './running_requests.ts';
 export {
   createServiceRetryBudget, type ServiceRetryBudget, type ServiceRetryBudgetOptions,
 } from './service_retry_budget.ts';
--- a/gateway/peer_close_test.ts
+++ b/gateway/peer_close_test.ts
@@ -7,7 +7,7 @@
 import { createEgressLink } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
-  createPeerClient, createPeerListener, createShutdownTracker, type GatewayRequest,
+  createPeerClient, createDispatchQueue, createPeerListener, createShutdownTracker, type GatewayRequest,
 } from './mod.ts';
 
 const test = suite('close of a connection between nodes');
@@ -60,6 +60,7 @@
   const listener = createPeerListener({
     clock: listenerClock,
     address: '127.0.0.1:0',
+    dispatch: createDispatchQueue({ clock }),
     requestIdHeader: 'request-id',
     local: {
       forward: async ({ requestId }, sink) => {
--- a/gateway/peer_listener_test.ts
+++ b/gateway/peer_listener_test.ts
@@ -6,7 +6,9 @@
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { HOP_HEADER } from './_hop_header.ts';
-import { createPeerListener, createShutdownTracker, MAX_BUFFERED_BYTES } from './mod.ts';
+import {
+  createDispatchQueue, createPeerListener, createShutdownTracker, MAX_BUFFERED_BYTES,
+} from './mod.ts';
 
 const test = suite('peer listener');
 
@@ -20,6 +22,7 @@
   const listener = createPeerListener({
     clock,
     address: '127.0.0.1:0',
+    dispatch: createDispatchQueue({ clock }),
     requestIdHeader: 'request-id',
     local: {
       forward: async () => {
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -8,7 +8,7 @@
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
-  createPeerClient, createPeerListener, createShutdownTracker, type GatewayRequest,
+  createPeerClient, createDispatchQueue, createPeerListener, createShutdownTracker, type GatewayRequest,
   MAX_BUFFERED_BYTES,
 } from './mod.ts';
 
@@ -57,6 +57,7 @@
   const listener = createPeerListener({
     clock,
     address: '127.0.0.1:0',
+    dispatch: createDispatchQueue({ clock }),
     requestIdHeader: 'request-id',
     local: {
       forward: async ({ requestId }, sink) => {
