Tell nested calls by their time to live, not by their identifier

Commit took a request for a nested call when its identifier extended the one of a running request.

The queue that orders requests for the event loop now treats a request as a nested call also when it can meet its latency target and has less than 500 ms to its deadline: it could not be sent again after a refusal. The slot queue has used the same rule since.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -4,10 +4,10 @@
 } from '../directory/mod.ts';
 import {
   createCallerListener, createDispatchQueue, createLocalForwarder, createPeerClient,
-  createPeerListener, createRequestSender, createRunningRequests, createServiceRetryBudget,
+  createPeerListener, createRequestSender, createServiceRetryBudget,
   createShutdownTracker, createSlotQueue, createTargetChooser, type DispatchQueue,
   type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
-  type RunningRequests, type ShutdownTracker, type SlotQueue, type TargetChooser,
+  type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -83,13 +83,9 @@
     start: (find) => ({ service: createDispatchQueue({ clock: find<Clock>('clock') }) }),
   });
 
-  kernel.register<RunningRequests>({
-    name: 'running', needs: [], start: () => ({ service: createRunningRequests() }),
-  });
-
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['running', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -105,7 +101,6 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
-          running: find<RunningRequests>('running'),
           link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
@@ -266,7 +261,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
-      'running', 'dispatch',
+      'dispatch',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -278,7 +273,6 @@
         routes: find<ContractSource>('contracts').routes,
         dispatch: find<DispatchQueue>('dispatch'),
         sender: find<RequestSender>('attempts'),
-        running: find<RunningRequests>('running'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -34,7 +34,6 @@
 export type CallerRequestReader = (
   message: IncomingMessage,
   route: PublishedRoute,
-  priority: number,
   arrivedAt: number,
   signal: AbortSignal,
 ) => Omit<GatewayRequest, 'body'> | undefined;
@@ -55,7 +54,7 @@
   const replacedHeaders = new Set([headerNames.callerService, headerNames.remainingMs]);
   const ageEstimator = createRequestAgeEstimator();
 
-  return (message, route, priority, arrivedAt, signal) => {
+  return (message, route, arrivedAt, signal) => {
     const service = chooseService(route, options.random);
     if (service === undefined) return undefined;
     const sentMs = Number(
@@ -71,7 +70,7 @@
       requestId: firstHeaderValue(message, headerNames.requestId) ?? '',
       service,
       kind: route.kind,
-      priority,
+      priority: route.priority,
       workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
       key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
       instance: undefined,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -29,7 +29,6 @@
   type AttemptOutcome, failureReason, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
 } from './request.ts';
 import type { RouteTable } from './route_table.ts';
-import type { RunningRequests } from './running_requests.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
 /** How a request of a caller ended. */
@@ -56,8 +55,6 @@
   /** Orders the requests of both listeners of this process. */
   readonly dispatch: DispatchQueue;
   readonly sender: RequestSender;
-  /** Tells which requests are calls of requests that the instance on this host is running. */
-  readonly running?: Pick<RunningRequests, 'isNestedCall'>;
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
   readonly shutdown: ShutdownTracker;
@@ -149,9 +146,8 @@
     response: ServerResponse,
     route: PublishedRoute,
     arrivedAt: number,
-    priority: number,
   ) => {
-    const request = toRequest(message, route, priority, arrivedAt, abortOnClose(response));
+    const request = toRequest(message, route, arrivedAt, abortOnClose(response));
     if (request === undefined) {
       const text = '{"error":"the route has no service"}';
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
@@ -246,19 +242,16 @@
       respondBeforeBody(clock, response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
-    const priority = options.running?.isNestedCall(requestId ?? '')
-      ? NESTED_CALL_PRIORITY
-      : route.priority;
     // The instance on this host still runs requests, which may depend on nested calls.
     const isAccepted = phase !== 'closed'
-      && (phase !== 'closing' || priority <= NESTED_CALL_PRIORITY);
+      && (phase !== 'closing' || route.priority <= NESTED_CALL_PRIORITY);
     if (!isAccepted) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
-    serve(message, response, route, arrivedAt, priority).catch((error: unknown) => {
+    serve(message, response, route, arrivedAt).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import { NESTED_CALL_PRIORITY } from './request.ts';
+import { MIN_RETURN_MS, NESTED_CALL_PRIORITY } from './request.ts';
 
 /** A request that has been read and is to be forwarded. Times are monotonic, in ms. */
 export interface DispatchRequest {
@@ -51,11 +51,14 @@
 /** Allowed wait of a late request, as a fraction of the time to its deadline. */
 const MAX_LATE_WAIT_FRACTION = 0.1;
 
-const isNested = ({ priority }: DispatchRequest) => priority <= NESTED_CALL_PRIORITY;
+/** Nested calls on routes below the highest priority show by their short time to live. */
+const isNested = ({ priority, deadlineAt, latencyTargetAt }: DispatchRequest, now: number) => (
+  priority <= NESTED_CALL_PRIORITY || (latencyTargetAt > now && deadlineAt - now < MIN_RETURN_MS)
+);
 
 const allowedWaitMs = (request: DispatchRequest, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
-  const fraction = isNested(request) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
+  const fraction = isNested(request, now) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
   return Math.max(
     (latencyTargetAt - now) * fraction,
     (deadlineAt - now) * MAX_LATE_WAIT_FRACTION,
@@ -64,7 +67,7 @@
 
 /** Returns whether a request goes before another one that arrived earlier. */
 const overtakes = (one: DispatchRequest, other: DispatchRequest, now: number) => {
-  if (isNested(one) !== isNested(other)) return isNested(one);
+  if (isNested(one, now) !== isNested(other, now)) return isNested(one, now);
   if (one.isFromPeer !== other.isFromPeer) return one.isFromPeer;
   if (one.priority !== other.priority) return one.priority < other.priority;
   return one.latencyTargetAt > now && other.latencyTargetAt <= now;
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -5,7 +5,6 @@
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
-import type { RunningRequests } from './running_requests.ts';
 import type { SlotQueue } from './slot_queue.ts';
 
 /** State of the instance on this host. */
@@ -41,8 +40,6 @@
   readonly instance: () => LocalInstance | undefined;
   readonly keys: KeyOwnership;
   readonly queue: SlotQueue;
-  /** Records which requests the instance is running. */
-  readonly running?: Pick<RunningRequests, 'start'>;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
   /** Called with the time in ms that an admitted request waited for a slot. */
@@ -119,12 +116,10 @@
     const startedAt = clock.now();
     let isSample = false;
     let outcome: AttemptOutcome;
-    const endRun = options.running?.start(request.requestId);
     try {
       outcome = await current.client.send(request, sink);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
     } finally {
-      endRun?.();
       permit.value.release(isSample);
     }
     const runMs = clock.now() - startedAt;
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -38,7 +38,6 @@
 export {
   type AttemptOutcome, type GatewayRequest, isBulk, isIdempotent,
 } from './request.ts';
-export { createRunningRequests, type RunningRequests } from './running_requests.ts';
 export {
   createServiceRetryBudget, type ServiceRetryBudget, type ServiceRetryBudgetOptions,
 } from './service_retry_budget.ts';
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -3,6 +3,11 @@
 
 /** Priority of the nested calls that running requests make. */
 export const NESTED_CALL_PRIORITY = 0;
+/**
+ * A request with less time in ms to its deadline cannot be sent again after a refusal. Nested calls
+ * have such deadlines, whatever their priority.
+ */
+export const MIN_RETURN_MS = 500;
 
 /** A request to be sent to an instance. Times are monotonic, in ms. */
 export interface GatewayRequest {
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -3,7 +3,7 @@
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { RefusalError, type RefusalFigures } from '../errors/mod.ts';
 import type { InstanceWork } from '../ranges/mod.ts';
-import { NESTED_CALL_PRIORITY } from './request.ts';
+import { MIN_RETURN_MS, NESTED_CALL_PRIORITY } from './request.ts';
 import { createProcessingTimes } from './processing_times.ts';
 
 /** A request for a slot of the instance. Times are monotonic, in ms. */
@@ -71,8 +71,6 @@
 const LATE_WAIT_FRACTION = 0.1;
 /** A request is late when less than this fraction of its class mean is left to its target. */
 const LATE_MEAN_FRACTION = 0.5;
-/** A request with less time to its deadline cannot be sent again after a refusal. */
-const MIN_RETURN_MS = 500;
 const reasonByCause: Readonly<Record<SlotRefusalCause, string>> = {
   wait: 'the wait would be too long',
   expired: 'no slot was free in time',
