Refuse a request from a peer whose body is late

When the body of a request had not arrived from a peer by its deadline, the connection was reset. The sender could not tell whether an unsafe request had run and answered 504, which promises nothing, although it never runs: a caller that waits longer than the timeout of the route could have tried again.

The request is now refused as not run, and the rest of its body is read and discarded as at the caller listener. The test failed before the change with ECONNRESET.

The tests of the close of connections move to the file of the listener; they stop their listeners in a hook, so that a failure does not keep the process alive.

--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -45,6 +45,7 @@
 const CONTROL_PREFIX = '/marjoramhollow/';
 /** Approximate time until a restarted node accepts requests. */
 const STOPPING_RETRY_AFTER_MS = 400;
+const BODY_RETRY_AFTER_MS = 150;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_OK = 200;
 const FIRST_SERVER_ERROR = 500;
@@ -140,10 +141,21 @@
       return;
     }
     const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
-    if (body === undefined || typeof body === 'string') {
+    if (body === undefined) {
       resetConnection(response);
       return;
     }
+    if (typeof body === 'string') {
+      const { refusal } = refuseNotRun(`the body is ${body}`, BODY_RETRY_AFTER_MS, {
+        step: 'peer.receive',
+      });
+      logger.warn({
+        request: request.requestId, notRun: true, reason: refusal.message,
+      }, 'refused request from peer');
+      response.shouldKeepAlive = false;
+      respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
+      return;
+    }
     await processPendingSocketEvents();
     if (request.signal.aborted) return;
     const stopInterimResponses = startInterimResponses(response);
--- a/gateway/peer_close_test.ts
+++ b/gateway/peer_listener_test.ts
@@ -1,16 +1,18 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { type Clock, createSystemClock } from '../clock/mod.ts';
+import { createSystemClock } from '../clock/mod.ts';
 import type { RouteKind } from '../contract/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
-import { createEgressLink } from '../http/mod.ts';
+import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
   createPeerClient, createPeerListener, createShutdownTracker, type GatewayRequest,
 } from './mod.ts';
 
-const test = suite('close of a connection between nodes');
+const test = suite('peer listener');
 
 const clock = createSystemClock();
 
@@ -45,16 +47,10 @@
   start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
 };
 
-/** Starts a listener that leaves its connections open until `closeIdleConnections` is called. */
-const setUp = async () => {
-  let closeIdleConnections = () => undefined as void;
-  const listenerClock: Clock = {
-    ...clock,
-    schedule: (_, run) => {
-      closeIdleConnections = run;
-      return () => undefined;
-    },
-  };
+const cleanUps: (() => unknown)[] = [];
+
+/** Starts a listener whose instance answers at once. */
+const setUp = async (listenerClock = clock) => {
   const ran: string[] = [];
   const shutdown = createShutdownTracker(clock);
   const listener = createPeerListener({
@@ -79,7 +75,9 @@
   });
   const address = await listener.listen();
   const peers = createPeerClient({ clock });
+  cleanUps.push(listener.kill, peers.close);
   return {
+    address,
     ran,
     send: async (requestId: string, kind: RouteKind, body: Buffer | null) => {
       const { outcome } = await peers.send(address, requestOf(requestId, kind, body), discard);
@@ -90,14 +88,13 @@
       shutdown.close();
       return listener.stop();
     },
-    closeIdleConnections: () => closeIdleConnections(),
-    kill: async () => {
-      await peers.close();
-      listener.kill();
-    },
   };
 };
 
+test.after.each(async () => {
+  for (const cleanUp of cleanUps.splice(0)) await cleanUp();
+});
+
 const requests: readonly (readonly [RouteKind, Buffer | null])[] = [
   ['safe', null], ['unsafe', Buffer.from('order')], ['unsafe', LARGE_BODY],
 ];
@@ -106,19 +103,48 @@
 for (const [kind, body] of requests) {
   const bytes = body?.length ?? 0;
   test(`the close refuses a crossing ${kind} request with ${bytes} bytes as not run`, async () => {
-    const path = await setUp();
+    let closeIdleConnections = () => undefined as void;
+    const path = await setUp({
+      ...clock,
+      schedule: (_, run) => {
+        closeIdleConnections = run;
+        return () => undefined;
+      },
+    });
     assert.is(await path.send('first', kind, null), 'answered');
     await clock.sleep(REUSE_DELAY_MS);
     const stopped = path.stop();
     const sent = path.send('crossing', kind, body);
     // undici writes the request in this phase of the event loop, and the listener has not read it.
     await setImmediate();
-    path.closeIdleConnections();
+    closeIdleConnections();
     assert.is(await sent, 'not run');
     assert.equal(path.ran, ['first']);
     await stopped;
-    await path.kill();
   });
 }
 
+// The connection was reset, which left the outcome of an unsafe request unknown.
+test('a request whose body is late is refused as not run', async () => {
+  const path = await setUp();
+  const { host, port } = splitAddress(path.address);
+  const socket = connect(port, host).setEncoding('latin1').on('error', () => undefined);
+  const hop = JSON.stringify(['orders', 'unsafe', 1, 'unsafe', 200, 200, null, null, 0]);
+  let received = '';
+  socket.on('data', (chunk: string) => {
+    received += chunk;
+  });
+  socket.write([
+    'POST /late HTTP/1.1', 'host: shop.example', 'request-id: late', `mh-hop: ${hop}`,
+    'content-length: 5', '\r\nord',
+  ].join('\r\n'));
+  const closed = once(socket, 'close');
+  await Promise.race([once(socket, 'data'), closed]);
+  assert.match(received, /^HTTP\/1\.1 503 .*mh-outcome: not run/isu);
+  // A promise that the request never runs, also if the rest of its body arrives.
+  socket.write('er');
+  await closed;
+  assert.equal(path.ran, []);
+});
+
 test.run();
