Count the grace time of a stop from its signal

A signal to stop that arrived during the start of a process was handled once the start had ended, and the grace time was counted from then on. A request accepted late in that time could be cut by the kill of the platform.

The time of the signal is kept, and the readiness drain and the end of the stop are counted from it. The test failed before the change: the node was still in the phase leaving.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -33,22 +33,26 @@
  * shortly before the end of the grace time.
  *
  * @param options Clock, grace time, shutdown tracker, listeners and logger.
- * @returns A function that stops the node; further calls return the promise of the first one.
+ * @returns A function that stops the node, `sinceSignalMs` after the signal to stop; further
+ * calls return the promise of the first one.
  *
  * @example
  * const stop = createGracefulStop(options);
  * process.on('SIGTERM', () => stop().then(() => process.exit(0)));
  */
-export const createGracefulStop = (options: GracefulStopOptions): () => Promise<void> => {
+export const createGracefulStop = (
+  options: GracefulStopOptions,
+): (sinceSignalMs?: number) => Promise<void> => {
   const { clock, shutdown, logger } = options;
   let stopped: Promise<void> | undefined;
 
-  const run = async () => {
-    const endsBy = clock.now() + options.graceMs - STOP_RESERVE_MS;
+  const run = async (sinceSignalMs: number) => {
+    const signalledAt = clock.now() - sinceSignalMs;
+    const endsBy = signalledAt + options.graceMs - STOP_RESERVE_MS;
     shutdown.leave(endsBy - FLUSH_RESERVE_MS);
     options.announceStop();
     logger.info({ graceMs: options.graceMs }, 'stopping');
-    await clock.sleep(READINESS_DRAIN_MS);
+    await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceSignalMs));
     const closed = shutdown.close();
     logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
@@ -68,8 +72,8 @@
     }, 'stopped');
   };
 
-  return () => {
-    stopped ??= run();
+  return (sinceSignalMs = 0) => {
+    stopped ??= run(sinceSignalMs);
     return stopped;
   };
 };
--- a/fleet/_process_signals.ts
+++ b/fleet/_process_signals.ts
@@ -2,32 +2,32 @@
 export interface ProcessSignals {
   /** Returns whether the process has been asked to stop. */
   readonly isStopRequested: () => boolean;
-  /** Sets the handler of SIGTERM and SIGINT, which runs once. */
-  readonly onStop: (handler: () => void) => void;
+  /** Sets the handler of SIGTERM and SIGINT, which runs once with the time since the signal. */
+  readonly onStop: (handler: (sinceSignalMs: number) => void) => void;
   /** Sets the handler of SIGHUP. */
   readonly onReload: (handler: () => void) => void;
 }
 
 const createProcessSignals = (): ProcessSignals => {
-  let isStopRequested = false;
+  let stopRequestedAt: number | undefined;
   let isReloadPending = false;
-  let stop = () => undefined as void;
+  let stop = (_sinceSignalMs: number) => undefined as void;
   let reload = () => {
     isReloadPending = true;
   };
   const requestStop = () => {
-    if (isStopRequested) return;
-    isStopRequested = true;
-    stop();
+    if (stopRequestedAt !== undefined) return;
+    stopRequestedAt = performance.now();
+    stop(0);
   };
   process.on('SIGTERM', requestStop);
   process.on('SIGINT', requestStop);
   process.on('SIGHUP', () => reload());
   return {
-    isStopRequested: () => isStopRequested,
+    isStopRequested: () => stopRequestedAt !== undefined,
     onStop: (handler) => {
       stop = handler;
-      if (isStopRequested) handler();
+      if (stopRequestedAt !== undefined) handler(performance.now() - stopRequestedAt);
     },
     onReload: (handler) => {
       reload = handler;
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -41,8 +41,8 @@
   return {
     clock,
     shutdown,
-    stop: () => {
-      stop().then(() => {
+    stop: (sinceSignalMs?: number) => {
+      stop(sinceSignalMs).then(() => {
         isStopped = true;
       });
     },
@@ -90,6 +90,18 @@
   assert.ok(node.isStopped());
 });
 
+// The grace time was counted from the end of the start, so that the process was killed before its
+// stop ended when the signal came during the start.
+test('the grace time counts from the signal to stop', async () => {
+  const node = setUp();
+  node.shutdown.trackRequest();
+  node.stop(2000);
+  await node.clock.advance(800);
+  assert.is(node.shutdown.phase(), 'closing');
+  await node.clock.advance(2700);
+  assert.ok(node.isStopped());
+});
+
 // A connection whose request is never completed would keep the host without a node for seconds.
 test('an open connection without a request in flight delays the stop for a second', async () => {
   const node = setUp();
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -65,8 +65,8 @@
   );
   const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
   watchSettings(path, text, node, logger);
-  processSignals.onStop(() => {
-    node.stop().then(
+  processSignals.onStop((sinceSignalMs) => {
+    node.stop(sinceSignalMs).then(
       () => process.exit(0),
       (error: unknown) => {
         logger.error({ reason: String(error) }, 'failed to stop the node');
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -19,8 +19,11 @@
 export interface FleetNode {
   /** Applies changed settings: the service of the callers changes, the addresses do not. */
   readonly reload: (settings: PlatformSettings) => void;
-  /** Stops gracefully: finishes the requests in flight within the grace time. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Stops gracefully: finishes the requests in flight within the grace time, which began
+   * `sinceSignalMs` ago.
+   */
+  readonly stop: (sinceSignalMs?: number) => Promise<void>;
   /** Stops immediately, as a crash of the process would. */
   readonly kill: () => Promise<void>;
 }
@@ -190,7 +193,7 @@
       callerService = changed.service;
       logger.info({ service: callerService }, 'reloaded the settings');
     },
-    stop: () => stop().finally(tasks.stop),
+    stop: (sinceSignalMs) => stop(sinceSignalMs).finally(tasks.stop),
     kill: async () => {
       tasks.stop();
       for (const listener of [...controlListeners, ...requestListeners]) listener.kill();
