Do not run a request that is read together with the end of its connection

Cause: a node reads a request that has waited, and the end of its connection, in two turns of the event loop. Before a request is run, two turns are waited for, but the response is closed only after the second one: Node.js answers the end of the input with the end of the output first.

The end of the input now aborts the request, one turn earlier. Node.js sends no response after it, so no answer is lost.

gateway/http_messages_test.ts: 'a request that is read together with the end of its connection is not wanted' failed before. A reset was noticed before too. That requests wait for seconds in the accept queue is open.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -10,8 +10,15 @@
 /** Returns a signal that aborts when the client disconnects before the response is complete. */
 export const abortOnClose = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController();
-  response.once('close', () => {
+  const { socket } = response.req;
+  const abort = () => {
     if (!response.writableFinished) controller.abort();
+  };
+  // The end of the input comes before the close; Node.js sends no further response after it.
+  socket.once('end', abort);
+  response.once('close', () => {
+    socket.off('end', abort);
+    abort();
   });
   return controller.signal;
 };
