Throttle requests to targets that refuse most of them

Cause: a sender did not learn from refusals for want of capacity; each request paid for a hop and both nodes.

Late requests are counted apart, since targets serve them last. Nested calls are not throttled.

--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -175,6 +175,7 @@
     retryBudget: budgetOf(0.2, 180, hosts.length),
     failoverBudget: budgetOf(2, 40, 1),
     logger: noopLogger,
+    random,
   });
   return {
     host, local, sender, link, egress,
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -8,8 +8,11 @@
 import type { LocalForwarder } from './local_forwarder.ts';
 import type { PeerClient } from './peer_client.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
-import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
+import {
+  type AttemptOutcome, type GatewayRequest, isIdempotent, NESTED_CALL_PRIORITY,
+} from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
+import { createTargetThrottle } from './target_throttle.ts';
 
 /** Sends requests to instances, with retries where they are safe and within budget. */
 export interface RequestSender {
@@ -37,6 +40,8 @@
   /** Budget of attempts at further nodes after a node refused before reaching its instance. */
   readonly failoverBudget: ServiceRetryBudget;
   readonly logger: Logger;
+  /** Returns uniform numbers from 0 to less than 1; `Math.random` by default. */
+  readonly random?: () => number;
   readonly onRetry?: (service: string, reason: string) => void;
   /** Called at the end of each attempt with its result and its duration in ms. */
   readonly onAttempt?: (target: Target, outcome: string, durationMs: number) => void;
@@ -47,6 +52,9 @@
 /** An attempt that starts with less time to the deadline cannot succeed. */
 const MIN_ATTEMPT_MS = 60;
 const FIRST_SERVER_ERROR = 500;
+/** Steps that refuse for want of slots or processor time, and the one that gets no answer. */
+const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'peer.send']);
+const THROTTLED_RETRY_AFTER_MS = 400;
 /** Bytes of error responses that are held while their requests are tried again. */
 const MAX_HELD_BYTES = 1_048_576;
 /** Not retried: the instance ran out of time, so another run would too. */
@@ -62,6 +70,10 @@
   return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
 };
 
+const isOverloaded = (outcome: AttemptOutcome) => (
+  outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
+);
+
 /** Returns the outcome to report of two; one that may have run goes before one that has not. */
 const mergeOutcomes = (one: AttemptOutcome | undefined, other: AttemptOutcome): AttemptOutcome => {
   const isNotRun = other.kind === 'refused' && other.refusal.outcome === 'not run';
@@ -82,6 +94,7 @@
   const { clock, chooser, retryBudget } = options;
   const logger = options.logger.forComponent('routing');
   const openHeldError = createHeldErrors(MAX_HELD_BYTES);
+  const throttle = createTargetThrottle({ clock, random: options.random ?? Math.random });
 
   const sendTo = async (
     target: Target,
@@ -167,6 +180,21 @@
         return lastOutcome ?? refuseNotRun(reason, retryAfterMs, { step: 'routing.choose' });
       }
       const startedAt = clock.now();
+      const isLate = request.latencyTargetAt <= startedAt;
+      // The request that makes a nested call holds a slot and fails without it.
+      const isThrottled = target.kind === 'peer' && request.priority > NESTED_CALL_PRIORITY
+        && !throttle.admit(target.instance, isLate);
+      if (isThrottled) {
+        const { instance } = target;
+        chooser.report(request, target, { durationMs: 0, outcome: 'cancelled', load: undefined });
+        lastOutcome ??= refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
+          step: 'routing.throttle', peer: instance,
+        });
+        excluded.add(instance);
+        nodeRefusals += 1;
+        if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return lastOutcome;
+        continue;
+      }
       const sendsBefore = sends;
       const attempt = startAttempt(target);
       const result = await Promise.race([attempt.ended, attempt.silence]);
@@ -199,6 +227,7 @@
       const { outcome, load } = result;
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
+      if (!isOverloaded(outcome)) throttle.recordAccepted(target.instance, isLate);
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
--- a/gateway/request_sender_test.ts
+++ b/gateway/request_sender_test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { createRandom } from '../admission/_test_support.ts';
 import { createFakeClock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
@@ -15,7 +16,7 @@
 };
 
 /** Creates a sender for four nodes, of which the overloaded ones refuse every request. */
-const setUp = (overloadedNodes: ReadonlySet<string>) => {
+const setUp = (overloadedNodes: ReadonlySet<string>, changes: Partial<GatewayRequest> = {}) => {
   const clock = createFakeClock();
   const sentTo: string[] = [];
   const budgetOf = (ratio: number, extraRetries: number) => createServiceRetryBudget({
@@ -53,6 +54,7 @@
     retryBudget: budgetOf(0.2, 10),
     failoverBudget: budgetOf(1, 40),
     logger: noopLogger,
+    random: createRandom(5),
   });
   const request: GatewayRequest = {
     requestId: 'r-1',
@@ -70,6 +72,7 @@
     latencyTargetAt: clock.now() + 400,
     isCallerRetry: false,
     signal: new AbortController().signal,
+    ...changes,
   };
   const run = () => sender.send(request, 1, sink);
   return { clock, sentTo, run };
@@ -92,4 +95,21 @@
   assert.ok(sentTo.length <= 1000 * 1.25 + 14, `${sentTo.length} sends`);
 });
 
+// The owner of a busy key got every request for it, and spent its processor time on refusals.
+test('most requests for an overloaded owner are refused before they are sent', async () => {
+  const { clock, sentTo, run } = setUp(new Set(['n1']), { key: 7 });
+  for (let count = 0; count < 200; count += 1) {
+    const outcome = await run();
+    assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'not run');
+    await clock.advance(10);
+  }
+  assert.ok(sentTo.length < 40, `${sentTo.length} of 200 sent`);
+});
+
+test('nested calls are sent to an overloaded target', async () => {
+  const { sentTo, run } = setUp(new Set(['n1']), { key: 7, priority: 0 });
+  for (let count = 0; count < 50; count += 1) await run();
+  assert.is(sentTo.length, 50);
+});
+
 test.run();
