Refuse requests at once that a saturated node would forward too late

Cause: the dispatch queue did not estimate the wait of a new request.

Change: the queue knows the mean length of its turns and how many requests go before a new one. What would wait too long is refused when its head has been read. The options of the caller listener move to a file of their own.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock } from '../clock/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
 import {
@@ -8,14 +7,12 @@
   createResponseBuffer,
   createHttpServer,
   createResponseSink,
-  type EgressLink,
   type Expectation,
   type HttpListener,
   renderMalformed,
   resetConnection,
 } from '../http/mod.ts';
-import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
-import { type CallerHeaders, createCallerRequestReader } from './_caller_request.ts';
+import { createCallerRequestReader } from './_caller_request.ts';
 import {
   abortOnClose, firstHeaderValue, formatRefusal, isClientGone, respondBeforeBody, respondToError,
   respondWithJson, sendContinueIfExpected,
@@ -23,52 +20,10 @@
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
 import { refuseSaturated } from './_refusals.ts';
-import type { DispatchQueue } from './dispatch_queue.ts';
-import type { RequestSender } from './request_sender.ts';
+import type { CallerListenerOptions } from './caller_listener_options.ts';
 import {
   type AttemptOutcome, failureReason, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
 } from './request.ts';
-import type { RouteTable } from './route_table.ts';
-import type { RunningRequests } from './running_requests.ts';
-import type { ShutdownTracker } from './shutdown_tracker.ts';
-
-/** How a request of a caller ended. */
-export interface RequestSummary {
-  readonly route: string;
-  /** Kind of the route. */
-  readonly kind: string;
-  /** `gone`: the caller disconnected before the response was complete. */
-  readonly outcome: AttemptOutcome['kind'] | 'no route' | 'gone';
-  /** Step that refused the request; empty for other outcomes. */
-  readonly reason: string;
-  readonly durationMs: number;
-}
-
-/** Options of the caller listener. */
-export interface CallerListenerOptions {
-  readonly clock: Clock;
-  readonly address: string;
-  readonly headers: CallerHeaders;
-  /** Returns the service of the instance on this host, which is set as a header of each request. */
-  readonly callerService: () => string;
-  /** Returns the current routes; undefined until the first contract has been read. */
-  readonly routes: () => RouteTable | undefined;
-  /** Orders the requests of both listeners of this process. */
-  readonly dispatch: DispatchQueue;
-  readonly sender: RequestSender;
-  /** Tells which requests are calls of requests that the instance on this host is running. */
-  readonly running?: Pick<RunningRequests, 'isNestedCall'>;
-  /** Link of this host, over which responses are sent. */
-  readonly link: EgressLink;
-  readonly shutdown: ShutdownTracker;
-  /** Records how long requests wait for the event loop. */
-  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
-  readonly logger: Logger;
-  /** Returns uniform numbers from 0 to less than 1. */
-  readonly random: () => number;
-  /** Called once a request has ended. */
-  readonly onRequestEnd?: (summary: RequestSummary) => void;
-}
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
@@ -144,6 +99,23 @@
     }, 'request refused: the node is stopping');
   };
 
+  /** Refuses a request before its body is read, which costs less than to queue it. */
+  const refuseAtOnce = (
+    requestId: string | undefined,
+    { name, kind }: PublishedRoute,
+    response: ServerResponse,
+  ) => {
+    const { refusal } = refuseSaturated();
+    const headers = [headerNames.requestId, requestId ?? '', ...retryAfterHeader(refusal)];
+    respondBeforeBody(clock, response, refusal.status, headers, formatRefusal(refusal));
+    options.onRequestEnd?.({
+      route: name, kind, outcome: 'refused', reason: refusal.step, durationMs: 0,
+    });
+    logger.warn({
+      request: requestId, route: name, notRun: true,
+    }, 'request refused: the node is saturated');
+  };
+
   const serve = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -256,6 +228,16 @@
       refuseWhileStopping(requestId, route, response);
       return;
     }
+    const isTimely = options.dispatch.isTimely({
+      priority,
+      isFromPeer: false,
+      deadlineAt: arrivedAt + route.timeoutMs,
+      latencyTargetAt: arrivedAt + route.targetLatencyMs,
+    });
+    if (!isTimely) {
+      refuseAtOnce(requestId, route, response);
+      return;
+    }
     response.once('close', options.shutdown.trackRequest());
     sendContinueIfExpected(expect, response);
     serve(message, response, route, arrivedAt, priority).catch((error: unknown) => {
--- /dev/null
+++ b/gateway/caller_listener_options.ts
@@ -0,0 +1,48 @@
+import type { Clock } from '../clock/mod.ts';
+import type { EgressLink } from '../http/mod.ts';
+import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
+import type { CallerHeaders } from './_caller_request.ts';
+import type { DispatchQueue } from './dispatch_queue.ts';
+import type { RequestSender } from './request_sender.ts';
+import type { AttemptOutcome } from './request.ts';
+import type { RouteTable } from './route_table.ts';
+import type { RunningRequests } from './running_requests.ts';
+import type { ShutdownTracker } from './shutdown_tracker.ts';
+
+/** How a request of a caller ended. */
+export interface RequestSummary {
+  readonly route: string;
+  /** Kind of the route. */
+  readonly kind: string;
+  /** `gone`: the caller disconnected before the response was complete. */
+  readonly outcome: AttemptOutcome['kind'] | 'no route' | 'gone';
+  /** Step that refused the request; empty for other outcomes. */
+  readonly reason: string;
+  readonly durationMs: number;
+}
+
+/** Options of the caller listener. */
+export interface CallerListenerOptions {
+  readonly clock: Clock;
+  readonly address: string;
+  readonly headers: CallerHeaders;
+  /** Returns the service of the instance on this host, which is set as a header of each request. */
+  readonly callerService: () => string;
+  /** Returns the current routes; undefined until the first contract has been read. */
+  readonly routes: () => RouteTable | undefined;
+  /** Orders the requests of both listeners of this process. */
+  readonly dispatch: DispatchQueue;
+  readonly sender: RequestSender;
+  /** Tells which requests are calls of requests that the instance on this host is running. */
+  readonly running?: Pick<RunningRequests, 'isNestedCall'>;
+  /** Link of this host, over which responses are sent. */
+  readonly link: EgressLink;
+  readonly shutdown: ShutdownTracker;
+  /** Records how long requests wait for the event loop. */
+  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
+  readonly logger: Logger;
+  /** Returns uniform numbers from 0 to less than 1. */
+  readonly random: () => number;
+  /** Called once a request has ended. */
+  readonly onRequestEnd?: (summary: RequestSummary) => void;
+}
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -9,8 +9,7 @@
 import { noopLogger } from '../telemetry/mod.ts';
 import {
   createCallerListener, createDispatchQueue, createRouteTable, createShutdownTracker,
-  MAX_BUFFERED_BYTES,
-  type RequestSender,
+  type DispatchQueue, MAX_BUFFERED_BYTES, type RequestSender,
 } from './mod.ts';
 
 const test = suite('caller listener');
@@ -30,13 +29,14 @@
 const setUp = async (
   send: RequestSender['send'],
   isNestedCall: (requestId: string) => boolean = () => false,
+  dispatch?: DispatchQueue,
 ) => {
   const clock = createSystemClock();
   const shutdown = createShutdownTracker(clock);
   const table = createRouteTable({ revision: 1, routes: [route], services: new Map() });
   const listener = createCallerListener({
     clock,
-    dispatch: createDispatchQueue({ clock }),
+    dispatch: dispatch ?? createDispatchQueue({ clock }),
     address: '127.0.0.1:0',
     headers: {
       requestId: 'request-id', remainingMs: 'deadline-ms', callerService: 'caller', key: 'key',
@@ -161,6 +161,23 @@
   return response.statusCode;
 };
 
+// A saturated node read the bodies of requests that it refused.
+test('a saturated node refuses a request before its body has been read', async () => {
+  const { listener, address } = await setUp(neverSend, undefined, {
+    isTimely: () => false,
+    wait: () => Promise.reject(new Error('not expected')),
+  });
+  const { host, port } = splitAddress(address);
+  const socket = connect(port, host).on('error', () => undefined);
+  socket.write([
+    'POST /orders/a HTTP/1.1', 'host: shop.example', 'content-length: 5', '\r\n',
+  ].join('\r\n'));
+  const [data] = await once(socket, 'data') as [Buffer];
+  assert.match(data.toString(), /^HTTP\/1\.1 503 [^]*retry-after: 0\.4[^]*"outcome":"not run"/u);
+  socket.destroy();
+  listener.kill();
+});
+
 // Nested calls on routes without the highest priority waited behind new requests, and a stopping
 // node refused them: the requests that made them had run in vain.
 test('a nested call has the highest priority and is accepted by a closing node', async () => {
--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -19,9 +19,14 @@
  */
 export type DispatchDecision = 'forward' | 'gone' | 'expired';
 
+/** What the expected wait of a request depends on. */
+export type DispatchUrgency = Omit<DispatchRequest, 'isGone'>;
+
 /** Orders the requests that wait for the event loop of this process. */
 export interface DispatchQueue {
-  /** Resolves once the request may be forwarded or has to be dropped. */
+  /** Returns whether a request that arrives now is expected to be forwarded in useful time. */
+  readonly isTimely: (request: DispatchUrgency) => boolean;
+  /** Resolves once the request may be forwarded or has to be dropped, maybe at once. */
   readonly wait: (request: DispatchRequest) => Promise<DispatchDecision>;
 }
 
@@ -51,9 +56,12 @@
 /** Allowed wait of a late request, as a fraction of the time to its deadline. */
 const MAX_LATE_WAIT_FRACTION = 0.1;
 
-const isNested = ({ priority }: DispatchRequest) => priority <= NESTED_CALL_PRIORITY;
+/** Weight of a turn in the moving average of their lengths: about the last ten turns count. */
+const TURN_WEIGHT = 0.1;
+
+const isNested = ({ priority }: DispatchUrgency) => priority <= NESTED_CALL_PRIORITY;
 
-const allowedWaitMs = (request: DispatchRequest, now: number) => {
+const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
   const fraction = isNested(request) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
   return Math.max(
@@ -63,7 +71,7 @@
 };
 
 /** Returns whether a request goes before another one that arrived earlier. */
-const overtakes = (one: DispatchRequest, other: DispatchRequest, now: number) => {
+const overtakes = (one: DispatchUrgency, other: DispatchUrgency, now: number) => {
   if (isNested(one) !== isNested(other)) return isNested(one);
   if (one.isFromPeer !== other.isFromPeer) return one.isFromPeer;
   if (one.priority !== other.priority) return one.priority < other.priority;
@@ -88,6 +96,9 @@
   let waiting: WaitingRequest[] = [];
   let turn = 0;
   let isScheduled = false;
+  /** Mean time in ms from one turn to the next while requests wait. */
+  let turnMs: number | undefined;
+  let lastTurnAt: number | undefined;
 
   const dropExpired = (now: number) => {
     const kept: WaitingRequest[] = [];
@@ -110,21 +121,48 @@
     return next;
   };
 
+  const recordTurn = (now: number) => {
+    if (lastTurnAt !== undefined) {
+      const lastMs = now - lastTurnAt;
+      turnMs = turnMs === undefined ? lastMs : turnMs + (lastMs - turnMs) * TURN_WEIGHT;
+    }
+    lastTurnAt = now;
+  };
+
   const scheduleTurn = () => {
-    if (isScheduled || waiting.length === 0) return;
+    if (isScheduled) return;
+    if (waiting.length === 0) {
+      lastTurnAt = undefined;
+      return;
+    }
     isScheduled = true;
     runInNextTurn(() => {
       isScheduled = false;
       turn += 1;
       const now = clock.now();
+      recordTurn(now);
       dropExpired(now);
       takeNext(now)?.settle('forward');
       scheduleTurn();
     });
   };
 
+  const isTimely: DispatchQueue['isTimely'] = (request) => {
+    const now = clock.now();
+    // Without others, nothing would tell that turns have become short again.
+    if (waiting.length === 0) return true;
+    let turns = MIN_TURNS;
+    for (const { request: other } of waiting) if (!overtakes(request, other, now)) turns += 1;
+    return turns * (turnMs ?? 0) <= allowedWaitMs(request, now);
+  };
+
   return {
+    isTimely,
     wait: (request) => new Promise((resolve) => {
+      if (!isTimely(request)) {
+        resolve('expired');
+        return;
+      }
       const now = clock.now();
       waiting.push({
         request,
--- a/gateway/dispatch_queue_test.ts
+++ b/gateway/dispatch_queue_test.ts
@@ -79,6 +79,25 @@
   assert.equal(decisions, ['a forward', 'b expired', 'c expired']);
 });
 
+// Requests that a saturated host could not serve in time were held before they were refused.
+test('a request is refused at once when its wait is expected to be too long', async () => {
+  const { add, decisions, runTurn } = setUp();
+  for (let count = 0; count < 8; count += 1) {
+    add(`${count}`, { deadlineAt: Infinity, latencyTargetAt: Infinity });
+  }
+  for (let turn = 0; turn < 4; turn += 1) await runTurn(30);
+  decisions.length = 0;
+  add('new', { deadlineAt: 920, latencyTargetAt: 420 });
+  add('nested', { priority: 0, deadlineAt: 460, latencyTargetAt: 256 });
+  await Promise.resolve();
+  assert.equal(decisions, ['new expired']);
+  for (let turn = 0; turn < 7; turn += 1) await runTurn(1);
+  decisions.length = 0;
+  add('later', { deadlineAt: 2000, latencyTargetAt: 500 });
+  for (let turn = 0; turn < 2; turn += 1) await runTurn(1);
+  assert.equal(decisions, ['later forward']);
+});
+
 // A turn accepts one connection only. While each turn forwarded all requests that it had read,
 // connections were accepted seconds after they had been made, when their callers had left.
 test('a burst of requests with much work does not delay new connections', async () => {
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -4,9 +4,8 @@
 export {
   createRequestSender, type RequestSender, type RequestSenderOptions,
 } from './request_sender.ts';
-export {
-  type CallerListenerOptions, createCallerListener, type RequestSummary,
-} from './caller_listener.ts';
+export type { CallerListenerOptions, RequestSummary } from './caller_listener_options.ts';
+export { createCallerListener } from './caller_listener.ts';
 export {
   createTargetChooser,
   type NoTarget,
