--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -41,6 +41,18 @@
 /** Time to the deadline of a request that states no valid remaining time. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
+const readRemainingMs = (message: IncomingMessage, headerNames: CallerHeaders) => {
+  const sentMs = Number(firstHeaderValue(message, headerNames.remainingMs) ?? DEFAULT_DEADLINE_MS);
+  return Number.isFinite(sentMs) ? sentMs : DEFAULT_DEADLINE_MS;
+};
+
+/** Returns the time in ms in which the caller and the route want a response. */
+export const findTimeout = (
+  message: IncomingMessage,
+  headerNames: CallerHeaders,
+  route: PublishedRoute,
+): number => Math.min(readRemainingMs(message, headerNames), route.timeoutMs);
+
 /**
  * Creates the function that turns the head of a caller's request into a request to be sent.
  *
@@ -57,10 +69,7 @@
   return (message, route, arrivedAt, signal) => {
     const service = chooseService(route, options.random);
     if (service === undefined) return undefined;
-    const sentMs = Number(
-      firstHeaderValue(message, headerNames.remainingMs) ?? DEFAULT_DEADLINE_MS,
-    );
-    const remainingMs = Number.isFinite(sentMs) ? sentMs : DEFAULT_DEADLINE_MS;
+    const remainingMs = readRemainingMs(message, headerNames);
     const key = firstHeaderValue(message, headerNames.key);
     const isKeyed = options.routes()?.contract.services.get(service)?.keyed === true;
     const firstAttemptAt = arrivedAt - ageEstimator.ageMs(route.name, remainingMs);
@@ -78,8 +87,7 @@
       path: message.url ?? '/',
       headers,
       deadlineAt: Math.min(
-        arrivedAt + remainingMs,
-        arrivedAt + route.timeoutMs,
+        arrivedAt + findTimeout(message, headerNames, route),
         options.shutdown.answerBy(),
       ),
       latencyTargetAt: Math.min(
--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -21,14 +21,6 @@
   return controller.signal;
 };
 
-/**
- * Returns whether the client has closed its connection. The end of the connection is read some
- * turns of the event loop before the response is closed.
- */
-export const isClientGone = ({ req: { socket } }: ServerResponse): boolean => (
-  socket.destroyed || socket.readableEnded
-);
-
 /** Formats a refusal as a JSON body for the caller; the message names the step and the peer. */
 export const formatRefusal = ({ message, outcome }: RefusalError): string => (
   JSON.stringify({ error: message, outcome })
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -7,8 +8,7 @@
 import { noopLogger } from '../telemetry/mod.ts';
 import {
   createCallerListener, createDispatchQueue, createRouteTable, createShutdownTracker,
-  MAX_BUFFERED_BYTES,
-  type RequestSender,
+  type DispatchQueue, MAX_BUFFERED_BYTES, type RequestSender,
 } from './mod.ts';
 
 const test = suite('caller listener');
@@ -25,13 +25,13 @@
   targets: [{ service: 'orders', weight: 1 }],
 };
 
-const setUp = async (send: RequestSender['send']) => {
+const setUp = async (send: RequestSender['send'], dispatch?: DispatchQueue) => {
   const clock = createSystemClock();
   const shutdown = createShutdownTracker(clock);
   const table = createRouteTable({ revision: 1, routes: [route], services: new Map() });
   const listener = createCallerListener({
     clock,
-    dispatch: createDispatchQueue({ clock }),
+    dispatch: dispatch ?? createDispatchQueue({ clock }),
     address: '127.0.0.1:0',
     headers: {
       requestId: 'request-id', remainingMs: 'deadline-ms', callerService: 'caller', key: 'key',
@@ -145,4 +145,21 @@
   });
 }
 
+// A saturated node read the bodies of requests that it refused.
+test('a saturated node refuses a request before its body has been read', async () => {
+  const { listener, address } = await setUp(neverSend, {
+    isTimely: () => false,
+    wait: () => Promise.reject(new Error('not expected')),
+  });
+  const { host, port } = splitAddress(address);
+  const socket = connect(port, host).on('error', () => undefined);
+  socket.write([
+    'POST /orders/a HTTP/1.1', 'host: shop.example', 'content-length: 5', '\r\n',
+  ].join('\r\n'));
+  const [data] = await once(socket, 'data') as [Buffer];
+  assert.match(data.toString(), /^HTTP\/1\.1 503 [^]*retry-after: 0\.4[^]*"outcome":"not run"/u);
+  socket.destroy();
+  listener.kill();
+});
+
 test.run();
--- a/gateway/http_messages_test.ts
+++ b/gateway/http_messages_test.ts
@@ -4,10 +4,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { abortOnClose, processPendingSocketEvents } from './_http_messages.ts';
+import { createSystemClock } from '../clock/mod.ts';
+import { abortOnClose } from './_http_messages.ts';
+import { createDispatchQueue } from './dispatch_queue.ts';
 
 const test = suite('http messages');
 
+const dispatch = createDispatchQueue({ clock: createSystemClock() });
+
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 
 /** Sends a request and its end in one turn, and returns whether the server took it for wanted. */
@@ -16,8 +20,14 @@
   let isFirst = isKept;
   const handle = async (response: ServerResponse) => {
     const signal = abortOnClose(response);
-    await processPendingSocketEvents();
-    isWanted = !signal.aborted;
+    const decision = await dispatch.wait({
+      priority: 1,
+      isFromPeer: false,
+      deadlineAt: Infinity,
+      latencyTargetAt: Infinity,
+      isGone: () => signal.aborted,
+    });
+    isWanted = decision === 'forward';
   };
   const server = createServer((_: IncomingMessage, response) => {
     if (isFirst) response.end('done');
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -9,7 +9,7 @@
 } from '../http/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, firstHeaderValue, isClientGone, respondBeforeBody, respondToError,
+  abortOnClose, firstHeaderValue, respondBeforeBody, respondToError,
   respondWithJson,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
@@ -170,7 +170,7 @@
     }
     const bodyReadAt = clock.now();
     const decision = await options.dispatch.wait({
-      ...request, isFromPeer: true, isGone: () => isClientGone(response),
+      ...request, isFromPeer: true, isGone: () => request.signal.aborted,
     });
     options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
     if (decision === 'gone') return;
--- a/telemetry/event_loop_monitor.ts
+++ b/telemetry/event_loop_monitor.ts
@@ -66,7 +66,7 @@
  *
  * @example
  * const startedAt = clock.now();
- * await processPendingSocketEvents();
+ * await dispatch.wait(request);
  * monitor.record(clock.now() - startedAt, signal.aborted);
  */
 export const createEventLoopMonitor = (options: EventLoopMonitorOptions): EventLoopMonitor => {
