Rank members without WebAssembly

xxhash-wasm is instantiated asynchronously, so that every module that ranks members needs a top-level await: a bundle in CommonJS, which V8 can load from a code cache, was not possible. The hash is now computed in TypeScript, with the same values; a test compares both for any text.

--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -55,7 +55,9 @@
     fail(EXIT_INVALID_SETTINGS, settings.error.message);
     return;
   }
-  // Signals are delivered between turns of the event loop; no caller has been accepted before.
+  // Signals are delivered before the second turn of the event loop ends, as the first one may have
+  // polled before this module ran; no caller has been accepted before.
+  await setImmediate();
   await setImmediate();
   if (processSignals.isStopRequested()) return;
   const clock = createSystemClock();
--- a/membership/rendezvous.ts
+++ b/membership/rendezvous.ts
@@ -1,6 +1,4 @@
-import xxhash from 'xxhash-wasm';
-
-const { h32 } = await xxhash();
+import { xxh32 } from './_xxh32.ts';
 
 /**
  * Ranks members for a key by rendezvous (highest random weight) hashing. A member that joins or
@@ -15,7 +13,7 @@
  */
 export const rankByRendezvous = (key: string, members: readonly string[]): readonly string[] => (
   members
-    .map((member) => ({ member, score: h32(`${key}\n${member}`) }))
+    .map((member) => ({ member, score: xxh32(`${key}\n${member}`) }))
     .sort((left, right) => right.score - left.score || (left.member < right.member ? -1 : 1))
     .map(({ member }) => member)
 );
--- /dev/null
+++ b/membership/xxh32_test.ts
@@ -0,0 +1,22 @@
+import fc from 'fast-check';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import xxhash from 'xxhash-wasm';
+import { xxh32 } from './_xxh32.ts';
+
+const test = suite('xxh32');
+
+test('returns the published values', () => {
+  assert.is(xxh32(''), 0x02CC5D05);
+  assert.is(xxh32('abc'), 0x32D153FF);
+});
+
+// Nodes of different versions must rank the same members in the same order.
+test('agrees with the library for any text', async () => {
+  const { h32 } = await xxhash();
+  fc.assert(fc.property(fc.string({ unit: 'binary', maxLength: 100 }), (text) => {
+    assert.is(xxh32(text), h32(text));
+  }));
+});
+
+test.run();
