Serve control requests without a web framework

hono with its adapter for Node.js loads the fetch implementation of Node.js, its HTTP parser in WebAssembly included, into each node, for four routes. The routes are now matched by the project.

--- a/fleet/control_listeners.ts
+++ b/fleet/control_listeners.ts
@@ -1,11 +1,13 @@
-import { getRequestListener } from '@hono/node-server';
-import { Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import type { Clock } from '../clock/mod.ts';
-import { createHttpServer, type HttpListener, renderMalformed } from '../http/mod.ts';
+import {
+  createHttpServer, type HttpListener, renderMalformed, resetConnection,
+} from '../http/mod.ts';
 import { decodeAnnouncement, encodeAnnouncementAnswer, nodePaths } from '../platform/mod.ts';
 import type { Announcement, AnnouncementAnswer } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import {
+  type ControlHandler, createControlRouter, jsonResponse, textResponse,
+} from './_control_router.ts';
 
 /** Options for {@link createControlListeners}. */
 export interface ControlListenersOptions {
@@ -23,6 +25,8 @@
   readonly metricsText: () => Promise<string>;
 }
 
+type Routes = Readonly<Record<string, ControlHandler>>;
+
 const MAX_HEADER_BYTES = 16_384;
 /** Far above the size of an announcement with as many ranges as a node ever grants. */
 const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
@@ -42,49 +46,58 @@
 ): readonly HttpListener[] => {
   const logger = options.logger.forComponent('announcements');
 
-  const readiness = new Hono();
-  readiness.get(nodePaths.readiness, (context) => (
-    options.isReady() ? context.text('ready') : context.text('not ready', 503)
-  ));
+  const readiness: Routes = {
+    [`GET ${nodePaths.readiness}`]: () => (
+      options.isReady() ? textResponse('ready') : textResponse('not ready', 503)
+    ),
+  };
 
-  const announcements = new Hono();
-  announcements.use(bodyLimit({
-    maxSize: MAX_ANNOUNCEMENT_BYTES,
-    onError: (context) => {
-      logger.warn({ path: context.req.path }, 'rejected an announcement that is too long');
-      return context.json({ error: 'the announcement is too long' }, 413);
+  const announcements: Routes = {
+    [`POST ${nodePaths.announce}`]: ({ parameters, body }) => {
+      const instance = parameters.id ?? '';
+      const announcement = decodeAnnouncement(instance, body);
+      if (announcement === undefined) {
+        logger.warn({ instance }, 'rejected a malformed announcement');
+        return jsonResponse({ error: 'the announcement cannot be read' }, 400);
+      }
+      const text = encodeAnnouncementAnswer(options.announce(announcement) ?? {
+        grants: undefined,
+      });
+      return { status: 200, contentType: 'application/json', text };
     },
-  }));
-  announcements.post(nodePaths.announce, async (context) => {
-    const instance = context.req.param('id');
-    const announcement = decodeAnnouncement(instance, await context.req.text());
-    if (announcement === undefined) {
-      logger.warn({ instance }, 'rejected a malformed announcement');
-      return context.json({ error: 'the announcement cannot be read' }, 400);
-    }
-    const answer = options.announce(announcement) ?? { grants: undefined };
-    return context.body(encodeAnnouncementAnswer(answer), 200, {
-      'content-type': 'application/json',
-    });
-  });
-  announcements.post(nodePaths.leave, (context) => {
-    options.leave(context.req.param('id'));
-    return context.json({});
-  });
+    [`POST ${nodePaths.leave}`]: ({ parameters }) => {
+      options.leave(parameters.id ?? '');
+      return jsonResponse({});
+    },
+  };
 
-  const metrics = new Hono();
-  metrics.get('/metrics', async (context) => context.text(await options.metricsText()));
+  const metrics: Routes = {
+    'GET /metrics': async () => textResponse(await options.metricsText()),
+  };
+
+  const rejectTooLong = (path: string) => {
+    logger.warn({ path }, 'rejected an announcement that is too long');
+    return jsonResponse({ error: 'the announcement is too long' }, 413);
+  };
 
-  const listen = (address: string, application: Hono) => {
-    const handle = getRequestListener(application.fetch);
+  const listen = (address: string, routes: Routes) => {
+    const handle = createControlRouter({
+      clock: options.clock,
+      routes,
+      maxBodyBytes: MAX_ANNOUNCEMENT_BYTES,
+      onTooLong: rejectTooLong,
+    });
     return createHttpServer({
       clock: options.clock,
       address,
       maxHeaderBytes: MAX_HEADER_BYTES,
       idleGraceMs: IDLE_GRACE_MS,
-      handle: (request, response) => {
-        Promise.resolve(handle(request, response)).catch((error: unknown) => {
+      handle: (request, response, expect) => {
+        if (expect === 'continue') response.writeContinue();
+        handle(request, response).catch((error: unknown) => {
           logger.error({ reason: String(error) }, 'failed to handle a control request');
+          if (response.headersSent) resetConnection(response);
+          else response.writeHead(500, { 'content-length': 0 }).end();
         });
       },
       renderMalformed,
