Record the durations of lookups only for routers that hedge

The gateway does not hedge, but each view of a service had a histogram, whose library was loaded at the start of a node, with pako and a number formatter of ICU.

--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -1,4 +1,4 @@
-import { type AdmissionLoad, createRotatingHistogram } from '../admission/mod.ts';
+import type { AdmissionLoad, RotatingHistogram } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { RequestClass } from '../contract/mod.ts';
 import type { Membership } from '../membership/mod.ts';
@@ -35,6 +35,8 @@
   readonly clock: Clock;
   readonly membership: Pick<Membership, 'self' | 'members'>;
   readonly subset?: SubsetOptions;
+  /** Durations of lookups, from which the hedge delay is computed; without it, none is hedged. */
+  readonly lookupTimes?: RotatingHistogram;
 }
 
 interface Candidate {
@@ -83,11 +85,10 @@
  * @returns The view, without any measurements.
  */
 export const createServiceView = (service: string, options: ServiceViewOptions): ServiceView => {
-  const { clock, membership } = options;
+  const { clock, membership, lookupTimes } = options;
   const startedAt = clock.now();
   const statsByInstance = new Map<string, InstanceStats>();
   const ejection = createOutlierEjection(clock);
-  const lookupTimes = createRotatingHistogram(clock);
   const durationMeans = new Map<RequestClass, { mean: number; samples: number }>();
   let candidates: readonly Candidate[] | undefined;
   let allViews: readonly InstanceEndpoint[] = [];
@@ -226,7 +227,7 @@
   const report: ServiceView['report'] = (attempt) => {
     const now = clock.now();
     const { outcome, load, durationMs } = attempt;
-    if (outcome === 'success' && attempt.requestClass === 'lookup') lookupTimes.record(durationMs);
+    if (outcome === 'success' && attempt.requestClass === 'lookup') lookupTimes?.record(durationMs);
     const entry = statsByInstance.get(attempt.instance);
     if (entry === undefined) return;
     entry.outstanding = Math.max(0, entry.outstanding - 1);
@@ -270,7 +271,9 @@
       candidates = undefined;
     },
     hedgeDelayMs: () => {
-      if (lookupTimes.count() < MIN_HEDGE_SAMPLES || isBusy()) return undefined;
+      if (lookupTimes === undefined || lookupTimes.count() < MIN_HEDGE_SAMPLES || isBusy()) {
+        return undefined;
+      }
       return lookupTimes.percentile(HEDGE_DELAY_PERCENTILE);
     },
   };
--- a/routing/create_router.ts
+++ b/routing/create_router.ts
@@ -1,3 +1,4 @@
+import { createRotatingHistogram } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { Membership } from '../membership/mod.ts';
 import type { Placements } from '../placement/mod.ts';
@@ -48,7 +49,12 @@
   const viewOf = (service: string): ServiceView => {
     let view = viewByService.get(service);
     if (view === undefined) {
-      view = createServiceView(service, { clock, membership, subset: options.subset });
+      view = createServiceView(service, {
+        clock,
+        membership,
+        subset: options.subset,
+        lookupTimes: createRotatingHistogram(clock),
+      });
       viewByService.set(service, view);
     }
     return view;
