Load the bundle of a node from a code cache

A start took 0.67 s of processor time until the first answer (2.5 s of a host with 0.27 of a core), of which the load of modules and lazy compilation were about a half. The build now

- leaves out what a node does not use of undici (fetch, WebSocket, caches, HTTP/2) and prom-client,
- runs two nodes in one process under the flags of the deployment, sends requests of every kind through them, and writes V8's code cache with all functions compiled by then.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,29 +1,34 @@
-import { build } from 'esbuild';
+import { execFileSync } from 'node:child_process';
+import { readFileSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import process from 'node:process';
+// eslint-disable-next-line import-x/extensions -- Node.js loads this file as it is.
+import { bundleNode, bundleScript } from './bundle.mjs';
 
-const ABSENT_MODULE = './deploy/absent_module.cjs';
+const WARM_UP_TIMEOUT_MS = 60_000;
 
-// A single file loads faster than many modules.
-await build({
-  entryPoints: ['fleet/main.ts'],
-  outfile: 'target/marjoramhollow.mjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  // Globals that CommonJS dependencies use and that ES modules lack.
-  banner: {
-    js: [
-      "import { createRequire as createBundleRequire } from 'node:module';",
-      "import { fileURLToPath as bundlePath } from 'node:url';",
-      'const require = createBundleRequire(import.meta.url);',
-      'const __filename = bundlePath(import.meta.url);',
-      "const __dirname = __filename.slice(0, __filename.lastIndexOf('/'));",
-    ].join('\n'),
-  },
-  // Optional dependencies of bunyan for rotating files, probes and stack traces, which a node does
-  // not use. Loading them from `node_modules` would take a tenth of the time to start.
-  alias: {
-    'dtrace-provider': ABSENT_MODULE, mv: ABSENT_MODULE, 'source-map-support': ABSENT_MODULE,
-  },
-  logLevel: 'warning',
-});
+const target = process.argv[2] ?? 'target';
+const cachePath = join(target, 'node.cache');
+
+/** V8 accepts a code cache only under the flags with which it was made. */
+const readNodeFlags = () => {
+  const [, flags = ''] = /^run = "node (?<flags>.*?) ?target\//mu
+    .exec(readFileSync('deploy/system.toml', 'utf8')) ?? [];
+  return flags.split(' ').filter((flag) => flag !== '');
+};
+
+// A cache of an earlier bundle of the same length would be accepted.
+rmSync(cachePath, { force: true });
+await Promise.all([
+  bundleNode(join(target, 'node.js')),
+  bundleScript('deploy/start.ts', join(target, 'marjoramhollow.cjs')),
+  bundleScript('deploy/warm_up.ts', join(target, 'warm_up.cjs')),
+]);
+try {
+  execFileSync(process.execPath, [...readNodeFlags(), join(target, 'warm_up.cjs')], {
+    stdio: ['ignore', 'ignore', 'inherit'], timeout: WARM_UP_TIMEOUT_MS,
+  });
+} catch (error) {
+  rmSync(cachePath, { force: true });
+  process.stderr.write(`build: no code cache, a node starts slower: ${error.message}\n`);
+}
--- a/fleet/_peer_messages.ts
+++ b/fleet/_peer_messages.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 
 /** The answer of a peer to a control message. */
 export interface PeerAnswer {
@@ -27,9 +27,11 @@
   path: string,
   timeoutMs: number,
 ): Promise<PeerAnswer> => {
-  const { statusCode, body } = await request(`http://${address}/marjoramhollow/${path}`, {
+  const { statusCode, body } = await agent.request({
+    origin: `http://${address}`,
+    path: `/marjoramhollow/${path}`,
+    method: 'GET',
     signal: AbortSignal.timeout(timeoutMs),
-    dispatcher: agent,
   });
   return { status: statusCode, text: await body.text() };
 };
