--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -31,6 +31,8 @@
   readonly counts: { connections: number; requests: number };
   /** Returns the number of open connections that carried a request. */
   readonly usedConnections: () => number;
+  /** Returns all that was received, one text for each connection. */
+  readonly received: () => readonly string[];
   readonly close: () => void;
 }
 
@@ -58,13 +60,17 @@
 const startRawInstance = async (respond: Respond): Promise<RawInstance> => {
   const sockets = new Set<Socket>();
   const usedSockets = new Set<Socket>();
+  const received: Buffer[][] = [];
   const counts = { connections: 0, requests: 0 };
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       counts.connections += 1;
       sockets.add(socket);
+      const chunks: Buffer[] = [];
+      received.push(chunks);
       socket.on('error', () => undefined).once('close', () => sockets.delete(socket));
-      socket.on('data', (data) => {
+      socket.on('data', (data: Buffer) => {
+        chunks.push(data);
         const id = /request-id: (\S+)/iu.exec(data.toString())?.[1];
         if (id === undefined) return;
         counts.requests += 1;
@@ -81,6 +87,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     counts,
     usedConnections: () => [...usedSockets].filter((socket) => sockets.has(socket)).length,
+    received: () => received.map((chunks) => Buffer.concat(chunks).toString('latin1')),
     close: () => {
       for (const socket of sockets) socket.destroy();
       server.close();
@@ -88,21 +95,21 @@
   };
 };
 
-const routeOf = (kind: RouteKind): PublishedRoute => ({
+const routeOf = (kind: RouteKind, timeoutMs: number): PublishedRoute => ({
   name: kind,
   host: 'shop.example',
   prefix: `/${kind}/`,
   kind,
-  timeoutMs: ROUTE_TIMEOUT_MS,
+  timeoutMs,
   targetLatencyMs: 300,
   priority: 1,
   maxAttempts: 2,
   targets: [{ service: 'ledger', weight: 1 }],
 });
 
-const table = createRouteTable({
+const createRoutes = (timeoutMs: number) => createRouteTable({
   revision: 1,
-  routes: [routeOf('safe'), routeOf('unsafe'), routeOf('download')],
+  routes: (['safe', 'unsafe', 'download'] as const).map((kind) => routeOf(kind, timeoutMs)),
   services: new Map(),
 });
 
@@ -157,11 +164,23 @@
   };
 };
 
+/** Options of a path. */
+export interface PathOptions {
+  /** Whether the first instance is on the caller's host. */
+  readonly hop: 'local' | 'peer';
+  /** Timeout of the routes in ms. */
+  readonly timeoutMs?: number;
+}
+
 /**
  * Starts a path from a caller listener to raw instances. The first instance is on the caller's host
  * with the hop `local`; all others are behind peer listeners and get what the first one failed.
  */
-export const startPath = async (hop: 'local' | 'peer', ...responds: readonly Respond[]) => {
+export const startPath = async (
+  { hop, timeoutMs = ROUTE_TIMEOUT_MS }: PathOptions,
+  ...responds: readonly Respond[]
+) => {
+  const table = createRoutes(timeoutMs);
   const destinations = await Promise.all(responds.map((respond, index) => (
     startDestination(`i-${index}`, respond)
   )));
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,8 +1,11 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
-import type { Clock } from '../clock/mod.ts';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
+import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
+import { splitAddress } from './split_address.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
@@ -38,24 +41,27 @@
    */
   readonly renderMalformed: (status: number, dispatched: boolean) => string;
   /**
-   * Complete response that `stop` sends on idle connections before it closes them. It answers a
-   * request that is in transit then, which is not handled; without it, the connection is reset.
+   * Renders a complete response for a request that is in transit on an idle connection when the
+   * server stops; the request is not handled. The response is sent on all idle connections, so the
+   * clients must accept one without a request. Without it, the request is reset.
    */
-  readonly idleCloseResponse?: string;
+  readonly renderFinal?: () => string;
 }
 
 /** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
 export type Expectation = 'none' | 'continue' | 'other';
 
-interface ConnectionState {
+interface ConnectionState extends ConnectionInput {
+  requestCount: number;
+  unreadRequest?: IncomingMessage | undefined;
   /** Responses that have not been handed to the operating system to their end. */
   readonly responses: Set<ServerResponse>;
   /** Bytes read until the end of the last request; more have been read of an incomplete one. */
   requestsEndAt: number;
   /** Last response before invalid input, after which the connection ends. */
   lastResponse?: ServerResponse;
-  /** `idleCloseResponse` has been sent, so further requests are not handled. */
-  readonly isClosing?: boolean;
+  /** The final response is sent, and further requests are discarded. */
+  isFinished: boolean;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -63,10 +69,14 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
-/** Limits the wait for a client to close its connection after `idleCloseResponse`. */
-const IDLE_CLOSE_LIMIT_MS = 300;
+/** Limits the time in which `stop` accepts the connections that are already established. */
+const MAX_ACCEPT_MS = 200;
+/** Limits the wait for a client to close its connection after the final response. */
+const FINAL_RESPONSE_LIMIT_MS = 300;
 /** Limits the input that is read and discarded while requests before it are answered. */
 const MAX_BYTES_AFTER_ERROR = 65_536;
+/** Largest number of bytes beyond a head that a connection without a request may send. */
+const MAX_IDLE_INPUT_BYTES = 65_536;
 
 const statusByErrorCode: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -86,21 +96,6 @@
   return last;
 };
 
-/**
- * Splits an address into host and port.
- *
- * @param address Host and port separated by a colon; an IPv6 host is in brackets.
- * @returns The host without brackets, and the port.
- *
- * @example
- * splitAddress('[::1]:8080'); // { host: '::1', port: 8080 }
- */
-export const splitAddress = (address: string) => {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[(.*)\]$/u, '$1');
-  return { host, port: Number(address.slice(separator + 1)) };
-};
-
 /**
  * Creates an HTTP/1.1 server with graceful shutdown.
  *
@@ -116,8 +111,15 @@
   const connections = new Map<Socket, ConnectionState>();
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
+  let acceptedCount = 0;
   let isStopping = false;
   let isGraceOver = false;
+  let cancelInputCheck: CancelTask = () => undefined;
+  const checkIdleInput = createIdleInputCheck(clock, {
+    maxBytes: options.maxHeaderBytes + MAX_IDLE_INPUT_BYTES,
+    // A head that begins within the idle timeout has its own timeout.
+    maxMs: KEEP_ALIVE_TIMEOUT_MS + HEADERS_TIMEOUT_MS,
+  });
 
   const serverOptions = {
     maxHeaderSize: options.maxHeaderBytes,
@@ -139,35 +141,33 @@
   // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
   server.maxHeadersCount = 0;
 
-  const closeIdleConnection = (socket: Socket, state: ConnectionState) => {
-    if (state.isClosing) return;
-    if (options.idleCloseResponse === undefined) {
-      socket.destroy();
-      return;
-    }
-    Object.assign(state, { isClosing: true });
-    // The socket is read on: closing it with unread bytes would reset it and discard the response.
-    socket.end(options.idleCloseResponse);
-    const cancel = clock.schedule(IDLE_CLOSE_LIMIT_MS, () => socket.destroy());
-    socket.once('close', cancel);
-  };
-
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
     for (const [socket, state] of connections) {
-      const isIdle = state.responses.size === 0 && socket.bytesRead === state.requestsEndAt;
-      if (isIdle) closeIdleConnection(socket, state);
+      if (state.responses.size > 0 || socket.bytesRead !== state.requestsEndAt) continue;
+      if (options.renderFinal === undefined) socket.destroy();
+      else if (!state.isFinished) {
+        // The other direction stays open, since closing it would reset a request in transit.
+        state.isFinished = true;
+        socket.end(options.renderFinal());
+        const cancel = clock.schedule(FINAL_RESPONSE_LIMIT_MS, () => socket.destroy());
+        socket.once('close', cancel);
+      }
     }
   };
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
-    if (state?.isClosing) {
+    if (state?.isFinished) {
       request.resume();
       return;
     }
-    state?.responses.add(response);
+    if (state !== undefined) {
+      state.responses.add(response);
+      state.requestCount += 1;
+      state.unreadRequest = request;
+    }
     if (isStopping) response.shouldKeepAlive = false;
     const markEnd = () => {
       if (state !== undefined) state.requestsEndAt = socket.bytesRead;
@@ -183,11 +183,14 @@
   };
 
   server.on('connection', (socket: Socket) => {
+    acceptedCount += 1;
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, { responses: new Set(), requestsEndAt: 0 });
+    connections.set(socket, {
+      responses: new Set(), requestsEndAt: 0, requestCount: 0, isFinished: false,
+    });
     socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
@@ -229,16 +232,35 @@
     } else socket.destroy();
   });
 
+  const checkInput = () => {
+    for (const [socket, state] of connections) {
+      if (state.unreadRequest?.complete === true) state.unreadRequest = undefined;
+      checkIdleInput(socket, state);
+    }
+    cancelInputCheck = clock.schedule(CONNECTION_CHECK_INTERVAL_MS, checkInput);
+  };
+
   const listen = () => new Promise<string>((resolve, reject) => {
     const { host, port } = splitAddress(options.address);
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
+      checkInput();
       const bound = server.address() as AddressInfo;
       resolve(`${bound.family === 'IPv6' ? `[${bound.address}]` : bound.address}:${bound.port}`);
     });
   });
 
+  /** Node.js accepts one connection in each turn of the event loop. */
+  const acceptEstablished = async () => {
+    const endsAt = clock.now() + MAX_ACCEPT_MS;
+    let countBefore: number;
+    do {
+      countBefore = acceptedCount;
+      await nextTurn();
+    } while (acceptedCount > countBefore && clock.now() < endsAt);
+  };
+
   const stop = async () => {
     if (isStopping || !server.listening) return;
     isStopping = true;
@@ -247,21 +269,25 @@
         if (!response.headersSent) response.shouldKeepAlive = false;
       }
     }
+    await acceptEstablished();
     // `http.Server.close` would drop requests that are in transit on idle connections.
     const closed = new Promise<void>((resolve) => {
       NetServer.prototype.close.call(server, () => resolve());
     });
     const cancelGraceTimer = clock.schedule(options.idleGraceMs, () => {
       isGraceOver = true;
-      closeIdleConnections();
+      // In the turn in which all requests that have arrived are read.
+      setImmediate(closeIdleConnections);
     });
     await closed;
     cancelGraceTimer();
+    cancelInputCheck();
     server.close(() => undefined);
   };
 
   const kill = () => {
     isStopping = true;
+    cancelInputCheck();
     server.close(() => undefined);
     server.closeAllConnections();
     for (const socket of sockets) socket.destroy();
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,7 +1,9 @@
-/** HTTP/1.1 listeners with graceful shutdown, and helpers that write their responses. */
+/** HTTP/1.1 listeners with graceful shutdown, bounded pools, and helpers that write responses. */
 export {
-  createHttpServer, type Expectation, type HttpListener, type HttpServerOptions, splitAddress,
+  createHttpServer, type Expectation, type HttpListener, type HttpServerOptions,
 } from './create_http_server.ts';
+export { splitAddress } from './split_address.ts';
+export { type BoundedPoolOptions, createBoundedPool } from './create_bounded_pool.ts';
 export { createBulkSink, createCountedSink } from './bulk_sink.ts';
 export {
   type BulkBody, type BulkDestination, createEgressLink, type EgressLink, type EgressLinkOptions,
--- /dev/null
+++ b/http/stop_test.ts
@@ -0,0 +1,114 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { createHttpServer, renderMalformed, splitAddress } from './mod.ts';
+
+const test = suite('stop of the http server');
+
+const IDLE_GRACE_MS = 50;
+/** Time after which the server has sent its final response on all idle connections. */
+const FINAL_MS = 200;
+const CONNECTIONS = 20;
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+const FINAL_RESPONSE = 'HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n';
+
+const startServer = async (renderFinal?: () => string) => {
+  const paths: string[] = [];
+  const server = createHttpServer({
+    clock: createSystemClock(),
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: IDLE_GRACE_MS,
+    handle: ({ url }, response) => {
+      paths.push(url ?? '');
+      response.end('done');
+    },
+    renderMalformed,
+    ...(renderFinal === undefined ? {} : { renderFinal }),
+  });
+  const { host, port } = splitAddress(await server.listen());
+  const open = () => {
+    const socket = connect(port, host);
+    let received = '';
+    let error = '';
+    socket.on('error', ({ message }) => {
+      error = message;
+    });
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString('latin1');
+    });
+    const closed = new Promise<unknown>((resolve) => {
+      socket.once('close', resolve);
+    });
+    return {
+      socket, closed, received: () => received, error: () => error,
+    };
+  };
+  return { server, paths, open };
+};
+
+// Node.js accepts one connection a turn; the stop reset all others, whose requests were in transit.
+test('connections that are established when the server stops are served', async () => {
+  const { server, open } = await startServer();
+  const connections = Array.from({ length: CONNECTIONS }, open);
+  for (const { socket } of connections) socket.write(REQUEST);
+  await new Promise(process.nextTick);
+  await server.stop();
+  for (const { closed, received, error } of connections) {
+    await closed;
+    assert.is(error(), '');
+    assert.match(received(), /^HTTP\/1\.1 200 .*done$/su);
+  }
+});
+
+// The stop reset requests that were on their way on idle connections, with an unknown outcome.
+test('a request that crosses the stop gets the final response and is not handled', async () => {
+  for (const isUsedBefore of [false, true]) {
+    const { server, paths, open } = await startServer(() => FINAL_RESPONSE);
+    const {
+      socket, closed, received, error,
+    } = open();
+    await once(socket, 'connect');
+    if (isUsedBefore) {
+      socket.write(REQUEST);
+      await once(socket, 'data');
+    }
+    socket.pause();
+    const stopped = server.stop();
+    await sleep(FINAL_MS);
+    socket.write('POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody');
+    await sleep(IDLE_GRACE_MS);
+    socket.resume();
+    await closed;
+    await stopped;
+    assert.is(error(), '');
+    assert.ok(received().endsWith(FINAL_RESPONSE), received());
+    assert.is(paths.includes('/late'), false);
+  }
+});
+
+test('a request that arrives during the stop is handled and gets one response', async () => {
+  const { server, paths, open } = await startServer(() => FINAL_RESPONSE);
+  const { socket, closed, received } = open();
+  await once(socket, 'connect');
+  const stopped = server.stop();
+  socket.write(REQUEST);
+  await closed;
+  await stopped;
+  assert.equal(paths, ['/']);
+  assert.match(received(), /^HTTP\/1\.1 200 .*connection: close.*done$/isu);
+});
+
+test('stop() resolves once the clients have closed their connections', async () => {
+  const { server, open } = await startServer(() => FINAL_RESPONSE);
+  const { socket, closed } = open();
+  await once(socket, 'connect');
+  const stopped = server.stop();
+  await closed;
+  await Promise.race([stopped, sleep(1000).then(() => assert.unreachable('stop() hangs'))]);
+});
+
+test.run();
