Accept requests that end with those in flight while stopping

A stopping node refused calls that requests on its instance made, on routes with another than the highest priority, and these requests failed with 500. The priority of a route does not tell calls apart: on that site, those of calendar lookups have priority 1.

Calls expire with the request that makes them. After the readiness drain, a node now accepts a request whose deadline is not later than the latest one in flight, nor than the end of the grace time, whatever its priority. The latest deadline is not moved by what is accepted, so the stop takes no longer than the requests in flight may. Requests of the highest priority with a later deadline are no longer accepted: these could be cut at the end of the grace time.

Tests: a call with priority 1 on a loopback fleet got 503 before the change. Calls of the tracker in existing tests state a deadline now; what they check is the same.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -28,7 +28,7 @@
 
 /**
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
- * node is not ready, then only nested calls of running requests, and none once no request is in
+ * node is not ready, then only those that end with the running ones, and none once no request is in
  * flight. It ends when every response has been handed to the operating system, at the latest
  * shortly before the end of the grace time.
  *
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -69,7 +69,7 @@
 
 test('nested calls are accepted until the requests in flight have ended', async () => {
   const node = setUp();
-  const end = node.shutdown.trackRequest();
+  const end = node.shutdown.trackRequest(GRACE_MS);
   node.stop();
   await node.clock.advance(2000);
   assert.is(node.shutdown.phase(), 'leaving');
@@ -81,7 +81,7 @@
 
 test('a request that does not end delays the stop to the end of the grace time', async () => {
   const node = setUp();
-  node.shutdown.trackRequest();
+  node.shutdown.trackRequest(GRACE_MS);
   node.stop();
   await node.clock.advance(5300);
   assert.is(node.shutdown.phase(), 'closed');
@@ -94,7 +94,7 @@
 // stop ended when the signal came during the start.
 test('the grace time counts from the signal to stop', async () => {
   const node = setUp();
-  node.shutdown.trackRequest();
+  node.shutdown.trackRequest(GRACE_MS);
   node.stop(2000);
   await node.clock.advance(800);
   assert.is(node.shutdown.phase(), 'closing');
--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -30,11 +30,15 @@
 };
 
 /** Sends a request on a connection of its own. */
-const send = async (path: string, host: number): Promise<Answer> => {
+const send = async (path: string, host: number, deadlineMs = 1500): Promise<Answer> => {
   nextId += 1;
   const response = await request(`http://${fleet.hosts[host]!.settings.listen.caller}${path}`, {
     dispatcher: new Agent({ connections: 1, pipelining: 1 }),
-    headers: { host: 'shop.example', 'request-id': `request-${nextId}`, 'deadline-ms': '1500' },
+    headers: {
+      host: 'shop.example',
+      'request-id': `request-${nextId}`,
+      'deadline-ms': String(deadlineMs),
+    },
   });
   return {
     status: response.statusCode,
@@ -167,6 +171,24 @@
   assert.match(socket.received(), /^HTTP\/1\.1 200 .*ran at/isu);
 });
 
+// Calls on routes below the highest priority were refused, and the requests that made them failed.
+test('calls of any priority are served while the request that makes them runs', async () => {
+  const { node } = fleet.hosts[0]!;
+  let call: Promise<Answer> | undefined;
+  onMessage = (message) => {
+    if (message === 'no longer accepting requests') call = send('/reads/call', 0, 500);
+  };
+  const stopped = node.stop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2700);
+  });
+  const running = send('/orders/running', 0);
+  await stopped;
+  await node.kill();
+  assert.is((await call!).status, 200);
+  assert.is((await running).status, 200);
+});
+
 test('a request from a peer that arrives while the node closes is refused as not run', async () => {
   const { node, settings } = fleet.hosts[0]!;
   const socket = await openConnection(settings.listen.peer);
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -22,7 +22,7 @@
 import { refuseSaturated } from './_refusals.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
 import {
-  type AttemptOutcome, failureReason, isBulk, NESTED_CALL_PRIORITY, type GatewayRequest,
+  type AttemptOutcome, failureReason, isBulk, type GatewayRequest,
 } from './request.ts';
 
 /** Requests in transit on open connections still get a response in this time. */
@@ -217,24 +217,22 @@
       respondBeforeBody(clock, response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
-    // The instance on this host still runs requests, which may depend on nested calls.
-    const isAccepted = phase !== 'closed'
-      && (phase !== 'closing' || route.priority <= NESTED_CALL_PRIORITY);
-    if (!isAccepted) {
+    const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
+    if (!options.shutdown.mayAccept(deadlineAt)) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
     const isTimely = options.dispatch.isTimely({
       priority: route.priority,
       isFromPeer: false,
-      deadlineAt: arrivedAt + findTimeout(message, headerNames, route),
+      deadlineAt,
       latencyTargetAt: arrivedAt + route.targetLatencyMs,
     });
     if (!isTimely) {
       refuseAtOnce(requestId, route, response);
       return;
     }
-    response.once('close', options.shutdown.trackRequest());
+    response.once('close', options.shutdown.trackRequest(deadlineAt));
     sendContinueIfExpected(expect, response);
     serve(message, response, route, arrivedAt).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -152,6 +152,8 @@
       respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
       return;
     }
+    // A request that will be refused must not delay the end of the requests in flight.
+    if (isAccepting()) response.once('close', options.shutdown.trackRequest(request.deadlineAt));
     const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
     if (body === undefined) {
       resetConnection(response);
@@ -242,10 +244,8 @@
       });
       return;
     }
-    // A request that will be refused must not delay the end of the requests in flight.
-    if (isAccepting()) response.once('close', options.shutdown.trackRequest());
     // A new connection for each request would wait to be accepted, one in each turn.
-    else response.shouldKeepAlive = false;
+    if (!isAccepting()) response.shouldKeepAlive = false;
     serve(message, response).catch((error: unknown) => {
       logger.error({
         request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -157,7 +157,7 @@
     assert.is((await peer.send('first')).kind, 'answered');
     assert.is(peer.isSuspect(), false);
     peer.shutdown.leave(clock.now() + GRACE_MS);
-    const endRequest = peer.shutdown.trackRequest();
+    const endRequest = peer.shutdown.trackRequest(clock.now() + GRACE_MS);
     const closed = peer.shutdown.close();
     if (isClosed) {
       endRequest();
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -2,8 +2,8 @@
 
 /**
  * `running`: all requests are accepted. `leaving`: all requests are accepted, but each connection
- * is closed after its request. `closing`: only nested calls of running requests are accepted, since
- * other requests might not end in time. `closed`: no request is accepted.
+ * is closed after its request. `closing`: only requests that end with those in flight are accepted,
+ * such as their nested calls. `closed`: no request is accepted.
  */
 export type ShutdownPhase = 'running' | 'leaving' | 'closing' | 'closed';
 
@@ -22,12 +22,24 @@
   readonly close: () => Promise<void>;
   /** Time by which requests must be answered, monotonic in ms; infinite while `running`. */
   readonly answerBy: () => number;
-  /** Counts a request as in flight until the returned function is called. */
-  readonly trackRequest: () => () => void;
+  /**
+   * Returns whether a caller's request with this deadline, monotonic in ms, is accepted. Nested
+   * calls expire with the request that makes them, and nothing else tells them apart.
+   */
+  readonly mayAccept: (deadlineAt: number) => boolean;
+  /** Counts a request with this deadline as in flight until the returned function is called. */
+  readonly trackRequest: (deadlineAt: number) => () => void;
   /** Returns the number of requests in flight. */
   readonly activeRequests: () => number;
 }
 
+/** Time in ms that a nested call and the request that makes it may spend between processes. */
+const MAX_TRANSIT_MS = 250;
+
+interface TrackedRequest {
+  readonly deadlineAt: number;
+}
+
 /**
  * Creates the tracker of a running node, without requests in flight.
  *
@@ -35,12 +47,12 @@
  * @returns The tracker, in the phase `running`.
  *
  * @example
- * response.once('close', shutdown.trackRequest());
+ * response.once('close', shutdown.trackRequest(deadlineAt));
  */
 export const createShutdownTracker = (clock: Clock): ShutdownTracker => {
   let phase: ShutdownPhase = 'running';
   let answerBy = Number.POSITIVE_INFINITY;
-  let activeRequests = 0;
+  const active = new Set<TrackedRequest>();
   let setClosed = () => undefined as void;
 
   const closed = new Promise<void>((resolve) => {
@@ -50,6 +62,12 @@
     };
   });
 
+  const latestDeadline = () => {
+    let latest = -Infinity;
+    for (const { deadlineAt } of active) latest = Math.max(latest, deadlineAt);
+    return latest;
+  };
+
   return {
     phase: () => phase,
     leave: (time) => {
@@ -60,7 +78,7 @@
     close: async () => {
       if (phase === 'closing' || phase === 'closed') return closed;
       phase = 'closing';
-      if (activeRequests === 0) setClosed();
+      if (active.size === 0) setClosed();
       else {
         const cancel = clock.schedule(answerBy - clock.now(), setClosed);
         closed.then(cancel, cancel);
@@ -68,17 +86,23 @@
       return closed;
     },
     answerBy: () => answerBy,
-    trackRequest: () => {
-      activeRequests += 1;
-      let ended = false;
+    mayAccept: (deadlineAt) => {
+      if (phase === 'closing') {
+        return deadlineAt <= Math.min(latestDeadline() + MAX_TRANSIT_MS, answerBy);
+      }
+      return phase !== 'closed';
+    },
+    trackRequest: (deadlineAt) => {
+      const request = {
+        deadlineAt: phase === 'closing' ? Math.min(deadlineAt, latestDeadline()) : deadlineAt,
+      };
+      active.add(request);
       return () => {
-        if (ended) return;
-        ended = true;
-        activeRequests -= 1;
+        active.delete(request);
         // In the same turn, so that no request is accepted between the last one and the exit.
-        if (phase === 'closing' && activeRequests === 0) setClosed();
+        if (phase === 'closing' && active.size === 0) setClosed();
       };
     },
-    activeRequests: () => activeRequests,
+    activeRequests: () => active.size,
   };
 };
--- a/gateway/shutdown_tracker_test.ts
+++ b/gateway/shutdown_tracker_test.ts
@@ -10,12 +10,12 @@
   const clock = createFakeClock();
   const shutdown = createShutdownTracker(clock);
   shutdown.leave(5000);
-  const end = shutdown.trackRequest();
+  const end = shutdown.trackRequest(2000);
   let isClosed = false;
   shutdown.close().then(() => {
     isClosed = true;
   });
-  const endNested = shutdown.trackRequest();
+  const endNested = shutdown.trackRequest(2000);
   end();
   await clock.advance(100);
   assert.is(shutdown.phase(), 'closing');
@@ -34,13 +34,53 @@
   assert.is(shutdown.phase(), 'closed');
 });
 
+// Calls that a running request makes expire at its deadline, whatever their priority is.
+test('a closing node accepts what ends with the requests in flight', async () => {
+  const shutdown = createShutdownTracker(createFakeClock());
+  assert.ok(shutdown.mayAccept(Infinity));
+  shutdown.leave(5000);
+  assert.ok(shutdown.mayAccept(Infinity));
+  const end = shutdown.trackRequest(2000);
+  const endFirst = shutdown.trackRequest(3000);
+  shutdown.close();
+  assert.ok(shutdown.mayAccept(3000));
+  assert.not(shutdown.mayAccept(4000));
+  endFirst();
+  assert.ok(shutdown.mayAccept(2000));
+  assert.not(shutdown.mayAccept(3000));
+  end();
+  assert.not(shutdown.mayAccept(0));
+});
+
+// A request that outlasts the grace time would be broken off while its instance is at work.
+test('a closing node accepts nothing that ends after the time limit', async () => {
+  const shutdown = createShutdownTracker(createFakeClock());
+  shutdown.leave(2000);
+  shutdown.trackRequest(3000);
+  shutdown.close();
+  assert.ok(shutdown.mayAccept(2000));
+  assert.not(shutdown.mayAccept(2500));
+});
+
+// Guards against a chain of requests that prolongs the stop, each a little.
+test('accepted requests do not move the latest deadline', () => {
+  const shutdown = createShutdownTracker(createFakeClock());
+  shutdown.leave(5000);
+  shutdown.trackRequest(2000);
+  shutdown.close();
+  let deadlineAt = 2000;
+  while (shutdown.mayAccept(deadlineAt + 1)) deadlineAt += 1;
+  shutdown.trackRequest(deadlineAt);
+  assert.not(shutdown.mayAccept(deadlineAt + 1));
+});
+
 test('requests that do not end keep the node open no longer than the time limit', async () => {
   const clock = createFakeClock();
   const shutdown = createShutdownTracker(clock);
   assert.is(shutdown.answerBy(), Number.POSITIVE_INFINITY);
   shutdown.leave(5000);
   assert.is(shutdown.answerBy(), 5000);
-  shutdown.trackRequest();
+  shutdown.trackRequest(2000);
   shutdown.close();
   await clock.advance(4999);
   assert.is(shutdown.phase(), 'closing');
@@ -61,8 +101,8 @@
 
 test('a request is counted until its first end', async () => {
   const shutdown = createShutdownTracker(createFakeClock());
-  const end = shutdown.trackRequest();
-  shutdown.trackRequest();
+  const end = shutdown.trackRequest(2000);
+  shutdown.trackRequest(2000);
   end();
   end();
   assert.is(shutdown.activeRequests(), 1);
