Let nested calls wait up to their deadline

Cause: the slot queue let a nested call wait up to its latency target, and the dispatch queue half of the time to it. The request that makes the call fails without it, which costs its whole run.

Change: the slot queue allows the time to the deadline less the processing time, the dispatch queue half of the time to the deadline.

--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -51,7 +51,10 @@
 const MIN_TURNS = 2;
 /** Allowed wait of a request that can meet its latency target, as a fraction of the time to it. */
 const MAX_WAIT_FRACTION = 0.25;
-/** Allowed wait of a nested call: the request that makes it holds a slot and fails without it. */
+/**
+ * Allowed wait of a nested call, as a fraction of the time to its deadline: the request that makes
+ * it holds a slot and fails without it.
+ */
 const MAX_NESTED_WAIT_FRACTION = 0.5;
 /** Allowed wait of a late request, as a fraction of the time to its deadline. */
 const MAX_LATE_WAIT_FRACTION = 0.1;
@@ -63,9 +66,9 @@
 
 const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
-  const fraction = isNested(request) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
+  if (isNested(request)) return (deadlineAt - now) * MAX_NESTED_WAIT_FRACTION;
   return Math.max(
-    (latencyTargetAt - now) * fraction,
+    (latencyTargetAt - now) * MAX_WAIT_FRACTION,
     (deadlineAt - now) * MAX_LATE_WAIT_FRACTION,
   );
 };
--- a/gateway/dispatch_queue_test.ts
+++ b/gateway/dispatch_queue_test.ts
@@ -98,6 +98,15 @@
   assert.equal(decisions, ['later forward']);
 });
 
+// A nested call that was refused for its latency target failed the request that had made it.
+test('a nested call may wait beyond its latency target', async () => {
+  const { add, decisions, runTurn } = setUp();
+  add('nested', { priority: 0, latencyTargetAt: 100, deadlineAt: 320 });
+  await runTurn(70);
+  await runTurn(70);
+  assert.equal(decisions, ['nested forward']);
+});
+
 // A turn accepts one connection only. While each turn forwarded all requests that it had read,
 // connections were accepted seconds after they had been made, when their callers had left.
 test('a burst of requests with much work does not delay new connections', async () => {
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -187,7 +187,7 @@
     const toTarget = latencyTargetAt - now;
     const toDeadline = deadlineAt - now - processingMs;
     // The calling request already holds a slot and fails without the nested call.
-    if (request.priority === NESTED_CALL_PRIORITY) return Math.min(toDeadline, toTarget);
+    if (request.priority === NESTED_CALL_PRIORITY) return toDeadline;
     if (isLate(request)) return toDeadline * LATE_WAIT_FRACTION;
     return Math.min(toDeadline, Math.max(toTarget - processingMs, toTarget * MIN_WAIT_FRACTION));
   };
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -87,6 +87,18 @@
   assert.equal(order, ['call', 'request']);
 });
 
+// Nested calls that could meet their deadline were refused, and their callers had run in vain.
+test('a nested call may wait beyond its latency target', async () => {
+  const { clock, queue, requestOf } = setUp(1);
+  const running = (await queue.acquire(requestOf({ workClass: 'long' })))._unsafeUnwrap();
+  const waiting = queue.acquire(requestOf({
+    priority: 0, latencyTargetAt: clock.now() + 20, deadlineAt: clock.now() + 300,
+  }));
+  await clock.advance(100);
+  running.release(true);
+  assert.is((await waiting).isOk(), true);
+});
+
 test('a request is refused once it has waited too long to be useful', async () => {
   const { clock, queue, requestOf } = setUp(1);
   await queue.acquire(requestOf());
