Forward requests on kept connections after one turn

Each hop of a request on a host without processor time to spare took two turns of the event loop, 30 to 60 ms on average, on both sides.

Cause: every request waited for a second turn, in which the end of its connection would be read. Both are pending at the same time after a stall, and on a new connection, which may have waited to be accepted; a request on a kept connection has been read within a turn of its arrival.

Change: a request on a kept connection is forwarded after one turn if the last turn was less than 100 ms ago. All others wait for two, as before.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -98,6 +98,16 @@
   else respondBeforeBody(clock, response, status, headers, text);
 };
 
+/** Creates a function that returns whether a request is the first one on its connection. */
+export const createFirstRequestCheck = () => {
+  const used = new WeakSet<object>();
+  return ({ socket }: IncomingMessage): boolean => {
+    if (used.has(socket)) return false;
+    used.add(socket);
+    return true;
+  };
+};
+
 /** Sends 100 Continue to a caller that waits for it before it sends the body. */
 export const sendContinueIfExpected = (
   expect: 'none' | 'continue' | 'other',
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -14,8 +14,8 @@
 } from '../http/mod.ts';
 import { createCallerRequestReader } from './_caller_request.ts';
 import {
-  abortOnClose, firstHeaderValue, formatRefusal, isClientGone, respondBeforeBody, respondToError,
-  respondWithJson, sendContinueIfExpected,
+  abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal, isClientGone,
+  respondBeforeBody, respondToError, respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
 import { readBody } from './_read_body.ts';
@@ -52,6 +52,7 @@
   const { clock, headers: headerNames, link } = options;
   const logger = options.logger.forComponent('caller');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
+  const isFirstRequest = createFirstRequestCheck();
 
   const toRequest = createCallerRequestReader(options);
 
@@ -140,7 +141,10 @@
     }
     const bodyReadAt = clock.now();
     const decision = await options.dispatch.wait({
-      ...request, isFromPeer: false, isGone: () => isClientGone(response),
+      ...request,
+      isFromPeer: false,
+      isFirstOnConnection: isFirstRequest(message),
+      isGone: () => isClientGone(response),
     });
     options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
     if (decision === 'gone') return;
--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -5,6 +5,8 @@
 export interface DispatchRequest {
   /** Priority; 0 is the highest and belongs to the nested calls that running requests make. */
   readonly priority: number;
+  /** Nothing was read from the connection before, so that the request may have waited in it. */
+  readonly isFirstOnConnection: boolean;
   /** Another node forwarded the request, so part of its cost has been paid. */
   readonly isFromPeer: boolean;
   readonly deadlineAt: number;
@@ -20,7 +22,7 @@
 export type DispatchDecision = 'forward' | 'gone' | 'expired';
 
 /** What the expected wait of a request depends on. */
-export type DispatchUrgency = Omit<DispatchRequest, 'isGone'>;
+export type DispatchUrgency = Omit<DispatchRequest, 'isGone' | 'isFirstOnConnection'>;
 
 /** Orders the requests that wait for the event loop of this process. */
 export interface DispatchQueue {
@@ -39,16 +41,22 @@
 
 interface WaitingRequest {
   readonly request: DispatchRequest;
-  readonly arrivedInTurn: number;
+  /** Turn from which on the request may be forwarded. */
+  readonly readyInTurn: number;
   readonly expiresAt: number;
   readonly settle: (decision: DispatchDecision) => void;
 }
 
 /**
- * Turns between the arrival and the dispatch of a request. After a stall, a request and the end of
- * its connection are pending at the same time; the end is read one turn after the last bytes.
+ * Turns between the arrival and the dispatch of a request. After a stall, and on a new connection,
+ * a request and the end of its connection are pending at the same time; the end is read one turn
+ * after the last bytes.
  */
 const MIN_TURNS = 2;
+/** The same for a request that has just arrived. */
+const MIN_TURNS_IF_FRESH = 1;
+/** Longest time since the last turn in which a request on a kept connection has just arrived. */
+const MAX_FRESH_MS = 100;
 /** Allowed wait of a request that can meet its latency target, as a fraction of the time to it. */
 const MAX_WAIT_FRACTION = 0.25;
 /**
@@ -106,7 +114,7 @@
   const dropExpired = (now: number) => {
     const kept: WaitingRequest[] = [];
     for (const entry of waiting) {
-      if (turn - entry.arrivedInTurn < MIN_TURNS) kept.push(entry);
+      if (turn < entry.readyInTurn) kept.push(entry);
       else if (entry.request.isGone()) entry.settle('gone');
       else if (entry.expiresAt < now) entry.settle('expired');
       else kept.push(entry);
@@ -117,7 +125,7 @@
   const takeNext = (now: number) => {
     let next: WaitingRequest | undefined;
     for (const entry of waiting) {
-      if (turn - entry.arrivedInTurn < MIN_TURNS) continue;
+      if (turn < entry.readyInTurn) continue;
       if (next === undefined || overtakes(entry.request, next.request, now)) next = entry;
     }
     if (next !== undefined) waiting.splice(waiting.indexOf(next), 1);
@@ -167,9 +175,11 @@
         return;
       }
       const now = clock.now();
+      const isFresh = !request.isFirstOnConnection
+        && lastTurnAt !== undefined && now - lastTurnAt < MAX_FRESH_MS;
       waiting.push({
         request,
-        arrivedInTurn: turn,
+        readyInTurn: turn + (isFresh ? MIN_TURNS_IF_FRESH : MIN_TURNS),
         expiresAt: now + allowedWaitMs(request, now),
         settle: resolve,
       });
--- a/gateway/dispatch_queue_test.ts
+++ b/gateway/dispatch_queue_test.ts
@@ -16,6 +16,7 @@
     queue.wait({
       priority: 2,
       isFromPeer: false,
+      isFirstOnConnection: true,
       deadlineAt: clock.now() + 2000,
       latencyTargetAt: clock.now() + 400,
       isGone: () => false,
@@ -28,7 +29,7 @@
     await Promise.resolve();
   };
   return {
-    add, decisions, runTurn, tasks,
+    add, clock, decisions, runTurn, tasks,
   };
 };
 
@@ -56,6 +57,30 @@
   assert.equal(decisions, order.map((name) => `${name} forward`));
 });
 
+// Each hop of a request took two turns, which are long on a host without processor time to spare.
+test('a request on a kept connection is forwarded one turn after a short one', async () => {
+  const { add, decisions, runTurn } = setUp();
+  for (let count = 0; count < 3; count += 1) add(`${count}`);
+  await runTurn(30);
+  add('nested', { priority: 0, isFirstOnConnection: false });
+  await runTurn(30);
+  assert.equal(decisions, ['nested forward']);
+});
+
+test('a request is forwarded two turns after a stall', async () => {
+  const {
+    add, clock, decisions, runTurn,
+  } = setUp();
+  for (let count = 0; count < 3; count += 1) add(`${count}`, { priority: 1 });
+  await runTurn(1);
+  clock.jump(150);
+  add('nested', { priority: 0, isFirstOnConnection: false });
+  await runTurn(1);
+  assert.equal(decisions, ['0 forward']);
+  await runTurn(1);
+  assert.equal(decisions, ['0 forward', 'nested forward']);
+});
+
 // Callers that had left while their requests waited for the event loop were served.
 test('a request whose caller has gone is dropped before others are forwarded', async () => {
   const { add, decisions, runTurn } = setUp();
@@ -120,6 +145,7 @@
     queue.wait({
       priority: 2,
       isFromPeer: false,
+      isFirstOnConnection: false,
       deadlineAt: Infinity,
       latencyTargetAt: Infinity,
       isGone: () => false,
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -9,8 +9,8 @@
 } from '../http/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, firstHeaderValue, isClientGone, respondBeforeBody, respondToError,
-  respondWithJson,
+  abortOnClose, createFirstRequestCheck, firstHeaderValue, isClientGone, respondBeforeBody,
+  respondToError, respondWithJson,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
 import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
@@ -78,6 +78,7 @@
   const { clock, local, link } = options;
   const logger = options.logger.forComponent('peer');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
+  const isFirstRequest = createFirstRequestCheck();
 
   const isAccepting = () => {
     const phase = options.shutdown.phase();
@@ -143,7 +144,10 @@
     }
     const bodyReadAt = clock.now();
     const decision = await options.dispatch.wait({
-      ...request, isFromPeer: true, isGone: () => isClientGone(response),
+      ...request,
+      isFromPeer: true,
+      isFirstOnConnection: isFirstRequest(message),
+      isGone: () => isClientGone(response),
     });
     options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
     if (decision === 'gone') return;
