--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -5,6 +5,8 @@
 export interface DispatchRequest {
   /** Priority; 0 is the highest and belongs to the nested calls that running requests make. */
   readonly priority: number;
+  /** Nothing was read from the connection before, so that the request may have waited in it. */
+  readonly isFirstOnConnection: boolean;
   /** Another node forwarded the request, so part of its cost has been paid. */
   readonly isFromPeer: boolean;
   readonly deadlineAt: number;
@@ -20,7 +22,7 @@
 export type DispatchDecision = 'forward' | 'gone' | 'expired';
 
 /** What the expected wait of a request depends on. */
-export type DispatchUrgency = Omit<DispatchRequest, 'isGone'>;
+export type DispatchUrgency = Omit<DispatchRequest, 'isGone' | 'isFirstOnConnection'>;
 
 /** Orders the requests that wait for the event loop of this process. */
 export interface DispatchQueue {
@@ -39,19 +41,28 @@
 
 interface WaitingRequest {
   readonly request: DispatchRequest;
-  readonly arrivedInTurn: number;
+  /** Turn from which on the request may be forwarded. */
+  readonly readyInTurn: number;
   readonly expiresAt: number;
   readonly settle: (decision: DispatchDecision) => void;
 }
 
 /**
- * Turns between the arrival and the dispatch of a request. After a stall, a request and the end of
- * its connection are pending at the same time; the end is read one turn after the last bytes.
+ * Turns between the arrival and the dispatch of a request. After a stall, and on a new connection,
+ * a request and the end of its connection are pending at the same time; the end is read one turn
+ * after the last bytes.
  */
 const MIN_TURNS = 2;
+/** The same for a request that has just arrived. */
+const MIN_TURNS_IF_FRESH = 1;
+/** Longest time since the last turn in which a request on a kept connection has just arrived. */
+const MAX_FRESH_MS = 100;
 /** Allowed wait of a request that can meet its latency target, as a fraction of the time to it. */
 const MAX_WAIT_FRACTION = 0.25;
-/** Allowed wait of a nested call: the request that makes it holds a slot and fails without it. */
+/**
+ * Allowed wait of a nested call, as a fraction of the time to its deadline: the request that makes
+ * it holds a slot and fails without it.
+ */
 const MAX_NESTED_WAIT_FRACTION = 0.5;
 /** Allowed wait of a late request, as a fraction of the time to its deadline. */
 const MAX_LATE_WAIT_FRACTION = 0.1;
@@ -66,9 +77,9 @@
 
 const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
-  const fraction = isNested(request, now) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
+  if (isNested(request, now)) return (deadlineAt - now) * MAX_NESTED_WAIT_FRACTION;
   return Math.max(
-    (latencyTargetAt - now) * fraction,
+    (latencyTargetAt - now) * MAX_WAIT_FRACTION,
     (deadlineAt - now) * MAX_LATE_WAIT_FRACTION,
   );
 };
@@ -103,27 +114,37 @@
   let turnMs: number | undefined;
   let lastTurnAt: number | undefined;
 
-  const dropExpired = (now: number) => {
+  const isReady = (entry: WaitingRequest) => turn >= entry.readyInTurn;
+
+  /** Settles the ready requests that `isDropped` selects. */
+  const drop = (decision: 'gone' | 'expired', isDropped: (entry: WaitingRequest) => boolean) => {
     const kept: WaitingRequest[] = [];
     for (const entry of waiting) {
-      if (turn - entry.arrivedInTurn < MIN_TURNS) kept.push(entry);
-      else if (entry.request.isGone()) entry.settle('gone');
-      else if (entry.expiresAt < now) entry.settle('expired');
+      if (isReady(entry) && isDropped(entry)) entry.settle(decision);
       else kept.push(entry);
     }
     waiting = kept;
   };
 
-  const takeNext = (now: number) => {
+  const takeMostUrgent = (now: number, isCandidate: (entry: WaitingRequest) => boolean) => {
     let next: WaitingRequest | undefined;
     for (const entry of waiting) {
-      if (turn - entry.arrivedInTurn < MIN_TURNS) continue;
+      if (!isReady(entry) || !isCandidate(entry)) continue;
       if (next === undefined || overtakes(entry.request, next.request, now)) next = entry;
     }
     if (next !== undefined) waiting.splice(waiting.indexOf(next), 1);
     return next;
   };
 
+  const runTurn = (now: number) => {
+    drop('gone', ({ request }) => request.isGone());
+    // After a stall, the first request that can still meet its target needs no refusal.
+    const next = takeMostUrgent(now, ({ expiresAt }) => expiresAt >= now)
+      ?? takeMostUrgent(now, ({ request }) => request.latencyTargetAt > now);
+    next?.settle('forward');
+    drop('expired', ({ expiresAt }) => expiresAt < now);
+  };
+
   const recordTurn = (now: number) => {
     if (lastTurnAt !== undefined) {
       const lastMs = now - lastTurnAt;
@@ -144,8 +165,7 @@
       turn += 1;
       const now = clock.now();
       recordTurn(now);
-      dropExpired(now);
-      takeNext(now)?.settle('forward');
+      runTurn(now);
       scheduleTurn();
     });
   };
@@ -167,9 +187,11 @@
         return;
       }
       const now = clock.now();
+      const isFresh = !request.isFirstOnConnection
+        && lastTurnAt !== undefined && now - lastTurnAt < MAX_FRESH_MS;
       waiting.push({
         request,
-        arrivedInTurn: turn,
+        readyInTurn: turn + (isFresh ? MIN_TURNS_IF_FRESH : MIN_TURNS),
         expiresAt: now + allowedWaitMs(request, now),
         settle: resolve,
       });
--- a/gateway/http_messages_test.ts
+++ b/gateway/http_messages_test.ts
@@ -23,6 +23,7 @@
     const decision = await dispatch.wait({
       priority: 1,
       isFromPeer: false,
+      isFirstOnConnection: !isKept,
       deadlineAt: Infinity,
       latencyTargetAt: Infinity,
       isGone: () => signal.aborted,
