Do not throttle nested calls on routes below the highest priority

When the throttle of a target refused one, unsent, the request that made it failed with a 500 of its instance, having held a slot.

Cause: the throttle told nested calls by priority 0 alone.

Change: both use one rule, which moves to request.ts. Requests that the throttle does not admit are no longer recorded as accepted, so it counts the requests for which it decides.

--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import { MIN_RETURN_MS, NESTED_CALL_PRIORITY } from './request.ts';
+import { isNestedCall } from './request.ts';
 
 /** A request that has been read and is to be forwarded. Times are monotonic, in ms. */
 export interface DispatchRequest {
@@ -59,14 +59,9 @@
 /** Weight of a turn in the moving average of their lengths: about the last ten turns count. */
 const TURN_WEIGHT = 0.1;
 
-/** Nested calls on routes below the highest priority show by their short time to live. */
-const isNested = ({ priority, deadlineAt, latencyTargetAt }: DispatchUrgency, now: number) => (
-  priority <= NESTED_CALL_PRIORITY || (latencyTargetAt > now && deadlineAt - now < MIN_RETURN_MS)
-);
-
 const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
-  const fraction = isNested(request, now) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
+  const fraction = isNestedCall(request, now) ? MAX_NESTED_WAIT_FRACTION : MAX_WAIT_FRACTION;
   return Math.max(
     (latencyTargetAt - now) * fraction,
     (deadlineAt - now) * MAX_LATE_WAIT_FRACTION,
@@ -75,7 +70,7 @@
 
 /** Returns whether a request goes before another one that arrived earlier. */
 const overtakes = (one: DispatchUrgency, other: DispatchUrgency, now: number) => {
-  if (isNested(one, now) !== isNested(other, now)) return isNested(one, now);
+  if (isNestedCall(one, now) !== isNestedCall(other, now)) return isNestedCall(one, now);
   if (one.isFromPeer !== other.isFromPeer) return one.isFromPeer;
   if (one.priority !== other.priority) return one.priority < other.priority;
   return one.latencyTargetAt > now && other.latencyTargetAt <= now;
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -85,3 +85,14 @@
 
 /** Returns whether requests of this kind may safely run more than once. */
 export const isIdempotent = (kind: RouteKind): boolean => kind !== 'unsafe';
+
+/** Returns whether a request is a nested call, which fails a request that holds a slot. */
+export const isNestedCall = (
+  { priority, deadlineAt, latencyTargetAt }: (
+    Pick<GatewayRequest, 'priority' | 'deadlineAt' | 'latencyTargetAt'>
+  ),
+  now: number,
+): boolean => (
+  // Those on routes below the highest priority show by their short time to live.
+  priority <= NESTED_CALL_PRIORITY || (latencyTargetAt > now && deadlineAt - now < MIN_RETURN_MS)
+);
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -9,7 +9,7 @@
 import type { PeerClient } from './peer_client.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
 import {
-  type AttemptOutcome, type GatewayRequest, isIdempotent, NESTED_CALL_PRIORITY,
+  type AttemptOutcome, type GatewayRequest, isIdempotent, isNestedCall,
 } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import { createTargetThrottle } from './target_throttle.ts';
@@ -182,9 +182,8 @@
       const startedAt = clock.now();
       const isLate = request.latencyTargetAt <= startedAt;
       // The request that makes a nested call holds a slot and fails without it.
-      const isThrottled = target.kind === 'peer' && request.priority > NESTED_CALL_PRIORITY
-        && !throttle.admit(target.instance, isLate);
-      if (isThrottled) {
+      const isCounted = target.kind === 'peer' && !isNestedCall(request, startedAt);
+      if (isCounted && !throttle.admit(target.instance, isLate)) {
         const { instance } = target;
         chooser.report(request, target, { durationMs: 0, outcome: 'cancelled', load: undefined });
         lastOutcome ??= refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
@@ -227,7 +226,7 @@
       const { outcome, load } = result;
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
-      if (!isOverloaded(outcome)) throttle.recordAccepted(target.instance, isLate);
+      if (isCounted && !isOverloaded(outcome)) throttle.recordAccepted(target.instance, isLate);
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
--- a/gateway/request_sender_test.ts
+++ b/gateway/request_sender_test.ts
@@ -112,4 +112,13 @@
   assert.is(sentTo.length, 50);
 });
 
+// Nested calls on routes below the highest priority were refused, and their requests failed.
+test('nested calls that show by their deadline are sent to an overloaded target', async () => {
+  const { sentTo, run } = setUp(new Set(['n1']), {
+    key: 7, priority: 1, deadlineAt: 340, latencyTargetAt: 300,
+  });
+  for (let count = 0; count < 50; count += 1) await run();
+  assert.is(sentTo.length, 50);
+});
+
 test.run();
