Do not count requests in flight as refused by their target

Callers got 503 `routing.throttle: the instance is overloaded` for requests to a target that had refused none, as soon as a second one arrived while the first one ran: after a start, after some seconds without requests, and at each new owner of a key. Requests to a silent peer counted as refused for good, although most silent peers answer later.

Cause: a request counted when it was sent and its acceptance when its attempt ended, so that all requests in flight looked refused. Of two requests, the second one was refused with a probability of 1/4, the tenth one with 3/4.

The new test failed before.

Change: a request counts when its attempt ends, with its result; one that the throttle refuses counts at once, as before. The tests record refusals too, which needed no record before; their limits are the same.

--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -194,6 +194,9 @@
         if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return lastOutcome;
         continue;
       }
+      const recordEnd = (outcome: AttemptOutcome) => {
+        if (isCounted) throttle.recordEnd(target.instance, isLate, !isOverloaded(outcome));
+      };
       const sendsBefore = sends;
       const attempt = startAttempt(target);
       const result = await Promise.race([attempt.ended, attempt.silence]);
@@ -212,7 +215,10 @@
       if (result === undefined) {
         mayHaveRun = true;
         if (sends === sendsBefore) sends += 1;
-        const silentOutcome = attempt.ended.then(({ outcome }) => outcome);
+        const silentOutcome = attempt.ended.then(({ outcome }) => {
+          recordEnd(outcome);
+          return outcome;
+        });
         silentOutcome.catch(() => undefined);
         silentAttempts.push(silentOutcome);
         chooser.report(request, target, { durationMs, outcome: 'failure', load: undefined });
@@ -226,7 +232,7 @@
       const { outcome, load } = result;
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
-      if (isCounted && !isOverloaded(outcome)) throttle.recordAccepted(target.instance, isLate);
+      recordEnd(outcome);
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
--- a/gateway/target_throttle.ts
+++ b/gateway/target_throttle.ts
@@ -3,14 +3,14 @@
 /** Limits the requests to targets that refuse most of them for want of capacity. */
 export interface TargetThrottle {
   /**
-   * Counts a request for a target and returns whether to send it.
+   * Returns whether to send a request to a target; one that is not sent counts as refused.
    *
    * @param target Name of the instance.
    * @param isLate The request cannot meet its latency target any more.
    */
   readonly admit: (target: string, isLate: boolean) => boolean;
-  /** Records that a target took a request; refusals need no record. */
-  readonly recordAccepted: (target: string, isLate: boolean) => void;
+  /** Records whether a target took a request that was sent to it. */
+  readonly recordEnd: (target: string, isLate: boolean, isAccepted: boolean) => void;
 }
 
 /** Options of a target throttle. */
@@ -71,11 +71,15 @@
     admit: (target, isLate) => {
       const counts = countsOf(target, isLate);
       const excess = counts.requests - counts.accepted * SENT_PER_ACCEPTED;
-      counts.requests += 1;
-      return random() >= excess / (counts.requests + PRIOR_REQUESTS);
+      const isAdmitted = random() >= excess / (counts.requests + 1 + PRIOR_REQUESTS);
+      // A request in flight says nothing yet about the target.
+      if (!isAdmitted) counts.requests += 1;
+      return isAdmitted;
     },
-    recordAccepted: (target, isLate) => {
-      countsOf(target, isLate).accepted += 1;
+    recordEnd: (target, isLate, isAccepted) => {
+      const counts = countsOf(target, isLate);
+      counts.requests += 1;
+      if (isAccepted) counts.accepted += 1;
     },
   };
 };
--- a/gateway/target_throttle_test.ts
+++ b/gateway/target_throttle_test.ts
@@ -25,10 +25,11 @@
       const throttle = throttles[Math.floor(random() * NODES)]!;
       if (!throttle.admit('a', isLate)) continue;
       sent += 1;
-      if (room < 1) continue;
+      const isAccepted = room >= 1;
+      throttle.recordEnd('a', isLate, isAccepted);
+      if (!isAccepted) continue;
       room -= 1;
       accepted += 1;
-      throttle.recordAccepted('a', isLate);
     }
     return { sent: sent / seconds, accepted: accepted / seconds };
   };
@@ -64,6 +65,12 @@
   assert.is(run(2, 100, 1000).sent, 100);
 });
 
+// A second request was refused while the first one ran at a target that had refused none.
+test('requests in flight do not count as refused', () => {
+  const { throttles: [throttle] } = setUp();
+  for (let request = 0; request < 50; request += 1) assert.ok(throttle!.admit('a', false));
+});
+
 test('the number of targets that are remembered is bounded', () => {
   const { throttles: [throttle] } = setUp();
   for (let target = 0; target < 2000; target += 1) throttle!.admit(`t${target}`, false);
