--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -83,12 +83,13 @@
 /** Returns whether requests of this kind may safely run more than once. */
 export const isIdempotent = (kind: RouteKind): boolean => kind !== 'unsafe';
 
-/**
- * Returns whether a request may be a nested call, without which the request that makes it has run
- * in vain. Calls on routes below the highest priority show by their short time to live.
- */
+/** Returns whether a request is a nested call, which fails a request that holds a slot. */
 export const isNestedCall = (
-  request: Pick<GatewayRequest, 'priority' | 'deadlineAt' | 'latencyTargetAt'>,
+  { priority, deadlineAt, latencyTargetAt }: (
+    Pick<GatewayRequest, 'priority' | 'deadlineAt' | 'latencyTargetAt'>
+  ),
   now: number,
-): boolean => request.priority <= NESTED_CALL_PRIORITY
-  || (request.latencyTargetAt > now && request.deadlineAt - now < MIN_RETURN_MS);
+): boolean => (
+  // Those on routes below the highest priority show by their short time to live.
+  priority <= NESTED_CALL_PRIORITY || (latencyTargetAt > now && deadlineAt - now < MIN_RETURN_MS)
+);
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -182,9 +182,8 @@
       const startedAt = clock.now();
       const isLate = request.latencyTargetAt <= startedAt;
       // The request that makes a nested call holds a slot and fails without it.
-      const isThrottled = target.kind === 'peer' && !isNestedCall(request, startedAt)
-        && !throttle.admit(target.instance, isLate);
-      if (isThrottled) {
+      const isCounted = target.kind === 'peer' && !isNestedCall(request, startedAt);
+      if (isCounted && !throttle.admit(target.instance, isLate)) {
         const { instance } = target;
         chooser.report(request, target, { durationMs: 0, outcome: 'cancelled', load: undefined });
         lastOutcome ??= refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
@@ -195,6 +194,9 @@
         if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return lastOutcome;
         continue;
       }
+      const recordEnd = (outcome: AttemptOutcome) => {
+        if (isCounted) throttle.recordEnd(target.instance, isLate, !isOverloaded(outcome));
+      };
       const sendsBefore = sends;
       const attempt = startAttempt(target);
       const result = await Promise.race([attempt.ended, attempt.silence]);
@@ -213,7 +215,10 @@
       if (result === undefined) {
         mayHaveRun = true;
         if (sends === sendsBefore) sends += 1;
-        const silentOutcome = attempt.ended.then(({ outcome }) => outcome);
+        const silentOutcome = attempt.ended.then(({ outcome }) => {
+          recordEnd(outcome);
+          return outcome;
+        });
         silentOutcome.catch(() => undefined);
         silentAttempts.push(silentOutcome);
         chooser.report(request, target, { durationMs, outcome: 'failure', load: undefined });
@@ -227,7 +232,7 @@
       const { outcome, load } = result;
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
-      throttle.recordOutcome(target.instance, isLate, !isOverloaded(outcome));
+      recordEnd(outcome);
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
--- a/gateway/target_throttle.ts
+++ b/gateway/target_throttle.ts
@@ -10,7 +10,7 @@
    */
   readonly admit: (target: string, isLate: boolean) => boolean;
   /** Records whether a target took a request that was sent to it. */
-  readonly recordOutcome: (target: string, isLate: boolean, isAccepted: boolean) => void;
+  readonly recordEnd: (target: string, isLate: boolean, isAccepted: boolean) => void;
 }
 
 /** Options of a target throttle. */
@@ -71,11 +71,12 @@
     admit: (target, isLate) => {
       const counts = countsOf(target, isLate);
       const excess = counts.requests - counts.accepted * SENT_PER_ACCEPTED;
-      const isAdmitted = random() >= excess / (counts.requests + PRIOR_REQUESTS);
+      const isAdmitted = random() >= excess / (counts.requests + 1 + PRIOR_REQUESTS);
+      // A request in flight says nothing yet about the target.
       if (!isAdmitted) counts.requests += 1;
       return isAdmitted;
     },
-    recordOutcome: (target, isLate, isAccepted) => {
+    recordEnd: (target, isLate, isAccepted) => {
       const counts = countsOf(target, isLate);
       counts.requests += 1;
       if (isAccepted) counts.accepted += 1;
