Keep the rank of a nested call that has become late on its way

Cause: a request was told for a nested call at each step by its time to live, as long as it could meet its latency target. On saturated hosts a call passes its target on the way, and the slot queue then allowed it a tenth of the time to its deadline.

The node of the caller now decides once, when the request arrives, and gives it the highest priority, which goes with it. The new test failed before.

--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -2,7 +2,7 @@
 import type { PublishedRoute } from '../contract/mod.ts';
 import { endToEndHeaders } from '../forward/mod.ts';
 import { firstHeaderValue } from './_http_messages.ts';
-import type { GatewayRequest } from './request.ts';
+import { type GatewayRequest, isNestedCall, NESTED_CALL_PRIORITY } from './request.ts';
 import { createRequestAgeEstimator } from './request_age_estimator.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
@@ -73,27 +73,28 @@
     const key = firstHeaderValue(message, headerNames.key);
     const isKeyed = options.routes()?.contract.services.get(service)?.keyed === true;
     const firstAttemptAt = arrivedAt - ageEstimator.ageMs(route.name, remainingMs);
+    const latencyTargetAt = Math.min(
+      arrivedAt + remainingMs,
+      firstAttemptAt + route.targetLatencyMs,
+    );
+    const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
+    const isNested = isNestedCall({ ...route, deadlineAt, latencyTargetAt }, arrivedAt);
     const headers = endToEndHeaders(message.rawHeaders, replacedHeaders);
     headers.push(headerNames.callerService, options.callerService());
     return {
       requestId: firstHeaderValue(message, headerNames.requestId) ?? '',
       service,
       kind: route.kind,
-      priority: route.priority,
+      // Kept on the way, as a nested call that has become late is still needed.
+      priority: isNested ? NESTED_CALL_PRIORITY : route.priority,
       workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
       key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
       instance: undefined,
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers,
-      deadlineAt: Math.min(
-        arrivedAt + findTimeout(message, headerNames, route),
-        options.shutdown.answerBy(),
-      ),
-      latencyTargetAt: Math.min(
-        arrivedAt + remainingMs,
-        firstAttemptAt + route.targetLatencyMs,
-      ),
+      deadlineAt: Math.min(deadlineAt, options.shutdown.answerBy()),
+      latencyTargetAt,
       isCallerRetry: firstAttemptAt < arrivedAt,
       signal,
     };
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -162,4 +162,26 @@
   listener.kill();
 });
 
+// A nested call that had become late on its way was refused, and its run was in vain.
+test('a request with a short time to live keeps the highest priority on its way', async () => {
+  const priorities: number[] = [];
+  const { listener, address } = await setUp(async ({ priority }, _, sink) => {
+    priorities.push(priority);
+    sink.start(200, [], false);
+    sink.end();
+    return { kind: 'answered', status: 200 };
+  });
+  const { host, port } = splitAddress(address);
+  for (const deadlineMs of [340, 900]) {
+    const socket = connect(port, host).on('error', () => undefined);
+    socket.write([
+      'GET /orders/a HTTP/1.1', 'host: shop.example', `deadline-ms: ${deadlineMs}`, '\r\n',
+    ].join('\r\n'));
+    await once(socket, 'data');
+    socket.destroy();
+  }
+  listener.kill();
+  assert.equal(priorities, [0, 1]);
+});
+
 test.run();
