Forget the length of earlier turns after a time without requests

After one stall (a frozen process, a pause of the processor, the cold code of the first request), a host without load answered 503 `the node is saturated` to the second of two requests that arrived together, for as long as few came.

Cause: the estimate of the wait uses the mean length of turns, which changes only while requests wait and does not age; the first turn counts in full.

Change: the mean is forgotten when no request has waited for a second. A host with load is not affected, since its queue is not empty for so long.

Not covered: less than a second without requests; there the mean falls by a tenth with each turn.

--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -58,6 +58,8 @@
 
 /** Weight of a turn in the moving average of their lengths: about the last ten turns count. */
 const TURN_WEIGHT = 0.1;
+/** Time in ms without requests after which earlier turns tell nothing about the next ones. */
+const MAX_IDLE_MS = 1000;
 
 const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
@@ -97,6 +99,7 @@
   /** Mean time in ms from one turn to the next while requests wait. */
   let turnMs: number | undefined;
   let lastTurnAt: number | undefined;
+  let emptyAt = -Infinity;
 
   const dropExpired = (now: number) => {
     const kept: WaitingRequest[] = [];
@@ -131,6 +134,7 @@
     if (isScheduled) return;
     if (waiting.length === 0) {
       lastTurnAt = undefined;
+      emptyAt = clock.now();
       return;
     }
     isScheduled = true;
@@ -162,6 +166,7 @@
         return;
       }
       const now = clock.now();
+      if (waiting.length === 0 && now - emptyAt > MAX_IDLE_MS) turnMs = undefined;
       waiting.push({
         request,
         arrivedInTurn: turn,
--- a/gateway/dispatch_queue_test.ts
+++ b/gateway/dispatch_queue_test.ts
@@ -28,7 +28,7 @@
     await Promise.resolve();
   };
   return {
-    add, decisions, runTurn, tasks,
+    add, clock, decisions, runTurn, tasks,
   };
 };
 
@@ -98,6 +98,22 @@
   assert.equal(decisions, ['later forward']);
 });
 
+// After a single stall, a host without load refused requests for as long as few arrived.
+test('requests are not refused for a stall before a time without requests', async () => {
+  const {
+    add, clock, decisions, runTurn,
+  } = setUp();
+  add('stalled');
+  await runTurn(1);
+  await runTurn(1000);
+  clock.jump(5000);
+  decisions.length = 0;
+  add('a');
+  add('b');
+  for (let turn = 0; turn < 3; turn += 1) await runTurn(1);
+  assert.equal(decisions, ['a forward', 'b forward']);
+});
+
 // A turn accepts one connection only. While each turn forwarded all requests that it had read,
 // connections were accepted seconds after they had been made, when their callers had left.
 test('a burst of requests with much work does not delay new connections', async () => {
