Use one refusal of a stopping peer listener

The merge of the dispatch queue wrote the refusal 'the node stops' out again beside refuseWhileStopping, which two other places call. Behaviour is the same; the tests of gateway pass unchanged.

--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -136,9 +136,9 @@
   const forwardOrRefuse = async (
     request: GatewayRequest,
     sink: ResponseSink,
-  ): Promise<AttemptOutcome> => (isAccepting()
-    ? local.forward(request, sink)
-    : refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' }));
+  ): Promise<AttemptOutcome> => (
+    isAccepting() ? local.forward(request, sink) : refuseWhileStopping()
+  );
 
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = clock.now();
