End responses before the rest of their request in one place

The router of the control listeners and respondBeforeBody of the gateway both discarded the rest of a request for 500 ms before the end of the response, in the same lines with a limit each. endAfterRequest in http/ serves both.

--- a/fleet/_control_router.ts
+++ b/fleet/_control_router.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
+import { endAfterRequest } from '../http/mod.ts';
 
 /** A control request; parameters are the values of the `:name` segments of its route. */
 export interface ControlRequest {
@@ -30,7 +31,6 @@
   readonly onTooLong: (path: string) => ControlResponse;
 }
 
-const MAX_DISCARD_MS = 500;
 const notFound: ControlResponse = {
   status: 404, contentType: 'text/plain; charset=UTF-8', text: '404 Not Found',
 };
@@ -126,15 +126,8 @@
       response.end(text);
       return;
     }
-    // A close with unread bytes resets the connection, and the reset can discard the response.
     response.write(text);
-    const end = () => {
-      response.end();
-    };
-    const cancel = clock.schedule(MAX_DISCARD_MS, end);
-    message.once('end', end);
-    response.once('close', cancel);
-    message.resume();
+    endAfterRequest(clock, response);
   };
 
   return async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -1,9 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
-import { hasBody, resetConnection } from '../http/mod.ts';
-
-const MAX_DISCARD_MS = 500;
+import { endAfterRequest, hasBody, resetConnection } from '../http/mod.ts';
 
 /** Returns a signal that aborts when the client disconnects before the response is complete. */
 export const abortOnClose = (response: ServerResponse): AbortSignal => {
@@ -72,13 +70,7 @@
   writeHead(response, status, headers, text);
   if (text === '') response.flushHeaders();
   else response.write(text);
-  const end = () => {
-    response.end();
-  };
-  const cancel = clock.schedule(MAX_DISCARD_MS, end);
-  message.once('end', end);
-  response.once('close', cancel);
-  message.resume();
+  endAfterRequest(clock, response);
 };
 
 /**
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -8,6 +8,7 @@
 export {
   type BulkBody, type BulkDestination, createEgressLink, type EgressLink, type EgressLinkOptions,
 } from './egress_link.ts';
+export { endAfterRequest } from './end_after_request.ts';
 export { hasBody } from './has_body.ts';
 export { renderMalformed } from './render_malformed.ts';
 export { type ResponseBuffer, createResponseBuffer } from './response_buffer.ts';
