Attribute refusals and answers to requests by their identifier

Callers: a client was told `not run, try again` for a request that an instance had run or was running, or the request ran at a second instance, after a faulty instance had written an earlier refusal once more on a kept connection.

Cause: the client of the instance compared the identifier of an answer only where it had one, and demanded one of successes only; a refusal or an error without one was taken for that of the request in flight. The client of peers compared none. A request that is not idempotent could be sent again under the same identifier to the instance that had refused it, so that a late copy of the first refusal named it rightly.

Change: each answer of an instance must name the request; other answers prove nothing (unknown) and their connection is closed. A node names the request in its refusals, and an unnamed one counts as not run only for idempotent requests or as the last one of a stopping listener. An instance that refused a request that is not idempotent does not get it again. The stand-in now echoes it in refusals as well.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -133,6 +133,7 @@
       const fleet = find<FleetView>('fleet');
       const peers = createPeerClient({
         clock: find<Clock>('clock'),
+        requestIdHeader: platformHeaders.requestId,
         onSuspect: (address, reason) => {
           logger.warn({ peer: address, reason }, 'a peer is suspected of having failed');
           for (const view of views.values()) view.invalidate();
--- /dev/null
+++ b/gateway/_attempt_outcomes.ts
@@ -0,0 +1,34 @@
+import type { AttemptOutcome } from './request.ts';
+
+const FIRST_SERVER_ERROR = 500;
+const STATUS_GATEWAY_TIMEOUT = 504;
+/** Steps that refuse for want of slots or processor time, and the one that gets no answer. */
+const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'peer.send']);
+
+/** Returns the outcome of an attempt as the chooser counts it. */
+export const reportedOutcome = (outcome: AttemptOutcome, isAborted: boolean) => {
+  if (isAborted) return 'cancelled';
+  if (outcome.kind === 'answered') {
+    return outcome.status < FIRST_SERVER_ERROR ? 'success' : 'failure';
+  }
+  if (outcome.kind !== 'refused') return 'failure';
+  if (outcome.refusal.outcome === 'not run') return 'refused';
+  return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
+};
+
+/** Report to the chooser on a target to which nothing was sent. */
+export const UNSENT = { durationMs: 0, outcome: 'cancelled', load: undefined } as const;
+
+/** Returns whether an attempt ended because its target had no room, or did not answer. */
+export const isOverloaded = (outcome: AttemptOutcome) => (
+  outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
+);
+
+/** Returns the outcome to report of two; one that may have run goes before one that has not. */
+export const mergeOutcomes = (
+  one: AttemptOutcome | undefined,
+  other: AttemptOutcome,
+): AttemptOutcome => {
+  const isNotRun = other.kind === 'refused' && other.refusal.outcome === 'not run';
+  return isNotRun && one !== undefined ? one : other;
+};
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -186,7 +186,7 @@
   const destinations = await Promise.all(responds.map((respond, index) => (
     startDestination(`i-${index}`, respond)
   )));
-  const peers = createPeerClient({ clock });
+  const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   const budget = () => createServiceRetryBudget({
     clock, ratio: 1, extraRetries: 1000, windowMs: 10_000, nodeCount: () => 1,
   });
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -59,9 +59,10 @@
 };
 
 /**
- * Creates a client for an instance that checks each response: a request identifier in it must match
- * the request, and a success must carry the identifier and a signature, and no content encoding.
- * A response that fails a check cannot be attributed to the request and is not delivered.
+ * Creates a client for an instance that checks each response, refusals and errors too: it must name
+ * the request, and a success must carry a signature and no content encoding. A response that fails
+ * a check cannot be attributed to the request: it is not delivered, proves nothing about the
+ * request, and its connection is closed.
  *
  * @param options Clock, address, header names and connection limit.
  * @returns The client.
@@ -96,9 +97,8 @@
 
   const checkHead = (request: GatewayRequest) => (raw: readonly string[]) => {
     const responseId = findHeader(raw, headerNames.requestId);
-    return responseId === undefined || responseId === request.requestId
-      ? undefined
-      : 'the answer belongs to another request';
+    if (responseId === undefined) return 'the answer names no request';
+    return responseId === request.requestId ? undefined : 'the answer belongs to another request';
   };
 
   const toOutcome = (
@@ -140,7 +140,6 @@
         }
         if (isSuccess(status)) {
           if (findHeader(headers, headerNames.signature) === undefined) fault = 'is not signed';
-          if (findHeader(headers, headerNames.requestId) === undefined) fault = 'names no request';
           if (findHeader(headers, 'content-encoding') !== undefined) fault = 'is encoded';
           if (fault !== undefined) return 'cancel';
         }
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -211,9 +211,16 @@
 
 test('a request counts as not run only when the instance says so', async () => {
   const notRun = await runAgainst((socket) => {
-    socket.write('HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n');
+    socket.write(
+      'HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n',
+    );
   });
   assert.is(notRun.outcome.kind === 'refused' && notRun.outcome.refusal.outcome, 'not run');
+  // Only its identifier tells a refusal from one of an earlier request on the connection.
+  const unnamed = await runAgainst((socket) => {
+    socket.write('HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n');
+  });
+  assert.is(unnamed.outcome.kind === 'refused' && unnamed.outcome.refusal.outcome, 'unknown');
   const reset = await runAgainst((socket) => socket.resetAndDestroy());
   assert.is(reset.outcome.kind === 'refused' && reset.outcome.refusal.outcome, 'unknown');
 });
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -48,6 +48,8 @@
 /** Options of the peer client. */
 export interface PeerClientOptions {
   readonly clock: Clock;
+  /** Lower-case name of the header that carries the request identifier. */
+  readonly requestIdHeader: string;
   /** Called when a peer becomes suspect, but not again while it stays so. */
   readonly onSuspect?: (address: string, reason: string) => void;
 }
@@ -130,10 +132,15 @@
     let refusedOutcome: AttemptOutcome | undefined;
     let failedStatus: number | undefined;
     let rawHeaders: readonly string[] = [];
+    let isNamed = false;
     const checkHead = (raw: readonly string[]) => {
       rawHeaders = raw;
       load = parseLoad(findHeader(raw, hopHeaders.load));
-      return undefined;
+      const responseId = findHeader(raw, options.requestIdHeader);
+      isNamed = responseId !== undefined;
+      return responseId === undefined || responseId === request.requestId
+        ? undefined
+        : 'the answer belongs to another request';
     };
     const { pool, checkEnd } = poolOf(address);
     const end = await exchange(pool, {
@@ -147,8 +154,11 @@
         const refusal = decodeRefusal(status, rawHeaders, address);
         if (refusal !== undefined) {
           const reachedInstance = findHeader(rawHeaders, hopHeaders.reached) !== undefined;
-          refusedOutcome = { kind: 'refused', refusal, reachedInstance };
           const isStopping = findHeader(rawHeaders, hopHeaders.stopping) !== undefined;
+          // The last refusal of a stopping listener names no request, and ends its connection.
+          refusedOutcome = isNamed || isStopping || isIdempotent(request.kind)
+            ? { kind: 'refused', refusal, reachedInstance }
+            : refuseUnknown('the refusal names no request', { step: 'peer.send', peer: address });
           if (isStopping && detector.recordClosed(address)) onSuspect(address, 'the node stops');
           return 'drain';
         }
--- a/gateway/peer_close_test.ts
+++ b/gateway/peer_close_test.ts
@@ -76,7 +76,7 @@
     handleControlMessage: async () => undefined,
   });
   const address = await listener.listen();
-  const peers = createPeerClient({ clock });
+  const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   cleanUps.push(listener.kill, peers.close);
   return {
     address,
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -143,6 +143,9 @@
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = clock.now();
     const request = toRequest(message, abortOnClose(response));
+    const nameRequest = [
+      options.requestIdHeader, firstHeaderValue(message, options.requestIdHeader) ?? '',
+    ];
     if (request === undefined) {
       // A peer of another version may use another header format; its callers may retry.
       const { refusal } = refuseNotRun('the hop header cannot be read', STOPPING_RETRY_AFTER_MS, {
@@ -150,7 +153,8 @@
       });
       const from = message.socket.remoteAddress;
       logger.warn({ from, reason: refusal.message }, 'refused request from peer');
-      respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
+      const headers = [...encodeRefusal(refusal), ...nameRequest];
+      respondBeforeBody(clock, response, refusal.status, headers, '');
       return;
     }
     // A request that will be refused must not delay the end of the requests in flight.
@@ -168,7 +172,8 @@
         request: request.requestId, notRun: true, reason: refusal.message,
       }, 'refused request from peer');
       response.shouldKeepAlive = false;
-      respondBeforeBody(clock, response, refusal.status, encodeRefusal(refusal), '');
+      const headers = [...encodeRefusal(refusal), ...nameRequest];
+      respondBeforeBody(clock, response, refusal.status, headers, '');
       return;
     }
     const bodyReadAt = clock.now();
@@ -218,6 +223,7 @@
       if (response.headersSent) resetConnection(response);
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
+        ...nameRequest,
         hopHeaders.load, formatLoad(local.load()),
         ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
         ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -80,7 +80,7 @@
     handleControlMessage: async () => undefined,
   });
   const link = await startDelayedLink(await listener.listen());
-  const peers = createPeerClient({ clock });
+  const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   const send = async (requestId: string) => {
     const request: GatewayRequest = {
       requestId,
--- a/gateway/peer_suspicion_test.ts
+++ b/gateway/peer_suspicion_test.ts
@@ -29,7 +29,11 @@
 
 const setUp = () => {
   const suspected: string[] = [];
-  const peers = createPeerClient({ clock, onSuspect: (_, reason) => suspected.push(reason) });
+  const peers = createPeerClient({
+    clock,
+    requestIdHeader: 'request-id',
+    onSuspect: (_, reason) => suspected.push(reason),
+  });
   const send = async (address: string, path: string, signal = new AbortController().signal) => {
     const request: GatewayRequest = {
       requestId: 'r-1',
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -3,6 +3,9 @@
 import type { Logger } from '../telemetry/mod.ts';
 import { type AttemptRace, createAttemptRace } from './_attempt_race.ts';
 import { createHeldErrors, type ErrorResponse, type HeldError } from './_held_errors.ts';
+import {
+  isOverloaded, mergeOutcomes, reportedOutcome, UNSENT,
+} from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
@@ -52,34 +55,12 @@
 /** An attempt that starts with less time to the deadline cannot succeed. */
 const MIN_ATTEMPT_MS = 60;
 const FIRST_SERVER_ERROR = 500;
-/** Steps that refuse for want of slots or processor time, and the one that gets no answer. */
-const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'peer.send']);
 const THROTTLED_RETRY_AFTER_MS = 400;
 /** Bytes of error responses that are held while their requests are tried again. */
 const MAX_HELD_BYTES = 1_048_576;
 /** Not retried: the instance ran out of time, so another run would too. */
 const STATUS_GATEWAY_TIMEOUT = 504;
 
-const reportedOutcome = (outcome: AttemptOutcome, isAborted: boolean) => {
-  if (isAborted) return 'cancelled';
-  if (outcome.kind === 'answered') {
-    return outcome.status < FIRST_SERVER_ERROR ? 'success' : 'failure';
-  }
-  if (outcome.kind !== 'refused') return 'failure';
-  if (outcome.refusal.outcome === 'not run') return 'refused';
-  return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
-};
-
-const isOverloaded = (outcome: AttemptOutcome) => (
-  outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
-);
-
-/** Returns the outcome to report of two; one that may have run goes before one that has not. */
-const mergeOutcomes = (one: AttemptOutcome | undefined, other: AttemptOutcome): AttemptOutcome => {
-  const isNotRun = other.kind === 'refused' && other.refusal.outcome === 'not run';
-  return isNotRun && one !== undefined ? one : other;
-};
-
 /**
  * Creates the sender of a node. A request that is not idempotent is retried only while no instance
  * can have run it.
@@ -121,6 +102,8 @@
     const { requestId, service, signal } = request;
     const idempotent = isIdempotent(request.kind);
     const excluded = new Set<string>();
+    /** Instances that refused the request, which must not receive its identifier again. */
+    const refusedBy = new Set<string>();
     let sends = 0;
     let nodeRefusals = 0;
     let mayHaveRun = false;
@@ -179,13 +162,18 @@
         const { reason, retryAfterMs } = target;
         return lastOutcome ?? refuseNotRun(reason, retryAfterMs, { step: 'routing.choose' });
       }
+      // A late copy of the first refusal would be taken for that of a second run.
+      if (!idempotent && refusedBy.has(target.instance)) {
+        chooser.report(request, target, UNSENT);
+        return lastOutcome;
+      }
       const startedAt = clock.now();
       const isLate = request.latencyTargetAt <= startedAt;
       // The request that makes a nested call holds a slot and fails without it.
       const isCounted = target.kind === 'peer' && !isNestedCall(request, startedAt);
       if (isCounted && !throttle.admit(target.instance, isLate)) {
         const { instance } = target;
-        chooser.report(request, target, { durationMs: 0, outcome: 'cancelled', load: undefined });
+        chooser.report(request, target, UNSENT);
         lastOutcome ??= refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
           step: 'routing.throttle', peer: instance,
         });
@@ -263,6 +251,7 @@
       if (!hasTime() || (mayHaveRun && !idempotent)) return lastOutcome;
       if (request.key === undefined) excluded.add(target.instance);
       if (reachedInstance) {
+        refusedBy.add(target.instance);
         if (!mayRetry()) return lastOutcome;
         options.onRetry?.(service, refusal.outcome);
         continue;
--- a/gateway/silent_peer_test.ts
+++ b/gateway/silent_peer_test.ts
@@ -41,7 +41,7 @@
   { key, retries }: { readonly key?: number; readonly retries: number },
 ) => {
   const started = await Promise.all(listeners.map(startPeer));
-  const peers = createPeerClient({ clock });
+  const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   let received = '';
   let retriesLeft = retries;
   const sender = createRequestSender({
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -89,8 +89,10 @@
   let isKilled = false;
   let sequence = 0;
 
-  const refuse = (response: ServerResponse, status: number) => {
-    response.writeHead(status, { [platformHeaders.notRun]: '1' });
+  const refuse = (id: string, response: ServerResponse, status: number) => {
+    response.writeHead(status, {
+      [platformHeaders.requestId]: id, [platformHeaders.notRun]: '1',
+    });
     response.end();
   };
 
@@ -116,9 +118,10 @@
     const id = String(incoming.headers[platformHeaders.requestId] ?? '');
     const expected = incoming.headers[platformHeaders.expectedInstance];
     const key = incoming.headers[platformHeaders.key];
-    if (expected !== undefined && expected !== instance) refuse(response, MISDIRECTED);
-    else if (key !== undefined && !heldRanges.includes(Number(key))) refuse(response, MISDIRECTED);
-    else if (fault === 'shed') refuse(response, UNAVAILABLE);
+    if (expected !== undefined && expected !== instance) refuse(id, response, MISDIRECTED);
+    else if (key !== undefined && !heldRanges.includes(Number(key))) {
+      refuse(id, response, MISDIRECTED);
+    } else if (fault === 'shed') refuse(id, response, UNAVAILABLE);
     else {
       runs.set(id, (runs.get(id) ?? 0) + 1);
       setTimeout(() => respond(id, response), options.workMs ?? DEFAULT_WORK_MS);
