--- a/directory/fleet_view.ts
+++ b/directory/fleet_view.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { StoreEntry } from '../store/mod.ts';
 import { decodeNodeEntry, type NodeEntry } from './node_entry.ts';
-import { NODES_PREFIX } from './store_keys.ts';
+import { nodeKey, NODES_PREFIX } from './store_keys.ts';
 import type { StoreView, ViewChange } from './store_view.ts';
 
 /**
@@ -18,6 +18,8 @@
   readonly usable: () => readonly NodeEntry[];
   /** Returns the last known entry of a node, for at least 20 s after the entry went missing. */
   readonly find: (node: string) => NodeEntry | undefined;
+  /** Returns the number of stored entries that cannot be used, as another writer left them. */
+  readonly unusableCount: () => number;
   /** Adds a listener that is called after each change of the entries. */
   readonly onChange: (listener: (change: ViewChange) => void) => void;
 }
@@ -66,12 +68,15 @@
   const listeners: ((change: ViewChange) => void)[] = [];
   let present = new Map<string, NodeEntry>();
   let decodedByKey = new Map<string, DecodedEntry>();
+  let unusable = 0;
 
   const decode = (stored: StoreEntry): DecodedEntry => {
     const { key, revision } = stored;
     const before = decodedByKey.get(key);
     if (before?.revision === revision) return before;
-    const entry = decodeNodeEntry(stored.value);
+    const decoded = decodeNodeEntry(stored.value);
+    // An entry under another key would replace that of the node that it names.
+    const entry = decoded !== undefined && nodeKey(decoded.node) === key ? decoded : undefined;
     if (entry === undefined) options.onUnreadable?.(key);
     return { revision, entry };
   };
@@ -86,6 +91,7 @@
       if (result.entry !== undefined) next.set(result.entry.node, result.entry);
     }
     decodedByKey = decoded;
+    unusable = decoded.size - next.size;
     const now = clock.now();
     for (const [node, knownNode] of known) {
       if (next.has(node)) continue;
@@ -115,6 +121,7 @@
       return usable;
     },
     find: (node) => known.get(node)?.entry,
+    unusableCount: () => unusable,
     onChange: (listener) => {
       listeners.push(listener);
     },
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -1,6 +1,7 @@
 /** Service discovery: the nodes and instances of the fleet, as registered in the store. */
 export {
-  decodeNodeEntry, type DirectoryInstance, type InstanceState, type NodeEntry,
+  decodeNodeEntry, type DirectoryInstance, type InstanceState, MAX_ENTRY_LENGTH, MAX_SLOTS,
+  type NodeEntry,
 } from './node_entry.ts';
 export {
   createNodeRegistration, type NodeRegistration, type NodeRegistrationOptions,
--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import { isAddress } from '../http/mod.ts';
 
 /**
  * State of an instance as observed by its node. A `silent` instance runs requests, but its
@@ -32,20 +33,32 @@
   readonly instance: DirectoryInstance | undefined;
 }
 
+/** Longest entry in characters; another writer may leave a value as large as the store takes. */
+export const MAX_ENTRY_LENGTH = 8192;
+/** Longest name of a node, an instance, a service or a location. */
+const MAX_NAME_LENGTH = 200;
+/** Far above the slots of any host; a larger number would draw all requests to its sender. */
+export const MAX_SLOTS = 10_000;
+/** The largest time that a `Date` can represent, in ms since the Unix epoch. */
+const MAX_WALL_TIME = 8.64e15;
+
+const name = z.string().min(1).max(MAX_NAME_LENGTH);
+const wallTime = z.number().min(0).max(MAX_WALL_TIME);
+
 const entrySchema = z.object({
-  node: z.string().min(1),
-  startedAt: z.number(),
-  peerAddress: z.string().min(3),
-  region: z.string(),
-  failureDomain: z.string(),
+  node: name,
+  startedAt: wallTime,
+  peerAddress: z.string().refine(isAddress),
+  region: z.string().max(MAX_NAME_LENGTH),
+  failureDomain: z.string().max(MAX_NAME_LENGTH),
   isStopping: z.boolean(),
   instance: z.object({
-    instance: z.string().min(1),
-    startedAt: z.number(),
-    service: z.string().min(1),
-    slots: z.int().min(1),
+    instance: name,
+    startedAt: wallTime,
+    service: name,
+    slots: z.int().min(1).max(MAX_SLOTS),
     state: z.enum(['ready', 'silent', 'draining', 'down']),
-    coldUntil: z.number(),
+    coldUntil: wallTime,
   }).optional(),
 });
 
@@ -59,6 +72,7 @@
  * const entry = decodeNodeEntry(stored.value);
  */
 export const decodeNodeEntry = (text: string): NodeEntry | undefined => {
+  if (text.length > MAX_ENTRY_LENGTH) return undefined;
   try {
     const parsed = entrySchema.safeParse(JSON.parse(text));
     return parsed.success ? { ...parsed.data, instance: parsed.data.instance } : undefined;
--- a/directory/node_registration.ts
+++ b/directory/node_registration.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '../clock/mod.ts';
 import type { StoreError } from '../errors/mod.ts';
 import type { RightToGrant } from '../ranges/mod.ts';
-import type { LeasedStore, StoreEntry } from '../store/mod.ts';
+import type { LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import type { NodeEntry } from './node_entry.ts';
 import { nodeKey } from './store_keys.ts';
+import type { StoreView } from './store_view.ts';
 
 /** Registers this node in the store: keeps its entry there under a lease. */
 export interface NodeRegistration {
@@ -29,8 +30,8 @@
   readonly right: RightToGrant;
   /** The first entry to write. */
   readonly entry: NodeEntry;
-  /** Called with each entry after it is written. */
-  readonly onWritten?: (entry: StoreEntry) => void;
+  /** View of the store that gets each entry after it is written, and that shows its presence. */
+  readonly view?: Pick<StoreView, 'apply' | 'get' | 'onCurrent'>;
 }
 
 /** The lease survives two lost renewals; peers detect a lost node earlier by its connections. */
@@ -42,8 +43,8 @@
  */
 const RETRY_INTERVAL_MS = 500;
 /**
- * A lease renewal doesn't show whether the entry still exists, so the entry is read periodically.
- * The right to grant lasts several times as long as this interval.
+ * A lease renewal doesn't show whether the entry still exists, so the entry is read when the view
+ * has not shown it for this time in ms. The right to grant lasts several times as long.
  */
 const READ_INTERVAL_MS = 3000;
 
@@ -98,7 +99,7 @@
     revision = found.value?.revision ?? 0;
     const isCurrent = found.value !== undefined && found.value.value === storedValue;
     if (isCurrent) {
-      confirmedAtMs = clock.now();
+      confirmedAtMs = sent.at;
       right.confirm(sent);
     } else if (storedValue !== undefined) {
       logger.warn({ lease, revision }, 'the entry of this node is missing or was replaced');
@@ -118,9 +119,9 @@
       if (storedValue === undefined || revision === 0) createdRevision = result.value;
       revision = result.value;
       storedValue = text;
-      confirmedAtMs = clock.now();
+      confirmedAtMs = sent.at;
       right.confirm(sent);
-      options.onWritten?.({ key, revision, value: text });
+      options.view?.apply({ key, revision, value: text });
       logger.info({ lease, revision }, 'wrote the entry of this node');
       return true;
     }
@@ -150,6 +151,13 @@
     return clock.now() - confirmedAtMs < READ_INTERVAL_MS || readEntry();
   };
 
+  // The view has no change of the entry after its last write, up to a moment after `sent`.
+  options.view?.onCurrent((sent) => {
+    if (storedValue === undefined || options.view?.get(key)?.revision !== revision) return;
+    confirmedAtMs = Math.max(confirmedAtMs, sent.at);
+    right.confirm(sent);
+  });
+
   const run = async (signal: AbortSignal) => {
     while (!signal.aborted) {
       const succeeded = await reconcile();
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../clock/mod.ts';
-import type { EntryChanges, LeasedStore, StoreEntry } from '../store/mod.ts';
+import type { ClockReading } from '../ranges/mod.ts';
+import type {
+  EntryChanges, LeasedStore, LongPollOptions, RemovedEntry, StoreEntry,
+} from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import type { ViewHistory } from './view_history.ts';
 
@@ -15,6 +18,16 @@
   readonly isConnected: () => boolean;
   /** Adds a listener that is called after each change of the view. */
   readonly onChange: (listener: (change: ViewChange) => void) => void;
+  /**
+   * Adds a listener that is called after each call to the store, or to a peer that follows it, that
+   * has brought the view up to a moment after the call was sent, with the time of sending.
+   */
+  readonly onCurrent: (listener: (sent: ClockReading) => void) => void;
+  /**
+   * Returns a check whether the view has been brought up to date since by a call that was sent
+   * after this moment. It compares the order of events in this process, not times.
+   */
+  readonly startCurrencyCheck: () => () => boolean;
   /** Applies an entry that this node has just written, if it is newer than the known one. */
   readonly apply: (entry: StoreEntry) => void;
   /** Applies all changes up to now; resolves to false when the store call fails. */
@@ -40,10 +53,15 @@
   readonly watch?: LeasedStore['watch'];
   /** Records all changes, for peers that watch this view. */
   readonly history?: ViewHistory;
-  /** Maximum time in ms that the store holds a watch open. */
-  readonly waitMs?: number;
+  /** Returns the maximum time in ms that the store holds the next watch open. */
+  readonly waitMs?: () => number;
   /** Delay in ms after each watch, so that a burst of changes costs a single call. */
   readonly pauseMs?: number;
+  /**
+   * Returns the largest length of the value of a key, in characters; unlimited by default. Of a
+   * longer value, which another writer left, an empty one is kept.
+   */
+  readonly maxValueLength?: (key: string) => number;
 }
 
 /**
@@ -52,6 +70,7 @@
  */
 const DEFAULT_WAIT_MS = 8000;
 const DEFAULT_PAUSE_MS = 100;
+const MAX_LOGGED_KEYS = 8;
 /** Bounds in ms of the backoff while calls to the store fail. */
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 700;
@@ -69,7 +88,7 @@
 export const createStoreView = (options: StoreViewOptions): StoreView => {
   const { clock, store, prefix } = options;
   const watch = options.watch ?? store.watch;
-  const waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
+  const waitMs = options.waitMs ?? (() => DEFAULT_WAIT_MS);
   const pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
   const logger = options.logger.forComponent('store view');
   const entries = new Map<string, StoreEntry>();
@@ -79,9 +98,34 @@
   let loaded = false;
   let connected = false;
   let viewRevision = 0;
+  const currentListeners: ((sent: ClockReading) => void)[] = [];
+  /** Number of calls sent so far, and the last one sent of those that made the view current. */
+  let sentCalls = 0;
+  let currentCall = 0;
 
   const notify = (keys: readonly string[], mayMissChanges: boolean) => {
-    for (const listener of listeners) listener({ keys, mayMissChanges });
+    for (const listener of listeners) {
+      try {
+        listener({ keys, mayMissChanges });
+      } catch (error) {
+        // A change that one part cannot handle must not end the view for all others.
+        logger.error(
+          { prefix, keys: keys.slice(0, MAX_LOGGED_KEYS), reason: String(error) }, (
+            'failed to handle a change'
+          ),
+        );
+      }
+    }
+  };
+
+  const limitValue = <T extends StoreEntry | RemovedEntry>(entry: T): T => {
+    if (!('value' in entry)) return entry;
+    const maxLength = options.maxValueLength?.(entry.key) ?? Infinity;
+    if (entry.value.length <= maxLength) return entry;
+    logger.warn({
+      key: entry.key, revision: entry.revision, length: entry.value.length,
+    }, 'discarded a value that is too long');
+    return { ...entry, value: '' };
   };
 
   const putIfNewer = (entry: StoreEntry): boolean => {
@@ -106,7 +150,9 @@
     if (listed.isErr()) return false;
     const changed = new Set<string>();
     const present = new Set(listed.value.entries.map(({ key }) => key));
-    for (const entry of listed.value.entries) if (putIfNewer(entry)) changed.add(entry.key);
+    for (const entry of listed.value.entries) {
+      if (putIfNewer(limitValue(entry))) changed.add(entry.key);
+    }
     for (const key of entries.keys()) {
       if (!present.has(key) && removeIfNotNewer(key, listed.value.at)) changed.add(key);
     }
@@ -129,13 +175,29 @@
     return changed;
   };
 
-  const applyChanges = (changes: EntryChanges) => {
+  const applyChanges = ({ events, at }: EntryChanges) => {
+    const changes: EntryChanges = { events: events.map(limitValue), at };
     const keys = applyEvents(changes.events);
     viewRevision = Math.max(viewRevision, changes.at);
     options.history?.add(changes);
     if (keys.length > 0) notify(keys, false);
   };
 
+  /** Makes a call for changes and applies them. */
+  const applyChangesOf = async (call: LeasedStore['watch'], wait: LongPollOptions) => {
+    sentCalls += 1;
+    const number = sentCalls;
+    const sent = { at: clock.now(), wallAt: clock.wallTime() };
+    const changes = await call(prefix, viewRevision, wait);
+    if (changes.isErr() || wait.signal?.aborted) return changes;
+    applyChanges(changes.value);
+    if (changes.value.isCurrent === true) {
+      currentCall = Math.max(currentCall, number);
+      for (const listener of currentListeners) listener(sent);
+    }
+    return changes;
+  };
+
   const setConnected = (value: boolean, reason: string) => {
     if (connected === value) return;
     connected = value;
@@ -151,10 +213,9 @@
         needsReload = !await load();
         setConnected(!needsReload, 'listing the entries failed');
       } else {
-        const changes = await watch(prefix, viewRevision, { waitMs, signal });
+        const changes = await applyChangesOf(watch, { waitMs: waitMs(), signal });
         if (signal.aborted) return;
         if (changes.isOk()) {
-          applyChanges(changes.value);
           setConnected(true, '');
         } else {
           // The store keeps its history during an outage, so the next watch misses no changes.
@@ -179,11 +240,14 @@
     apply: (entry) => {
       if (putIfNewer(entry)) notify([entry.key], false);
     },
-    refresh: async () => {
-      const changes = await store.watch(prefix, viewRevision, { waitMs: 0 });
-      if (changes.isOk()) applyChanges(changes.value);
-      return changes.isOk();
+    onCurrent: (listener) => {
+      currentListeners.push(listener);
+    },
+    startCurrencyCheck: () => {
+      const sentBefore = sentCalls;
+      return () => currentCall > sentBefore;
     },
+    refresh: async () => (await applyChangesOf(store.watch, { waitMs: 0 })).isOk(),
     follow,
   };
 };
--- a/fleet/_owners.ts
+++ b/fleet/_owners.ts
@@ -37,7 +37,7 @@
   return owners.sort((left, right) => (left.node < right.node ? -1 : 1));
 };
 
-/** Returns the index of a node in that list; the node of rank 0 plans moves. */
+/** Returns the index of a node in that list, or its length if the node is not in it. */
 export const rankOf = (owners: readonly Owner[], node: string): number => {
   const index = owners.findIndex((owner) => owner.node === node);
   return index < 0 ? owners.length : index;
--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -67,13 +67,15 @@
   readonly rightMs: number;
   /** Delay in ms from the start of the process to the first assignment of keys. */
   readonly firstAssignmentMs: number;
+  /** Reports whether this node plans the moves between these owners. */
+  readonly isPlannerOf: (owners: readonly Owner[]) => boolean;
 }
 
 /** Allows for the clock of a lost instance that runs 2 % slow. */
 const CLOCK_DRIFT_FACTOR = 1.02;
 /** Allows for a watch that lags by a second. */
 const WATCH_LAG_MARGIN_MS = 1500;
-/** Unowned keys are assigned by the node of rank 0; each further rank waits this much longer. */
+/** Unowned keys are assigned by the first owner; each further rank waits this much longer. */
 const ASSIGN_DELAY_PER_RANK_MS = 700;
 /** Minimum interval between two plans of moves; load reports are collected once a second. */
 const PLAN_INTERVAL_MS = 900;
@@ -170,14 +172,15 @@
     let reason = 'released';
     let record = releaseRows(before, isReleased, isLive, grantTracker.handovers());
     const releasedNow = record !== before;
-    if (rank === 0) record = dropDeadSuccessors(record, isLive);
+    const isPlanner = options.isPlannerOf(owners);
+    if (isPlanner) record = dropDeadSuccessors(record, isLive);
     if (owners.length > 0 && mayAssign(record, state, rank, releasedNow)) {
       const snapshot = options.loadSnapshotOf(owners);
       record = assignRanges(record, planAssignments(record, snapshot));
       if (!releasedNow) reason = 'assigned';
     }
     const isDue = clock.now() - state.plannedAt > PLAN_INTERVAL_MS;
-    if (rank === 0 && record === before && isDue) {
+    if (isPlanner && record === before && isDue) {
       state.plannedAt = clock.now();
       const snapshot = options.loadSnapshotOf(owners);
       const moves = planMoves(record, snapshot);
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,7 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import {
-  createFleetMembership, type FleetView, type StoreView, type ViewHistory,
-} from '../directory/mod.ts';
+import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
   createCallerListener, createDispatchQueue, createLocalForwarder, createPeerClient,
   createPeerListener, createRequestSender, createServiceRetryBudget,
@@ -12,15 +10,13 @@
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
-import type { GrantTracker, KeyLoad, RightToGrant } from '../ranges/mod.ts';
+import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
 import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
-import { CHANGES_PATH, serveChanges } from './changes_message.ts';
 import type { ContractSource } from './contract_source.ts';
+import { createControlMessageHandler } from './_control_messages.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
-import type { LoadCollector } from './load_collector.ts';
 import type { RangeController } from './range_controller.ts';
-import { mayRelay } from './relayed_changes.ts';
 import type { LocalNode } from './_state_services.ts';
 
 /** Time in ms from the arrival of an announcement until its grants take effect. */
@@ -230,13 +226,9 @@
     name: 'peer-listener',
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
-      'event-loop', 'dispatch',
+      'event-loop', 'dispatch', 'succession', 'relay-activity', 'contracts',
     ],
     start: async (find) => {
-      const collector = find<LoadCollector>('collector');
-      const history = find<ViewHistory>('view-history');
-      const view = find<StoreView>('view');
-      const right = find<RightToGrant>('right');
       const service = createPeerListener({
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
@@ -247,11 +239,7 @@
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
-        handleControlMessage: async (path) => {
-          if (path === 'load') return collector.encodeOwnReport();
-          if (!path.startsWith(`${CHANGES_PATH}?`)) return undefined;
-          return mayRelay(view, right) ? serveChanges(history, path) : undefined;
-        },
+        handleControlMessage: createControlMessageHandler(find),
       });
       await service.listen();
       return { service, stop: service.stop };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -1,27 +1,31 @@
 import type { Clock } from '../clock/mod.ts';
 import {
   createFleetView, createNodeRegistration, createStoreView, createViewHistory, type FleetView,
-  type NodeEntry, KEY_PREFIX, type NodeRegistration, type StoreView, type ViewHistory,
+  KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry, type NodeRegistration, RANGES_PREFIX,
+  type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
-import { createInstanceClient, type SlotQueue } from '../gateway/mod.ts';
+import { createInstanceClient } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import {
   CONTRACT_KEY, createPlatformStore, platformHeaders, type PlatformSettings,
 } from '../platform/mod.ts';
-import {
-  createGrantTracker, createKeyLoad, createRightToGrant, type GrantTracker, type KeyLoad,
-  RIGHT_TO_GRANT_MS,
-  type RightToGrant,
-} from '../ranges/mod.ts';
+import { createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant } from '../ranges/mod.ts';
 import { type LeasedStore, abortStaleWatches } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { fetchPeerChanges } from './changes_message.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
-import { createLoadCollector, type LoadCollector } from './load_collector.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
-import { createRangeController, grantableMs, type RangeController } from './range_controller.ts';
-import { createRelayedChanges } from './relayed_changes.ts';
+import {
+  createRelayActivity, createRelayedChanges, type RelayActivity,
+} from './relayed_changes.ts';
+import { runUntilStop } from './run_until_stop.ts';
+
+/** When a relay last answered this node. */
+interface RelayAnswers {
+  readonly record: () => void;
+  readonly isRecent: () => boolean;
+}
 
 /** This node as it describes itself in the directory. */
 export interface LocalNode {
@@ -32,27 +36,14 @@
 
 /** The platform charges for a watch when it returns, and a contract seldom changes. */
 const CONTRACT_WAIT_MS = 8000;
+/** Maximum wait of a node that also learns from its relays of a new contract. */
+const RELAYED_CONTRACT_WAIT_MS = 25_000;
+/** Time in ms after the answer of a relay in which the next one is expected. */
+const RELAY_ANSWER_MS = 3000;
 const CONTRACT_PAUSE_MS = 30;
-/** At the first start of a fleet, instances announce themselves within some seconds. */
-const FIRST_ASSIGNMENT_MS = 4500;
 /** Connections in addition to one per slot, to replace those that are closing. */
 const SPARE_CONNECTIONS = 4;
 
-const runUntilStop = (
-  run: (signal: AbortSignal) => Promise<void>,
-  logger: Logger,
-  part: string,
-) => {
-  const stopping = new AbortController();
-  const done = run(stopping.signal).catch((error: unknown) => {
-    logger.error({ part, reason: String(error) }, 'a background task failed');
-  });
-  return () => {
-    stopping.abort();
-    return done;
-  };
-};
-
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
 export const registerStateServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<LeasedStore>({
@@ -77,9 +68,32 @@
     start: (find) => ({ service: createViewHistory(find<Clock>('clock')) }),
   });
 
+  kernel.register<RelayActivity>({
+    name: 'relay-activity',
+    needs: ['clock'],
+    start: (find) => ({ service: createRelayActivity(find<Clock>('clock')) }),
+  });
+
+  kernel.register<RelayAnswers>({
+    name: 'relay-answers',
+    needs: ['clock'],
+    start: (find) => {
+      const clock = find<Clock>('clock');
+      let answeredAt = -Infinity;
+      return {
+        service: {
+          record: () => {
+            answeredAt = clock.now();
+          },
+          isRecent: () => clock.now() - answeredAt < RELAY_ANSWER_MS,
+        },
+      };
+    },
+  });
+
   kernel.register<StoreView>({
     name: 'view',
-    needs: ['clock', 'store', 'logger', 'view-history'],
+    needs: ['clock', 'store', 'logger', 'view-history', 'relay-activity', 'relay-answers'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
@@ -94,30 +108,48 @@
         ),
         direct: store.watch,
         fetchChanges: fetchPeerChanges,
+        isAsked: find<RelayActivity>('relay-activity').isAsked,
+        onContractRevision: (revision) => {
+          find<RelayAnswers>('relay-answers').record();
+          // The contracts start later than this view.
+          if (!kernel.isRunning('contracts')) return;
+          find<ContractSource>('contracts').noteStoredRevision(revision);
+        },
         logger,
       });
       const view = createStoreView({
-        clock, store, prefix: KEY_PREFIX, logger, watch, history: find<ViewHistory>('view-history'),
+        clock,
+        store,
+        prefix: KEY_PREFIX,
+        logger,
+        watch,
+        history: find<ViewHistory>('view-history'),
+        maxValueLength: (key) => (key.startsWith(RANGES_PREFIX) ? Infinity : MAX_ENTRY_LENGTH),
       });
-      return { service: view, stop: runUntilStop(view.follow, logger, 'view') };
+      return { service: view, stop: runUntilStop(view.follow, { clock, logger, part: 'view' }) };
     },
   });
 
   kernel.register<ContractSource>({
     name: 'contracts',
-    needs: ['clock', 'store', 'logger'],
+    needs: ['clock', 'store', 'logger', 'relay-answers'],
     start: (find) => {
+      const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const view = createStoreView({
-        clock: find<Clock>('clock'),
+        clock,
         store: find<LeasedStore>('store'),
         prefix: CONTRACT_KEY,
         logger,
-        waitMs: CONTRACT_WAIT_MS,
+        waitMs: () => (
+          find<RelayAnswers>('relay-answers').isRecent()
+            ? RELAYED_CONTRACT_WAIT_MS
+            : CONTRACT_WAIT_MS
+        ),
         pauseMs: CONTRACT_PAUSE_MS,
       });
       const service = createContractSource(view, logger);
-      return { service, stop: runUntilStop(view.follow, logger, 'contracts') };
+      return { service, stop: runUntilStop(view.follow, { clock, logger, part: 'contracts' }) };
     },
   });
 
@@ -201,84 +233,19 @@
     name: 'own-entry',
     needs: ['clock', 'store', 'logger', 'right', 'self', 'view', 'registry'],
     start: (find) => {
+      const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const localNode = find<LocalNode>('self');
       const own = createNodeRegistration({
-        clock: find<Clock>('clock'),
+        clock,
         store: find<LeasedStore>('store'),
         logger,
         right: find<RightToGrant>('right'),
         entry: localNode.entry(),
-        onWritten: find<StoreView>('view').apply,
+        view: find<StoreView>('view'),
       });
       find<InstanceRegistry>('registry').onChange(() => own.update(localNode.entry()));
-      return { service: own, stop: runUntilStop(own.run, logger, 'own entry') };
+      return { service: own, stop: runUntilStop(own.run, { clock, logger, part: 'own entry' }) };
     },
   });
-
-  kernel.register<KeyLoad>({
-    name: 'key-load',
-    needs: ['clock'],
-    start: (find) => ({ service: createKeyLoad(find<Clock>('clock')) }),
-  });
-
-  kernel.register<GrantTracker>({
-    name: 'ledger',
-    needs: ['clock'],
-    start: (find) => ({
-      service: createGrantTracker({
-        clock: find<Clock>('clock'),
-        node: settings.node,
-        maxHoldMs: settings.bounds.maxHoldMs,
-      }),
-    }),
-  });
-
-  kernel.register<RangeController>({
-    name: 'ranges',
-    needs: [
-      'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'own-entry', 'logger',
-      'contracts', 'collector', 'metrics',
-    ],
-    start: (find) => ({
-      service: createRangeController({
-        clock: find<Clock>('clock'),
-        node: settings.node,
-        store: find<LeasedStore>('store'),
-        view: find<StoreView>('view'),
-        fleet: find<FleetView>('fleet'),
-        registry: find<InstanceRegistry>('registry'),
-        grantTracker: find<GrantTracker>('ledger'),
-        grantableMs: () => grantableMs(
-          find<RightToGrant>('right'),
-          find<NodeRegistration>('own-entry'),
-          find<StoreView>('view'),
-        ),
-        logger: find<Logger>('logger'),
-        isKeyed: find<ContractSource>('contracts').isKeyed,
-        keyedServices: find<ContractSource>('contracts').keyedServices,
-        loadSnapshotOf: find<LoadCollector>('collector').loadSnapshotOf,
-        maxHoldMs: settings.bounds.maxHoldMs,
-        rightMs: RIGHT_TO_GRANT_MS,
-        firstAssignmentMs: settings.isFirstStart ? FIRST_ASSIGNMENT_MS : 0,
-        onRowsChanged: (rows, reason) => find<NodeMetrics>('metrics').recordRows(reason, rows),
-      }),
-    }),
-  });
-
-  kernel.register<LoadCollector>({
-    name: 'collector',
-    needs: ['clock', 'logger', 'key-load', 'ledger', 'queue'],
-    start: (find) => ({
-      service: createLoadCollector({
-        clock: find<Clock>('clock'),
-        node: settings.node,
-        load: find<KeyLoad>('key-load'),
-        logger: find<Logger>('logger'),
-        ownRanges: find<GrantTracker>('ledger').ranges,
-        ownCapacity: () => find<SlotQueue>('queue').load().serviceRate,
-        ownWork: find<SlotQueue>('queue').recentWork,
-      }),
-    }),
-  });
 };
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -127,7 +127,7 @@
       instance: registry.describe(),
     });
     const own = createNodeRegistration({
-      clock, store, logger: noopLogger, right, entry: entry(), onWritten: view.apply,
+      clock, store, logger: noopLogger, right, entry: entry(), view,
     });
     registry.onChange(() => own.update(entry()));
     const controller = createRangeController({
@@ -148,6 +148,7 @@
       maxHoldMs: MAX_HOLD_MS,
       rightMs: RIGHT_TO_GRANT_MS,
       firstAssignmentMs: 2000,
+      isPlannerOf: (owners) => owners[0]?.node === node,
     });
     view.follow(stopping.signal);
     own.run(stopping.signal);
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -1,20 +1,35 @@
 import * as z from 'zod';
-import type { ViewHistory } from '../directory/mod.ts';
+import { KEY_PREFIX, type StoreView, type ViewHistory } from '../directory/mod.ts';
 import type { EntryChanges } from '../store/mod.ts';
 import { fetchFromPeer } from './_peer_messages.ts';
 
 /** Path of the control request for the changes that a peer has seen in the store. */
 export const CHANGES_PATH = 'changes';
 
-/** Maximum time in ms that a peer waits for a change; bounds the detection of a lost peer. */
-const MAX_WAIT_MS = 2000;
+/**
+ * Maximum time in ms that a peer waits for a change; bounds the detection of a lost peer. It is
+ * longer than the interval at which a relay brings its view up to date, so that each wait has one.
+ */
+const MAX_WAIT_MS = 1200;
 /** Allowance in ms for the round trip, in addition to the wait. */
 const ROUND_TRIP_ALLOWANCE_MS = 500;
 const HTTP_OK = 200;
 
+/** The changes that a peer has seen in the store, and the revision of the contract it knows. */
+export interface PeerChanges extends EntryChanges {
+  /** Store revision of the peer's newest contract; 0 if it knows none. */
+  readonly contractRevision: number;
+}
+
+const storeRevision = z.int().min(0);
+
 const changesSchema = z.object({
-  at: z.number(),
-  events: z.array(z.tuple([z.string(), z.number(), z.string().nullable()])),
+  at: storeRevision,
+  events: z.array(z.tuple([
+    z.string().startsWith(KEY_PREFIX), storeRevision, z.string().nullable(),
+  ])),
+  current: z.boolean().default(false),
+  contract: storeRevision.default(0),
 });
 
 /**
@@ -23,17 +38,28 @@
  * @example
  * const text = encodeChanges({ events: [], at: 17 });
  */
-export const encodeChanges = ({ events, at }: EntryChanges): string => JSON.stringify({
-  at,
-  events: events.map((event) => (
+export const encodeChanges = (changes: PeerChanges): string => JSON.stringify({
+  at: changes.at,
+  events: changes.events.map((event) => (
     [event.key, event.revision, 'removed' in event ? null : event.value]
   )),
+  current: changes.isCurrent === true,
+  contract: changes.contractRevision,
 });
 
-const decodeChanges = (text: string): EntryChanges => {
-  const { at, events } = changesSchema.parse(JSON.parse(text));
+/**
+ * Decodes changes.
+ *
+ * @throws {Error} when the text is malformed.
+ */
+export const decodeChanges = (text: string): PeerChanges => {
+  const {
+    at, events, current, contract,
+  } = changesSchema.parse(JSON.parse(text));
   return {
     at,
+    isCurrent: current,
+    contractRevision: contract,
     events: events.map(([key, revision, value]) => (
       value === null ? { key, revision, removed: true } : { key, revision, value }
     )),
@@ -47,7 +73,7 @@
 export const fetchPeerChanges = async (
   address: string,
   after: number,
-): Promise<EntryChanges | undefined> => {
+): Promise<PeerChanges | undefined> => {
   const query = `after=${after}&wait=${MAX_WAIT_MS}`;
   const { status, text } = await fetchFromPeer(
     address,
@@ -57,15 +83,26 @@
   return status === HTTP_OK ? decodeChanges(text) : undefined;
 };
 
+/** What a node answers to the requests of its peers for changes. */
+export interface ChangesSource {
+  readonly history: ViewHistory;
+  readonly view: Pick<StoreView, 'startCurrencyCheck'>;
+  /** Store revision of the newest known contract. */
+  readonly contractRevision: () => number;
+}
+
 /** Encodes the response to a peer's request for changes; undefined when they are not available. */
 export const serveChanges = async (
-  history: ViewHistory,
+  { history, view, contractRevision }: ChangesSource,
   path: string,
 ): Promise<string | undefined> => {
+  const isCurrent = view.startCurrencyCheck();
   const query = new URLSearchParams(path.slice(path.indexOf('?') + 1));
   const after = Number(query.get('after') ?? Number.NaN);
   const waitMs = Number(query.get('wait') ?? Number.NaN);
   if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
-  return changes && encodeChanges(changes);
+  return changes && encodeChanges({
+    ...changes, isCurrent: isCurrent(), contractRevision: contractRevision(),
+  });
 };
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -10,6 +10,10 @@
   readonly isKeyed: (service: string) => boolean;
   /** Names of the services whose requests are partitioned by key. */
   readonly keyedServices: () => readonly string[];
+  /** Store revision of the newest contract that this process has seen; 0 before the first one. */
+  readonly storedRevision: () => number;
+  /** Reads the contract if a peer has seen a newer one, which the own watch may have missed. */
+  readonly noteStoredRevision: (revision: number) => void;
 }
 
 /**
@@ -27,6 +31,8 @@
   const log = logger.forComponent('contract');
   let table: RouteTable | undefined;
   let keyedServices: readonly string[] = [];
+  let isRefreshing = false;
+  const storedRevision = () => view.get(CONTRACT_KEY)?.revision ?? 0;
 
   view.onChange(() => {
     const entry = view.get(CONTRACT_KEY);
@@ -52,5 +58,15 @@
     routes: () => table,
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
     keyedServices: () => keyedServices,
+    storedRevision,
+    noteStoredRevision: (revision) => {
+      if (isRefreshing || revision <= storedRevision() || !view.isLoaded()) return;
+      isRefreshing = true;
+      view.refresh().catch((error: unknown) => {
+        log.error({ stored: revision, reason: String(error) }, 'failed to read the contract');
+      }).finally(() => {
+        isRefreshing = false;
+      });
+    },
   };
 };
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -98,11 +98,13 @@
   /** Two refused connections prove that the process, and thus its holds, have ended. */
   const isRefusedTwice = async (address: string): Promise<boolean> => {
     isProbing = true;
-    const first = await options.isConnectionRefused(address);
-    if (first) await clock.sleep(CONFIRM_DELAY_MS);
-    const second = first && await options.isConnectionRefused(address);
-    isProbing = false;
-    return second;
+    try {
+      const first = await options.isConnectionRefused(address);
+      if (first) await clock.sleep(CONFIRM_DELAY_MS);
+      return first && await options.isConnectionRefused(address);
+    } finally {
+      isProbing = false;
+    }
   };
 
   const probeInstance = async (current: TrackedInstance) => {
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -1,9 +1,11 @@
 import * as z from 'zod';
 import type { Clock } from '../clock/mod.ts';
+import { MAX_SLOTS } from '../directory/mod.ts';
 import {
   type Candidate,
   estimateCapacities,
   type InstanceWork,
+  KEY_COUNT,
   keyCount,
   type KeyLoad,
   type KeyRange,
@@ -30,7 +32,10 @@
   readonly encodeOwnReport: () => string;
   /** Fetches the load reports of all owners and discards those of other owners. */
   readonly collect: (owners: readonly OwnerEndpoint[]) => Promise<void>;
-  /** Returns the load of the owners; an owner without a recent report has a default capacity. */
+  /**
+   * Returns the load of the owners that answer; one that has not been asked for a report yet has a
+   * default capacity.
+   */
   readonly loadSnapshotOf: (owners: readonly Owner[]) => LoadSnapshot;
 }
 
@@ -52,27 +57,75 @@
   readonly ownCapacity: () => number;
   /** Recent runs of the instance of this host. */
   readonly ownWork: () => InstanceWork;
+  /** Sends a control message to a peer; over HTTP by default. */
+  readonly fetchReportFrom?: typeof fetchFromPeer;
 }
 
 /** Maximum number of cells in a report; a cell is the smallest unit of a move. */
 const MAX_REPORT_CELLS = 12;
 const REPORT_TIMEOUT_MS = 400;
+/** Requests in a row without a report after which an owner is given no further keys. */
+const MAX_MISSED_REPORTS = 3;
 /** Reports older than this are ignored as out of date. */
 const MAX_REPORT_AGE_MS = 4000;
 /** Assumed capacity in requests per second while no measurement is known. */
 const DEFAULT_CAPACITY = 60;
 
+/** Far above the requests per second of any host; a larger sum would lose its precision. */
+const MAX_RATE = 1e9;
+const MAX_CLASSES = 1000;
+
+const rateSchema = z.number().min(0).max(MAX_RATE);
+const keySchema = z.int().min(0).max(KEY_COUNT - 1);
+
 const reportSchema = z.object({
-  capacity: z.number().positive(),
-  cells: z.array(z.object({ from: z.int(), to: z.int(), rate: z.number().min(0) })),
+  capacity: z.number().positive().max(MAX_RATE),
+  cells: z.array(
+    z.object({ from: keySchema, to: keySchema, rate: rateSchema })
+      .refine(({ from, to }) => from <= to),
+  ).max(MAX_REPORT_CELLS),
   work: z.object({
-    slots: z.number().positive(),
+    slots: z.number().positive().max(MAX_SLOTS),
     classes: z.array(z.object({
-      workClass: z.string(), runs: z.number().positive(), totalMs: z.number().min(0),
-    })),
+      workClass: z.string(),
+      runs: z.number().positive().max(MAX_RATE),
+      totalMs: rateSchema,
+    })).max(MAX_CLASSES),
   }).optional(),
 });
 
+/**
+ * Decodes the load report of a peer.
+ *
+ * @param text Body of its response.
+ * @returns The report, or undefined if it is malformed.
+ */
+export const decodeLoadReport = (text: string): LoadReport | undefined => {
+  try {
+    const parsed = reportSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+const LOAD_PATH = 'load';
+
+/** Returns the path of the request for a load report, which names the node that plans moves. */
+const encodeLoadRequest = (from: string) => `${LOAD_PATH}?from=${encodeURIComponent(from)}`;
+
+/**
+ * Decodes the path of a control message.
+ *
+ * @param path Path and query of the message.
+ * @returns The node that asks for a load report, empty if it names none; undefined if the message
+ *   is another one.
+ */
+export const decodeLoadRequest = (path: string): string | undefined => {
+  const [name, query = ''] = path.split('?', 2);
+  return name === LOAD_PATH ? new URLSearchParams(query).get('from') ?? '' : undefined;
+};
+
 const roundToHundredths = (value: number) => Math.round(value * 100) / 100;
 
 const roundWork = ({ slots, classes }: InstanceWork): InstanceWork => ({
@@ -108,9 +161,11 @@
  * const snapshot = collector.loadSnapshotOf(owners);
  */
 export const createLoadCollector = (options: LoadCollectorOptions): LoadCollector => {
-  const { clock, node } = options;
+  const { clock, node, fetchReportFrom = fetchFromPeer } = options;
   const logger = options.logger.forComponent('load');
   const reports = new Map<string, { readonly report: LoadReport; readonly at: number }>();
+  /** Number of requests in a row without a report, by owner. */
+  const missed = new Map<string, number>();
 
   const ownReport = (): LoadReport => ({
     capacity: options.ownCapacity() || DEFAULT_CAPACITY,
@@ -121,10 +176,10 @@
 
   const fetchReport = async (address: string): Promise<LoadReport | undefined> => {
     try {
-      const { status, text } = await fetchFromPeer(address, 'load', REPORT_TIMEOUT_MS);
+      const path = encodeLoadRequest(node);
+      const { status, text } = await fetchReportFrom(address, path, REPORT_TIMEOUT_MS);
       if (status !== 200) return undefined;
-      const parsed = reportSchema.safeParse(JSON.parse(text));
-      return parsed.success ? parsed.data : undefined;
+      return decodeLoadReport(text);
     } catch (error) {
       logger.debug({ peer: address, reason: String(error) }, 'failed to fetch a load report');
       return undefined;
@@ -134,13 +189,21 @@
   const collect: LoadCollector['collect'] = async (owners) => {
     await Promise.all(owners.map(async ({ owner, address }) => {
       const report = owner.node === node ? ownReport() : await fetchReport(address);
-      if (report !== undefined) reports.set(ownerKey(owner), { report, at: clock.now() });
+      const key = ownerKey(owner);
+      if (report !== undefined) reports.set(key, { report, at: clock.now() });
+      missed.set(key, report === undefined ? (missed.get(key) ?? 0) + 1 : 0);
     }));
     const known = new Set(owners.map(({ owner }) => ownerKey(owner)));
     for (const key of reports.keys()) if (!known.has(key)) reports.delete(key);
+    for (const key of missed.keys()) if (!known.has(key)) missed.delete(key);
   };
 
-  const loadSnapshotOf: LoadCollector['loadSnapshotOf'] = (owners) => {
+  const isResponsive = (owner: Owner) => (missed.get(ownerKey(owner)) ?? 0) < MAX_MISSED_REPORTS;
+
+  const loadSnapshotOf: LoadCollector['loadSnapshotOf'] = (all) => {
+    // Behind an entry that another writer left, nobody answers.
+    const responsive = all.filter(isResponsive);
+    const owners = responsive.length > 0 ? responsive : all;
     const cells: LoadCell[] = [];
     const recent = owners.map((owner) => {
       const found = reports.get(ownerKey(owner));
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -11,7 +11,6 @@
   type RightToGrant,
 } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
-import { rankOf } from './_owners.ts';
 import { createRangePlanner, type RangePlannerOptions, rowKey } from './_range_planner.ts';
 
 /** Reconciles the range records of this host's services and answers announcements. */
@@ -21,7 +20,7 @@
   readonly recordOf: (service: string) => { record: RangeRecord; version: number } | undefined;
   /** Moves the records towards the planned state; safe to call at any time. */
   readonly reconcile: () => Promise<void>;
-  /** Reports whether this node plans moves, as the node of rank 0 of its instance's service. */
+  /** Reports whether this node plans the moves of its instance's service. */
   readonly isPlanner: () => boolean;
 }
 
@@ -194,7 +193,7 @@
     isPlanner: () => {
       const service = registry.local()?.service;
       if (service === undefined || !options.isKeyed(service)) return false;
-      return rankOf(ownersOf(service), node) === 0;
+      return options.isPlannerOf(ownersOf(service));
     },
   };
 };
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -3,8 +3,9 @@
 import type { NodeEntry, StoreView } from '../directory/mod.ts';
 import { StoreError } from '../errors/mod.ts';
 import type { RightToGrant } from '../ranges/mod.ts';
-import type { EntryChanges, LeasedStore } from '../store/mod.ts';
+import type { LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import type { PeerChanges } from './changes_message.ts';
 
 /** Options for {@link createRelayedChanges}. */
 export interface RelayedChangesOptions {
@@ -16,7 +17,11 @@
   /** Watches the store directly. */
   readonly direct: LeasedStore['watch'];
   /** Requests the changes after a revision from a peer; undefined when it does not have them. */
-  readonly fetchChanges: (address: string, after: number) => Promise<EntryChanges | undefined>;
+  readonly fetchChanges: (address: string, after: number) => Promise<PeerChanges | undefined>;
+  /** Reports whether peers have asked this node for changes recently. */
+  readonly isAsked: () => boolean;
+  /** Called with the revision of the newest contract that a relay knows. */
+  readonly onContractRevision?: (revision: number) => void;
   readonly logger: Logger;
 }
 
@@ -24,8 +29,14 @@
 const MAX_DIRECT_NODES = 8;
 /** Nodes of a larger failure domain that watch the store for the others; one may be lost. */
 const RELAY_COUNT = 2;
-/** Time in ms for which a failed relay is not tried again. */
-const RELAY_BACKOFF_MS = 5000;
+/**
+ * Bounds in ms of the time for which a failed relay is not tried again; it doubles at each failure,
+ * so that an entry behind which nobody answers costs little.
+ */
+const MIN_RELAY_BACKOFF_MS = 5000;
+const MAX_RELAY_BACKOFF_MS = 80_000;
+/** Time in ms after a request for changes in which a node follows the store for its peers. */
+const ASKED_MS = 10_000;
 
 /**
  * Minimum remaining right to grant, in ms, of a node that acts as a relay. The right is confirmed
@@ -42,6 +53,31 @@
   right: Pick<RightToGrant, 'remainingMs'>,
 ): boolean => view.isConnected() && right.remainingMs() > MIN_RIGHT_MS;
 
+interface RelayFailure {
+  /** Monotonic time in ms of the last failure. */
+  readonly failedAt: number;
+  /** Time in ms after it for which the relay is not asked. */
+  readonly backoffMs: number;
+}
+
+/** Whether peers rely on this node for the changes in the store. */
+export interface RelayActivity {
+  /** Records a request for changes. */
+  readonly record: () => void;
+  readonly isAsked: () => boolean;
+}
+
+/** Creates the activity of a node that has not been asked for changes. */
+export const createRelayActivity = (clock: Clock): RelayActivity => {
+  let askedAt = -Infinity;
+  return {
+    record: () => {
+      askedAt = clock.now();
+    },
+    isAsked: () => clock.now() - askedAt < ASKED_MS,
+  };
+};
+
 /**
  * Creates the watch of a node in a large failure domain: a few nodes watch the store, and the
  * others fetch the changes from them. A watch costs each watching node a call per change, so
@@ -58,8 +94,29 @@
 ): LeasedStore['watch'] => {
   const { clock, node, direct } = options;
   const logger = options.logger.forComponent('relay');
-  const backoffUntil = new Map<string, number>();
+  const failures = new Map<string, RelayFailure>();
+
+  const recordFailure = (address: string) => {
+    const before = failures.get(address)?.backoffMs ?? MIN_RELAY_BACKOFF_MS / 2;
+    const backoffMs = Math.min(MAX_RELAY_BACKOFF_MS, before * 2);
+    failures.set(address, { failedAt: clock.now(), backoffMs });
+  };
+
+  const mayAsk = ({ peerAddress }: NodeEntry) => {
+    const failure = failures.get(peerAddress);
+    return failure === undefined || clock.now() - failure.failedAt >= failure.backoffMs;
+  };
+
+  /** Several failures at once tell more about this node's own link than about the relays. */
+  const isCutOff = () => {
+    let recent = 0;
+    for (const { failedAt } of failures.values()) {
+      if (clock.now() - failedAt < MIN_RELAY_BACKOFF_MS) recent += 1;
+    }
+    return recent >= RELAY_COUNT;
+  };
 
+  /** The first nodes by name of those that have not failed as relays. */
   const chooseRelays = (): readonly NodeEntry[] => {
     const domainNodes = [...options.entries()]
       .filter(({ failureDomain, isStopping }) => (
@@ -67,7 +124,11 @@
       ))
       .sort((left, right) => (left.node < right.node ? -1 : 1));
     if (domainNodes.length <= MAX_DIRECT_NODES) return [];
-    const relays = domainNodes.slice(0, RELAY_COUNT);
+    const known = new Set(domainNodes.map(({ peerAddress }) => peerAddress));
+    for (const address of failures.keys()) if (!known.has(address)) failures.delete(address);
+    const relays = domainNodes.filter(mayAsk).slice(0, RELAY_COUNT);
+    // A node that is asked follows the store, so that no two nodes rely on each other.
+    if (options.isAsked() || isCutOff()) return [];
     if (relays.some((relay) => relay.node === node)) return [];
     // Balances the load: half of the nodes try each relay first.
     return domainNodes.findIndex((entry) => entry.node === node) % 2 === 0
@@ -77,11 +138,14 @@
 
   return async (prefix, after, wait) => {
     for (const relay of chooseRelays()) {
-      if ((backoffUntil.get(relay.node) ?? -Infinity) > clock.now()) continue;
       let reason = 'it does not have the changes';
       try {
         const changes = await options.fetchChanges(relay.peerAddress, after);
-        if (changes !== undefined) return ok(changes);
+        if (changes !== undefined) {
+          failures.delete(relay.peerAddress);
+          options.onContractRevision?.(changes.contractRevision);
+          return ok(changes);
+        }
       } catch (error) {
         reason = String(error);
       }
@@ -90,7 +154,7 @@
           step: 'relay.watch', peer: relay.node,
         }));
       }
-      backoffUntil.set(relay.node, clock.now() + RELAY_BACKOFF_MS);
+      recordFailure(relay.peerAddress);
       logger.warn({ peer: relay.node, after, reason }, 'failed to fetch changes from a relay');
     }
     return direct(prefix, after, wait);
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -2,12 +2,12 @@
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
 import {
-  createStoreView, createViewHistory, type NodeEntry, KEY_PREFIX,
+  createStoreView, createViewHistory, type NodeEntry, KEY_PREFIX, type ViewHistory,
 } from '../directory/mod.ts';
-import { createMemoryLeasedStore, type EntryChanges } from '../store/mod.ts';
+import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { encodeChanges, serveChanges } from './changes_message.ts';
-import { createRelayedChanges, mayRelay } from './relayed_changes.ts';
+import { encodeChanges, type PeerChanges, serveChanges } from './changes_message.ts';
+import { createRelayActivity, createRelayedChanges, mayRelay } from './relayed_changes.ts';
 
 const test = suite('relayed changes');
 
@@ -27,7 +27,8 @@
   const entries = Array.from({ length: nodes }, (_, index) => entryOf(index));
   const asked: string[] = [];
   let direct = 0;
-  const answers = new Map<string, EntryChanges>();
+  const answers = new Map<string, PeerChanges>();
+  const activity = createRelayActivity(clock);
   const watchOf = (node: string) => createRelayedChanges({
     clock,
     node,
@@ -41,13 +42,20 @@
       asked.push(address);
       return answers.get(address);
     },
+    isAsked: activity.isAsked,
     logger: noopLogger,
   });
   return {
-    clock, store, watchOf, asked, answers, directCalls: () => direct,
+    clock, store, watchOf, asked, answers, activity, directCalls: () => direct,
   };
 };
 
+const NO_CHANGES: PeerChanges = { events: [], at: 9, contractRevision: 0 };
+
+const sourceOf = (history: ViewHistory) => ({
+  history, view: { startCurrencyCheck: () => () => false }, contractRevision: () => 3,
+});
+
 test('in a small failure domain each node watches the store directly', async () => {
   const { watchOf, asked, directCalls } = setUp(8);
   await watchOf('host-07')('p/', 0, { waitMs: 0 });
@@ -57,7 +65,7 @@
 
 test('in a large failure domain only the relays watch the store directly', async () => {
   const { watchOf, answers, directCalls } = setUp(30);
-  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, { events: [], at: 9 });
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
   for (let index = 0; index < 30; index += 1) {
     const node = `host-${String(index).padStart(2, '0')}`;
     assert.is((await watchOf(node)('p/', 0, { waitMs: 0 })).isOk(), true);
@@ -70,7 +78,7 @@
     watchOf, asked, answers, directCalls,
   } = setUp(20);
   const watch = watchOf('host-10');
-  answers.set('10.0.0.1:1', { events: [], at: 9 });
+  answers.set('10.0.0.1:1', NO_CHANGES);
   await watch('p/', 0, { waitMs: 0 });
   assert.equal(asked, ['10.0.0.0:1', '10.0.0.1:1']);
   assert.is(directCalls(), 0);
@@ -84,6 +92,39 @@
   assert.is(directCalls(), 2);
 });
 
+// A false entry that sorts first kept the part of a relay, and each follower waited for it.
+test('an entry behind which nobody answers loses the part of a relay', async () => {
+  const {
+    clock, watchOf, asked, answers, directCalls,
+  } = setUp(20);
+  const watch = watchOf('host-10');
+  for (const index of [1, 2]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
+  for (let second = 0; second < 60; second += 1) {
+    await watch('p/', 0, { waitMs: 0 });
+    await clock.advance(1000);
+  }
+  const wasted = asked.filter((address) => address === '10.0.0.0:1').length;
+  assert.ok(wasted <= 4, `${wasted} of ${asked.length} requests`);
+  assert.is(directCalls(), 0);
+});
+
+// Two nodes that relied on each other would both have kept the same stale view.
+test('a node that its peers ask for changes follows the store itself', async () => {
+  const {
+    clock, watchOf, activity, answers, directCalls,
+  } = setUp(20);
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
+  const watch = watchOf('host-10');
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(directCalls(), 0);
+  activity.record();
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(directCalls(), 1);
+  await clock.advance(10_000);
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(directCalls(), 1);
+});
+
 test('a peer that follows a view receives every change and removal', async () => {
   const { clock, store } = setUp(1);
   const history = createViewHistory(clock);
@@ -99,9 +140,10 @@
   }))._unsafeUnwrap();
   store.removeEntry(key);
   await clock.advance(500);
-  const text = await serveChanges(history, `changes?after=${revision - 1}&wait=0`);
-  const expected: EntryChanges = {
+  const text = await serveChanges(sourceOf(history), `changes?after=${revision - 1}&wait=0`);
+  const expected: PeerChanges = {
     at: view.revision(),
+    contractRevision: 3,
     events: [{ key, revision, value: 'x' }, { key, revision: revision + 1, removed: true }],
   };
   assert.is(text, encodeChanges(expected));
@@ -110,11 +152,14 @@
 
 test('changes before a gap are not served, so that the peer reads all entries again', async () => {
   const history = createViewHistory(createFakeClock());
-  assert.is(await serveChanges(history, 'changes?after=5&wait=0'), undefined);
+  assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
   history.reset(10);
-  assert.is(await serveChanges(history, 'changes?after=5&wait=0'), undefined);
-  assert.is(await serveChanges(history, 'changes?after=10&wait=0'), '{"at":10,"events":[]}');
-  assert.is(await serveChanges(history, 'changes?after=x&wait=0'), undefined);
+  assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
+  assert.is(
+    await serveChanges(sourceOf(history), 'changes?after=10&wait=0'),
+    encodeChanges({ at: 10, events: [], contractRevision: 3 }),
+  );
+  assert.is(await serveChanges(sourceOf(history), 'changes?after=x&wait=0'), undefined);
 });
 
 test('a node that is partitioned from the store does not act as a relay', () => {
@@ -130,14 +175,14 @@
   const history = createViewHistory(clock);
   history.reset(10);
   let text: string | undefined;
-  serveChanges(history, 'changes?after=10&wait=2000').then((served) => {
+  serveChanges(sourceOf(history), 'changes?after=10&wait=2000').then((served) => {
     text = served;
   });
   await clock.advance(300);
   assert.is(text, undefined);
   history.add({ events: [{ key: 'a', revision: 11, value: 'x' }], at: 11 });
   await clock.advance(0);
-  assert.is(text, '{"at":11,"events":[["a",11,"x"]]}');
+  assert.is(text, '{"at":11,"events":[["a",11,"x"]],"current":false,"contract":3}');
 });
 
 test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -14,7 +14,9 @@
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { LoadCollector } from './load_collector.ts';
 import type { RangeController } from './range_controller.ts';
+import type { RelayActivity } from './relayed_changes.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
+import { registerKeyServices } from './_key_services.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
 
@@ -42,6 +44,11 @@
 const RECONCILE_INTERVAL_MS = 200;
 const COLLECT_INTERVAL_MS = 1000;
 const PROBE_INTERVAL_MS = 250;
+/**
+ * Interval at which a relay brings its view up to date, which shows all nodes that rely on it that
+ * their entries exist. It is shorter than their wait for changes.
+ */
+const RELAY_REFRESH_INTERVAL_MS = 1000;
 
 /** Runs a task at an interval; a failure is logged and does not stop later runs. */
 const runPeriodically = (
@@ -63,6 +70,8 @@
   const registry = kernel.find<InstanceRegistry>('registry');
   const fleet = kernel.find<FleetView>('fleet');
   const collector = kernel.find<LoadCollector>('collector');
+  const view = kernel.find<StoreView>('view');
+  const activity = kernel.find<RelayActivity>('relay-activity');
   const reconcile = () => {
     ranges.reconcile().catch((error: unknown) => {
       logger.error({ reason: String(error) }, 'failed to reconcile the range records');
@@ -89,6 +98,9 @@
     runPeriodically(RECONCILE_INTERVAL_MS, 'reconcile', logger, ranges.reconcile),
     runPeriodically(COLLECT_INTERVAL_MS, 'collect', logger, collect),
     runPeriodically(PROBE_INTERVAL_MS, 'check', logger, registry.probe),
+    runPeriodically(RELAY_REFRESH_INTERVAL_MS, 'relay', logger, async () => {
+      if (view.isConnected() && activity.isAsked()) await view.refresh();
+    }),
   ];
   return {
     reconcile,
@@ -115,6 +127,7 @@
   metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
   metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
   metrics.observe('fleet_nodes', 'Nodes in the directory', () => fleet.present().size);
+  metrics.observe('unusable_entries', 'Directory entries of no use', fleet.unusableCount);
 };
 
 /**
@@ -150,6 +163,7 @@
   });
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings);
+  registerKeyServices(kernel, settings);
   await kernel.start();
 
   const localNode = kernel.find<LocalNode>('self');
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -2,7 +2,7 @@
 export {
   createHttpServer, type Expectation, type HttpListener, type HttpServerOptions,
 } from './create_http_server.ts';
-export { splitAddress } from './split_address.ts';
+export { isAddress, splitAddress } from './split_address.ts';
 export { type BoundedPoolOptions, createBoundedPool } from './create_bounded_pool.ts';
 export { createBulkSink, createCountedSink } from './bulk_sink.ts';
 export {
--- a/store/leased_store.ts
+++ b/store/leased_store.ts
@@ -42,6 +42,8 @@
   readonly events: readonly (StoreEntry | RemovedEntry)[];
   /** Store revision up to which the changes are complete; the next watch continues after it. */
   readonly at: number;
+  /** True if the changes are complete up to a moment after the call was sent. */
+  readonly isCurrent?: boolean;
 }
 
 /** Options of a watch that is a long poll. */
--- a/store/memory_leased_store.ts
+++ b/store/memory_leased_store.ts
@@ -107,6 +107,7 @@
   };
 
   const findChanges = (prefix: string, after: number): EntryChanges => ({
+    isCurrent: true,
     events: history.filter((event) => event.key.startsWith(prefix) && event.revision > after),
     at: revision,
   });
@@ -114,9 +115,10 @@
   const watch: LeasedStore['watch'] = async (prefix, after, { waitMs, signal }) => {
     const fault = beginCall();
     if (fault !== undefined) return fail(fault);
-    if (after < compactedAt) return fail('compacted');
     const endsAt = clock.now() + waitMs;
     for (;;) {
+      // The history may be discarded while the watch waits, too.
+      if (after < compactedAt) return fail('compacted');
       const found = findChanges(prefix, after);
       if (found.events.length > 0 || clock.now() >= endsAt || signal?.aborted) return ok(found);
       const wakeController = new AbortController();
