Keep departed instances out of use across restarts of their node

Callers: after the restart of a node, an instance that had deregistered was in use again if it still announced itself as ready. Cause: only the memory of the process knew of the departure; the entry in the store, which the process itself had written, was replaced unread. Change: the registration passes the entry of the earlier process to the registry, which drains that process of the instance at once; a later process of the instance is in use.

A rejected promise that no part handles is logged and ends only its own work. After an exception the process ends with the reason in its log.

Tests: fleet/restart_test.ts (also: withdrawn keys, a contract that was replaced, a node that the store turns away, a background task that fails, a newer contract that a relay knows) and telemetry/process_failures_test.ts. The departed instance was `ready` on the code before, as it has no such step.

--- a/directory/node_registration.ts
+++ b/directory/node_registration.ts
@@ -3,7 +3,7 @@
 import type { RightToGrant } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
-import type { NodeEntry } from './node_entry.ts';
+import { decodeNodeEntry, type NodeEntry } from './node_entry.ts';
 import { nodeKey } from './store_keys.ts';
 import type { StoreView } from './store_view.ts';
 
@@ -30,6 +30,8 @@
   readonly right: RightToGrant;
   /** The first entry to write. */
   readonly entry: NodeEntry;
+  /** Called with the entry that an earlier process of this node left, before it is replaced. */
+  readonly onFormerEntry?: (entry: NodeEntry) => void;
   /** View of the store that gets each entry after it is written, and that shows its presence. */
   readonly view?: Pick<StoreView, 'apply' | 'get' | 'onCurrent'>;
 }
@@ -70,6 +72,7 @@
   let lease: number | undefined;
   let confirmedAtMs = -Infinity;
   let isStoreReachable = true;
+  let hasWritten = false;
   let wake: () => void = () => undefined;
 
   const updateReachability = (error: StoreError | undefined) => {
@@ -97,6 +100,10 @@
     updateReachability(found.isErr() ? found.error : undefined);
     if (found.isErr()) return false;
     revision = found.value?.revision ?? 0;
+    if (!hasWritten && found.value !== undefined) {
+      const former = decodeNodeEntry(found.value.value);
+      if (former !== undefined) options.onFormerEntry?.(former);
+    }
     const isCurrent = found.value !== undefined && found.value.value === storedValue;
     if (isCurrent) {
       confirmedAtMs = sent.at;
@@ -119,6 +126,7 @@
       if (storedValue === undefined || revision === 0) createdRevision = result.value;
       revision = result.value;
       storedValue = text;
+      hasWritten = true;
       confirmedAtMs = sent.at;
       right.confirm(sent);
       options.view?.apply({ key, revision, value: text });
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -243,6 +243,9 @@
         right: find<RightToGrant>('right'),
         entry: localNode.entry(),
         view: find<StoreView>('view'),
+        onFormerEntry: ({ instance }) => {
+          if (instance !== undefined) find<InstanceRegistry>('registry').restore(instance);
+        },
       });
       find<InstanceRegistry>('registry').onChange(() => own.update(localNode.entry()));
       return { service: own, stop: runUntilStop(own.run, { clock, logger, part: 'own entry' }) };
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -127,7 +127,15 @@
       instance: registry.describe(),
     });
     const own = createNodeRegistration({
-      clock, store, logger: noopLogger, right, entry: entry(), view,
+      clock,
+      store,
+      logger: noopLogger,
+      right,
+      entry: entry(),
+      view,
+      onFormerEntry: ({ instance: former }) => {
+        if (former !== undefined) registry.restore(former);
+      },
     });
     registry.onChange(() => own.update(entry()));
     const controller = createRangeController({
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -10,6 +10,8 @@
   readonly announce: (announcement: Announcement) => boolean;
   /** Starts draining an instance that deregisters itself. */
   readonly leave: (instance: string) => void;
+  /** Applies what an earlier process of this node knew of the instance. */
+  readonly restore: (former: DirectoryInstance) => void;
   readonly local: () => LocalInstance | undefined;
   readonly owner: () => Owner | undefined;
   readonly slots: () => number;
@@ -76,6 +78,8 @@
   let isProbing = false;
   /** No instance has announced itself, and the configured address refuses connections. */
   let isAddressUnused = false;
+  /** The instance that had left before this process started. */
+  let departed: DirectoryInstance | undefined;
 
   const notify = () => {
     for (const listener of listeners) listener();
@@ -147,6 +151,14 @@
     setState(current, 'draining', reason);
   };
 
+  /** An instance that has deregistered may go on announcing itself as ready until it ends. */
+  const drainDeparted = (current: TrackedInstance) => {
+    const { instance, startedAt } = current.announcement;
+    if (departed?.instance !== instance || departed.startedAt !== startedAt) return;
+    startDraining(current, 'it left before this node was restarted');
+    Object.assign(current, { closesAt: Math.min(current.closesAt, clock.now()) });
+  };
+
   const isStale = (
     { announcement: known }: TrackedInstance,
     { startedAt, sequence }: Announcement,
@@ -169,6 +181,7 @@
       notify();
     }
     Object.assign(tracked, { announcement, announcedAt: clock.now() });
+    drainDeparted(tracked);
     if (announcement.isDraining) startDraining(tracked, 'it announced that it is draining');
     else if (tracked.state === 'down' || tracked.state === 'silent') {
       setState(tracked, 'ready', 'its announcements resumed');
@@ -181,6 +194,11 @@
     leave: (instance) => {
       if (tracked?.announcement.instance === instance) startDraining(tracked, 'it deregistered');
     },
+    restore: (former) => {
+      if (former.state !== 'draining') return;
+      departed = former;
+      if (tracked !== undefined) drainDeparted(tracked);
+    },
     local: () => tracked && {
       instance: tracked.announcement.instance,
       service: tracked.announcement.service,
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -4,7 +4,7 @@
 import { createSystemClock } from '../clock/mod.ts';
 import { parsePlatformSettings } from '../platform/mod.ts';
 import {
-  createRateLimitedLogger, createLogger, type Logger, openLogOutput,
+  createRateLimitedLogger, createLogger, handleProcessFailures, type Logger, openLogOutput,
 } from '../telemetry/mod.ts';
 import { type FleetNode, startFleetNode } from './start_fleet_node.ts';
 
@@ -65,6 +65,7 @@
     createLogger('node', { node: settings.value.node, stream: openLogOutput(clock) }),
     { clock },
   );
+  handleProcessFailures(process, logger);
   const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
   watchSettings(path, text, node, logger);
   processSignals.onStop((sinceSignalMs) => {
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -20,4 +20,5 @@
   readProcessUsage,
 } from './event_loop_monitor.ts';
 export { createNodeMetrics, type NodeMetrics } from './node_metrics.ts';
+export { type FailureSource, handleProcessFailures } from './process_failures.ts';
 export { openLogOutput } from './output_stream.ts';
