Give keys to all joining instances in one plan

Cause: while any instance owned nothing, a plan served only that one. Change: one plan gives each instance without keys its share, from the largest rows of at most two owners, keeps the load of the sources up to date, and then relieves hot ranges that are not moving.

--- a/ranges/plan_moves.ts
+++ b/ranges/plan_moves.ts
@@ -3,7 +3,9 @@
 } from './_candidate_usage.ts';
 import type { RangeAssignment } from './change_record.ts';
 import type { LoadCell } from './key_load.ts';
-import { KEY_COUNT, keyCount, type KeyRange } from './key_range.ts';
+import {
+  KEY_COUNT, keyCount, type KeyRange, overlaps,
+} from './key_range.ts';
 import {
   type Owner, ownerKey, type RangeRecord, type RangeRow,
 } from './range_record.ts';
@@ -31,6 +33,9 @@
  */
 const MOVE_PAUSE_S = 0.8;
 
+/** Owners that give an instance without keys its first ones; each adds a row to the record. */
+const MAX_INITIAL_SOURCES = 2;
+
 interface MovableRange extends KeyRange {
   /** Requests per second. */
   readonly load: number;
@@ -107,31 +112,69 @@
   return new Set([sorted.at(-1)!, roomiest]);
 };
 
+/** A row of which keys are still to be given away, from its upper end. */
+interface OpenRow extends KeyRange {
+  to: number;
+}
+
 /**
- * Plans the first keys of an instance that owns none: as many as its share of the capacity, taken
- * from the upper ends of the largest rows of the two most utilised owners, half of an owner's keys
- * at most.
+ * Plans the first keys of all instances that own none: for each as many as its share of the
+ * capacity, taken from the upper ends of the largest rows of the two most utilised owners, half of
+ * an owner's keys at most. The load of the sources is reduced by the planned moves.
  */
 const planInitialKeys = (
   record: RangeRecord,
-  destination: CandidateUsage,
+  destinations: readonly CandidateUsage[],
   sources: readonly CandidateUsage[],
+  cells: readonly LoadCell[],
 ): readonly RangeAssignment[] => {
-  const totalCapacity = sources.reduce((sum, { candidate }) => sum + candidate.capacity, 0)
-    + destination.candidate.capacity;
-  let wanted = Math.floor((KEY_COUNT * destination.candidate.capacity) / totalCapacity);
+  const totalCapacity = [...sources, ...destinations]
+    .reduce((sum, { candidate }) => sum + candidate.capacity, 0);
+  const openRows = new Map<string, OpenRow[]>();
+  for (const {
+    owner, successor, from, to,
+  } of record.rows) {
+    if (owner === undefined || successor !== undefined) continue;
+    const key = ownerKey(owner);
+    const rows = openRows.get(key);
+    if (rows === undefined) openRows.set(key, [{ from, to }]);
+    else rows.push({ from, to });
+  }
+  const keysLeft = new Map(sources.map((usage) => [usage, Math.ceil(usage.keys / 2)]));
   const moves: RangeAssignment[] = [];
-  const sorted = [...sources].sort((left, right) => utilisation(right) - utilisation(left));
-  for (const { candidate, keys } of sorted.slice(0, 2)) {
-    const key = ownerKey(candidate.owner);
-    const rows = record.rows.filter((row) => row.owner !== undefined
-      && row.successor === undefined && ownerKey(row.owner) === key);
-    const row = rows.sort((left, right) => keyCount(right) - keyCount(left))[0];
-    if (row === undefined || wanted <= 0) continue;
-    const length = Math.min(wanted, Math.floor(keys / 2), keyCount(row));
-    if (length <= 0) continue;
-    moves.push({ from: row.to - length + 1, to: row.to, owner: destination.candidate.owner });
-    wanted -= length;
+
+  /** Moves up to `wanted` keys of the largest row of a source; returns their number. */
+  const takeFrom = (source: CandidateUsage, destination: CandidateUsage, wanted: number) => {
+    const rows = openRows.get(ownerKey(source.candidate.owner)) ?? [];
+    let row: OpenRow | undefined;
+    for (const open of rows) {
+      if (row === undefined || keyCount(open) > keyCount(row)) row = open;
+    }
+    if (row === undefined) return 0;
+    const left = keysLeft.get(source)!;
+    const length = Math.min(wanted, left, Math.floor(source.keys / 2), keyCount(row));
+    if (length <= 0) return 0;
+    const range = { from: row.to - length + 1, to: row.to };
+    const load = loadOf(range, cells);
+    row.to -= length;
+    if (keyCount(row) === 0) rows.splice(rows.indexOf(row), 1);
+    keysLeft.set(source, left - length);
+    Object.assign(source, { keys: source.keys - length, load: source.load - load });
+    Object.assign(destination, { keys: destination.keys + length, load: destination.load + load });
+    moves.push({ ...range, owner: destination.candidate.owner });
+    return length;
+  };
+
+  for (const destination of destinations) {
+    let wanted = Math.floor((KEY_COUNT * destination.candidate.capacity) / totalCapacity);
+    const sorted = [...sources].sort((left, right) => utilisation(right) - utilisation(left));
+    let used = 0;
+    for (const source of sorted) {
+      if (used >= MAX_INITIAL_SOURCES || wanted <= 0) break;
+      const taken = takeFrom(source, destination, wanted);
+      wanted -= taken;
+      if (taken > 0) used += 1;
+    }
   }
   return moves;
 };
@@ -157,12 +200,17 @@
 ): readonly RangeAssignment[] => {
   const usages = [...sumUsage(record, snapshot).values()];
   if (usages.length < 2) return [];
-  const empty = usages.find(({ keys }) => keys === 0);
-  if (empty !== undefined) {
-    return planInitialKeys(record, empty, usages.filter((usage) => usage.keys > 0));
-  }
+  const moves = [...planInitialKeys(
+    record,
+    usages.filter(({ keys }) => keys === 0),
+    usages.filter(({ keys }) => keys > 0),
+    snapshot.cells,
+  )];
+  const initialMoves = [...moves];
+  const isMoving = (range: KeyRange) => initialMoves.some((move) => overlaps(move, range));
   const ranges = new Map(usages.map((usage) => (
-    [usage, [...movableRangesOf(record.rows, usage.candidate.owner, snapshot.cells)]]
+    [usage, movableRangesOf(record.rows, usage.candidate.owner, snapshot.cells)
+      .filter((range) => !isMoving(range))]
   )));
 
   const nextMove = (): RangeAssignment | undefined => {
@@ -183,8 +231,8 @@
     return undefined;
   };
 
-  const moves: RangeAssignment[] = [];
-  const moveLimit = Math.max(MIN_MOVE_LIMIT, Math.ceil(usages.length * MOVES_PER_OWNER));
+  const moveLimit = initialMoves.length
+    + Math.max(MIN_MOVE_LIMIT, Math.ceil(usages.length * MOVES_PER_OWNER));
   while (moves.length < moveLimit) {
     const move = nextMove();
     if (move === undefined) break;
