--- a/bench/_benches.ts
+++ b/bench/_benches.ts
@@ -12,5 +12,6 @@
   takeover: async () => (await import('./takeover.ts')).runTakeoverBench,
   'head-of-line': async () => (await import('./head_of_line.ts')).runHeadOfLineBench,
   crest: async () => (await import('./crest.ts')).runCrestBench,
+  'range-planning': async () => (await import('./range_planning.ts')).runRangePlanningBench,
   imbalance: async () => (await import('./imbalance.ts')).runImbalanceBench,
 };
--- a/ranges/_candidate_usage.ts
+++ b/ranges/_candidate_usage.ts
@@ -37,10 +37,46 @@
   return to < from ? 0 : (cell.rate * (to - from + 1)) / keyCount(cell);
 };
 
+/** Cells by key, for lookups that do not walk all cells of a large fleet. */
+export interface CellIndex {
+  /** Sorted by their first key. */
+  readonly cells: readonly LoadCell[];
+  /** Largest last key of the cells up to each position. */
+  readonly lastKeys: readonly number[];
+}
+
+/** Creates the index of cells, which may overlap. */
+export const indexCells = (cells: readonly LoadCell[]): CellIndex => {
+  const sorted = [...cells].sort((left, right) => left.from - right.from);
+  const lastKeys: number[] = [];
+  let lastKey = -1;
+  for (const { to } of sorted) {
+    lastKey = Math.max(lastKey, to);
+    lastKeys.push(lastKey);
+  }
+  return { cells: sorted, lastKeys };
+};
+
+/** Returns the cells that share keys with a range, in descending order. */
+export const findCells = ({ cells, lastKeys }: CellIndex, range: KeyRange): readonly LoadCell[] => {
+  let low = 0;
+  let high = cells.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (cells[middle]!.from <= range.to) low = middle + 1;
+    else high = middle;
+  }
+  const found: LoadCell[] = [];
+  for (let index = low - 1; index >= 0 && lastKeys[index]! >= range.from; index -= 1) {
+    if (cells[index]!.to >= range.from) found.push(cells[index]!);
+  }
+  return found;
+};
+
 /** Load of a range in requests per second: the measured load plus the base load of its keys. */
-export const loadOf = (range: KeyRange, cells: readonly LoadCell[]) => {
+export const loadOf = (range: KeyRange, index: CellIndex) => {
   let load = baseLoad(range);
-  for (const cell of cells) load += overlapRate(cell, range);
+  for (const cell of findCells(index, range)) load += overlapRate(cell, range);
   return load;
 };
 
@@ -50,7 +86,11 @@
 );
 
 /** Sums load and keys for each candidate, as they will be once pending moves have completed. */
-export const sumUsage = (record: RangeRecord, { candidates, cells }: LoadSnapshot) => {
+export const sumUsage = (
+  record: RangeRecord,
+  candidates: readonly Candidate[],
+  index: CellIndex,
+) => {
   const usages = new Map<string, CandidateUsage>(candidates.map((candidate) => (
     [ownerKey(candidate.owner), { candidate, load: 0, keys: 0 }]
   )));
@@ -58,7 +98,7 @@
     const owner = row.successor ?? row.owner;
     const usage = owner && usages.get(ownerKey(owner));
     if (usage === undefined) continue;
-    usage.load += loadOf(row, cells);
+    usage.load += loadOf(row, index);
     usage.keys += keyCount(row);
   }
   return usages;
--- a/ranges/plan_moves.ts
+++ b/ranges/plan_moves.ts
@@ -1,13 +1,13 @@
 import {
-  type CandidateUsage, type LoadSnapshot, loadOf, sumUsage, utilisation,
+  type CandidateUsage, type CellIndex, findCells, indexCells, type LoadSnapshot, loadOf, sumUsage,
+  utilisation,
 } from './_candidate_usage.ts';
 import type { RangeAssignment } from './change_record.ts';
-import type { LoadCell } from './key_load.ts';
 import {
   KEY_COUNT, keyCount, type KeyRange, overlaps,
 } from './key_range.ts';
 import {
-  type Owner, ownerKey, type RangeRecord, type RangeRow,
+  ownerKey, type RangeRecord, type RangeRow,
 } from './range_record.ts';
 
 /**
@@ -41,18 +41,29 @@
   readonly load: number;
 }
 
+/** Groups the rows that are not moving by the key of their owner. */
+const groupRows = (rows: readonly RangeRow[]): ReadonlyMap<string, readonly RangeRow[]> => {
+  const groups = new Map<string, RangeRow[]>();
+  for (const row of rows) {
+    if (row.owner === undefined || row.successor !== undefined) continue;
+    const key = ownerKey(row.owner);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [row]);
+    else group.push(row);
+  }
+  return groups;
+};
+
 /** Splits the rows of one owner into ranges that can move, at the boundaries of the load cells. */
 const movableRangesOf = (
   rows: readonly RangeRow[],
-  owner: Owner,
-  cells: readonly LoadCell[],
+  cells: CellIndex,
 ): readonly MovableRange[] => {
-  const key = ownerKey(owner);
   const ranges: MovableRange[] = [];
   for (const row of rows) {
-    if (row.owner === undefined || row.successor !== undefined) continue;
-    if (ownerKey(row.owner) !== key) continue;
-    const inside = cells.filter((cell) => cell.from >= row.from && cell.to <= row.to);
+    const inside = findCells(cells, row)
+      .filter((cell) => cell.from >= row.from && cell.to <= row.to)
+      .reverse();
     const parts: readonly KeyRange[] = inside.length > 0 ? inside : [row];
     for (const { from, to } of parts) {
       ranges.push({ from, to, load: loadOf({ from, to }, cells) });
@@ -123,23 +134,16 @@
  * an owner's keys at most. The load of the sources is reduced by the planned moves.
  */
 const planInitialKeys = (
-  record: RangeRecord,
+  groups: ReadonlyMap<string, readonly RangeRow[]>,
   destinations: readonly CandidateUsage[],
   sources: readonly CandidateUsage[],
-  cells: readonly LoadCell[],
+  cells: CellIndex,
 ): readonly RangeAssignment[] => {
   const totalCapacity = [...sources, ...destinations]
     .reduce((sum, { candidate }) => sum + candidate.capacity, 0);
-  const openRows = new Map<string, OpenRow[]>();
-  for (const {
-    owner, successor, from, to,
-  } of record.rows) {
-    if (owner === undefined || successor !== undefined) continue;
-    const key = ownerKey(owner);
-    const rows = openRows.get(key);
-    if (rows === undefined) openRows.set(key, [{ from, to }]);
-    else rows.push({ from, to });
-  }
+  const openRows = new Map([...groups].map(([key, rows]): [string, OpenRow[]] => (
+    [key, rows.map(({ from, to }) => ({ from, to }))]
+  )));
   const keysLeft = new Map(sources.map((usage) => [usage, Math.ceil(usage.keys / 2)]));
   const moves: RangeAssignment[] = [];
 
@@ -198,34 +202,51 @@
   record: RangeRecord,
   snapshot: LoadSnapshot,
 ): readonly RangeAssignment[] => {
-  const usages = [...sumUsage(record, snapshot).values()];
+  const cells = indexCells(snapshot.cells);
+  const usages = [...sumUsage(record, snapshot.candidates, cells).values()];
   if (usages.length < 2) return [];
+  const groups = groupRows(record.rows);
   const moves = [...planInitialKeys(
-    record,
+    groups,
     usages.filter(({ keys }) => keys === 0),
     usages.filter(({ keys }) => keys > 0),
-    snapshot.cells,
+    cells,
   )];
   const initialMoves = [...moves];
   const isMoving = (range: KeyRange) => initialMoves.some((move) => overlaps(move, range));
-  const ranges = new Map(usages.map((usage) => (
-    [usage, movableRangesOf(record.rows, usage.candidate.owner, snapshot.cells)
-      .filter((range) => !isMoving(range))]
-  )));
+  const ranges = new Map<CandidateUsage, MovableRange[]>();
+  const rangesOf = (usage: CandidateUsage) => {
+    const known = ranges.get(usage);
+    if (known !== undefined) return known;
+    const rows = groups.get(ownerKey(usage.candidate.owner)) ?? [];
+    const movable = movableRangesOf(rows, cells).filter((range) => !isMoving(range));
+    ranges.set(usage, movable);
+    return movable;
+  };
+
+  const sorted = usages.sort((left, right) => utilisation(right) - utilisation(left));
+  /** Puts owners whose load has changed at their places again. */
+  const sortAgain = (...changed: readonly CandidateUsage[]) => {
+    for (const usage of changed) sorted.splice(sorted.indexOf(usage), 1);
+    for (const usage of changed) {
+      const place = sorted.findIndex((other) => utilisation(other) < utilisation(usage));
+      sorted.splice(place < 0 ? sorted.length : place, 0, usage);
+    }
+  };
 
   const nextMove = (): RangeAssignment | undefined => {
-    const sorted = [...usages].sort((left, right) => utilisation(right) - utilisation(left));
     const destinations = listDestinations(sorted);
     for (const source of sorted) {
       const isCongested = utilisation(source) >= CONGESTION_UTILISATION;
       if (destinations.has(source) || !isCongested) return undefined;
-      const sourceRanges = ranges.get(source)!;
+      const sourceRanges = rangesOf(source);
       const move = chooseMove(sourceRanges, source, destinations);
       if (move === undefined) continue;
       const { range, destination } = move;
       sourceRanges.splice(sourceRanges.indexOf(range), 1);
       source.load -= range.load;
       destination.load += range.load;
+      sortAgain(source, destination);
       return { from: range.from, to: range.to, owner: destination.candidate.owner };
     }
     return undefined;
