Accept load reports of owners of many ranges

Cause: the bound on the cells of a report, added with the checks of odd entries, was the number of parts for the load; a report has a cell more for each range of the owner. The planner took such owners for silent ones. Change: the bound is far above the ranges of any owner. Test: fleet/planner_succession_test.ts, a report of 500 ranges.

--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -61,8 +61,10 @@
   readonly fetchReportFrom?: typeof fetchFromPeer;
 }
 
-/** Maximum number of cells in a report; a cell is the smallest unit of a move. */
-const MAX_REPORT_CELLS = 12;
+/** Number of cells into which the load of a report is divided, beside one for each range. */
+const REPORT_CELLS = 12;
+/** Far above the cells and ranges of any owner. */
+const MAX_REPORT_CELLS = 10_000;
 const REPORT_TIMEOUT_MS = 400;
 /** Requests in a row without a report after which an owner is given no further keys. */
 const MAX_MISSED_REPORTS = 3;
@@ -169,7 +171,7 @@
 
   const ownReport = (): LoadReport => ({
     capacity: options.ownCapacity() || DEFAULT_CAPACITY,
-    cells: options.load.cells(options.ownRanges(), MAX_REPORT_CELLS)
+    cells: options.load.cells(options.ownRanges(), REPORT_CELLS)
       .map(({ from, to, rate }) => ({ from, to, rate: roundToHundredths(rate) })),
     work: roundWork(options.ownWork()),
   });
--- a/fleet/planner_succession_test.ts
+++ b/fleet/planner_succession_test.ts
@@ -1,9 +1,9 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
-import type { Owner } from '../ranges/mod.ts';
+import { createKeyLoad, type Owner } from '../ranges/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { createLoadCollector } from './load_collector.ts';
+import { createLoadCollector, decodeLoadReport } from './load_collector.ts';
 import { createPlannerSuccession } from './planner_succession.ts';
 
 const test = suite('planner succession');
@@ -83,6 +83,28 @@
   assert.is(succession.isPlanner([]), false);
 });
 
+// A bound on the cells of a report was below what an owner of many ranges reports, so that the
+// planner took all owners for silent ones and planned nothing.
+test('the report of an owner of many ranges is accepted', () => {
+  const clock = createFakeClock();
+  const load = createKeyLoad(clock);
+  const ranges = Array.from({ length: 500 }, (_, index) => (
+    { from: index * 100, to: index * 100 + 50 }
+  ));
+  for (const { from } of ranges) load.record(from + 3);
+  const collector = createLoadCollector({
+    clock,
+    node: 'a',
+    load,
+    logger: noopLogger,
+    ownRanges: () => ranges,
+    ownCapacity: () => 10,
+    ownWork: () => ({ slots: 1, classes: [{ workClass: 'safe/1/300', runs: 0.01, totalMs: 0 }] }),
+  });
+  const report = decodeLoadReport(collector.encodeOwnReport());
+  assert.ok(report !== undefined && report.cells.length >= ranges.length);
+});
+
 // Keys were given to an owner behind whose entry nobody answered, and were not served.
 test('an owner that does not answer gets no further keys', async () => {
   const clock = createFakeClock();
