--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -20,6 +20,7 @@
   createRelayActivity, createRelayedChanges, type RelayActivity,
 } from './relayed_changes.ts';
 import { runUntilStop } from './run_until_stop.ts';
+import { createStoreCallSummary } from './store_call_summary.ts';
 
 /** When a relay last answered this node. */
 interface RelayAnswers {
@@ -48,17 +49,26 @@
 export const registerStateServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<LeasedStore>({
     name: 'store',
-    needs: ['metrics', 'logger'],
+    needs: ['clock', 'metrics', 'logger'],
     start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const logger = find<Logger>('logger').forComponent('store');
+      const summary = createStoreCallSummary(find<Clock>('clock'), logger);
       const store = createPlatformStore({
-        address: settings.store.address, countCall: metrics.recordStoreCall,
+        address: settings.store.address,
+        countCall: (call, outcome) => {
+          metrics.recordStoreCall(call, outcome);
+          summary.record(call, outcome);
+        },
       });
       const service = abortStaleWatches(store, {
         onAbort: (watches) => logger.info({ watches }, 'restarting watches after an outage'),
       });
-      return { service, stop: store.close };
+      const stop = () => {
+        summary.stop();
+        return store.close();
+      };
+      return { service, stop };
     },
   });
 
