Test two hosts that stop at once under load

The reports of operators name requests that were accepted and cut off during a planned stop. The tests stopped one host at a time; now both ends of the path stop under load, and each accepted request must get 200 or 503.

--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -202,4 +202,37 @@
   assert.match(socket.received(), /^HTTP\/1\.1 503 .*mh-outcome: not run/isu);
 });
 
+// Guards against requests that were accepted, and cut off when both ends of their path stopped.
+test('two hosts that stop at once under load answer all requests that they accepted', async () => {
+  const answers: Promise<Answer | { readonly error: string }>[] = [];
+  let isLoaded = true;
+  const load = async () => {
+    while (isLoaded) {
+      for (const host of [0, 1]) answers.push(send('/calls/load', host).catch(toError));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 15);
+      });
+    }
+  };
+  const loading = load();
+  await new Promise((resolve) => {
+    setTimeout(resolve, WORK_MS);
+  });
+  await Promise.all(fleet.hosts.map(({ node }) => node.stop()));
+  await Promise.all(fleet.hosts.map(({ node }) => node.kill()));
+  isLoaded = false;
+  await loading;
+  const results = await Promise.all(answers);
+  const statuses = new Set<number>();
+  for (const result of results) {
+    if ('status' in result) statuses.add(result.status);
+    // A connection that was refused has never been accepted.
+    else assert.match(result.error, 'ECONNREFUSED');
+  }
+  assert.ok(statuses.has(200));
+  statuses.delete(200);
+  statuses.delete(503);
+  assert.equal([...statuses], []);
+});
+
 test.run();
