Leave no owner out of a plan while most of them are silent

Cause, found by reading before it was seen: a planner that is cut off from its peers, but not from the store, counted all other owners as silent and would have given the keys of a lost host to itself. Change: silent owners are left out only while they are a minority. Test: fleet/planner_succession_test.ts; it fails without the change (one candidate in place of three).

--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -203,9 +203,10 @@
   const isResponsive = (owner: Owner) => (missed.get(ownerKey(owner)) ?? 0) < MAX_MISSED_REPORTS;
 
   const loadSnapshotOf: LoadCollector['loadSnapshotOf'] = (all) => {
-    // Behind an entry that another writer left, nobody answers.
+    // Behind an entry that another writer left, nobody answers. When most owners are silent, this
+    // node is cut off from them, and tells nothing about them.
     const responsive = all.filter(isResponsive);
-    const owners = responsive.length > 0 ? responsive : all;
+    const owners = responsive.length > all.length / 2 ? responsive : all;
     const cells: LoadCell[] = [];
     const recent = owners.map((owner) => {
       const found = reports.get(ownerKey(owner));
--- a/fleet/planner_succession_test.ts
+++ b/fleet/planner_succession_test.ts
@@ -139,4 +139,24 @@
   assert.equal(candidates(), ['a', 'b', 'c']);
 });
 
+// A planner that was cut off from the others would have given all free keys to itself.
+test('a planner that reaches no other owner leaves none of them out', async () => {
+  const collector = createLoadCollector({
+    clock: createFakeClock(),
+    node: 'a',
+    load: { cells: () => [] } as never,
+    logger: noopLogger,
+    ownRanges: () => [],
+    ownCapacity: () => 10,
+    ownWork: () => ({ slots: 1, classes: [] }),
+    fetchReportFrom: async () => {
+      throw new Error('cut off');
+    },
+  });
+  const owners = ownersOf('a', 'b', 'c');
+  const endpoints = owners.map((owner) => ({ owner, address: '10.0.0.1:1' }));
+  for (let round = 0; round < 5; round += 1) await collector.collect(endpoints);
+  assert.is(collector.loadSnapshotOf(owners).candidates.length, 3);
+});
+
 test.run();
