Hand on only the newest writes, and collect changes at relays

Change: a relay waits 250 ms after a watch in place of 100, and leaves out writes that a later one of the same key replaces. A write before a removal stays, since it restarts the wait for the loss of a node. Test: fleet/relayed_changes_test.ts.

--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -55,8 +55,8 @@
   readonly history?: ViewHistory;
   /** Returns the maximum time in ms that the store holds the next watch open. */
   readonly waitMs?: () => number;
-  /** Delay in ms after each watch, so that a burst of changes costs a single call. */
-  readonly pauseMs?: number;
+  /** Returns the delay in ms after a watch, so that a burst of changes costs a single call. */
+  readonly pauseMs?: () => number;
   /**
    * Returns the largest length of the value of a key, in characters; unlimited by default. Of a
    * longer value, which another writer left, an empty one is kept.
@@ -89,7 +89,7 @@
   const { clock, store, prefix } = options;
   const watch = options.watch ?? store.watch;
   const waitMs = options.waitMs ?? (() => DEFAULT_WAIT_MS);
-  const pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
+  const pauseMs = options.pauseMs ?? (() => DEFAULT_PAUSE_MS);
   const logger = options.logger.forComponent('store view');
   const entries = new Map<string, StoreEntry>();
   const listeners: ((change: ViewChange) => void)[] = [];
@@ -224,7 +224,7 @@
         }
       }
       retryMs = connected ? MIN_RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 1.5);
-      await clock.sleep(connected ? pauseMs : retryMs * (0.5 + Math.random()), signal);
+      await clock.sleep(connected ? pauseMs() : retryMs * (0.5 + Math.random()), signal);
     }
   };
 
--- a/directory/view_history.ts
+++ b/directory/view_history.ts
@@ -18,6 +18,25 @@
   readonly changesAfter: (after: number, waitMs: number) => Promise<EntryChanges | undefined>;
 }
 
+type ChangeEvent = EntryChanges['events'][number];
+
+/**
+ * Leaves out each write that a later one of the same key replaces. A write before a removal stays:
+ * it shows that an entry was there, which restarts the wait for the loss of its node.
+ */
+const omitReplaced = (events: readonly ChangeEvent[]): readonly ChangeEvent[] => {
+  const replaced = new Set<string>();
+  const kept: ChangeEvent[] = [];
+  for (let index = events.length - 1; index >= 0; index -= 1) {
+    const event = events[index]!;
+    if ('removed' in event) replaced.delete(event.key);
+    else if (replaced.has(event.key)) continue;
+    else replaced.add(event.key);
+    kept.push(event);
+  }
+  return kept.reverse();
+};
+
 /** More changes than a fleet of several hundred nodes makes while a peer is away for 1 s. */
 const MAX_EVENTS = 1024;
 
@@ -31,7 +50,7 @@
  * const changes = await history.changesAfter(17, 2000);
  */
 export const createViewHistory = (clock: Clock): ViewHistory => {
-  let events: EntryChanges['events'][number][] = [];
+  let events: ChangeEvent[] = [];
   /** `events` holds all changes after `startRevision` up to and including `endRevision`. */
   let startRevision = Infinity;
   let endRevision = 0;
@@ -62,7 +81,9 @@
         if (after < startRevision) return undefined;
         const newer = events.filter(({ revision }) => revision > after);
         const remainingMs = deadlineAtMs - clock.now();
-        if (newer.length > 0 || remainingMs <= 0) return { events: newer, at: endRevision };
+        if (newer.length > 0 || remainingMs <= 0) {
+          return { events: omitReplaced(newer), at: endRevision };
+        }
         const waiter = new AbortController();
         waiters.add(waiter);
         await clock.sleep(remainingMs, waiter.signal);
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -37,6 +37,12 @@
 
 /** The platform charges for a watch when it returns, and a contract seldom changes. */
 const CONTRACT_WAIT_MS = 8000;
+/**
+ * Delay in ms between two watches of the entries and records. A relay collects more changes, since
+ * each costs a call and is sent to, and decoded by, tens of nodes.
+ */
+const VIEW_PAUSE_MS = 100;
+const RELAY_PAUSE_MS = 250;
 /** Maximum wait of a node that also learns from its relays of a new contract. */
 const RELAYED_CONTRACT_WAIT_MS = 25_000;
 /** Time in ms after the answer of a relay in which the next one is expected. */
@@ -134,6 +140,9 @@
         logger,
         watch,
         history: find<ViewHistory>('view-history'),
+        pauseMs: () => (
+          find<RelayActivity>('relay-activity').isAsked() ? RELAY_PAUSE_MS : VIEW_PAUSE_MS
+        ),
         maxValueLength: (key) => (key.startsWith(RANGES_PREFIX) ? Infinity : MAX_ENTRY_LENGTH),
       });
       return { service: view, stop: runUntilStop(view.follow, { clock, logger, part: 'view' }) };
@@ -156,7 +165,7 @@
             ? RELAYED_CONTRACT_WAIT_MS
             : CONTRACT_WAIT_MS
         ),
-        pauseMs: CONTRACT_PAUSE_MS,
+        pauseMs: () => CONTRACT_PAUSE_MS,
       });
       const service = createContractSource(view, logger);
       return { service, stop: runUntilStop(view.follow, { clock, logger, part: 'contracts' }) };
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -150,6 +150,22 @@
   stopping.abort();
 });
 
+// A follower decoded each of ten versions of a record a second, and the relay sent all of them.
+test('of several writes the newest is served, and removals with the write before', async () => {
+  const history = createViewHistory(createFakeClock());
+  history.reset(10);
+  const put = (key: string, revision: number) => ({ key, revision, value: `${revision}` });
+  const remove = (key: string, revision: number) => ({ key, revision, removed: true as const });
+  history.add({ events: [put('a', 11), put('b', 12), put('a', 13)], at: 13 });
+  history.add({ events: [remove('b', 14), put('b', 15), put('b', 16), put('a', 17)], at: 17 });
+  history.add({ events: [remove('c', 18)], at: 20 });
+  const changes = await history.changesAfter(10, 0);
+  assert.equal(changes, {
+    events: [put('b', 12), remove('b', 14), put('b', 16), put('a', 17), remove('c', 18)],
+    at: 20,
+  });
+});
+
 test('changes before a gap are not served, so that the peer reads all entries again', async () => {
   const history = createViewHistory(createFakeClock());
   assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
