Call changes current only if they reach the revision of the view

Found when the diff was read again: a relay chose the changes and asked whether its view was current in two turns of the event loop. A refresh that ended between them could make an answer current that lacks the removal of the follower's entry, and so prolong the follower's right to grant. Change: the revision of the answer has to reach that of the view as well. Test: fleet/relayed_changes_test.ts; it failed before.

--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -86,7 +86,7 @@
 /** What a node answers to the requests of its peers for changes. */
 export interface ChangesSource {
   readonly history: ViewHistory;
-  readonly view: Pick<StoreView, 'startCurrencyCheck'>;
+  readonly view: Pick<StoreView, 'revision' | 'startCurrencyCheck'>;
   /** Store revision of the newest known contract. */
   readonly contractRevision: () => number;
 }
@@ -102,7 +102,10 @@
   const waitMs = Number(query.get('wait') ?? Number.NaN);
   if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
-  return changes && encodeChanges({
-    ...changes, isCurrent: isCurrent(), contractRevision: contractRevision(),
+  if (changes === undefined) return undefined;
+  // The view may have taken in further changes since these were chosen.
+  const isComplete = changes.at >= view.revision();
+  return encodeChanges({
+    ...changes, isCurrent: isComplete && isCurrent(), contractRevision: contractRevision(),
   });
 };
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -53,7 +53,9 @@
 const NO_CHANGES: PeerChanges = { events: [], at: 9, contractRevision: 0 };
 
 const sourceOf = (history: ViewHistory) => ({
-  history, view: { startCurrencyCheck: () => () => false }, contractRevision: () => 3,
+  history,
+  view: { startCurrencyCheck: () => () => false, revision: () => 0 },
+  contractRevision: () => 3,
 });
 
 test('in a small failure domain each node watches the store directly', async () => {
@@ -166,6 +168,20 @@
   });
 });
 
+// The view took in the removal of a follower's entry between the choice of the changes and the
+// answer, which called the changes without it current and so prolonged the follower's right.
+test('changes that lag behind the view are not called current', async () => {
+  const history = createViewHistory(createFakeClock());
+  history.reset(10);
+  const serve = async (viewRevision: number) => JSON.parse((await serveChanges({
+    history,
+    view: { startCurrencyCheck: () => () => true, revision: () => viewRevision },
+    contractRevision: () => 0,
+  }, 'changes?after=10&wait=0'))!) as { readonly current: boolean };
+  assert.is((await serve(11)).current, false);
+  assert.is((await serve(10)).current, true);
+});
+
 test('changes before a gap are not served, so that the peer reads all entries again', async () => {
   const history = createViewHistory(createFakeClock());
   assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
