Use one record of recency for both sides of a relay

The time of a relay's last answer was kept by a copy of the code that keeps the time of the last request of a peer. Both use one function now; behaviour stays as it is.

--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -17,17 +17,12 @@
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
-  createRelayActivity, createRelayedChanges, type RelayActivity,
+  createRelayActivity, createRelayAnswers, createRelayedChanges, type RelayActivity,
+  type RelayAnswers,
 } from './relayed_changes.ts';
 import { runUntilStop } from './run_until_stop.ts';
 import { createStoreCallSummary } from './store_call_summary.ts';
 
-/** When a relay last answered this node. */
-interface RelayAnswers {
-  readonly record: () => void;
-  readonly isRecent: () => boolean;
-}
-
 /** This node as it describes itself in the directory. */
 export interface LocalNode {
   readonly entry: () => NodeEntry;
@@ -45,8 +40,6 @@
 const RELAY_PAUSE_MS = 250;
 /** Maximum wait of a node that also learns from its relays of a new contract. */
 const RELAYED_CONTRACT_WAIT_MS = 25_000;
-/** Time in ms after the answer of a relay in which the next one is expected. */
-const RELAY_ANSWER_MS = 3000;
 const CONTRACT_PAUSE_MS = 30;
 /** Connections in addition to one per slot, to replace those that are closing. */
 const SPARE_CONNECTIONS = 4;
@@ -93,18 +86,7 @@
   kernel.register<RelayAnswers>({
     name: 'relay-answers',
     needs: ['clock'],
-    start: (find) => {
-      const clock = find<Clock>('clock');
-      let answeredAt = -Infinity;
-      return {
-        service: {
-          record: () => {
-            answeredAt = clock.now();
-          },
-          isRecent: () => clock.now() - answeredAt < RELAY_ANSWER_MS,
-        },
-      };
-    },
+    start: (find) => ({ service: createRelayAnswers(find<Clock>('clock')) }),
   });
 
   kernel.register<StoreView>({
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -37,6 +37,8 @@
 const MAX_RELAY_BACKOFF_MS = 80_000;
 /** Time in ms after a request for changes in which a node follows the store for its peers. */
 const ASKED_MS = 10_000;
+/** Time in ms after the answer of a relay in which the next one is expected. */
+const RELAY_ANSWER_MS = 3000;
 
 /**
  * Minimum remaining right to grant, in ms, of a node that acts as a relay. The right is confirmed
@@ -67,17 +69,34 @@
   readonly isAsked: () => boolean;
 }
 
-/** Creates the activity of a node that has not been asked for changes. */
-export const createRelayActivity = (clock: Clock): RelayActivity => {
-  let askedAt = -Infinity;
+/** When a relay last answered this node. */
+export interface RelayAnswers {
+  /** Records an answer. */
+  readonly record: () => void;
+  readonly isRecent: () => boolean;
+}
+
+const createRecency = (clock: Clock, maxAgeMs: number) => {
+  let recordedAt = -Infinity;
   return {
     record: () => {
-      askedAt = clock.now();
+      recordedAt = clock.now();
     },
-    isAsked: () => clock.now() - askedAt < ASKED_MS,
+    isRecent: () => clock.now() - recordedAt < maxAgeMs,
   };
 };
 
+/** Creates the activity of a node that has not been asked for changes. */
+export const createRelayActivity = (clock: Clock): RelayActivity => {
+  const { record, isRecent } = createRecency(clock, ASKED_MS);
+  return { record, isAsked: isRecent };
+};
+
+/** Creates the record of a node that no relay has answered. */
+export const createRelayAnswers = (clock: Clock): RelayAnswers => (
+  createRecency(clock, RELAY_ANSWER_MS)
+);
+
 /**
  * Creates the watch of a node in a large failure domain: a few nodes watch the store, and the
  * others fetch the changes from them. A watch costs each watching node a call per change, so
