Show two holders of the same keys after an odd liveness report

Case 3, rule OWNER: one liveness report of another writer, with a service that is named nowhere, displaces the instance of a host. Its keys are given to others while it holds them for another 8.2 s.

--- a/review/lib/caller.ts
+++ b/review/lib/caller.ts
@@ -17,11 +17,15 @@
   readonly body: Buffer;
 }
 
+/** Options of a request. */
+export interface SendOptions {
+  readonly method?: string;
+  readonly key?: number;
+}
+
 /** A caller on one host, which sends to the node of that host. */
 export interface Caller {
-  readonly send: (path: string, options?: { method?: string; deadlineMs?: number }) => (
-    Promise<Answer>
-  );
+  readonly send: (path: string, options?: SendOptions) => Promise<Answer>;
   readonly close: () => void;
 }
 
@@ -32,7 +36,7 @@
 /** Creates a caller with kept connections. */
 export const createCaller = (host: Host, record: CaseRecord): Caller => {
   const agent = new Agent({ keepAlive: true, maxSockets: 64 });
-  const send: Caller['send'] = (path, { method = 'GET', deadlineMs = DEADLINE_MS } = {}) => (
+  const send: Caller['send'] = (path, { method = 'GET', key } = {}) => (
     new Promise((resolve) => {
       const id = randomUUID().replaceAll('-', '').slice(0, 16);
       const sentAt = performance.now();
@@ -40,7 +44,9 @@
       let status = 0;
       let isSigned = false;
       let isSettled = false;
-      record.write('sent', { request: id, host: host.name, path });
+      record.write('sent', {
+        request: id, host: host.name, path, ...(key === undefined ? {} : { key }),
+      });
       const settle = (isComplete: boolean, reason: string) => {
         if (isSettled) return;
         isSettled = true;
@@ -61,7 +67,8 @@
         headers: {
           host: HOST_HEADER,
           [platformHeaders.requestId]: id,
-          [platformHeaders.remainingMs]: String(deadlineMs),
+          [platformHeaders.remainingMs]: String(DEADLINE_MS),
+          ...(key === undefined ? {} : { [platformHeaders.key]: String(key) }),
         },
       }, (response) => {
         status = response.statusCode ?? 0;
@@ -71,7 +78,7 @@
         response.on('error', (error) => settle(false, error.message));
         response.on('close', () => settle(false, 'closed'));
       });
-      const timer = setTimeout(() => call.destroy(), deadlineMs + SLACK_MS);
+      const timer = setTimeout(() => call.destroy(), DEADLINE_MS + SLACK_MS);
       call.on('close', () => clearTimeout(timer));
       call.on('error', (error) => settle(false, error.message));
       call.end();
--- a/review/lib/contract.ts
+++ b/review/lib/contract.ts
@@ -7,6 +7,8 @@
   readonly prefix: string;
   readonly kind: 'safe' | 'unsafe' | 'download';
   readonly service: string;
+  /** The service is divided by key. */
+  readonly isKeyed?: boolean;
 }
 
 /**
@@ -21,7 +23,7 @@
   version: number,
   routes: readonly Route[],
 ): Promise<void> => {
-  const services = [...new Set(routes.map(({ service }) => service))];
+  const services = new Map(routes.map(({ service, isKeyed = false }) => [service, isKeyed]));
   const value = JSON.stringify({
     version,
     resources: [
@@ -39,8 +41,8 @@
           service,
         },
       })),
-      ...services.map((name) => ({
-        resource_type: 'services', metadata: { name }, spec: { max_connections: 130 },
+      ...[...services].map(([name, sharded]) => ({
+        resource_type: 'services', metadata: { name }, spec: { max_connections: 130, sharded },
       })),
     ],
   });
--- a/review/lib/instance.ts
+++ b/review/lib/instance.ts
@@ -2,15 +2,15 @@
 import {
   createServer, type IncomingMessage, request, type ServerResponse,
 } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { platformHeaders } from '../../platform/mod.ts';
+import { createHeldKeys, type HeldRow, type HoldSpan } from './held_keys.ts';
 import { HEARTBEAT_MS, type Host, ports } from './node_process.ts';
 import type { CaseRecord } from './record.ts';
 
-/** A request that reached an instance. */
+/** A request that an instance ran. */
 export interface Run {
   readonly id: string;
-  readonly instance: string;
-  readonly service: string;
   /** Monotonic time in ms of its arrival. */
   readonly at: number;
 }
@@ -18,12 +18,18 @@
 /** A stand-in for the instance of one host. */
 export interface Instance {
   readonly id: string;
-  readonly service: string;
-  /** Requests in the order of their arrival, all of which it runs. */
+  readonly host: Host;
+  /** Requests that it ran, in the order of their arrival. */
   readonly runs: readonly Run[];
-  /** Sends a call to the node of the host until it is acknowledged; resolves to the time. */
-  readonly call: (name: 'heartbeat' | 'deregister') => Promise<number>;
-  readonly setState: (state: 'ready' | 'draining') => void;
+  /** Spans in which it held keys. */
+  readonly holds: () => readonly HoldSpan[];
+  /**
+   * Sends one call to the node of the host; resolves to whether it was acknowledged. A liveness
+   * report may be late: it says what was true now, and arrives after the delay.
+   */
+  readonly call: (name: 'heartbeat' | 'deregister', delayMs?: number) => Promise<boolean>;
+  /** Sends no further liveness reports at intervals. */
+  readonly stopReports: () => void;
   readonly stop: () => void;
 }
 
@@ -31,26 +37,59 @@
 export interface InstanceOptions {
   readonly host: Host;
   readonly record: CaseRecord;
-  readonly slots?: number;
-  /** Answers a request that the instance runs; by default after 20 ms with a short body. */
+  /** The service is divided by key, and the instance runs requests only for keys that it holds. */
+  readonly isKeyed?: boolean;
+  /** Time in ms that a request takes. */
+  readonly workMs?: number;
+  /** Answers a request that the instance runs; by default after that time with a short body. */
   readonly answer?: (id: string, message: IncomingMessage, response: ServerResponse) => void;
 }
 
-const DEFAULT_SLOTS = 6;
-const WORK_MS = 20;
+const SLOTS = 6;
+const DEFAULT_WORK_MS = 20;
 const CALL_TIMEOUT_MS = 1000;
-const RETRY_MS = 200;
+/** Time to the next report after one whose answer made the instance release keys. */
+const RELEASE_REPORT_MS = 80;
 const STATUS_MISDIRECTED = 421;
 
-/** Starts an instance that announces itself and runs every request that is meant for it. */
+interface ReportAnswer {
+  readonly holds?: readonly HeldRow[];
+  readonly hold_time?: string;
+}
+
+/** Sends a call to the control address of a host; resolves to the body of a 2xx answer. */
+export const callNode = (host: Host, path: string, body: unknown) => (
+  new Promise<string | undefined>((resolve) => {
+    const call = request({
+      host: host.ip,
+      port: ports.announcements,
+      method: 'POST',
+      path,
+      headers: { 'content-type': 'application/json' },
+      agent: false,
+    }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () => {
+        const isAcknowledged = (response.statusCode ?? 0) >= 200 && response.statusCode! < 300;
+        resolve(isAcknowledged ? Buffer.concat(chunks).toString() : undefined);
+      });
+      response.on('error', () => resolve(undefined));
+    });
+    call.setTimeout(CALL_TIMEOUT_MS, () => call.destroy());
+    call.on('error', () => resolve(undefined));
+    call.end(JSON.stringify(body));
+  })
+);
+
+/** Starts an instance that reports to its node and runs every request that is meant for it. */
 export const startInstance = async (options: InstanceOptions): Promise<Instance> => {
   const { host, record } = options;
   const id = `i-${randomUUID().slice(0, 8)}`;
   const born = Date.now();
   const runs: Run[] = [];
+  const keys = createHeldKeys();
   let sequence = 0;
-  let state: 'ready' | 'draining' = 'ready';
-  let isStopped = false;
 
   const answerShortly = (requestId: string, _: IncomingMessage, response: ServerResponse) => {
     setTimeout(() => {
@@ -59,22 +98,22 @@
         [platformHeaders.signature]: `${id}.${requestId}`,
       });
       response.end(JSON.stringify({ requestId, instance: id, service: host.service }));
-    }, WORK_MS);
+    }, options.workMs ?? DEFAULT_WORK_MS);
   };
 
   const server = createServer((message, response) => {
     message.resume();
     const requestId = String(message.headers[platformHeaders.requestId] ?? '');
     const expected = message.headers[platformHeaders.expectedInstance];
-    if (expected !== undefined && expected !== id) {
+    const key = Number(message.headers[platformHeaders.key] ?? Number.NaN);
+    const isWrong = expected !== undefined && expected !== id;
+    if (isWrong || (options.isKeyed && !keys.includes(key))) {
       response.writeHead(STATUS_MISDIRECTED, {
         [platformHeaders.requestId]: requestId, [platformHeaders.notRun]: '1', 'instance-id': id,
       }).end();
       return;
     }
-    runs.push({
-      id: requestId, instance: id, service: host.service, at: performance.now(),
-    });
+    runs.push({ id: requestId, at: performance.now() });
     record.write('run', { request: requestId, instance: id, service: host.service });
     (options.answer ?? answerShortly)(requestId, message, response);
   });
@@ -83,61 +122,48 @@
     server.listen(ports.instance, host.ip, resolve);
   });
 
-  const callOnce = (name: 'heartbeat' | 'deregister') => new Promise<boolean>((resolve) => {
+  const call: Instance['call'] = async (name, delayMs = 0) => {
     sequence += 1;
-    const call = request({
-      host: host.ip,
-      port: ports.announcements,
-      method: 'POST',
-      path: `/instances/${id}/${name}`,
-      headers: { 'content-type': 'application/json' },
-      agent: false,
-    }, (response) => {
-      response.resume();
-      response.on('end', () => resolve((response.statusCode ?? 0) < 300));
-      response.on('error', () => resolve(false));
-    });
-    call.setTimeout(CALL_TIMEOUT_MS, () => call.destroy());
-    call.on('error', () => resolve(false));
-    call.end(JSON.stringify({
+    const sentAt = performance.now();
+    const body = {
       address: `${host.ip}:${ports.instance}`,
       born,
       info: {
-        service: host.service,
-        version: 'v1',
-        zone: host.zone,
-        slots: options.slots ?? DEFAULT_SLOTS,
+        service: host.service, version: 'v1', zone: host.zone, slots: SLOTS,
       },
-      status: { state, sequence, cold_remaining: '0ms' },
-      holds: [],
-      freed: [],
-    }));
-  });
+      status: { state: 'ready', sequence, cold_remaining: '0ms' },
+      holds: keys.rows(),
+      freed: keys.freed(),
+    };
+    if (delayMs > 0) await sleep(delayMs);
+    const text = await callNode(host, `/instances/${id}/${name}`, body);
+    if (text === undefined || delayMs > 0 || name !== 'heartbeat') return text !== undefined;
+    const { holds, hold_time: holdTime = '0ms' } = JSON.parse(text) as ReportAnswer;
+    const before = keys.rows().length;
+    const isReleased = keys.apply(holds, Number.parseFloat(holdTime), sentAt);
+    if (keys.rows().length !== before) {
+      record.write('holds', { instance: id, host: host.name, rows: keys.rows() });
+    }
+    if (isReleased) setTimeout(() => call('heartbeat').catch(() => false), RELEASE_REPORT_MS);
+    return true;
+  };
 
-  const timer = setInterval(() => {
-    callOnce('heartbeat').catch(() => undefined);
-  }, HEARTBEAT_MS);
-  callOnce('heartbeat').catch(() => undefined);
+  const report = () => {
+    call('heartbeat').catch(() => false);
+  };
+  const timer = setInterval(report, HEARTBEAT_MS);
+  report();
+  const stopReports = () => clearInterval(timer);
 
   return {
     id,
-    service: host.service,
+    host,
     runs,
-    call: async (name) => {
-      while (!isStopped) {
-        if (await callOnce(name)) return performance.now();
-        await new Promise((resolve) => {
-          setTimeout(resolve, RETRY_MS);
-        });
-      }
-      throw new Error('the instance has stopped');
-    },
-    setState: (next) => {
-      state = next;
-    },
+    holds: keys.spans,
+    call,
+    stopReports,
     stop: () => {
-      isStopped = true;
-      clearInterval(timer);
+      stopReports();
       server.close();
       server.closeAllConnections();
     },
