--- a/review/lib/contract.ts
+++ b/review/lib/contract.ts
@@ -9,6 +9,8 @@
   readonly service: string;
   /** The service is divided by key. */
   readonly isKeyed?: boolean;
+  /** Longest time for a request. */
+  readonly timeout?: string;
 }
 
 /**
@@ -27,14 +29,16 @@
   const value = JSON.stringify({
     version,
     resources: [
-      ...routes.map(({ prefix, kind, service }) => ({
+      ...routes.map(({
+        prefix, kind, service, timeout = '1500ms',
+      }) => ({
         resource_type: 'routes',
         metadata: { name: `r-${prefix.replaceAll('/', '')}` },
         spec: {
           host: HOST_HEADER,
           prefix,
           route_type: kind,
-          timeout: '1500ms',
+          timeout,
           target_latency: '400ms',
           priority: 1,
           max_attempts: 2,
--- a/review/lib/node_process.ts
+++ b/review/lib/node_process.ts
@@ -27,7 +27,7 @@
   readonly signal: (name: NodeJS.Signals) => void;
   /** Starts the program again after its process has ended. */
   readonly start: () => void;
-  readonly isRunning: () => boolean;
+  readonly pid: () => number | undefined;
   /** Resolves once the process has ended. */
   readonly ended: () => Promise<void>;
   /** Resolves once the node says that it is ready. */
@@ -126,7 +126,7 @@
       host,
       signal: (name) => child?.kill(name),
       start,
-      isRunning,
+      pid: () => (isRunning() ? child?.pid : undefined),
       ended: async () => {
         while (isRunning()) await sleep(5);
       },
