--- a/review/caller.ts
+++ b/review/caller.ts
@@ -78,6 +78,14 @@
         response.on('error', (error) => settle(false, error.message));
         response.on('close', () => settle(false, 'closed'));
       });
+      call.on('socket', (socket) => {
+        // libuv reports a reset that arrives right after data as an end, without a remote address.
+        const check = () => {
+          if (socket.remoteAddress === undefined) settle(false, 'reset');
+        };
+        socket.prependOnceListener('end', check);
+        call.once('close', () => socket.off('end', check));
+      });
       const timer = setTimeout(() => call.destroy(), DEADLINE_MS + SLACK_MS);
       call.on('close', () => clearTimeout(timer));
       call.on('error', (error) => settle(false, error.message));
