Give each host of the loopback test fleet an address of its own

Each host now has a loopback address of its own with fixed ports below the range from which the system assigns ports. Instances and clients use 127.0.0.1, so none of them can take a port of a host. The clean-up runs only after a set-up that succeeded, so that the first error is shown.

--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -1,5 +1,4 @@
-import { createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
+import process from 'node:process';
 import { createSystemClock } from '../clock/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import {
@@ -65,21 +64,22 @@
   ],
 });
 
-const reservePorts = async (count: number): Promise<readonly number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, () => (
-    new Promise<Server>((resolve) => {
-      const server = createServer();
-      server.listen(0, '127.0.0.1', () => resolve(server));
-    })
-  )));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => {
-    server.close(resolve);
-  })));
-  return ports;
-};
+/** Ports of a host, all below the range from which the system assigns ports. */
+const ports = {
+  caller: 18_620, peer: 18_621, readiness: 18_622, announcements: 18_623, metrics: 18_624,
+} as const;
+
+/** First three bytes of the addresses of this process, so that two processes share none. */
+const SUBNET = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
+const HOSTS_PER_SUBNET = 250;
+let startedHosts = 0;
 
-const PORTS_PER_HOST = 5;
+/** Returns a loopback address of a host's own, at which no instance or client binds a port. */
+const nextAddress = () => {
+  const host = 1 + (startedHosts % HOSTS_PER_SUBNET);
+  startedHosts += 1;
+  return `${SUBNET}.${host}`;
+};
 
 /** Starts one host, with a node and an instance, for each of the services. */
 export const startLoopbackFleet = async (
@@ -97,12 +97,9 @@
     });
   };
   await publish(1);
-  const ports = await reservePorts(services.length * PORTS_PER_HOST);
   const hosts: LoopbackHost[] = [];
   for (const [index, service] of services.entries()) {
-    const [caller, peer, readiness, announcements, metrics] = ports
-      .slice(index * PORTS_PER_HOST)
-      .map((port) => `127.0.0.1:${port}`);
+    const address = nextAddress();
     const settings: PlatformSettings = {
       node: `host-${index}`,
       region: 'r',
@@ -120,16 +117,21 @@
         extraRetries: 600,
       },
       listen: {
-        caller: caller!, peer: peer!, readiness: readiness!, announcements: announcements!,
+        caller: `${address}:${ports.caller}`,
+        peer: `${address}:${ports.peer}`,
+        readiness: `${address}:${ports.readiness}`,
+        announcements: `${address}:${ports.announcements}`,
       },
       linkMegabitsPerSecond: 1000,
       store: { address: server.address, writesPerSecond: 400, readsPerSecond: 2000 },
     };
     const node = await startFleetNode(settings, {
-      clock, logger, metricsPort: Number(metrics!.split(':')[1]),
+      clock, logger, metricsPort: ports.metrics,
     });
     const instance = await startPlatformInstance({
-      service, announceAddress: announcements!, ...(workMs === undefined ? {} : { workMs }),
+      service,
+      announceAddress: settings.listen.announcements,
+      ...(workMs === undefined ? {} : { workMs }),
     });
     hosts.push({ settings, node, instance });
   }
--- a/fleet/fleet_node_test.ts
+++ b/fleet/fleet_node_test.ts
@@ -6,6 +6,8 @@
 const test = suite('fleet node');
 
 let fleet: LoopbackFleet;
+/** Whether the last set-up succeeded; uvu runs the clean-up even if it failed. */
+let isStarted = false;
 let nextId = 0;
 
 interface SentRequest {
@@ -53,12 +55,15 @@
 
 test.before(async () => {
   fleet = await startLoopbackFleet(['ledger', 'ledger', 'orders', 'orders']);
+  isStarted = true;
   await waitUntil(() => isServed({ path: '/keyed/a', key: 1 }));
   await waitUntil(() => isServed({ path: '/keyed/a', key: 65_535 }));
   await waitUntil(() => isServed({ path: '/orders/a' }));
 });
 
-test.after(() => fleet.stop());
+test.after(async () => {
+  if (isStarted) await fleet.stop();
+});
 
 test('requests for a key reach its single owner from every host', async () => {
   for (const key of [0, 20_000, 40_000, 65_535]) {
--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -20,6 +20,8 @@
 }
 
 let fleet: LoopbackFleet;
+/** Whether the last set-up succeeded; uvu runs the clean-up even if it failed. */
+let isStarted = false;
 let nextId = 0;
 let onMessage = (_message: string) => undefined as void;
 
@@ -100,11 +102,15 @@
 
 test.before.each(async () => {
   onMessage = () => undefined;
+  isStarted = false;
   fleet = await startLoopbackFleet(['orders', 'orders'], { logger, workMs: WORK_MS });
+  isStarted = true;
   await waitUntilServed('/calls/a');
 });
 
-test.after.each(() => fleet.stop());
+test.after.each(async () => {
+  if (isStarted) await fleet.stop();
+});
 
 // A request that arrived after the last one in flight had ended was accepted, and the exit of the
 // process closed its connection without an answer.
