Believe no single announcement of another process

Callers saw 421 and cold answers, and instances ran requests on keys that another instance held: one announcement of another writer, whose service nothing names, displaced the instance of a host. The node took it for proof that the instance had ended and released its keys, which two others were granted while the instance held them for another 8 to 9 s.

Cause: the registry tracked any later-born announcement, and the planner took a later process for proof that the earlier one had ended.

An announcement is now used only if the settings or the contract name its service, its start does not lie in the future, and a known process keeps its service. A process that is in use is replaced only by the second announcement of another one, once its own have stopped; rows of an earlier process count as released only once its address refused connections or its successor has announced itself twice. So one message can neither displace an instance nor prove that one has ended.

--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -113,7 +113,7 @@
     const isCurrent = isSameOwner(row.owner, current);
     if (released.has(rowKey(row))) return true;
     // A later process of the instance on this host proves that the earlier one has ended.
-    const isEarlier = current !== undefined && !isCurrent
+    const isEarlier = current !== undefined && !isCurrent && registry.hasSucceeded()
       && current.startedAt >= row.owner.startedAt;
     if (isEarlier) return true;
     if (registry.isProcessGone()) return true;
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -45,7 +45,11 @@
 const SPARE_CONNECTIONS = 4;
 
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
-export const registerStateServices = (kernel: Kernel, settings: PlatformSettings) => {
+export const registerStateServices = (
+  kernel: Kernel,
+  settings: PlatformSettings,
+  callerService: () => string,
+) => {
   kernel.register<LeasedStore>({
     name: 'store',
     needs: ['clock', 'metrics', 'logger'],
@@ -182,6 +186,7 @@
     needs: ['clock', 'logger', 'contracts'],
     start: (find) => {
       const clock = find<Clock>('clock');
+      const { namesService } = find<ContractSource>('contracts');
       const registry = createInstanceRegistry({
         clock,
         node: settings.node,
@@ -189,6 +194,7 @@
         instanceAddress: settings.instanceAddress,
         announceIntervalMs: settings.announceIntervalMs,
         drainMs: settings.bounds.drainMs,
+        isKnownService: (service) => service === callerService() || namesService(service),
         isConnectionRefused,
         openPort: (announcement, onConnectionRefused) => createInstanceClient({
           clock,
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -31,6 +31,8 @@
   readonly setStorePartitioned: (isPartitioned: boolean) => void;
   /** Changes the host's address from the next start of its node on. */
   readonly changeAddress: (peerAddress: string) => void;
+  /** Delivers an announcement of another writer to the node. */
+  readonly announce: (announcement: Announcement) => AnnouncementAnswer | undefined;
   /** Drops the announcements of the instance, or delivers them again. */
   readonly setAnnouncementsDropped: (isDropped: boolean) => void;
 }
@@ -111,6 +113,7 @@
       instanceAddress: `${node}:1`,
       announceIntervalMs: ANNOUNCE_INTERVAL_MS,
       drainMs: 2000,
+      isKnownService: (service) => service === 'ledger',
       openPort: () => ({
         send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
       }),
@@ -210,6 +213,7 @@
     changeAddress: (address) => {
       peerAddress = address;
     },
+    announce: (announcement) => running?.announce(announcement),
     setAnnouncementsDropped: (isDropped) => {
       areAnnouncementsDropped = isDropped;
     },
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -8,6 +8,8 @@
   /** Current routes; undefined until the first contract has been accepted. */
   readonly routes: () => RouteTable | undefined;
   readonly isKeyed: (service: string) => boolean;
+  /** Reports whether the contract lists a service, or a route leads to it. */
+  readonly namesService: (service: string) => boolean;
   /** Names of the services whose requests are partitioned by key. */
   readonly keyedServices: () => readonly string[];
   /** Store revision of the newest contract that this process has seen; 0 before the first one. */
@@ -31,6 +33,7 @@
   const log = logger.forComponent('contract');
   let table: RouteTable | undefined;
   let keyedServices: readonly string[] = [];
+  let namedServices: ReadonlySet<string> = new Set();
   let isRefreshing = false;
   const storedRevision = () => view.get(CONTRACT_KEY)?.revision ?? 0;
 
@@ -49,6 +52,10 @@
     const former = table?.revision;
     table = createRouteTable(contract.value);
     keyedServices = [...services.values()].filter(({ keyed }) => keyed).map(({ name }) => name);
+    namedServices = new Set([
+      ...services.keys(),
+      ...routes.flatMap(({ targets }) => targets.map(({ service }) => service)),
+    ]);
     log.info({
       revision, former, stored: entry.revision, routes: routes.length, services: services.size,
     }, 'accepted a contract revision');
@@ -57,6 +64,7 @@
   return {
     routes: () => table,
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
+    namesService: (service) => namedServices.has(service),
     keyedServices: () => keyedServices,
     storedRevision,
     noteStoredRevision: (revision) => {
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -15,6 +15,11 @@
   readonly local: () => LocalInstance | undefined;
   readonly owner: () => Owner | undefined;
   readonly slots: () => number;
+  /**
+   * Reports whether it is proven that earlier processes of the instance have ended: no process
+   * listened at their address, or the current one has announced itself twice.
+   */
+  readonly hasSucceeded: () => boolean;
   /** Reports whether no process listens at the instance's address, so that none holds keys. */
   readonly isProcessGone: () => boolean;
   /** Time in ms since the last announcement; Infinity before the first one. */
@@ -34,6 +39,8 @@
   /** Configured address of the instance; empty if none is configured. */
   readonly instanceAddress: string;
   readonly announceIntervalMs: number;
+  /** Reports whether this host or the contract names a service; others have no instance. */
+  readonly isKnownService: (service: string) => boolean;
   /** Time in ms after an acknowledged departure by which no new request may reach the instance. */
   readonly drainMs: number;
   readonly openPort: (announcement: Announcement, onRefused: () => void) => InstanceClient;
@@ -50,11 +57,17 @@
   announcedAt: number;
   /** Wall-clock time in ms at which the warm-up ends. */
   coldUntil: number;
+  /** Whether the earlier process had ended, or this one has announced itself again. */
+  hasSucceeded: boolean;
   readonly port: InstanceClient;
 }
 
 /** Announce intervals without an announcement before the instance counts as silent. */
 const MISSED_ANNOUNCEMENTS = 2.5;
+/** Announce intervals after which another process may have replaced one that isn't announced. */
+const SUCCESSION_ANNOUNCEMENTS = 1.5;
+/** Largest time in ms by which the clock that stamped an announcement may be ahead of this one. */
+const MAX_CLOCK_LEAD_MS = 3_600_000;
 /** Fraction of the drain time during which requests already in transit are still accepted. */
 const DRAIN_ACCEPT_FRACTION = 0.5;
 /** Delay before a refusal is confirmed, since a starting process may refuse one connection. */
@@ -78,6 +91,8 @@
   let isProbing = false;
   /** No instance has announced itself, and the configured address refuses connections. */
   let isAddressUnused = false;
+  /** The last announcement of a process that may have replaced the tracked one. */
+  let contender: Announcement | undefined;
   /** The instance that had left before this process started. */
   let departed: DirectoryInstance | undefined;
 
@@ -129,6 +144,7 @@
       closesAt: Infinity,
       announcedAt: clock.now(),
       coldUntil: clock.wallTime() + announcement.coldMs,
+      hasSucceeded: tracked?.state === 'down' || (tracked === undefined && isAddressUnused),
       port: options.openPort(announcement, () => {
         if (tracked === opened) probeInstance(opened).catch(() => undefined);
       }),
@@ -159,6 +175,10 @@
     Object.assign(current, { closesAt: Math.min(current.closesAt, clock.now()) });
   };
 
+  const isSameProcess = (left: Announcement, right: Announcement) => (
+    left.instance === right.instance && left.startedAt === right.startedAt
+  );
+
   const isStale = (
     { announcement: known }: TrackedInstance,
     { startedAt, sequence }: Announcement,
@@ -167,19 +187,48 @@
     || (startedAt === known.startedAt && sequence <= known.sequence)
   );
 
+  /**
+   * A single announcement may come from another writer, so it doesn't show that the process that
+   * is in use has ended.
+   */
+  const mayReplace = (current: TrackedInstance, announcement: Announcement) => {
+    if (current.state === 'down' || current.state === 'draining') return true;
+    const isRepeated = contender !== undefined && isSameProcess(contender, announcement)
+      && announcement.sequence > contender.sequence;
+    contender = announcement;
+    const quietMs = clock.now() - current.announcedAt;
+    return isRepeated && quietMs > options.announceIntervalMs * SUCCESSION_ANNOUNCEMENTS;
+  };
+
+  /** Returns why an announcement must not be used, or undefined if it may be. */
+  const findObjection = (announcement: Announcement): string | undefined => {
+    const { service, startedAt } = announcement;
+    if (startedAt > clock.wallTime() + MAX_CLOCK_LEAD_MS) return 'its start lies in the future';
+    if (tracked === undefined) {
+      return options.isKnownService(service) ? undefined : 'nothing names its service';
+    }
+    if (isStale(tracked, announcement)) return 'it is stale';
+    if (isSameProcess(tracked.announcement, announcement)) {
+      return tracked.announcement.service === service ? undefined : 'its service has changed';
+    }
+    if (!options.isKnownService(service)) return 'nothing names its service';
+    return mayReplace(tracked, announcement) ? undefined : 'another process is in use';
+  };
+
   const announce: InstanceRegistry['announce'] = (announcement) => {
-    if (tracked !== undefined && isStale(tracked, announcement)) {
+    const objection = findObjection(announcement);
+    if (objection !== undefined) {
+      const { instance, startedAt, service } = announcement;
       logger.warn({
-        instance: announcement.instance, startedAt: announcement.startedAt,
-      }, 'ignored a stale announcement');
+        instance, startedAt, service, tracked: tracked?.announcement.instance, reason: objection,
+      }, 'ignored an announcement');
       return false;
     }
-    const isSameProcess = tracked?.announcement.instance === announcement.instance
-      && tracked.announcement.startedAt === announcement.startedAt;
-    if (tracked === undefined || !isSameProcess) {
+    contender = undefined;
+    if (tracked === undefined || !isSameProcess(tracked.announcement, announcement)) {
       tracked = startTracking(announcement);
       notify();
-    }
+    } else tracked.hasSucceeded = true;
     Object.assign(tracked, { announcement, announcedAt: clock.now() });
     drainDeparted(tracked);
     if (announcement.isDraining) startDraining(tracked, 'it announced that it is draining');
@@ -209,6 +258,7 @@
     owner: () => tracked && {
       node, instance: tracked.announcement.instance, startedAt: tracked.announcement.startedAt,
     },
+    hasSucceeded: () => tracked?.hasSucceeded === true,
     slots: () => tracked?.announcement.slots ?? 1,
     isProcessGone: () => (tracked === undefined ? isAddressUnused : tracked.state === 'down'),
     silentMs: () => (tracked === undefined ? Infinity : clock.now() - tracked.announcedAt),
--- a/fleet/restart_test.ts
+++ b/fleet/restart_test.ts
@@ -40,6 +40,7 @@
     instanceAddress: '10.0.0.1:1',
     announceIntervalMs: 870,
     drainMs: 2000,
+    isKnownService: (service) => service === 'ledger',
     openPort: () => ({
       send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
     }),
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -162,7 +162,7 @@
     }),
   });
   registerRequestServices(kernel, settings, () => callerService);
-  registerStateServices(kernel, settings);
+  registerStateServices(kernel, settings, () => callerService);
   registerKeyServices(kernel, settings);
   await kernel.start();
 
