Take no entry of another writer for proof that a node was lost

An entry in the directory with the address of a node whose own entry was missing, and a later start, counted as proof that this node was lost, whoever had written it. The keys of the node were granted to others at once, while its instance held them.

A host that takes over an address has such an instance within its first seconds, so its proof is hardly later.

Measured: two tests in fleet/odd_entries_test.ts failed before with "host-0 and host-2 hold 0-21844 at 6700 ms", and pass now; fleet 131 of 131.

--- a/fleet/_key_services.ts
+++ b/fleet/_key_services.ts
@@ -75,6 +75,7 @@
         logger: find<Logger>('logger'),
         isKeyed: find<ContractSource>('contracts').isKeyed,
         keyedServices: find<ContractSource>('contracts').keyedServices,
+        namesService: find<ContractSource>('contracts').namesService,
         loadSnapshotOf: find<LoadCollector>('collector').loadSnapshotOf,
         maxHoldMs: settings.bounds.maxHoldMs,
         rightMs: RIGHT_TO_GRANT_MS,
--- a/fleet/_owners.ts
+++ b/fleet/_owners.ts
@@ -13,16 +13,19 @@
 /**
  * Reports whether the address of a node whose entry is missing is used by a node that started
  * later. This proves that the node is lost, since the address of a host is reused only after the
- * host and its instance have ended.
+ * host and its instance have ended. An entry of another writer proves nothing: it has no instance,
+ * or one of a service that the contract does not name.
  */
 export const isReplaced = (
   fleet: Pick<FleetView, 'present' | 'find'>,
   node: string,
+  namesService: (service: string) => boolean,
 ): boolean => {
   const former = fleet.find(node);
   if (former === undefined || fleet.present().has(node)) return false;
-  for (const entry of fleet.present().values()) {
-    if (entry.peerAddress === former.peerAddress && entry.startedAt > former.startedAt) return true;
+  for (const { peerAddress, startedAt, instance } of fleet.present().values()) {
+    const isLater = peerAddress === former.peerAddress && startedAt > former.startedAt;
+    if (isLater && instance !== undefined && namesService(instance.service)) return true;
   }
   return false;
 };
--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -67,6 +67,8 @@
   readonly rightMs: number;
   /** Delay in ms from the start of the process to the first assignment of keys. */
   readonly firstAssignmentMs: number;
+  /** Reports whether the contract names a service. */
+  readonly namesService: (service: string) => boolean;
   /** Reports whether this node plans the moves between these owners. */
   readonly isPlannerOf: (owners: readonly Owner[]) => boolean;
 }
@@ -123,7 +125,8 @@
   const lostAfterMs = options.rightMs * CLOCK_DRIFT_FACTOR + WATCH_LAG_MARGIN_MS;
   const isOfLostNode = ({ owner }: RangeRow, { absences }: ServiceState) => {
     if (owner === undefined || owner.node === node) return false;
-    return absences.absentMs(owner.node) > lostAfterMs || isReplaced(fleet, owner.node);
+    return absences.absentMs(owner.node) > lostAfterMs
+      || isReplaced(fleet, owner.node, options.namesService);
   };
 
   const observeAbsences = (record: RangeRecord, { absences }: ServiceState) => {
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -153,6 +153,7 @@
       logger: noopLogger,
       isKeyed: () => true,
       keyedServices: () => ['ledger'],
+      namesService: (service) => service === 'ledger',
       loadSnapshotOf: (owners) => ({
         candidates: owners.map((owner) => ({ owner, capacity: 100 })), cells: [],
       }),
--- a/fleet/odd_entries_test.ts
+++ b/fleet/odd_entries_test.ts
@@ -174,6 +174,32 @@
   cluster.stop();
 });
 
+// An entry of another writer counted as proof that a node whose entry was missing was lost.
+for (const service of ['not-named', undefined]) {
+  test(`an entry with ${service ?? 'no'} service proves no node at its address lost`, async () => {
+    const cluster = createTestCluster(3);
+    await cluster.run(6000);
+    const [host] = cluster.hosts;
+    host!.setStorePartitioned(true);
+    const odd: NodeEntry = {
+      ...soundEntry,
+      node: 'host-9',
+      peerAddress: `${host!.node}:2`,
+      startedAt: cluster.clock.wallTime(),
+      instance: service === undefined ? undefined : { ...soundEntry.instance!, service },
+    };
+    await cluster.store.transact({
+      expect: [],
+      puts: [{ key: nodeKey(odd.node), value: JSON.stringify(odd) }],
+      removals: [nodeKey(host!.node)],
+    });
+    // The cluster checks that no two instances hold the same key.
+    await cluster.run(4000);
+    assert.ok(host!.instance().held().length > 0);
+    cluster.stop();
+  });
+}
+
 const decoders: Readonly<Record<string, (text: string) => unknown>> = {
   'node entry': decodeNodeEntry,
   'range record': decodeRecord,
