Send bodies without a declared length in chunks

Cause: such a body was passed on without framing on both hops, so only a reset could mark it as cut. The connections of a killed process are closed in the regular way, which is the proper end of such an answer.

The body is now sent in chunks, with the last chunk only after the instance's answer has ended. A cut lacks the last chunk, whatever closes the connection. The sink is shared by both listeners of the fleet and of the product's own stack. The flag for answers that end with their connection has no reader left and is removed. The test "a response without a length is forwarded without one over all hops" required the fault; it now requires chunks, and both forms are checked to be whole or cut by the new tests.

--- a/fleet/fleet_node_test.ts
+++ b/fleet/fleet_node_test.ts
@@ -113,14 +113,15 @@
   assert.ok(healthy!.instance.executionCounts.size > 0);
 });
 
-test('a response without a length is forwarded without one over all hops', async () => {
+// A response that ends with its connection looks complete when a node on its way is killed.
+test('a response without a length is forwarded in chunks over all hops', async () => {
   for (const { instance } of fleet.hosts) instance.setFault('unframed');
   const answers = await Promise.all([0, 1, 2, 3].map((host) => send({ path: '/reads/5', host })));
   for (const { instance } of fleet.hosts) instance.setFault('none');
   for (const { id, headers, text } of answers) {
     assert.match(text, id);
     assert.is(headers['content-length'], undefined);
-    assert.is(headers['transfer-encoding'], undefined);
+    assert.is(headers['transfer-encoding'], 'chunked');
   }
 });
 
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -240,12 +240,12 @@
       rawHead = raw;
       const contentLength = findHeader(raw, 'content-length');
       if (contentLength !== undefined) missingBytes = Number(contentLength);
-      const endsWithConnection = contentLength === undefined
+      const isUnframed = contentLength === undefined
         && findHeader(raw, 'transfer-encoding') === undefined;
-      closesConnection = endsWithConnection
+      closesConnection = isUnframed
         || findHeader(raw, 'connection')?.toLowerCase().includes('close') === true;
       const headers = endToEndHeaders(raw, REMOVED_RESPONSE_HEADERS);
-      const action = sink.start(statusCode, headers, endsWithConnection);
+      const action = sink.start(statusCode, headers);
       if (action === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
       else {
         responseAction = action;
--- a/forward/hop.ts
+++ b/forward/hop.ts
@@ -10,15 +10,10 @@
 export interface ResponseSink {
   /**
    * Called with the head of the final response; `headers` are end-to-end names and values in turn.
-   * `endsWithConnection`: the body has no declared length and ends with the connection. The head is
-   * sent with the first part of the body or at the end, so that the head of another response can
-   * replace it if this one fails before.
+   * The head is sent with the first part of the body or at the end, so that the head of another
+   * response can replace it if this one fails before.
    */
-  readonly start: (
-    status: number,
-    headers: string[],
-    endsWithConnection?: boolean,
-  ) => ResponseAction;
+  readonly start: (status: number, headers: string[]) => ResponseAction;
   /** Returns false when the sink is full; wait for the callback given to `onDrain`. */
   readonly write: (chunk: Buffer) => boolean;
   readonly onDrain: (resume: () => void) => void;
--- a/gateway/_attempt_race.ts
+++ b/gateway/_attempt_race.ts
@@ -50,9 +50,9 @@
         signal: attempt.signal,
         sink: {
           ...sink,
-          start: (status, headers, endsWithConnection) => {
+          start: (status, headers) => {
             if (winner !== undefined) return 'cancel';
-            const action = sink.start(status, headers, endsWithConnection);
+            const action = sink.start(status, headers);
             if (action === 'deliver') {
               winner = attempt;
               abortLosers();
--- a/gateway/_held_errors.ts
+++ b/gateway/_held_errors.ts
@@ -5,8 +5,6 @@
 export interface ErrorResponse {
   readonly status: number;
   readonly headers: string[];
-  /** The body has no declared length and ends with the connection. */
-  readonly endsWithConnection: boolean;
   readonly body: Buffer;
 }
 
@@ -31,7 +29,7 @@
  *
  * @example
  * const held = openHeldError();
- * held.hold({ status: 500, headers, endsWithConnection: false, body });
+ * held.hold({ status: 500, headers, body });
  * const outcome = held.deliver(sink);
  * held.release();
  */
@@ -57,10 +55,8 @@
       },
       deliver: (sink) => {
         if (held === undefined) return undefined;
-        const {
-          status, headers, endsWithConnection, body,
-        } = held;
-        if (sink.start(status, headers, endsWithConnection) !== 'deliver') return undefined;
+        const { status, headers, body } = held;
+        if (sink.start(status, headers) !== 'deliver') return undefined;
         if (body.length > 0) sink.write(body);
         sink.end();
         return { kind: 'answered', status };
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -172,6 +172,8 @@
   readonly hop: 'local' | 'peer';
   /** Timeout of the routes in ms. */
   readonly timeoutMs?: number;
+  /** Returns the address through which the peer listener at an address is reached. */
+  readonly reachThrough?: (address: string) => Promise<string>;
 }
 
 /**
@@ -179,13 +181,14 @@
  * with the hop `local`; all others are behind peer listeners and get what the first one failed.
  */
 export const startPath = async (
-  { hop, timeoutMs = ROUTE_TIMEOUT_MS }: PathOptions,
+  { hop, timeoutMs = ROUTE_TIMEOUT_MS, reachThrough = async (address) => address }: PathOptions,
   ...responds: readonly Respond[]
 ) => {
   const table = createRoutes(timeoutMs);
   const destinations = await Promise.all(responds.map((respond, index) => (
     startDestination(`i-${index}`, respond)
   )));
+  const addresses = await Promise.all(destinations.map(({ address }) => reachThrough(address)));
   const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   const budget = () => createServiceRetryBudget({
     clock, ratio: 1, extraRetries: 1000, windowMs: 10_000, nodeCount: () => 1,
@@ -200,7 +203,7 @@
         return {
           kind: index === 0 ? hop : 'peer',
           node: found.name,
-          address: found.address,
+          address: addresses[index]!,
           instance: found.name,
           reason: 'next',
           version: 0,
@@ -235,6 +238,7 @@
     /** Outcomes of the requests, as the caller listener reports them. */
     outcomes,
     slotsInUse: () => destinations.reduce((sum, { queue }) => sum + queue.load().inFlight, 0),
+    callerAddress: address,
     call: (options: CallOptions = {}) => sendAsCaller(address, options),
     stop: async () => {
       listener.kill();
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -102,7 +102,7 @@
 test('a response is sent to its end although its bookkeeping fails', async () => {
   const { listener, address } = await setUp(async (_, __, sink) => {
     const body = Buffer.alloc(16_777_216, 'x');
-    sink.start(200, ['content-length', String(body.length)], false);
+    sink.start(200, ['content-length', String(body.length)]);
     sink.write(body);
     sink.end();
     throw new Error('the bookkeeping failed');
@@ -167,7 +167,7 @@
   const priorities: number[] = [];
   const { listener, address } = await setUp(async ({ priority }, _, sink) => {
     priorities.push(priority);
-    sink.start(200, [], false);
+    sink.start(200, []);
     sink.end();
     return { kind: 'answered', status: 200 };
   });
--- a/gateway/held_error_test.ts
+++ b/gateway/held_error_test.ts
@@ -93,7 +93,7 @@
   const holdOne = (bytes: number) => {
     const held = openHeldError();
     held.hold({
-      status: 500, headers: [], endsWithConnection: false, body: Buffer.alloc(bytes),
+      status: 500, headers: [], body: Buffer.alloc(bytes),
     });
     return held;
   };
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -132,7 +132,7 @@
       body: request.body,
     }, {
       ...sink,
-      start: (status, headers, endsWithConnection) => {
+      start: (status, headers) => {
         const isNotRun = findHeader(headers, headerNames.notRun) !== undefined;
         if (isNotRun || status === STATUS_MISDIRECTED) {
           notRunStatus = status;
@@ -143,7 +143,7 @@
           if (findHeader(headers, 'content-encoding') !== undefined) fault = 'is encoded';
           if (fault !== undefined) return 'cancel';
         }
-        const use = sink.start(status, headers, endsWithConnection);
+        const use = sink.start(status, headers);
         if (use === 'drain') failedStatus = status;
         return use;
       },
--- /dev/null
+++ b/gateway/killed_node_test.ts
@@ -0,0 +1,121 @@
+import { once } from 'node:events';
+import {
+  type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { splitAddress } from '../http/mod.ts';
+import { type CallerAnswer, sendAsCaller } from './_test_caller.ts';
+import { answerSoundly, type Respond, startPath } from './_test_path.ts';
+
+const test = suite('a node killed within an answer');
+
+const TIMEOUT_MS = 2000;
+/** Time in ms between the parts of an answer. */
+const PART_INTERVAL_MS = 20;
+const PARTS = 10;
+const PART = 'x'.repeat(1000);
+
+/** Heads of answers, with the framing of a part and what ends the answer. */
+const framings = {
+  'without a length': { head: '\r\n', frame: (part: string) => part, end: '' },
+  'in chunks': {
+    head: 'transfer-encoding: chunked\r\n\r\n',
+    frame: (part: string) => `${part.length.toString(16)}\r\n${part}\r\n`,
+    end: '0\r\n\r\n',
+  },
+  'with a length': {
+    head: `content-length: ${PARTS * PART.length}\r\n\r\n`, frame: (part: string) => part, end: '',
+  },
+} as const;
+
+const respondSlowly = (name: keyof typeof framings): Respond => (socket, headOf) => {
+  const { head, frame, end } = framings[name];
+  socket.write(headOf() + head);
+  let parts = 0;
+  const timer = setInterval(() => {
+    parts += 1;
+    socket.write(frame(PART));
+    if (parts < PARTS) return;
+    clearInterval(timer);
+    socket.end(end);
+  }, PART_INTERVAL_MS);
+  socket.once('close', () => clearInterval(timer));
+};
+
+/**
+ * Starts a relay in front of a listener. Its end is that of a killed process: the system closes the
+ * connections in the regular way, and what the process has not sent is lost.
+ */
+const startRelay = async (address: string) => {
+  const { host, port } = splitAddress(address);
+  const sockets = new Set<Socket>();
+  const server = createServer((inner) => {
+    const outer = connect(port, host);
+    for (const [from, to] of [[inner, outer], [outer, inner]] as const) {
+      sockets.add(from);
+      from.on('data', (data) => to.write(data)).on('error', () => undefined);
+      from.once('close', () => to.destroy());
+    }
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    kill: () => {
+      server.close();
+      for (const socket of sockets) {
+        socket.removeAllListeners('data').resume();
+        socket.end();
+      }
+    },
+  };
+};
+
+type Relay = Awaited<ReturnType<typeof startRelay>>;
+
+/** Calls through a node that is killed after a time in ms, on the first or on the second hop. */
+const callThroughKilled = async (
+  killed: 'caller' | 'peer',
+  respond: Respond,
+  killAfterMs: number | undefined,
+): Promise<CallerAnswer> => {
+  const relays: Relay[] = [];
+  const reachThrough = async (address: string) => {
+    const relay = await startRelay(address);
+    relays.push(relay);
+    return relay.address;
+  };
+  const path = await startPath({
+    hop: 'peer', timeoutMs: TIMEOUT_MS, ...(killed === 'peer' ? { reachThrough } : {}),
+  }, respond, answerSoundly);
+  const address = killed === 'peer' ? path.callerAddress : await reachThrough(path.callerAddress);
+  const answered = sendAsCaller(address, { kind: 'download' });
+  if (killAfterMs !== undefined) setTimeout(() => relays[0]!.kill(), killAfterMs);
+  const answer = await answered;
+  for (const relay of relays) relay.kill();
+  await path.stop();
+  return answer;
+};
+
+// An answer without a length was passed on without one, so the regular close of a killed node's
+// connections ended it, and callers took a part of it for the whole.
+for (const killed of ['caller', 'peer'] as const) {
+  for (const name of Object.keys(framings) as (keyof typeof framings)[]) {
+    test(`an answer ${name} is not complete when the ${killed}'s node is killed`, async () => {
+      const killAfterMs = 4.5 * PART_INTERVAL_MS;
+      const answer = await callThroughKilled(killed, respondSlowly(name), killAfterMs);
+      assert.is(answer.status, 200);
+      assert.ok(answer.bodyBytes > 0 && answer.bodyBytes < PARTS * PART.length);
+      assert.not(answer.isComplete);
+    });
+
+    test(`an answer ${name} is whole when the ${killed}'s node lives`, async () => {
+      const answer = await callThroughKilled(killed, respondSlowly(name), undefined);
+      assert.ok(answer.isComplete);
+      assert.is(answer.bodyBytes, PARTS * PART.length);
+    });
+  }
+}
+
+test.run();
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -150,7 +150,7 @@
       body: request.body,
     }, {
       ...sink,
-      start: (status, headers, endsWithConnection) => {
+      start: (status, headers) => {
         const refusal = decodeRefusal(status, rawHeaders, address);
         if (refusal !== undefined) {
           const reachedInstance = findHeader(rawHeaders, hopHeaders.reached) !== undefined;
@@ -162,7 +162,7 @@
           if (isStopping && detector.recordClosed(address)) onSuspect(address, 'the node stops');
           return 'drain';
         }
-        const use = sink.start(status, headers, endsWithConnection);
+        const use = sink.start(status, headers);
         if (use === 'drain') failedStatus = status;
         return use;
       },
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -121,17 +121,17 @@
       let reportSilence = () => undefined as void;
       const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
         ...sink,
-        start: (status, headers, endsWithConnection = false) => {
+        start: (status, headers) => {
           const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
           headAt = clock.now();
           if (!isSilent) {
             sends += 1;
             if (isServerError && idempotent && mayRetry()) {
-              errorHead = { status, headers, endsWithConnection };
+              errorHead = { status, headers };
               return 'drain';
             }
           }
-          return sink.start(status, headers, endsWithConnection);
+          return sink.start(status, headers);
         },
         drained: (body) => {
           if (errorHead !== undefined) heldError.hold({ ...errorHead, body });
--- a/gateway/unhandled_failure_test.ts
+++ b/gateway/unhandled_failure_test.ts
@@ -73,7 +73,7 @@
 
 test('a response that has begun is cut when the handling throws', async () => {
   const { status } = await sendThrough((_, __, sink) => {
-    sink.start(200, ['content-length', '10'], false);
+    sink.start(200, ['content-length', '10']);
     sink.write(Buffer.from('hello'));
     return Promise.reject(new Error('a defect'));
   });
--- a/http/bulk_sink.ts
+++ b/http/bulk_sink.ts
@@ -39,8 +39,8 @@
   };
 
   return {
-    start: (status, headers, endsWithConnection) => {
-      const action = unpaced.start(status, headers, endsWithConnection);
+    start: (status, headers) => {
+      const action = unpaced.start(status, headers);
       if (action === 'deliver') {
         body?.discard();
         body = open();
@@ -75,9 +75,9 @@
  */
 export const createCountedSink = (sink: ResponseSink, link: EgressLink): ResponseSink => ({
   ...sink,
-  start: (status, headers, endsWithConnection) => {
+  start: (status, headers) => {
     link.count(HEAD_BYTES);
-    return sink.start(status, headers, endsWithConnection);
+    return sink.start(status, headers);
   },
   write: (chunk) => {
     link.count(chunk.length);
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -12,7 +12,6 @@
 interface PendingHead {
   readonly status: number;
   readonly headers: string[];
-  readonly endsWithConnection: boolean;
 }
 
 /** Throws an error if Node.js would not send a response with this status and these headers. */
@@ -47,19 +46,16 @@
 
   const writePendingHead = () => {
     if (pendingHead === undefined) return;
-    const { status, headers, endsWithConnection } = pendingHead;
+    const { status, headers } = pendingHead;
     pendingHead = undefined;
-    if (endsWithConnection) {
-      // Chunked encoding would make a response look complete whose sender may have aborted it.
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-    }
+    // A body without a declared length is sent in chunks. If it ended with its connection, it would
+    // look complete when this process is killed, as the system then closes the connection.
     response.writeHead(status, headers);
     buffer?.track(response);
   };
 
   return {
-    start: (status, headers, endsWithConnection = false) => {
+    start: (status, headers) => {
       if (response.destroyed) return 'cancel';
       addHeaders(headers);
       try {
@@ -68,7 +64,7 @@
         // The upstream sent a header that is not valid in HTTP.
         return 'cancel';
       }
-      pendingHead = { status, headers, endsWithConnection };
+      pendingHead = { status, headers };
       return 'deliver';
     },
     write: (chunk) => {
