Remember departures until their instances have ended

Cause: an acknowledgement was given whether or not anything kept the departure. It was a state of the tracked instance, and lasted in the node's entry, whose lease of 3.5 s ends before a slow restart does.

Departures are now remembered by instance and start, tracked or not, and stored under a key of the node with a lease of its own before they are acknowledged (at most 600 ms later). A new process gives its instance no requests before it has read them, for at most 10 s while the store does not answer. A departure that names an earlier life leaves a later one in use.

--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -3,11 +3,14 @@
   decodeNodeEntry, type DirectoryInstance, type InstanceState, MAX_ENTRY_LENGTH, MAX_SLOTS,
   type NodeEntry,
 } from './node_entry.ts';
+export {
+  createDepartureLog, type Departure, type DepartureLog, type DepartureLogOptions,
+} from './departure_log.ts';
 export {
   createNodeRegistration, type NodeRegistration, type NodeRegistrationOptions,
 } from './node_registration.ts';
 export {
-  NODES_PREFIX, nodeKey, KEY_PREFIX, RANGES_PREFIX, rangesKey,
+  departuresKey, NODES_PREFIX, nodeKey, KEY_PREFIX, RANGES_PREFIX, rangesKey,
 } from './store_keys.ts';
 export {
   createStoreView, type StoreView, type StoreViewOptions, type ViewChange,
--- a/directory/store_keys.ts
+++ b/directory/store_keys.ts
@@ -5,6 +5,12 @@
 /** Prefix of the key-range records of keyed services. */
 export const RANGES_PREFIX = `${KEY_PREFIX}ranges/`;
 
+/** Prefix of the departures, which only the node that wrote them reads. */
+const DEPARTURES_PREFIX = 'marjoramhollow.departures/';
+
+/** Returns the store key of the departures that a node has acknowledged. */
+export const departuresKey = (node: string): string => `${DEPARTURES_PREFIX}${node}`;
+
 /**
  * Returns the store key of a node's entry.
  *
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createFleetView, createNodeRegistration, createStoreView, createViewHistory, type FleetView,
-  KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry, type NodeRegistration, RANGES_PREFIX,
-  type StoreView, type ViewHistory,
+  createDepartureLog, createFleetView, createNodeRegistration, createStoreView, createViewHistory,
+  type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry, type NodeRegistration,
+  RANGES_PREFIX, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import { createInstanceClient } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -183,14 +183,19 @@
 
   kernel.register<InstanceRegistry>({
     name: 'registry',
-    needs: ['clock', 'logger', 'contracts'],
+    needs: ['clock', 'store', 'logger', 'contracts'],
     start: (find) => {
       const clock = find<Clock>('clock');
+      const logger = find<Logger>('logger');
+      const departureLog = createDepartureLog({
+        clock, store: find<LeasedStore>('store'), node: settings.node, logger,
+      });
       const { namesService } = find<ContractSource>('contracts');
       const registry = createInstanceRegistry({
         clock,
         node: settings.node,
-        logger: find<Logger>('logger'),
+        logger,
+        departureLog,
         instanceAddress: settings.instanceAddress,
         announceIntervalMs: settings.announceIntervalMs,
         drainMs: settings.bounds.drainMs,
@@ -205,7 +210,10 @@
           onConnectionRefused,
         }),
       });
-      return { service: registry };
+      return {
+        service: registry,
+        stop: runUntilStop(departureLog.run, { clock, logger, part: 'departures' }),
+      };
     },
   });
 
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -1,6 +1,7 @@
 import { createFakeClock, type FakeClock } from '../clock/mod.ts';
 import {
-  createFleetView, createNodeRegistration, createStoreView, type NodeEntry, KEY_PREFIX,
+  createDepartureLog, createFleetView, createNodeRegistration, createStoreView, type NodeEntry,
+  KEY_PREFIX,
 } from '../directory/mod.ts';
 import {
   type Announcement,
@@ -106,7 +107,11 @@
     });
     const fleet = createFleetView({ clock, view });
     const right = createRightToGrant(clock, RIGHT_TO_GRANT_MS);
+    const departureLog = createDepartureLog({
+      clock, store, node, logger: noopLogger,
+    });
     const registry = createInstanceRegistry({
+      departureLog,
       clock,
       node,
       logger: noopLogger,
@@ -164,6 +169,7 @@
     });
     view.follow(stopping.signal);
     own.run(stopping.signal);
+    departureLog.run(stopping.signal);
     running = {
       stop: () => stopping.abort(),
       reconcile: () => {
--- a/fleet/control_listeners.ts
+++ b/fleet/control_listeners.ts
@@ -2,7 +2,9 @@
 import {
   createHttpServer, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
-import { decodeAnnouncement, encodeAnnouncementAnswer, nodePaths } from '../platform/mod.ts';
+import {
+  decodeAnnouncement, decodeStartTime, encodeAnnouncementAnswer, nodePaths,
+} from '../platform/mod.ts';
 import type { Announcement, AnnouncementAnswer } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
@@ -19,9 +21,12 @@
   };
   readonly logger: Logger;
   readonly isReady: () => boolean;
-  /** Handles an announcement; returns undefined if a newer one has already been handled. */
-  readonly announce: (announcement: Announcement) => AnnouncementAnswer | undefined;
-  readonly leave: (instance: string) => void;
+  /**
+   * Handles an announcement and resolves once it may be confirmed; to undefined if it is of no use.
+   */
+  readonly announce: (announcement: Announcement) => Promise<AnnouncementAnswer | undefined>;
+  /** Handles a departure and resolves once it may be confirmed. */
+  readonly leave: (instance: string, startedAt: number | undefined) => Promise<unknown>;
   readonly metricsText: () => Promise<string>;
 }
 
@@ -53,20 +58,20 @@
   };
 
   const announcements: Routes = {
-    [`POST ${nodePaths.announce}`]: ({ parameters, body }) => {
+    [`POST ${nodePaths.announce}`]: async ({ parameters, body }) => {
       const instance = parameters.id ?? '';
       const announcement = decodeAnnouncement(instance, body);
       if (announcement === undefined) {
         logger.warn({ instance }, 'rejected a malformed announcement');
         return jsonResponse({ error: 'the announcement cannot be read' }, 400);
       }
-      const text = encodeAnnouncementAnswer(options.announce(announcement) ?? {
+      const text = encodeAnnouncementAnswer(await options.announce(announcement) ?? {
         grants: undefined,
       });
       return { status: 200, contentType: 'application/json', text };
     },
-    [`POST ${nodePaths.leave}`]: ({ parameters }) => {
-      options.leave(parameters.id ?? '');
+    [`POST ${nodePaths.leave}`]: async ({ parameters, body }) => {
+      await options.leave(parameters.id ?? '', decodeStartTime(body));
       return jsonResponse({});
     },
   };
--- a/fleet/control_listeners_test.ts
+++ b/fleet/control_listeners_test.ts
@@ -21,11 +21,11 @@
     addresses: { readiness: address, announcements: address, metrics: address },
     logger: noopLogger,
     isReady: () => true,
-    announce: () => {
+    announce: async () => {
       announcements += 1;
       return undefined;
     },
-    leave: () => undefined,
+    leave: async () => undefined,
     metricsText: async () => 'metrics',
   });
   const [announceAddress, metricsAddress, readinessAddress] = await Promise.all(
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -1,15 +1,21 @@
 import type { Clock } from '../clock/mod.ts';
-import type { DirectoryInstance } from '../directory/mod.ts';
+import type { DepartureLog, DirectoryInstance } from '../directory/mod.ts';
 import type { InstanceClient, LocalInstance } from '../gateway/mod.ts';
 import type { Announcement, Owner } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { createLocalDepartures, isSameProcess } from './_local_departures.ts';
 
 /** Tracks the instance of this host by its announcements and by probes of its address. */
 export interface InstanceRegistry {
   /** Applies an announcement; returns false if a newer one has already been applied. */
   readonly announce: (announcement: Announcement) => boolean;
-  /** Starts draining an instance that deregisters itself. */
-  readonly leave: (instance: string) => void;
+  /**
+   * Starts draining an instance that deregisters itself, and remembers its departure also if it is
+   * not tracked. Without a start time, any process of this identifier that runs so far leaves.
+   */
+  readonly leave: (instance: string, startedAt?: number) => void;
+  /** Resolves once all departures so far are stored, or after a limit; then they are confirmed. */
+  readonly departuresStored: () => Promise<unknown>;
   /** Applies what an earlier process of this node knew of the instance. */
   readonly restore: (former: DirectoryInstance) => void;
   readonly local: () => LocalInstance | undefined;
@@ -43,6 +49,8 @@
   readonly isKnownService: (service: string) => boolean;
   /** Time in ms after an acknowledged departure by which no new request may reach the instance. */
   readonly drainMs: number;
+  /** Keeps acknowledged departures beyond this process. */
+  readonly departureLog: Pick<DepartureLog, 'add' | 'departures' | 'isSettled'>;
   readonly openPort: (announcement: Announcement, onRefused: () => void) => InstanceClient;
   /** Reports whether the address refuses connections. */
   readonly isConnectionRefused: (address: string) => Promise<boolean>;
@@ -93,8 +101,7 @@
   let isAddressUnused = false;
   /** The last announcement of a process that may have replaced the tracked one. */
   let contender: Announcement | undefined;
-  /** The instance that had left before this process started. */
-  let departed: DirectoryInstance | undefined;
+  const departures = createLocalDepartures(clock, options.departureLog);
 
   const notify = () => {
     for (const listener of listeners) listener();
@@ -168,17 +175,14 @@
   };
 
   /** An instance that has deregistered may go on announcing itself as ready until it ends. */
-  const drainDeparted = (current: TrackedInstance) => {
-    const { instance, startedAt } = current.announcement;
-    if (departed?.instance !== instance || departed.startedAt !== startedAt) return;
-    startDraining(current, 'it left before this node was restarted');
-    Object.assign(current, { closesAt: Math.min(current.closesAt, clock.now()) });
+  const drainDeparted = (current: TrackedInstance, reason: string) => {
+    const leftAt = departures.leftAt(current.announcement);
+    if (leftAt === undefined) return;
+    startDraining(current, reason);
+    const closesAt = Math.max(clock.now(), leftAt + options.drainMs * DRAIN_ACCEPT_FRACTION);
+    Object.assign(current, { closesAt: Math.min(current.closesAt, closesAt) });
   };
 
-  const isSameProcess = (left: Announcement, right: Announcement) => (
-    left.instance === right.instance && left.startedAt === right.startedAt
-  );
-
   const isStale = (
     { announcement: known }: TrackedInstance,
     { startedAt, sequence }: Announcement,
@@ -230,9 +234,12 @@
       notify();
     } else tracked.hasSucceeded = true;
     Object.assign(tracked, { announcement, announcedAt: clock.now() });
-    drainDeparted(tracked);
-    if (announcement.isDraining) startDraining(tracked, 'it announced that it is draining');
-    else if (tracked.state === 'down' || tracked.state === 'silent') {
+    if (announcement.isDraining) {
+      departures.record(announcement.instance, announcement.startedAt);
+      drainDeparted(tracked, 'it announced that it is draining');
+    } else if (departures.leftAt(announcement) !== undefined) {
+      drainDeparted(tracked, 'it had left');
+    } else if (tracked.state === 'down' || tracked.state === 'silent') {
       setState(tracked, 'ready', 'its announcements resumed');
     }
     return true;
@@ -240,19 +247,22 @@
 
   return {
     announce,
-    leave: (instance) => {
-      if (tracked?.announcement.instance === instance) startDraining(tracked, 'it deregistered');
+    leave: (instance, startedAt) => {
+      const known = tracked?.announcement.instance === instance ? tracked.announcement : undefined;
+      departures.record(instance, startedAt ?? known?.startedAt);
+      if (tracked !== undefined) drainDeparted(tracked, 'it deregistered');
     },
+    departuresStored: departures.stored,
     restore: (former) => {
-      if (former.state !== 'draining') return;
-      departed = former;
-      if (tracked !== undefined) drainDeparted(tracked);
+      departures.restore(former);
+      if (tracked !== undefined) drainDeparted(tracked, 'it left before this node was restarted');
     },
     local: () => tracked && {
       instance: tracked.announcement.instance,
       service: tracked.announcement.service,
       state: tracked.state,
-      acceptsUntil: tracked.closesAt,
+      // Until the departures are known, the instance may be one that has left.
+      acceptsUntil: departures.isSettled() ? tracked.closesAt : -Infinity,
       client: tracked.port,
     },
     owner: () => tracked && {
--- a/fleet/restart_test.ts
+++ b/fleet/restart_test.ts
@@ -2,8 +2,8 @@
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
 import {
-  createNodeRegistration, createStoreView, type DirectoryInstance, KEY_PREFIX, type NodeEntry,
-  nodeKey,
+  createDepartureLog, createNodeRegistration, createStoreView, type DirectoryInstance, KEY_PREFIX,
+  type NodeEntry, nodeKey,
 } from '../directory/mod.ts';
 import { CONTRACT_KEY } from '../platform/mod.ts';
 import { type Announcement, createRightToGrant, RIGHT_TO_GRANT_MS } from '../ranges/mod.ts';
@@ -33,7 +33,11 @@
   clock: ReturnType<typeof createFakeClock>,
   store: ReturnType<typeof createMemoryLeasedStore>,
 ) => {
+  const departureLog = createDepartureLog({
+    clock, store, node: 'host-1', logger: noopLogger,
+  });
   const registry = createInstanceRegistry({
+    departureLog,
     clock,
     node: 'host-1',
     logger: noopLogger,
@@ -68,6 +72,7 @@
   registry.onChange(() => own.update(entry(registry.describe())));
   const stopping = new AbortController();
   own.run(stopping.signal);
+  departureLog.run(stopping.signal);
   return { registry, kill: () => stopping.abort() };
 };
 
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -174,12 +174,17 @@
   const tasks = startPeriodicTasks(kernel, logger);
   registerGauges(kernel);
 
-  const announce = (announcement: Announcement) => {
+  const announce = async (announcement: Announcement) => {
     if (!registry.announce(announcement)) return undefined;
     const answer = ranges.answer(announcement);
     tasks.reconcile();
+    await registry.departuresStored();
     return answer;
   };
+  const leave = (instance: string, startedAt?: number) => {
+    registry.leave(instance, startedAt);
+    return registry.departuresStored();
+  };
 
   const { host } = splitAddress(settings.listen.readiness);
   const controlListeners = createControlListeners({
@@ -192,7 +197,7 @@
     logger,
     isReady: () => contracts.routes() !== undefined && view.isLoaded() && !localNode.isStopping(),
     announce,
-    leave: registry.leave,
+    leave,
     metricsText: kernel.find<NodeMetrics>('metrics').text,
   });
   for (const listener of controlListeners) await listener.listen();
