--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -28,6 +28,8 @@
   readonly logger?: Logger;
   /** Time in ms that an instance takes for a request. */
   readonly workMs?: number;
+  /** Timeout of all routes in ms. */
+  readonly timeoutMs?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -44,7 +46,9 @@
   ...(extraPrefix === undefined ? [] : [{ prefix: extraPrefix, kind: 'safe', service: 'orders' }]),
 ];
 
-const contractOf = (version: number, extraPrefix?: string) => JSON.stringify({
+const DEFAULT_TIMEOUT_MS = 1000;
+
+const contractOf = (version: number, timeoutMs: number, extraPrefix?: string) => JSON.stringify({
   version,
   resources: [
     ...routesOf(extraPrefix).map(({ prefix, kind, service }) => ({
@@ -54,7 +58,7 @@
         host: 'shop.example',
         prefix,
         route_type: kind,
-        timeout: '1000ms',
+        timeout: `${timeoutMs}ms`,
         target_latency: '300ms',
         priority: prefix === '/calls/' ? 0 : 1,
         max_attempts: 2,
@@ -86,7 +90,9 @@
 /** Starts one host, with a node and an instance, for each of the services. */
 export const startLoopbackFleet = async (
   services: readonly string[],
-  { logger = noopLogger, workMs, reachStoreThrough }: LoopbackFleetOptions = {},
+  {
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, reachStoreThrough,
+  }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
   const server = await startPlatformStore(clock);
@@ -95,7 +101,7 @@
     const found = (await server.store.get(key))._unsafeUnwrap();
     await server.store.transact({
       expect: [{ key, revision: found?.revision ?? 0 }],
-      puts: [{ key, value: contractOf(version, extraPrefix) }],
+      puts: [{ key, value: contractOf(version, timeoutMs, extraPrefix) }],
     });
   };
   await publish(1);
