--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -212,6 +212,7 @@
     let retryMs = MIN_RETRY_MS;
     let needsReload = true;
     while (!signal.aborted) {
+      let hasWaited = false;
       if (needsReload) {
         needsReload = !await load();
         setConnected(!needsReload, 'listing the entries failed');
@@ -223,11 +224,14 @@
         } else {
           // The store keeps its history during an outage, so the next watch misses no changes.
           needsReload = changes.error.kind === 'compacted';
+          // A timeout is pause enough, and the changes that it has held up are due.
+          hasWaited = changes.error.isTimeout;
           if (!needsReload) setConnected(false, changes.error.message);
         }
       }
       retryMs = connected ? MIN_RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 1.5);
-      await clock.sleep(connected ? pauseMs() : retryMs * (0.5 + Math.random()), signal);
+      const backoffMs = retryMs * (0.5 + Math.random());
+      await clock.sleep(connected || hasWaited ? pauseMs() : backoffMs, signal);
     }
   };
 
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -32,10 +32,10 @@
 
 /**
  * A connection may go silent for good. A version that is acknowledged meanwhile must be in force
- * once the node counts as sound again, 3 s later, so the wait, the margin and a retry fit in.
+ * once the node counts as sound again, 3 s later, so the wait, the margin and a new watch fit in.
  */
-const CONTRACT_WAIT_MS = 1300;
-const CONTRACT_MARGIN_MS = 1000;
+const CONTRACT_WAIT_MS = 1900;
+const CONTRACT_MARGIN_MS = 800;
 /**
  * Delay in ms between two watches of the entries and records. A relay collects more changes, since
  * each costs a call and is sent to, and decoded by, tens of nodes.
