Bound the memory of all request bodies of a process

Nothing bounded the sum of the bodies that a node buffers, as the review had noted: each may have 64 MiB, and four at once took a node past 350 MiB, whose process then ends with the requests of all its callers. A body of a known length was kept twice while it was put together.

Both listeners of a process now share a budget of 80 MiB: one body of the largest size that is allowed, beside ordinary ones. A body that finds no room is refused at once as not run, with a time to come back, before it is read if its length is known. A body of a known length is read into one buffer.

A chunked body is still kept twice while its parts are joined.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,11 +1,11 @@
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
-  createCallerListener, createDispatchQueue, createLocalForwarder, createPeerClient,
-  createPeerListener, createRequestSender, createServiceRetryBudget,
-  createShutdownTracker, createSlotQueue, createTargetChooser, type DispatchQueue,
-  type LocalForwarder, MAX_BUFFERED_BYTES, type PeerClient, type RequestSender,
-  type ShutdownTracker, type SlotQueue, type TargetChooser,
+  type BodyBudget, createBodyBudget, createCallerListener, createDispatchQueue,
+  createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
+  createServiceRetryBudget, createShutdownTracker, createSlotQueue, createTargetChooser,
+  type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES,
+  type PeerClient, type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -73,6 +73,12 @@
     }),
   });
 
+  kernel.register<BodyBudget>({
+    name: 'bodies',
+    needs: [],
+    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
+  });
+
   kernel.register<DispatchQueue>({
     name: 'dispatch',
     needs: ['clock'],
@@ -226,7 +232,7 @@
     name: 'peer-listener',
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
-      'event-loop', 'dispatch', 'succession', 'relay-activity', 'contracts',
+      'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts',
     ],
     start: async (find) => {
       const service = createPeerListener({
@@ -234,6 +240,7 @@
         address: settings.listen.peer,
         requestIdHeader: platformHeaders.requestId,
         dispatch: find<DispatchQueue>('dispatch'),
+        bodies: find<BodyBudget>('bodies'),
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
@@ -250,7 +257,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch',
+      'dispatch', 'bodies',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -261,6 +268,7 @@
         callerService,
         routes: find<ContractSource>('contracts').routes,
         dispatch: find<DispatchQueue>('dispatch'),
+        bodies: find<BodyBudget>('bodies'),
         sender: find<RequestSender>('attempts'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -1,44 +1,96 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import { hasBody } from '../http/mod.ts';
+import type { BodyReservation } from './body_budget.ts';
+
+/** Why a body was given up: its rest is discarded, and it was not passed on. */
+export type BodyRejection = 'late' | 'too large' | 'no room';
+
+/** Limits of a body. */
+export interface BodyLimits {
+  readonly clock: Clock;
+  /** Maximum size in bytes. */
+  readonly maxBytes: number;
+  /** Time in ms of the clock by which the whole body must have arrived. */
+  readonly deadlineAt: number;
+  /** Memory of the body; the caller releases it once the body is not used any more. */
+  readonly reservation: BodyReservation;
+}
+
+/** Collects the parts of a body, without a second copy if its length is known. */
+const createCollector = (declaredBytes: number | undefined) => {
+  if (declaredBytes === undefined) {
+    const chunks: Buffer[] = [];
+    return {
+      add: (chunk: Buffer) => {
+        chunks.push(chunk);
+      },
+      finish: () => Buffer.concat(chunks),
+    };
+  }
+  const body = Buffer.allocUnsafeSlow(declaredBytes);
+  let filled = 0;
+  return {
+    add: (chunk: Buffer) => {
+      filled += chunk.copy(body, filled);
+    },
+    finish: () => body.subarray(0, filled),
+  };
+};
+
+const declaredLength = ({ headers }: IncomingMessage): number | undefined => {
+  const text = headers['content-length'];
+  return text === undefined ? undefined : Number(text);
+};
 
 /**
  * Buffers the whole body of a request, so that a retry can send it to another instance.
  *
  * @param message The request.
- * @param maxBytes Maximum size of the body in bytes.
- * @param clock Clock of the deadline.
- * @param deadlineAt Time in ms of the clock by which the whole body must have arrived.
+ * @param limits Size, deadline and memory.
  * @returns The body; null when there is none; undefined when the connection closed early;
- * otherwise why it was given up, and its rest is discarded.
+ * otherwise why it was given up.
  */
 export const readBody = (
   message: IncomingMessage,
-  maxBytes: number,
-  clock: Clock,
-  deadlineAt: number,
-): Promise<Buffer | null | undefined | 'late' | 'too large'> => new Promise((resolve) => {
+  {
+    clock, maxBytes, deadlineAt, reservation,
+  }: BodyLimits,
+): Promise<Buffer | null | undefined | BodyRejection> => new Promise((resolve) => {
   if (!hasBody(message)) {
     message.resume();
     resolve(null);
     return;
   }
-  const chunks: Buffer[] = [];
+  const declaredBytes = declaredLength(message);
+  if (declaredBytes !== undefined && declaredBytes > maxBytes) {
+    message.resume();
+    resolve('too large');
+    return;
+  }
+  if (declaredBytes !== undefined && !reservation.reserve(declaredBytes)) {
+    message.resume();
+    resolve('no room');
+    return;
+  }
+  let collector: ReturnType<typeof createCollector> | undefined = createCollector(declaredBytes);
   let receivedBytes = 0;
-  let isGivenUp = false;
-  const giveUp = (reason: 'late' | 'too large') => {
-    isGivenUp = true;
-    chunks.length = 0;
+  const giveUp = (reason: BodyRejection) => {
+    collector = undefined;
     resolve(reason);
   };
   const remainingMs = Math.max(0, Math.ceil(deadlineAt - clock.now()));
   const cancel = clock.schedule(remainingMs, () => giveUp('late'));
   message.on('data', (chunk: Buffer) => {
+    if (collector === undefined) return;
     receivedBytes += chunk.length;
     if (receivedBytes > maxBytes) giveUp('too large');
-    else if (!isGivenUp) chunks.push(chunk);
+    else if (declaredBytes === undefined && !reservation.reserve(chunk.length)) giveUp('no room');
+    else collector.add(chunk);
+  });
+  message.once('end', () => {
+    if (collector !== undefined) resolve(collector.finish());
   });
-  message.once('end', () => resolve(Buffer.concat(chunks)));
   message.once('close', () => {
     cancel();
     resolve(undefined);
--- a/gateway/_refusals.ts
+++ b/gateway/_refusals.ts
@@ -28,6 +28,11 @@
   refuseNotRun('the node is saturated', SATURATED_RETRY_AFTER_MS, { step: 'dispatch.wait' })
 );
 
+/** Creates a refusal for a request whose body finds no room beside those of other requests. */
+export const refuseBody = () => (
+  refuseNotRun('no memory is left for the body', SATURATED_RETRY_AFTER_MS, { step: 'body.read' })
+);
+
 /** Creates a refusal for a request that an instance may have run. */
 export const refuseUnknown = (
   reason: string,
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -6,10 +6,10 @@
 import { noopLogger } from '../telemetry/mod.ts';
 import { type CallOptions, sendAsCaller } from './_test_caller.ts';
 import {
-  createCallerListener, createDispatchQueue, createInstanceClient, createLocalForwarder,
-  createPeerClient,
-  createPeerListener, createRequestSender, createRouteTable, createServiceRetryBudget,
-  createShutdownTracker, createSlotQueue, MAX_BUFFERED_BYTES,
+  type BodyBudget, createCallerListener, createDispatchQueue, createInstanceClient,
+  createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
+  createRouteTable, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
+  MAX_BUFFERED_BYTES,
 } from './mod.ts';
 
 const clock = createSystemClock();
@@ -118,16 +118,31 @@
   clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
 });
 
+/** Options of a path. */
+export interface PathOptions {
+  /** Whether the first instance is on the caller's host. */
+  readonly hop: 'local' | 'peer';
+  /** Timeout of the routes in ms. */
+  readonly timeoutMs?: number;
+  /** Slots of each instance. */
+  readonly slots?: number;
+  /** Memory for request bodies of the caller listener, and of each peer listener. */
+  readonly bodies?: BodyBudget;
+  readonly peerBodies?: BodyBudget;
+  /** Returns the address through which the peer listener at an address is reached. */
+  readonly reachThrough?: (address: string) => Promise<string>;
+}
+
 /** Starts the destination of one raw instance, with a peer listener in front of it. */
-const startDestination = async (name: string, respond: Respond) => {
+const startDestination = async (name: string, respond: Respond, options: PathOptions) => {
   const instance = await startRawInstance(respond);
   const link = createLink();
-  const queue = createSlotQueue({ clock, slots: () => 4, instance: () => name });
+  const queue = createSlotQueue({ clock, slots: () => options.slots ?? 4, instance: () => name });
   const client = createInstanceClient({
     clock,
     address: instance.address,
     instance: name,
-    connections: 6,
+    connections: (options.slots ?? 4) + 2,
     headers: HEADERS,
     onConnectionRefused: () => undefined,
   });
@@ -147,6 +162,7 @@
     address: '127.0.0.1:0',
     requestIdHeader: HEADERS.requestId,
     local: forwarder,
+    ...(options.peerBodies === undefined ? {} : { bodies: options.peerBodies }),
     shutdown: createShutdownTracker(clock),
     logger: noopLogger,
     handleControlMessage: async () => undefined,
@@ -166,27 +182,20 @@
   };
 };
 
-/** Options of a path. */
-export interface PathOptions {
-  /** Whether the first instance is on the caller's host. */
-  readonly hop: 'local' | 'peer';
-  /** Timeout of the routes in ms. */
-  readonly timeoutMs?: number;
-  /** Returns the address through which the peer listener at an address is reached. */
-  readonly reachThrough?: (address: string) => Promise<string>;
-}
-
 /**
  * Starts a path from a caller listener to raw instances. The first instance is on the caller's host
  * with the hop `local`; all others are behind peer listeners and get what the first one failed.
  */
 export const startPath = async (
-  { hop, timeoutMs = ROUTE_TIMEOUT_MS, reachThrough = async (address) => address }: PathOptions,
+  options: PathOptions,
   ...responds: readonly Respond[]
 ) => {
+  const {
+    hop, timeoutMs = ROUTE_TIMEOUT_MS, bodies, reachThrough = async (address) => address,
+  } = options;
   const table = createRoutes(timeoutMs);
   const destinations = await Promise.all(responds.map((respond, index) => (
-    startDestination(`i-${index}`, respond)
+    startDestination(`i-${index}`, respond, options)
   )));
   const addresses = await Promise.all(destinations.map(({ address }) => reachThrough(address)));
   const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
@@ -227,6 +236,7 @@
     routes: () => table,
     sender,
     link: createLink(),
+    ...(bodies === undefined ? {} : { bodies }),
     shutdown: createShutdownTracker(clock),
     logger: noopLogger,
     random: () => 0,
@@ -239,7 +249,7 @@
     outcomes,
     slotsInUse: () => destinations.reduce((sum, { queue }) => sum + queue.load().inFlight, 0),
     callerAddress: address,
-    call: (options: CallOptions = {}) => sendAsCaller(address, options),
+    call: (call: CallOptions = {}) => sendAsCaller(address, call),
     stop: async () => {
       listener.kill();
       await peers.close();
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -17,9 +17,12 @@
   abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal,
   respondBeforeBody, respondToError, respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
-import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
+import {
+  MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
+} from './_limits.ts';
 import { readBody } from './_read_body.ts';
-import { refuseSaturated } from './_refusals.ts';
+import { refuseBody, refuseSaturated } from './_refusals.ts';
+import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
 import {
   type AttemptOutcome, failureReason, isBulk, type GatewayRequest,
@@ -52,6 +55,7 @@
   const { clock, headers: headerNames, link } = options;
   const logger = options.logger.forComponent('caller');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
+  const bodies = options.bodies ?? createBodyBudget(MAX_KEPT_BODY_BYTES);
   const isFirstRequest = createFirstRequestCheck();
 
   const toRequest = createCallerRequestReader(options);
@@ -105,8 +109,8 @@
     requestId: string | undefined,
     { name, kind }: PublishedRoute,
     response: ServerResponse,
+    { refusal }: Extract<AttemptOutcome, { kind: 'refused' }>,
   ) => {
-    const { refusal } = refuseSaturated();
     const headers = [headerNames.requestId, requestId ?? '', ...retryAfterHeader(refusal)];
     respondBeforeBody(clock, response, refusal.status, headers, formatRefusal(refusal));
     options.onRequestEnd?.({
@@ -114,7 +118,7 @@
     });
     logger.warn({
       request: requestId, route: name, notRun: true,
-    }, 'request refused: the node is saturated');
+    }, `request refused: ${refusal.reason}`);
   };
 
   const serve = async (
@@ -129,7 +133,16 @@
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
       return;
     }
-    const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
+    const reservation = bodies.open();
+    response.once('close', reservation.release);
+    const body = await readBody(message, {
+      clock, maxBytes: MAX_BODY_BYTES, deadlineAt: request.deadlineAt, reservation,
+    });
+    if (body === 'no room') {
+      response.shouldKeepAlive = false;
+      refuseAtOnce(request.requestId, route, response, refuseBody());
+      return;
+    }
     if (body === undefined || typeof body === 'string') {
       response.shouldKeepAlive = false;
       const [status, text] = body === 'late'
@@ -233,7 +246,7 @@
       latencyTargetAt: arrivedAt + route.targetLatencyMs,
     });
     if (!isTimely) {
-      refuseAtOnce(requestId, route, response);
+      refuseAtOnce(requestId, route, response, refuseSaturated());
       return;
     }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -2,6 +2,7 @@
 import type { EgressLink } from '../http/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import type { CallerHeaders } from './_caller_request.ts';
+import type { BodyBudget } from './body_budget.ts';
 import type { DispatchQueue } from './dispatch_queue.ts';
 import type { RequestSender } from './request_sender.ts';
 import type { AttemptOutcome } from './request.ts';
@@ -34,6 +35,8 @@
   readonly sender: RequestSender;
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
+  /** Memory for request bodies; by default, a budget of this listener's own. */
+  readonly bodies?: BodyBudget;
   readonly shutdown: ShutdownTracker;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -1,6 +1,6 @@
 /** The request path of a node, from a caller's connection to the instance that runs the request. */
 export type { CallerHeaders } from './_caller_request.ts';
-export { MAX_BUFFERED_BYTES } from './_limits.ts';
+export { MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES } from './_limits.ts';
 export {
   createRequestSender, type RequestSender, type RequestSenderOptions,
 } from './request_sender.ts';
@@ -30,6 +30,7 @@
   createDispatchQueue, type DispatchDecision, type DispatchQueue, type DispatchQueueOptions,
   type DispatchRequest,
 } from './dispatch_queue.ts';
+export { type BodyBudget, type BodyReservation, createBodyBudget } from './body_budget.ts';
 export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
 export {
   createPeerClient, type PeerClientOptions, type PeerClient, type PeerSendResult,
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -13,9 +13,14 @@
   respondToError, respondWithJson,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
-import { MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES } from './_limits.ts';
+import {
+  MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
+} from './_limits.ts';
 import { readBody } from './_read_body.ts';
-import { refuseNotRun, refuseSaturated, refuseUnknown } from './_refusals.ts';
+import {
+  refuseBody, refuseNotRun, refuseSaturated, refuseUnknown,
+} from './_refusals.ts';
+import { type BodyBudget, createBodyBudget } from './body_budget.ts';
 import type { DispatchQueue } from './dispatch_queue.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
@@ -34,6 +39,8 @@
   readonly local: LocalForwarder;
   /** Link of this host, over which responses are sent. */
   readonly link: EgressLink;
+  /** Memory for request bodies; by default, a budget of this listener's own. */
+  readonly bodies?: BodyBudget;
   readonly shutdown: ShutdownTracker;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
@@ -94,6 +101,7 @@
   const { clock, local, link } = options;
   const logger = options.logger.forComponent('peer');
   const responseBuffer = createResponseBuffer(MAX_BUFFERED_BYTES);
+  const bodies = options.bodies ?? createBodyBudget(MAX_KEPT_BODY_BYTES);
   const isFirstRequest = createFirstRequestCheck();
 
   const isAccepting = () => {
@@ -159,15 +167,19 @@
     }
     // A request that will be refused must not delay the end of the requests in flight.
     if (isAccepting()) response.once('close', options.shutdown.trackRequest(request.deadlineAt));
-    const body = await readBody(message, MAX_BODY_BYTES, clock, request.deadlineAt);
+    const reservation = bodies.open();
+    response.once('close', reservation.release);
+    const body = await readBody(message, {
+      clock, maxBytes: MAX_BODY_BYTES, deadlineAt: request.deadlineAt, reservation,
+    });
     if (body === undefined) {
       resetConnection(response);
       return;
     }
     if (typeof body === 'string') {
-      const { refusal } = refuseNotRun(`the body is ${body}`, BODY_RETRY_AFTER_MS, {
-        step: 'peer.receive',
-      });
+      const { refusal } = body === 'no room'
+        ? refuseBody()
+        : refuseNotRun(`the body is ${body}`, BODY_RETRY_AFTER_MS, { step: 'peer.receive' });
       logger.warn({
         request: request.requestId, notRun: true, reason: refusal.message,
       }, 'refused request from peer');
