--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -4,6 +4,7 @@
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
 import { toStrings } from './_to_strings.ts';
+import { unsentResponsesOfProcess } from './_unsent_responses.ts';
 
 /** An HTTP request to send over a connection pool. */
 export interface ExchangeRequest {
@@ -68,8 +69,6 @@
 const MAX_DISCARDED_BYTES = 65_536;
 /** Longest time in ms for which an unwanted body is read so that its connection can be reused. */
 const MAX_DRAIN_MS = 100;
-/** Largest number of bytes that wait for the receiver of a response that cannot be paused. */
-const MAX_UNSENT_BYTES = 16_777_216;
 /** Far above what a live peer sends, which is a few in a second. */
 const MAX_INTERIM_RESPONSES = 1000;
 const MIN_FINAL_STATUS = 200;
@@ -115,6 +114,7 @@
   /** Body bytes that are still to come; infinite if the response states no length. */
   let missingBytes = Number.POSITIVE_INFINITY;
   let drainEndsAt = Infinity;
+  const unsent = unsentResponsesOfProcess.add(() => sink.unsentBytes?.() ?? 0);
   let cause: FailureCause = 'connection';
   let isSettled = false;
   let lastProgressAt = clock.now();
@@ -274,7 +274,7 @@
       if (!closesConnection && missingBytes > 0) {
         current.pause();
         sink.onDrain(resumeBody);
-      } else if ((sink.unsentBytes?.() ?? 0) > MAX_UNSENT_BYTES) {
+      } else if (unsent.isExceeded()) {
         fail('stall', new Error('the receiver reads too slowly'));
       }
     },
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -98,6 +98,38 @@
   }
 }
 
+/** The instances of some hosts have as many slots, and a host must not keep 16 MB for each. */
+const MANY_SLOTS = 9;
+/** The smallest hosts have 250 MB; a node needs 100 MB, and up to 84 MB for request bodies. */
+const MAX_NODE_GROWTH = 66_000_000;
+
+// Guards against endless bodies in all slots at once, each within the limit of a single one.
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(closingBodies)) {
+    test(`${hop}: ${name} in all slots at once takes little memory`, async () => {
+      const path = await startPath({ hop, slots: MANY_SLOTS }, respond, answerSoundly);
+      const stopWatching = watchBuffers();
+      const answers = Array.from({ length: MANY_SLOTS }, () => (
+        path.call({ kind: 'download', reader: 'stalled' })
+      ));
+      const isEnded = await isMet(
+        () => path.outcomes.length === MANY_SLOTS,
+        ROUTE_TIMEOUT_MS + MAX_OVERRUN_MS,
+      );
+      const growth = stopWatching();
+      const { outcomes } = path;
+      const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+      await path.stop();
+      await Promise.all(answers);
+      assert.ok(isEnded, 'requests go on');
+      assert.ok(outcomes.every((outcome) => outcome === 'truncated'), outcomes.join());
+      const nodes = hop === 'local' ? 1 : 2;
+      assert.ok(growth < nodes * MAX_NODE_GROWTH, `buffers grew by ${growth} bytes`);
+      assert.ok(areSlotsFree, 'a slot was not released');
+    });
+  }
+}
+
 const bytesAfterAnswer: Readonly<Record<string, string>> = {
   'line breaks': '\r\n',
   garbage: '\0x',
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -82,7 +82,9 @@
         resume();
       });
     },
-    unsentBytes: () => response.writableLength + pendingWrites * WRITE_OVERHEAD_BYTES,
+    unsentBytes: () => (
+      response.destroyed ? 0 : response.writableLength + pendingWrites * WRITE_OVERHEAD_BYTES
+    ),
     flushHead: () => {
       writePendingHead();
       response.flushHeaders();
