--- a/fleet/departures_test.ts
+++ b/fleet/departures_test.ts
@@ -2,30 +2,17 @@
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
 import { createDepartureLog, departuresKey } from '../directory/mod.ts';
-import type { Announcement } from '../ranges/mod.ts';
 import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { createInstanceRegistry } from './instance_registry.ts';
 import { runUntilStop } from './run_until_stop.ts';
+import { createTestRegistry, TEST_DRAIN_MS, testAnnouncement } from './_test_registry.ts';
 
 const test = suite('departures');
 
-const DRAIN_MS = 2000;
 /** The lease of a node's entry is shorter. */
 const LONG_RESTART_MS = 6000;
 
-const announcement: Announcement = {
-  instance: 'i-1',
-  startedAt: 5,
-  address: '10.0.0.1:1',
-  service: 'ledger',
-  slots: 4,
-  isDraining: false,
-  sequence: 7,
-  coldMs: 0,
-  held: [],
-  released: [],
-};
+const announcement = { ...testAnnouncement, sequence: 7 };
 
 const setUp = () => {
   const clock = createFakeClock();
@@ -34,20 +21,7 @@
     const departureLog = createDepartureLog({
       clock, store, node: 'host-1', logger: noopLogger,
     });
-    const registry = createInstanceRegistry({
-      clock,
-      node: 'host-1',
-      logger: noopLogger,
-      departureLog,
-      instanceAddress: '10.0.0.1:1',
-      announceIntervalMs: 870,
-      drainMs: DRAIN_MS,
-      isKnownService: () => true,
-      openPort: () => ({
-        send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
-      }),
-      isConnectionRefused: async () => false,
-    });
+    const registry = createTestRegistry(clock, departureLog);
     const kill = runUntilStop(departureLog.run, { clock, logger: noopLogger, part: 'departures' });
     return { registry, kill };
   };
@@ -78,7 +52,7 @@
   await clock.advance(500);
   node.registry.announce(announcement);
   assert.is(node.registry.local()?.state, 'draining');
-  assert.ok(node.registry.local()!.acceptsUntil <= leftAt + DRAIN_MS / 2);
+  assert.ok(node.registry.local()!.acceptsUntil <= leftAt + TEST_DRAIN_MS / 2);
   node.registry.announce({ ...announcement, sequence: 8 });
   assert.is(node.registry.local()?.state, 'draining');
   await node.kill();
--- a/fleet/restart_test.ts
+++ b/fleet/restart_test.ts
@@ -6,29 +6,16 @@
   type NodeEntry, nodeKey,
 } from '../directory/mod.ts';
 import { CONTRACT_KEY } from '../platform/mod.ts';
-import { type Announcement, createRightToGrant, RIGHT_TO_GRANT_MS } from '../ranges/mod.ts';
+import { createRightToGrant, RIGHT_TO_GRANT_MS } from '../ranges/mod.ts';
 import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { createTestCluster } from './_test_cluster.ts';
 import { createContractSource } from './contract_source.ts';
-import { createInstanceRegistry } from './instance_registry.ts';
 import { runUntilStop } from './run_until_stop.ts';
+import { createTestRegistry, testAnnouncement as announcement } from './_test_registry.ts';
 
 const test = suite('restart');
 
-const announcement: Announcement = {
-  instance: 'i-1',
-  startedAt: 5,
-  address: '10.0.0.1:1',
-  service: 'ledger',
-  slots: 4,
-  isDraining: false,
-  sequence: 1,
-  coldMs: 0,
-  held: [],
-  released: [],
-};
-
 const startNode = (
   clock: ReturnType<typeof createFakeClock>,
   store: ReturnType<typeof createMemoryLeasedStore>,
@@ -36,20 +23,7 @@
   const departureLog = createDepartureLog({
     clock, store, node: 'host-1', logger: noopLogger,
   });
-  const registry = createInstanceRegistry({
-    departureLog,
-    clock,
-    node: 'host-1',
-    logger: noopLogger,
-    instanceAddress: '10.0.0.1:1',
-    announceIntervalMs: 870,
-    drainMs: 2000,
-    isKnownService: (service) => service === 'ledger',
-    openPort: () => ({
-      send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
-    }),
-    isConnectionRefused: async () => false,
-  });
+  const registry = createTestRegistry(clock, departureLog);
   const entry = (instance?: DirectoryInstance): NodeEntry => ({
     node: 'host-1',
     startedAt: clock.wallTime(),
