Keep relays and their followers current when watches are started anew

Cause: the relays' own watches were given up for new ones, which counted as a lost store, so they refused their followers at that moment. The followers went on by themselves, but the watch of their contract, which waits for 25 s while relays answer, stayed on its silent connection.

A watch that is given up although the store answers no longer disconnects its view, and the next one follows at once. A node whose relays have failed starts the watch of its contract anew, with the short wait.

--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Clock } from '../clock/mod.ts';
 import type { ClockReading } from '../ranges/mod.ts';
 import type {
@@ -34,6 +35,8 @@
   readonly refresh: () => Promise<boolean>;
   /** Reads all entries and then watches the store until `signal` aborts. */
   readonly follow: (signal: AbortSignal) => Promise<void>;
+  /** Gives up the watch in progress and sends a new one, as its wait may have become too long. */
+  readonly restartWatch: () => void;
 }
 
 /** A change of a store view. */
@@ -104,6 +107,7 @@
   const currentListeners: ((sent: ClockReading) => void)[] = [];
   /** Number of calls sent so far, and the last one sent of those that made the view current. */
   let sentCalls = 0;
+  let abortWatch: () => void = () => undefined;
   let currentCall = 0;
 
   const notify = (keys: readonly string[], mayMissChanges: boolean) => {
@@ -217,16 +221,25 @@
         needsReload = !await load();
         setConnected(!needsReload, 'listing the entries failed');
       } else {
-        const changes = await applyChangesOf(watch, { waitMs: waitMs(), signal, ...margin });
+        const restart = new AbortController();
+        abortWatch = () => restart.abort();
+        const changes = await Promise.race([
+          applyChangesOf(watch, {
+            waitMs: waitMs(), signal: AbortSignal.any([signal, restart.signal]), ...margin,
+          }),
+          once(restart.signal, 'abort').then(() => undefined),
+        ]);
+        abortWatch = () => undefined;
         if (signal.aborted) return;
-        if (changes.isOk()) {
+        const error = changes?.isErr() ? changes.error : undefined;
+        if (changes?.isOk()) {
           setConnected(true, '');
-        } else {
+        } else if (error !== undefined && !error.isGivenUp) {
           // The store keeps its history during an outage, so the next watch misses no changes.
-          needsReload = changes.error.kind === 'compacted';
+          needsReload = error.kind === 'compacted';
           // A timeout is pause enough, and the changes that it has held up are due.
-          hasWaited = changes.error.isTimeout;
-          if (!needsReload) setConnected(false, changes.error.message);
+          hasWaited = error.isTimeout;
+          if (!needsReload) setConnected(false, error.message);
         }
       }
       retryMs = connected ? MIN_RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 1.5);
@@ -250,6 +263,7 @@
     onCurrent: (listener) => {
       currentListeners.push(listener);
     },
+    restartWatch: () => abortWatch(),
     startCurrencyCheck: () => {
       const sentBefore = sentCalls;
       return () => currentCall > sentBefore;
--- a/errors/domain_errors.ts
+++ b/errors/domain_errors.ts
@@ -12,15 +12,20 @@
 export interface StoreErrorOptions extends StepErrorOptions {
   /** True if the call got no reply in time; its connection may have gone silent. */
   readonly isTimeout?: boolean;
+  /** True if the call was given up although the store answers; it may be sent again at once. */
+  readonly isGivenUp?: boolean;
 }
 
 /** A failed call to the key-value store. */
 export class StoreError extends StepError {
   readonly isTimeout: boolean;
 
+  readonly isGivenUp: boolean;
+
   constructor(readonly kind: StoreErrorKind, reason: string, options: StoreErrorOptions) {
     super(reason, options);
     this.isTimeout = options.isTimeout ?? false;
+    this.isGivenUp = options.isGivenUp ?? false;
   }
 }
 
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -115,6 +115,10 @@
         direct: store.watch,
         fetchChanges: fetchPeerChanges,
         isAsked: find<RelayActivity>('relay-activity').isAsked,
+        onNoRelay: () => {
+          find<RelayAnswers>('relay-answers').clear();
+          if (kernel.isRunning('contracts')) find<ContractSource>('contracts').restartWatch();
+        },
         onContractRevision: (revision) => {
           find<RelayAnswers>('relay-answers').record();
           // The contracts start later than this view.
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -14,6 +14,8 @@
   readonly keyedServices: () => readonly string[];
   /** Store revision of the newest contract that this process has seen; 0 before the first one. */
   readonly storedRevision: () => number;
+  /** Gives up the watch in progress and sends a new one, as its wait may be too long. */
+  readonly restartWatch: () => void;
   /** Reads the contract if a peer has seen a newer one, which the own watch may have missed. */
   readonly noteStoredRevision: (revision: number) => void;
 }
@@ -67,6 +69,7 @@
     namesService: (service) => namedServices.has(service),
     keyedServices: () => keyedServices,
     storedRevision,
+    restartWatch: view.restartWatch,
     noteStoredRevision: (revision) => {
       if (isRefreshing || revision <= storedRevision() || !view.isLoaded()) return;
       isRefreshing = true;
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -20,6 +20,8 @@
   readonly fetchChanges: typeof fetchPeerChanges;
   /** Reports whether peers have asked this node for changes recently. */
   readonly isAsked: () => boolean;
+  /** Called when no relay has the changes, so that this node follows the store by itself. */
+  readonly onNoRelay?: () => void;
   /** Called with the revision of the newest contract that a relay knows. */
   readonly onContractRevision?: (revision: number) => void;
   readonly logger: Logger;
@@ -74,6 +76,8 @@
   /** Records an answer. */
   readonly record: () => void;
   readonly isRecent: () => boolean;
+  /** Forgets the last answer, after which the relays have failed. */
+  readonly clear: () => void;
 }
 
 const createRecency = (clock: Clock, maxAgeMs: number) => {
@@ -83,6 +87,9 @@
       recordedAt = clock.now();
     },
     isRecent: () => clock.now() - recordedAt < maxAgeMs,
+    clear: () => {
+      recordedAt = -Infinity;
+    },
   };
 };
 
@@ -156,7 +163,8 @@
   };
 
   return async (prefix, after, wait) => {
-    for (const [index, relay] of chooseRelays().entries()) {
+    const relays = chooseRelays();
+    for (const [index, relay] of relays.entries()) {
       let reason = 'it does not have the changes';
       try {
         // The time that the first relay took is missing for changes that are due meanwhile.
@@ -179,6 +187,7 @@
       recordFailure(relay.peerAddress);
       logger.warn({ peer: relay.node, after, reason }, 'failed to fetch changes from a relay');
     }
+    if (relays.length > 0) options.onNoRelay?.();
     return direct(prefix, after, wait);
   };
 };
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -29,6 +29,7 @@
   let direct = 0;
   const answers = new Map<string, PeerChanges>();
   const activity = createRelayActivity(clock);
+  let losses = 0;
   const watchOf = (node: string) => createRelayedChanges({
     clock,
     node,
@@ -43,10 +44,20 @@
       return answers.get(address);
     },
     isAsked: activity.isAsked,
+    onNoRelay: () => {
+      losses += 1;
+    },
     logger: noopLogger,
   });
   return {
-    clock, store, watchOf, asked, answers, activity, directCalls: () => direct,
+    clock,
+    store,
+    watchOf,
+    asked,
+    answers,
+    activity,
+    directCalls: () => direct,
+    losses: () => losses,
   };
 };
 
@@ -65,6 +76,19 @@
   assert.is(directCalls(), 1);
 });
 
+// A node whose relays had failed went on with the watch of its contract, which waits for far longer
+// than a contract may take, since the relays name new ones.
+test('a node is told when no relay has the changes', async () => {
+  const { watchOf, answers, losses } = setUp(30);
+  const watch = watchOf('host-10');
+  answers.set('10.0.0.1:1', NO_CHANGES);
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(losses(), 0);
+  answers.clear();
+  await watch('p/', 0, { waitMs: 0 });
+  assert.is(losses(), 1);
+});
+
 test('in a large failure domain only the relays watch the store directly', async () => {
   const { watchOf, answers, directCalls } = setUp(30);
   for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
--- a/store/abort_stale_watches.ts
+++ b/store/abort_stale_watches.ts
@@ -60,7 +60,7 @@
       controller.signal.addEventListener('abort', () => resolve(err(new StoreError(
         'unavailable',
         'the watch was aborted because the store recovered',
-        { step: STEP, peer: '' },
+        { step: STEP, peer: '', isGivenUp: true },
       ))), { once: true });
     });
     const result = await Promise.race([
