Show for which failure domain an owner refuses, and how many connections wait

The line of a refused request of a peer names the failure domain of its sender, and marjoramhollow_peer_refusals_total counts by step and failure domain. The line of a busy event loop counts the requests on new connections. A request that is refused before its body is read names the step and the peer. No decision changes; telemetry tests pass, the one for the line of the event loop expects the new field.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -15,6 +15,7 @@
 import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlMessageHandler } from './_control_messages.ts';
+import { createFailureDomainLookup } from './_failure_domains.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { RangeController } from './range_controller.ts';
 import type { LocalNode } from './_state_services.ts';
@@ -232,7 +233,8 @@
     name: 'peer-listener',
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
-      'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts',
+      'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
+      'metrics',
     ],
     start: async (find) => {
       const service = createPeerListener({
@@ -246,6 +248,8 @@
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
+        failureDomainOf: createFailureDomainLookup(find<FleetView>('fleet')),
+        onRefusal: find<NodeMetrics>('metrics').recordPeerRefusal,
         handleControlMessage: createControlMessageHandler(find),
       });
       await service.listen();
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -117,7 +117,7 @@
       route: name, kind, outcome: 'refused', reason: refusal.step, durationMs: 0,
     });
     logger.warn({
-      request: requestId, route: name, notRun: true,
+      request: requestId, route: name, notRun: true, step: refusal.step, peer: refusal.peer,
     }, `request refused: ${refusal.reason}`);
   };
 
@@ -152,13 +152,14 @@
       return;
     }
     const bodyReadAt = clock.now();
+    const isFirst = isFirstRequest(message);
     const decision = await options.dispatch.wait({
       ...request,
       isFromPeer: false,
-      isFirstOnConnection: isFirstRequest(message),
+      isFirstOnConnection: isFirst,
       isGone: () => request.signal.aborted,
     });
-    options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
+    options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone', isFirst);
     if (decision === 'gone') return;
     if (options.shutdown.phase() === 'closed') {
       refuseWhileStopping(request.requestId, route, response);
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -45,6 +45,10 @@
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
+  /** Returns the failure domain of the node at an IP address, if it is known. */
+  readonly failureDomainOf?: (ipAddress: string) => string | undefined;
+  /** Called when a request is refused, with the step and the sender's failure domain. */
+  readonly onRefusal?: (step: string, failureDomain: string) => void;
   /** Handles a control message from a peer; resolves to undefined for an unknown path. */
   readonly handleControlMessage: (path: string) => Promise<string | undefined>;
 }
@@ -189,13 +193,14 @@
       return;
     }
     const bodyReadAt = clock.now();
+    const isFirst = isFirstRequest(message);
     const decision = await options.dispatch.wait({
       ...request,
       isFromPeer: true,
-      isFirstOnConnection: isFirstRequest(message),
+      isFirstOnConnection: isFirst,
       isGone: () => request.signal.aborted,
     });
-    options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone');
+    options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone', isFirst);
     if (decision === 'gone') return;
     const stopInterimResponses = startInterimResponses(response);
     const addLoad = (headers: string[]) => {
@@ -225,8 +230,11 @@
     }
     if (outcome.kind === 'refused') {
       const { refusal, reachedInstance } = outcome;
+      const fromDomain = options.failureDomainOf?.(message.socket.remoteAddress ?? '') ?? '';
+      options.onRefusal?.(refusal.step, fromDomain);
       logger.warn({
         ...fields,
+        fromDomain,
         notRun: refusal.outcome === 'not run',
         reason: refusal.message,
         ...refusalFields(outcome),
--- a/telemetry/event_loop_monitor.ts
+++ b/telemetry/event_loop_monitor.ts
@@ -18,8 +18,10 @@
    *
    * @param delayMs Time in ms that the event loop took to process the pending events.
    * @param isGone The caller disconnected meanwhile.
+   * @param isOnNewConnection The request is the first one on its connection, which may have waited
+   *   to be accepted.
    */
-  readonly record: (delayMs: number, isGone: boolean) => void;
+  readonly record: (delayMs: number, isGone: boolean, isOnNewConnection?: boolean) => void;
   /** Returns the fraction of the last interval in which the event loop was not idle. */
   readonly utilization: () => number;
   /** Returns the longest delay in ms of the last interval. */
@@ -45,6 +47,7 @@
   readonly usage: ProcessUsage;
   requests: number;
   gone: number;
+  newConnections: number;
   totalDelayMs: number;
   maxDelayMs: number;
 }
@@ -80,6 +83,7 @@
     usage: options.usage(),
     requests: 0,
     gone: 0,
+    newConnections: 0,
     totalDelayMs: 0,
     maxDelayMs: 0,
   });
@@ -87,7 +91,7 @@
 
   const endInterval = () => {
     const {
-      startedAt, usage, requests, gone, totalDelayMs, maxDelayMs,
+      startedAt, usage, requests, gone, newConnections, totalDelayMs, maxDelayMs,
     } = interval;
     interval = startInterval();
     const activeMs = interval.usage.activeMs - usage.activeMs;
@@ -101,15 +105,17 @@
       processorMs: Math.round(interval.usage.processorMs - usage.processorMs),
       requests,
       gone,
+      newConnections,
       delayMs: Math.round(totalDelayMs / Math.max(1, requests)),
       maxDelayMs: Math.round(maxDelayMs),
     }, 'requests wait for the event loop');
   };
 
   return {
-    record: (delayMs, isGone) => {
+    record: (delayMs, isGone, isOnNewConnection = false) => {
       interval.requests += 1;
       if (isGone) interval.gone += 1;
+      if (isOnNewConnection) interval.newConnections += 1;
       interval.totalDelayMs += delayMs;
       interval.maxDelayMs = Math.max(interval.maxDelayMs, delayMs);
       if (clock.now() - interval.startedAt >= INTERVAL_MS) endInterval();
--- a/telemetry/event_loop_monitor_test.ts
+++ b/telemetry/event_loop_monitor_test.ts
@@ -36,7 +36,7 @@
   const { monitor, lines, use } = setUp();
   for (let request = 0; request < 40; request += 1) {
     use(45, 5);
-    monitor.record(request % 2 === 0 ? 20 : 40, request === 3);
+    monitor.record(request % 2 === 0 ? 20 : 40, request === 3, request < 8);
   }
   assert.is(lines.length, 2);
   assert.equal(lines[0], {
@@ -45,6 +45,7 @@
     processorMs: 225,
     requests: 20,
     gone: 1,
+    newConnections: 8,
     delayMs: 30,
     maxDelayMs: 40,
   });
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -6,6 +6,8 @@
 export interface NodeMetrics {
   readonly recordRequest: (kind: string, outcome: string, durationMs: number) => void;
   readonly recordRefusal: (step: string) => void;
+  /** Counts a refusal of a request that a node in a failure domain had forwarded to this one. */
+  readonly recordPeerRefusal: (step: string, domain: string) => void;
   /** Counts a refusal by the slot queue of the local instance. */
   readonly recordSlotRefusal: (cause: string) => void;
   readonly recordQueueTime: (durationMs: number) => void;
@@ -57,6 +59,12 @@
     labelNames: ['step'],
     registers,
   });
+  const peerRefusals = new Counter({
+    name: `${PREFIX}peer_refusals_total`,
+    help: 'Refused requests of other nodes by the step that refused and the failure domain',
+    labelNames: ['step', 'domain'],
+    registers,
+  });
   const queueTimes = new Histogram({
     name: `${PREFIX}queue_duration_ms`,
     help: 'Wait of a request for a slot of the local instance',
@@ -113,6 +121,7 @@
       durations.observe({ kind }, durationMs);
     },
     recordRefusal: (step) => refusals.inc({ step }),
+    recordPeerRefusal: (step, domain) => peerRefusals.inc({ step, domain }),
     recordSlotRefusal: (cause) => slotRefusals.inc({ cause }),
     recordRun: (kind, durationMs) => runs.observe({ kind }, durationMs),
     recordAttempt: (target, outcome, durationMs) => attempts.observe(
