Show refusals after a hop and instances that refuse at once, without a network

The simulated fleet gets a key, whose owner is the first instance of its service, and instances that refuse.

--- a/gateway/_simulated_fleet.ts
+++ b/gateway/_simulated_fleet.ts
@@ -16,6 +16,8 @@
   /** Factor on the processing time of the instance. */
   readonly slowness: number;
   readonly linkMbps: number;
+  /** The instance refuses all requests at once, and looks healthy otherwise. */
+  readonly shedsAll?: boolean;
 }
 
 /** A route of a simulated fleet. Times are in ms. */
@@ -29,6 +31,8 @@
   readonly meanMs: number;
   readonly responseBytes: number;
   readonly requestBytes: number;
+  /** All requests are for one key, which the first instance of the service owns. */
+  readonly isKeyed?: boolean;
   /** Nested calls that a run makes after its own processing, with their probability. */
   readonly calls?: {
     readonly route: string;
@@ -47,6 +51,10 @@
   refused: number;
   /** Failed after a run, for example since a nested call was refused. */
   failed: number;
+  /** Attempts that a node refused after another one had forwarded them to it. */
+  refusedByPeers: number;
+  /** Attempts that an instance refused. */
+  refusedByInstances: number;
   readonly durations: number[];
   /** Bytes of responses that crossed failure domains. */
   crossDomainBytes: number;
@@ -64,7 +72,7 @@
 
 /**
  * Creates a fleet of the modules that decide about requests (chooser, sender, slot queue), joined
- * by simulated links with a delay and a bandwidth. Requests have no keys.
+ * by simulated links with a delay and a bandwidth.
  */
 export const createSimulatedFleet = (
   hosts: readonly SimulatedHost[],
@@ -75,7 +83,15 @@
   const random = createRandom(seed);
   const routeByName = new Map(routes.map((route) => [route.name, route]));
   const results = new Map(routes.map((route): [string, RouteResult] => [route.name, {
-    asked: 0, inTime: 0, late: 0, refused: 0, failed: 0, durations: [], crossDomainBytes: 0,
+    asked: 0,
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    failed: 0,
+    refusedByPeers: 0,
+    refusedByInstances: 0,
+    durations: [],
+    crossDomainBytes: 0,
   }]));
   const nodes = new Map<string, SimulatedNode>();
   const members = hosts.map(({ failureDomain, service, slots }, index) => member(
@@ -90,7 +106,7 @@
     kind: route.kind,
     priority: route.priority,
     workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
-    key: undefined,
+    key: route.isKeyed ? 0 : undefined,
     instance: undefined,
     method: 'GET',
     path: route.name,
@@ -167,6 +183,9 @@
     onCrossDomain: (route, bytes) => {
       results.get(route)!.crossDomainBytes += bytes;
     },
+    onRefusal: (route, by) => {
+      results.get(route)![by] += 1;
+    },
   };
   for (const index of hosts.keys()) {
     nodes.set(`n${index}`, createSimulatedNode(index, context));
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -3,8 +3,10 @@
 import { createEgressLink, type EgressLink } from '../http/mod.ts';
 import { createFakeMembership } from '../membership/mod.ts';
 import type { MemberUpdate } from '../proto/mod.ts';
+import { assignRanges, emptyRecord, KEY_COUNT } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { refuseNotRun } from './_refusals.ts';
 import type { SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
 import { createSimulatedLink, type SimulatedLink } from './_simulated_link.ts';
 import {
@@ -39,6 +41,7 @@
     deadlineAt: number,
   ) => Promise<boolean>;
   readonly onCrossDomain: (route: string, bytes: number) => void;
+  readonly onRefusal: (route: string, by: 'refusedByPeers' | 'refusedByInstances') => void;
 }
 
 /** Heads of requests and responses. */
@@ -68,6 +71,10 @@
   })
 );
 
+const createRecordOf = (node: string) => assignRanges(emptyRecord, [
+  { from: 0, to: KEY_COUNT - 1, owner: { node, instance: `i-${node}`, startedAt: 1 } },
+]);
+
 /** Creates the node of one host. */
 export const createSimulatedNode = (
   index: number,
@@ -96,6 +103,13 @@
     sink: ResponseSink,
   ): Promise<AttemptOutcome> => {
     const route = routeByName.get(request.path)!;
+    if (host.shedsAll) {
+      context.onRefusal(route.name, 'refusedByInstances');
+      return {
+        ...refuseNotRun('the instance refused with 503', 100, { step: 'instance.send' }),
+        reachedInstance: true,
+      };
+    }
     await clock.sleep(context.draw(route.meanMs) * host.slowness);
     const { sender } = nodes.get(name)!;
     const succeeded = await runNested(sender, route, request.deadlineAt);
@@ -149,6 +163,9 @@
     if (peer.host.failureDomain !== host.failureDomain) {
       context.onCrossDomain(route.name, bytes);
     }
+    if (outcome.kind === 'refused' && !outcome.reachedInstance) {
+      context.onRefusal(route.name, 'refusedByPeers');
+    }
     if (outcome.kind !== 'answered') return { outcome, load };
     const action = sink.start(status, []);
     return {
@@ -163,7 +180,14 @@
   const sender = createRequestSender({
     clock,
     chooser: createTargetChooser({
-      self: name, random, viewOf, recordOf: () => undefined, nodeOf: () => undefined,
+      self: name,
+      random,
+      viewOf,
+      recordOf: (service) => {
+        const owner = hosts.findIndex((one) => one.service === service);
+        return { record: createRecordOf(`n${owner}`), version: 1 };
+      },
+      nodeOf: (node) => ({ node, address: `${node}:2`, isSuspect: false }),
     }),
     local,
     peers: {
