Leave the third request in the test of early answers, not the second

The assertions on what the instance receives held in all runs: no bytes but requests and their bodies.

Cause, in the test: the caller left its second request 20 ms after it was made. If the node has read that body by then, it has queued the request behind the unsent rest of the first body, and closes the connection, which then never carried a second request; nothing is wrong with that. If it has not, the third request uses the connection again. The caller now leaves its third request of four, after two that use the same connection in any case, as the test with a caller that stays shows. All assertions are kept, and one more request is checked.

--- a/gateway/early_answer_test.ts
+++ b/gateway/early_answer_test.ts
@@ -6,7 +6,9 @@
 const test = suite('answer before the body of a request is read');
 
 const BODY_BYTES = 8_388_608;
-const REQUESTS_PER_CALLER = 3;
+const REQUESTS_PER_CALLER = 4;
+/** Request that a caller leaves; the two before it use the same connection. */
+const LEFT_REQUEST = 2;
 const CALLER_COUNT = 2;
 const PAUSE_MS = 50;
 const TIMEOUT_MS = 5000;
@@ -44,7 +46,8 @@
       const answers = await Promise.all(Array.from({ length: CALLER_COUNT }, async () => {
         const own = [];
         for (let count = 0; count < REQUESTS_PER_CALLER; count += 1) {
-          const leave = count === 1 && leaveAfterMs !== undefined ? { leaveAfterMs } : {};
+          const isLeft = count === LEFT_REQUEST && leaveAfterMs !== undefined;
+          const leave = isLeft ? { leaveAfterMs } : {};
           own.push(await path.call({ ...options, ...leave }));
         }
         return own;
