Count sound answers of a second instance in the test of endless bodies

Traced: no endless body is taken for a whole one. The node beside the instance gives the endless responses up as soon as all together keep too much, which on a fast machine is before the caller's node has read their heads. No end of a response without a length was seen at either node.

The test required the outcome of a timing.

--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -118,11 +118,16 @@
       );
       const growth = stopWatching();
       const { outcomes } = path;
+      const answered = outcomes.filter((outcome) => outcome === 'answered').length;
+      const truncated = outcomes.filter((outcome) => outcome === 'truncated').length;
+      const soundRuns = path.instances[1]!.counts.requests;
       const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
       await path.stop();
       await Promise.all(answers);
       assert.ok(isEnded, 'requests go on');
-      assert.ok(outcomes.every((outcome) => outcome === 'truncated'), outcomes.join());
+      // A body that is cut before its head was passed on may be asked for at the sound instance.
+      assert.is(answered, soundRuns, outcomes.join());
+      assert.is(truncated + answered, MANY_SLOTS, outcomes.join());
       const nodes = hop === 'local' ? 1 : 2;
       assert.ok(growth < nodes * MAX_NODE_GROWTH, `buffers grew by ${growth} bytes`);
       assert.ok(areSlotsFree, 'a slot was not released');
