Let an instance tell all senders how much of their demand it cannot take

Cause: each sender learns from its own requests alone whether a target has room. With 71 hosts a sender has less than one request a second for an owner, and its counts halve in two seconds, so its throttle lets most of what will be refused pass. Class of fault: an estimate by each node of a value that one node knows, whose samples get fewer as the fleet grows.

The node of an instance counts the demand of the whole fleet: requests taken and refused, those that senders withheld, which they name with their next request, and those that it dropped for want of processor time. Above one and a half requests for each one taken it reports the excess with each response, and senders withhold that fraction for five seconds at most. It also stops sending to an instance that itself refuses more than four of five, and reports that the same way. Nested calls are never withheld by the throttle.

Both header fields are left out while they are zero, and nodes of an earlier version ignore them.

--- a/admission/admission.ts
+++ b/admission/admission.ts
@@ -32,6 +32,16 @@
   readonly limit: number;
   /** Estimated requests per second that the instance can serve; 0 when not known yet. */
   readonly serviceRate: number;
+  /** Absent while the instance takes what it is sent. */
+  readonly excess?: ExcessDemand;
+}
+
+/** Fractions of the requests, from 0 to less than 1, that senders are to withhold. */
+export interface ExcessDemand {
+  /** Of those that can meet their latency target. */
+  readonly timely: number;
+  /** Of those that cannot meet it any more. */
+  readonly late: number;
 }
 
 /** Admits requests to the local instance, queues them, or refuses them. */
--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -1,6 +1,6 @@
 /** Admission control at the sidecar, fleet-wide customer limits, and retry budgets. */
 export type {
-  Admission, AdmissionLoad, AdmissionRequest, Permit, PermitOutcome,
+  Admission, AdmissionLoad, AdmissionRequest, ExcessDemand, Permit, PermitOutcome,
 } from './admission.ts';
 export type { CustomerLimits, LimitPermit, RetryBudget } from './customer_limits.ts';
 export { type AdmissionOptions, createAdmission } from './create_admission.ts';
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
-  type BodyBudget, createBodyBudget, createCallerListener, createDispatchQueue,
+  type BodyBudget, createBodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
   createServiceRetryBudget, createShutdownTracker, createSlotQueue, createTargetChooser,
   type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES,
@@ -104,6 +104,7 @@
             record: find<KeyLoad>('key-load').record,
           },
           queue: find<SlotQueue>('queue'),
+          demand: createDemandMeter({ clock: find<Clock>('clock') }),
           link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
--- a/forward/forward_test.ts
+++ b/forward/forward_test.ts
@@ -7,7 +7,7 @@
 import { RefusalError } from '../errors/mod.ts';
 import {
   createIdempotencyTable, createRequestLedger, createUpstreamGrants, endToEndHeaders,
-  type FirstAttempt, parseLoad, decodeRefusal, encodeRefusal,
+  type FirstAttempt, formatExcess, parseExcess, parseLoad, decodeRefusal, encodeRefusal,
 } from './mod.ts';
 
 test('a request whose cancellation arrives first is refused', async () => {
@@ -98,6 +98,11 @@
   }
   assert.is(decodeRefusal(200, ['content-type', 'text/plain'], 'address'), undefined);
   assert.is(parseLoad('1,2,x,4'), undefined);
+  assert.equal(parseExcess(formatExcess({ timely: 0.25, late: 0.5 })), { timely: 0.25, late: 0.5 });
+  assert.is(formatExcess({ timely: 0, late: 0.001 }), undefined);
+  for (const text of ['', '25', '25,x', '25,101', '-1,0', '1,2,3']) {
+    assert.is(parseExcess(text), undefined, text);
+  }
 });
 
 test('grants are sent to the upstream; a rejection or a timeout is an error', async () => {
--- a/forward/headers.ts
+++ b/forward/headers.ts
@@ -14,6 +14,8 @@
   /** Version of the placement record that the routing decision is based on. */
   version: 'mh-version',
   load: 'mh-load',
+  /** Fractions of the requests that senders are to withhold; absent if none. */
+  excess: 'mh-excess',
   reached: 'mh-reached',
   /** In a refusal of a node that accepts no further requests. */
   stopping: 'mh-stopping',
--- a/forward/load_header.ts
+++ b/forward/load_header.ts
@@ -1,4 +1,7 @@
-import type { AdmissionLoad } from '../admission/mod.ts';
+import type { AdmissionLoad, ExcessDemand } from '../admission/mod.ts';
+import { findHeader, hopHeaders } from './headers.ts';
+
+const PERCENT = 100;
 
 /**
  * Formats the load of an instance as a header value.
@@ -33,3 +36,67 @@
     inFlight: inFlight!, queued: queued!, limit: limit!, serviceRate: serviceRate!,
   };
 };
+
+/**
+ * Formats the excess demand at an instance as a header value.
+ *
+ * @param excess Fractions of the requests to withhold.
+ * @returns Percentages of the timely and the late requests; undefined if none is to be withheld.
+ *
+ * @example
+ * formatExcess({ timely: 0.25, late: 0.5 }); // '25,50'
+ */
+export const formatExcess = (excess: ExcessDemand | undefined): string | undefined => {
+  if (excess === undefined) return undefined;
+  const percentages = [excess.timely, excess.late].map((part) => Math.round(part * PERCENT));
+  return percentages.every((part) => part === 0) ? undefined : percentages.join();
+};
+
+/**
+ * Parses the excess demand at an instance from a header value.
+ *
+ * @param text Header value, or undefined if the header is absent.
+ * @returns The fractions, or undefined if the value is absent or malformed.
+ *
+ * @example
+ * parseExcess('25,50')?.late; // 0.5
+ */
+export const parseExcess = (text: string | undefined): ExcessDemand | undefined => {
+  if (text === undefined) return undefined;
+  const fractions = text.split(',').map((part) => Number(part) / PERCENT);
+  const [timely, late] = fractions;
+  if (fractions.length !== 2 || !fractions.every((part) => part >= 0 && part <= 1)) {
+    return undefined;
+  }
+  return { timely: timely!, late: late! };
+};
+
+/**
+ * Returns the headers by which a node reports the load of its instance with a response.
+ *
+ * @param load Load of the instance.
+ * @returns Names and values in turn.
+ *
+ * @example
+ * headers.push(...loadHeaders(load));
+ */
+export const loadHeaders = (load: AdmissionLoad): readonly string[] => {
+  const excess = formatExcess(load.excess);
+  const headers = [hopHeaders.load, formatLoad(load)];
+  return excess === undefined ? headers : [...headers, hopHeaders.excess, excess];
+};
+
+/**
+ * Reads the load of an instance from the headers of a response.
+ *
+ * @param rawHeaders Names and values in turn.
+ * @returns The load, or undefined if it is absent or malformed.
+ *
+ * @example
+ * const load = readLoad(rawHeaders);
+ */
+export const readLoad = (rawHeaders: readonly string[]): AdmissionLoad | undefined => {
+  const load = parseLoad(findHeader(rawHeaders, hopHeaders.load));
+  const excess = parseExcess(findHeader(rawHeaders, hopHeaders.excess));
+  return load === undefined || excess === undefined ? load : { ...load, excess };
+};
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -31,7 +31,9 @@
   type IdempotencyTableOptions,
   type CachedResponse,
 } from './idempotency_table.ts';
-export { formatLoad, parseLoad } from './load_header.ts';
+export {
+  formatExcess, formatLoad, loadHeaders, parseExcess, parseLoad, readLoad,
+} from './load_header.ts';
 export { decodeRefusal, encodeRefusal } from './refusal_headers.ts';
 export {
   type CancelReply, createRequestLedger, type LedgerState, type RequestLedger,
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -2,8 +2,9 @@
 
 const FIRST_SERVER_ERROR = 500;
 const STATUS_GATEWAY_TIMEOUT = 504;
+const STATUS_MISDIRECTED = 421;
 /** Steps that refuse for want of slots or processor time, and the one that gets no answer. */
-const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'peer.send']);
+const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'local.admit', 'peer.send']);
 
 /** Returns the outcome of an attempt as the chooser counts it. */
 export const reportedOutcome = (outcome: AttemptOutcome, isAborted: boolean) => {
@@ -24,6 +25,13 @@
   outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
 );
 
+/** Returns whether the instance itself refused the request for want of capacity. */
+export const isRefusedByInstance = (outcome: AttemptOutcome) => {
+  if (outcome.kind !== 'refused' || !outcome.reachedInstance) return false;
+  const { refusal: { outcome: promise, figures } } = outcome;
+  return promise === 'not run' && figures.instanceStatus !== STATUS_MISDIRECTED;
+};
+
 /** Returns the outcome to report of two; one that may have run goes before one that has not. */
 export const mergeOutcomes = (
   one: AttemptOutcome | undefined,
--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -96,6 +96,7 @@
       deadlineAt: Math.min(deadlineAt, options.shutdown.answerBy()),
       latencyTargetAt,
       isCallerRetry: firstAttemptAt < arrivedAt,
+      withheld: 0,
       signal,
     };
   };
--- a/gateway/_hop_header.ts
+++ b/gateway/_hop_header.ts
@@ -10,7 +10,7 @@
 /** Routing metadata that a node sends to a peer with the request. */
 export type HopFields = Pick<
   GatewayRequest,
-  'service' | 'kind' | 'priority' | 'workClass' | 'key' | 'instance' | 'isCallerRetry'
+  'service' | 'kind' | 'priority' | 'workClass' | 'key' | 'instance' | 'isCallerRetry' | 'withheld'
 > & {
   /** Time in ms until the deadline. */
   readonly remainingMs: number;
@@ -42,6 +42,7 @@
   request.key ?? null,
   request.instance ?? null,
   Number(request.isCallerRetry),
+  ...(request.withheld > 0 ? [request.withheld] : []),
 ]);
 
 const parseArray = (text: string): readonly unknown[] => {
@@ -66,7 +67,7 @@
   if (text === undefined) return undefined;
   const [
     service, kindName, priority, workClass, remainingMs, latencyTargetMs, key, instance,
-    isCallerRetry,
+    isCallerRetry, withheld,
   ] = parseArray(text);
   const kind = typeof kindName === 'string' ? kindByName[kindName] : undefined;
   if (typeof service !== 'string' || kind === undefined || typeof workClass !== 'string') {
@@ -84,5 +85,6 @@
     key: typeof key === 'number' ? key : undefined,
     instance: typeof instance === 'string' ? instance : undefined,
     isCallerRetry: isCallerRetry === 1,
+    withheld: typeof withheld === 'number' && withheld > 0 ? withheld : 0,
   };
 };
--- a/gateway/_refusals.ts
+++ b/gateway/_refusals.ts
@@ -1,4 +1,4 @@
-import { RefusalError, type StepErrorOptions } from '../errors/mod.ts';
+import { RefusalError, type RefusalOptions, type StepErrorOptions } from '../errors/mod.ts';
 import type { AttemptOutcome } from './request.ts';
 
 const STATUS_BAD_GATEWAY = 502;
@@ -11,7 +11,7 @@
 export const refuseNotRun = (
   reason: string,
   retryAfterMs: number,
-  options: StepErrorOptions,
+  options: StepErrorOptions & Pick<RefusalOptions, 'figures'>,
 ): Extract<AttemptOutcome, { kind: 'refused' }> => ({
   kind: 'refused',
   reachedInstance: false,
--- a/gateway/_simulated_fleet.ts
+++ b/gateway/_simulated_fleet.ts
@@ -115,6 +115,7 @@
     deadlineAt: Math.min(clock.now() + route.deadlineMs, parentDeadlineAt),
     latencyTargetAt: clock.now() + route.targetLatencyMs,
     isCallerRetry: false,
+    withheld: 0,
     signal: new AbortController().signal,
   });
 
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -10,9 +10,9 @@
 import type { SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
 import { createSimulatedLink, type SimulatedLink } from './_simulated_link.ts';
 import {
-  type AttemptOutcome, createLocalForwarder, createRequestSender, createServiceRetryBudget,
-  createSlotQueue, createTargetChooser, type GatewayRequest, isBulk, type LocalForwarder,
-  MAX_BUFFERED_BYTES, type RequestSender,
+  type AttemptOutcome, createDemandMeter, createLocalForwarder, createRequestSender,
+  createServiceRetryBudget, createSlotQueue, createTargetChooser, type GatewayRequest, isBulk,
+  type LocalForwarder, MAX_BUFFERED_BYTES, type RequestSender,
 } from './mod.ts';
 
 /** The request path of one simulated host. */
@@ -134,6 +134,7 @@
     }),
     keys: { mayServe: () => true, retryAfterMs: () => 100, record: () => undefined },
     queue: createSlotQueue({ clock, slots: () => host.slots, instance: () => `i-${name}` }),
+    demand: createDemandMeter({ clock, random }),
     link: egress,
   });
 
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -6,10 +6,10 @@
 import { noopLogger } from '../telemetry/mod.ts';
 import { type CallOptions, sendAsCaller } from './_test_caller.ts';
 import {
-  type BodyBudget, createCallerListener, createDispatchQueue, createInstanceClient,
-  createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
-  createRouteTable, createServiceRetryBudget, createShutdownTracker, createSlotQueue,
-  MAX_BUFFERED_BYTES,
+  type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
+  createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
+  createRequestSender, createRouteTable, createServiceRetryBudget, createShutdownTracker,
+  createSlotQueue, MAX_BUFFERED_BYTES,
 } from './mod.ts';
 
 const clock = createSystemClock();
@@ -153,6 +153,7 @@
     }),
     keys: { mayServe: () => true, retryAfterMs: () => 50, record: () => undefined },
     queue,
+    demand: createDemandMeter({ clock }),
     link,
   });
   const listener = createPeerListener({
--- a/gateway/hop_header_test.ts
+++ b/gateway/hop_header_test.ts
@@ -20,6 +20,7 @@
   deadlineAt: 2000,
   latencyTargetAt: 900,
   isCallerRetry: true,
+  withheld: 3,
   signal: new AbortController().signal,
 };
 
@@ -34,9 +35,11 @@
     remainingMs: 1000,
     latencyTargetMs: -100,
     isCallerRetry: true,
+    withheld: 3,
   });
   const unkeyed = parseHop(formatHop({ ...request, key: undefined }, 1000));
   assert.is(unkeyed?.key, undefined);
+  assert.is(parseHop(formatHop({ ...request, withheld: 0 }, 1000))?.withheld, 0);
 });
 
 test('a malformed or missing header is rejected', () => {
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -109,7 +109,8 @@
     const context = { step: 'instance.send', peer: options.instance };
     if (notRunStatus !== undefined) {
       const reason = `the instance refused with ${notRunStatus}`;
-      const { refusal } = refuseNotRun(reason, REFUSED_RETRY_AFTER_MS, context);
+      const figures = { instanceStatus: notRunStatus };
+      const { refusal } = refuseNotRun(reason, REFUSED_RETRY_AFTER_MS, { ...context, figures });
       return { kind: 'refused', refusal, reachedInstance: true };
     }
     if (end.kind === 'complete') return { kind: 'answered', status: end.status };
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -29,6 +29,7 @@
   deadlineAt: clock.now() + 1000,
   latencyTargetAt: clock.now() + 300,
   isCallerRetry: false,
+  withheld: 0,
   signal,
 });
 
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,6 +4,8 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
+import { isRefusedByInstance } from './_attempt_outcomes.ts';
+import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
 
@@ -30,6 +32,8 @@
 /** Forwards requests to the instance on this host. */
 export interface LocalForwarder {
   readonly forward: (request: GatewayRequest, sink: ResponseSink) => Promise<AttemptOutcome>;
+  /** Counts a request that this node refused for want of processor time. */
+  readonly recordRefusal: (request: DemandRequest) => void;
   /** Returns the current load of the instance. */
   readonly load: () => AdmissionLoad;
 }
@@ -40,6 +44,7 @@
   readonly instance: () => LocalInstance | undefined;
   readonly keys: KeyOwnership;
   readonly queue: SlotQueue;
+  readonly demand: DemandMeter;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
   /** Called with the time in ms that an admitted request waited for a slot. */
@@ -51,6 +56,8 @@
 /** A stopped instance restarts after some seconds, or other instances take over. */
 const DOWN_RETRY_AFTER_MS = 400;
 const MOVED_RETRY_AFTER_MS = 50;
+/** An instance that refuses nearly everything needs seconds to recover. */
+const REFUSING_RETRY_AFTER_MS = 300;
 
 /**
  * Creates the local destination of requests. A request is checked again after its wait for a slot,
@@ -64,7 +71,7 @@
  */
 export const createLocalForwarder = (options: LocalForwarderOptions): LocalForwarder => {
   const {
-    clock, keys, queue, link,
+    clock, keys, queue, link, demand,
   } = options;
 
   const checkServable = (request: GatewayRequest, current: LocalInstance | undefined) => {
@@ -94,6 +101,7 @@
     if (refusedBefore !== undefined) return refusedBefore;
     // The key load drives rebalancing, and retries of one caller would be counted several times.
     if (request.key !== undefined && !request.isCallerRetry) keys.record(request.key);
+    const recordEnd = demand.open(request);
     const permit = await queue.acquire({
       sendMs,
       priority: request.priority,
@@ -102,7 +110,10 @@
       latencyTargetAt: request.latencyTargetAt,
       signal: request.signal,
     });
-    if (permit.isErr()) return { kind: 'refused', refusal: permit.error, reachedInstance: false };
+    if (permit.isErr()) {
+      if (!request.signal.aborted) recordEnd(false);
+      return { kind: 'refused', refusal: permit.error, reachedInstance: false };
+    }
     const { queuedMs } = permit.value;
     options.onQueued?.(queuedMs);
     const current = options.instance();
@@ -113,6 +124,13 @@
         step: 'local.check',
       });
     }
+    if (!demand.admit()) {
+      permit.value.release(false);
+      recordEnd(false);
+      return refuseNotRun('the instance refuses most requests', REFUSING_RETRY_AFTER_MS, {
+        step: 'local.admit', peer: current.instance,
+      });
+    }
     const startedAt = clock.now();
     let isSample = false;
     let outcome: AttemptOutcome;
@@ -122,6 +140,9 @@
     } finally {
       permit.value.release(isSample);
     }
+    const isRefused = isRefusedByInstance(outcome);
+    demand.recordInstance(!isRefused);
+    recordEnd(!isRefused);
     const runMs = clock.now() - startedAt;
     options.onRun?.(request.kind, runMs);
     return outcome.kind === 'answered' ? { ...outcome, timing: { queuedMs, runMs } } : outcome;
@@ -138,5 +159,9 @@
     }
   };
 
-  return { forward, load: queue.load };
+  return {
+    forward,
+    recordRefusal: (request) => demand.open(request)(false),
+    load: () => ({ ...queue.load(), excess: demand.excess() }),
+  };
 };
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
 import { createEgressLink } from '../http/mod.ts';
+import { createDemandMeter } from './demand_meter.ts';
 import { createLocalForwarder } from './local_forwarder.ts';
 import type { GatewayRequest } from './request.ts';
 import { createSlotQueue } from './slot_queue.ts';
@@ -27,6 +28,7 @@
     }),
     keys: { mayServe: () => true, retryAfterMs: () => 0, record: () => undefined },
     queue: createSlotQueue({ clock, slots: () => 1, instance: () => 'a' }),
+    demand: createDemandMeter({ clock }),
     link: {
       bulkDelayMs: link.bulkDelayMs,
       expectBulk: () => {
@@ -54,6 +56,7 @@
     deadlineAt: clock.now() + 1000,
     latencyTargetAt: clock.now() + 500,
     isCallerRetry: false,
+    withheld: 0,
     signal: new AbortController().signal,
   };
   const sink = {
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -30,6 +30,9 @@
   createDispatchQueue, type DispatchDecision, type DispatchQueue, type DispatchQueueOptions,
   type DispatchRequest,
 } from './dispatch_queue.ts';
+export {
+  createDemandMeter, type DemandMeter, type DemandMeterOptions, type DemandRequest,
+} from './demand_meter.ts';
 export { type BodyBudget, type BodyReservation, createBodyBudget } from './body_budget.ts';
 export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
 export {
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -8,7 +8,7 @@
   type ExchangeResult,
   findHeader,
   hopHeaders,
-  parseLoad,
+  readLoad,
   decodeRefusal,
   type TruncationAwarePool,
 } from '../forward/mod.ts';
@@ -135,7 +135,7 @@
     let isNamed = false;
     const checkHead = (raw: readonly string[]) => {
       rawHeaders = raw;
-      load = parseLoad(findHeader(raw, hopHeaders.load));
+      load = readLoad(raw);
       const responseId = findHeader(raw, options.requestIdHeader);
       isNamed = responseId !== undefined;
       return responseId === undefined || responseId === request.requestId
--- a/gateway/peer_close_test.ts
+++ b/gateway/peer_close_test.ts
@@ -41,6 +41,7 @@
   deadlineAt: clock.now() + 1000,
   latencyTargetAt: clock.now() + 300,
   isCallerRetry: false,
+  withheld: 0,
   signal: new AbortController().signal,
 });
 
@@ -66,6 +67,7 @@
         sink.end();
         return { kind: 'answered', status: 200 };
       },
+      recordRefusal: () => undefined,
       load: () => ({
         inFlight: 0, queued: 0, limit: 1, serviceRate: 0,
       }),
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import {
-  endToEndHeaders, formatLoad, hopHeaders, encodeRefusal, type ResponseSink,
+  endToEndHeaders, hopHeaders, loadHeaders, encodeRefusal, type ResponseSink,
 } from '../forward/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
@@ -202,9 +202,10 @@
     });
     options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone', isFirst);
     if (decision === 'gone') return;
+    if (decision === 'expired') local.recordRefusal(request);
     const stopInterimResponses = startInterimResponses(response);
     const addLoad = (headers: string[]) => {
-      headers.push(hopHeaders.load, formatLoad(local.load()));
+      headers.push(...loadHeaders(local.load()));
     };
     const sink = isBulk(request.kind)
       ? createBulkSink(response, addLoad, link)
@@ -244,7 +245,7 @@
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
         ...nameRequest,
-        hopHeaders.load, formatLoad(local.load()),
+        ...loadHeaders(local.load()),
         ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
         ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
       ], '');
--- a/gateway/peer_listener_test.ts
+++ b/gateway/peer_listener_test.ts
@@ -29,6 +29,7 @@
         forwards += 1;
         return { kind: 'answered', status: 200 };
       },
+      recordRefusal: () => undefined,
       load: () => ({
         inFlight: 0, queued: 0, slots: 1, runMs: 0,
       }) as never,
--- a/gateway/peer_stop_test.ts
+++ b/gateway/peer_stop_test.ts
@@ -68,6 +68,7 @@
         sink.end();
         return { kind: 'answered', status: 200 };
       },
+      recordRefusal: () => undefined,
       load: () => ({
         inFlight: 0, queued: 0, limit: 1, serviceRate: 0,
       }),
@@ -97,6 +98,7 @@
       deadlineAt: clock.now() + 3000,
       latencyTargetAt: clock.now() + 1000,
       isCallerRetry: false,
+      withheld: 0,
       signal: new AbortController().signal,
     };
     const { outcome } = await peers.send(link.address, request, {
--- a/gateway/peer_suspicion_test.ts
+++ b/gateway/peer_suspicion_test.ts
@@ -50,6 +50,7 @@
       deadlineAt: clock.now() + 3000,
       latencyTargetAt: clock.now() + 400,
       isCallerRetry: false,
+      withheld: 0,
       signal,
     };
     const { outcome } = await peers.send(address, request, {
--- a/gateway/repeated_answer_test.ts
+++ b/gateway/repeated_answer_test.ts
@@ -182,6 +182,7 @@
       deadlineAt: clock.now() + 500,
       latencyTargetAt: clock.now() + 300,
       isCallerRetry: false,
+      withheld: 0,
       signal: new AbortController().signal,
     }, {
       start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -31,6 +31,8 @@
   readonly latencyTargetAt: number;
   /** The caller is retrying after a refusal, so the request does not count as new demand. */
   readonly isCallerRetry: boolean;
+  /** Requests for the same target that the sending node withheld since its last one. */
+  readonly withheld: number;
   /** Aborts when the caller no longer waits for the response. */
   readonly signal: AbortSignal;
 }
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -60,6 +60,7 @@
 const MAX_HELD_BYTES = 1_048_576;
 /** Not retried: the instance ran out of time, so another run would too. */
 const STATUS_GATEWAY_TIMEOUT = 504;
+const NO_EXCESS = { timely: 0, late: 0 } as const;
 
 /**
  * Creates the sender of a node. A request that is not idempotent is retried only while no instance
@@ -114,7 +115,7 @@
     );
     const mayRetry = () => sends < maxSends && hasTime() && retryBudget.withdraw(service);
 
-    const startAttempt = (target: Target) => {
+    const startAttempt = (target: Target, withheld: number) => {
       let isSilent = false;
       let headAt: number | undefined;
       let errorHead: Omit<ErrorResponse, 'body'> | undefined;
@@ -142,7 +143,9 @@
       });
       const ended = sendTo(
         target,
-        { ...request, instance: target.instance, signal: attemptSignal },
+        {
+          ...request, instance: target.instance, signal: attemptSignal, withheld,
+        },
         attemptSink,
         () => {
           isSilent = true;
@@ -186,7 +189,8 @@
         if (isCounted) throttle.recordEnd(target.instance, isLate, !isOverloaded(outcome));
       };
       const sendsBefore = sends;
-      const attempt = startAttempt(target);
+      const withheld = isCounted ? throttle.takeWithheld(target.instance, isLate) : 0;
+      const attempt = startAttempt(target, withheld);
       const result = await Promise.race([attempt.ended, attempt.silence]);
       const durationMs = clock.now() - startedAt;
       const fields = {
@@ -221,6 +225,9 @@
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
       recordEnd(outcome);
+      if (target.kind === 'peer' && load !== undefined) {
+        throttle.recordExcess(target.instance, load.excess ?? NO_EXCESS);
+      }
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
--- a/gateway/request_sender_test.ts
+++ b/gateway/request_sender_test.ts
@@ -35,6 +35,7 @@
     },
     local: {
       forward: () => Promise.reject(new Error('not used')),
+      recordRefusal: () => undefined,
       load: () => ({
         inFlight: 0, queued: 0, limit: 1, serviceRate: 0,
       }),
@@ -71,6 +72,7 @@
     deadlineAt: clock.now() + 60_000,
     latencyTargetAt: clock.now() + 400,
     isCallerRetry: false,
+    withheld: 0,
     signal: new AbortController().signal,
     ...changes,
   };
--- a/gateway/silent_peer_test.ts
+++ b/gateway/silent_peer_test.ts
@@ -59,6 +59,7 @@
     },
     local: {
       forward: () => Promise.reject(new Error('not used')),
+      recordRefusal: () => undefined,
       load: () => ({
         inFlight: 0, queued: 0, limit: 1, serviceRate: 0,
       }),
@@ -91,6 +92,7 @@
     deadlineAt: clock.now() + DEADLINE_MS,
     latencyTargetAt: clock.now() + 400,
     isCallerRetry: false,
+    withheld: 0,
     signal: new AbortController().signal,
   };
   const outcome = await sender.send(request, 2, {
--- a/gateway/target_throttle.ts
+++ b/gateway/target_throttle.ts
@@ -1,4 +1,6 @@
+import type { ExcessDemand } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
+import { type AcceptanceRate, createAcceptanceRate } from './acceptance_rate.ts';
 
 /** Limits the requests to targets that refuse most of them for want of capacity. */
 export interface TargetThrottle {
@@ -9,8 +11,12 @@
    * @param isLate The request cannot meet its latency target any more.
    */
   readonly admit: (target: string, isLate: boolean) => boolean;
+  /** Returns how many requests were not sent since the last call, for the target to count. */
+  readonly takeWithheld: (target: string, isLate: boolean) => number;
   /** Records whether a target took a request that was sent to it. */
   readonly recordEnd: (target: string, isLate: boolean, isAccepted: boolean) => void;
+  /** Records what a target reports of the requests of all senders. */
+  readonly recordExcess: (target: string, excess: ExcessDemand) => void;
 }
 
 /** Options of a target throttle. */
@@ -20,24 +26,26 @@
   readonly random: () => number;
 }
 
-interface DecayingCounts {
-  requests: number;
-  accepted: number;
-  countedAt: number;
+interface TargetState {
+  readonly own: AcceptanceRate;
+  withheld: number;
+  reported: number;
+  reportedAt: number;
 }
 
 const HALF_LIFE_MS = 2000;
-/** Requests sent for each one that the target takes; the others find out when it has room again. */
+/** Time in ms for which a report holds if none of the few requests sent brings the next one. */
+const MAX_REPORT_AGE_MS = 5000;
 const SENT_PER_ACCEPTED = 2;
-/** Keeps a few refusals from stopping the requests to a target. */
-const PRIOR_REQUESTS = 2;
-const MAX_TARGETS = 512;
+/** Above the instances of the largest fleet, each for timely and for late requests. */
+const MAX_TARGETS = 2048;
 
 /**
- * Creates a throttle that sends everything. Each node decides by its own requests, with a
- * probability that grows with the fraction that the target refuses. Without it, the owner of a key
- * with more requests than it can serve spends its processor time on refusals, and the callers'
- * nodes on hops that are in vain.
+ * Creates a throttle that sends everything. The probability with which a request is sent falls with
+ * the fraction that the target refuses: of the requests of this node, and, as the target reports
+ * it, of those of all nodes, since in a large fleet each node sends too few to tell. Without it,
+ * the owner of a key with more requests than it can serve spends its processor time on refusals,
+ * and the callers' nodes on hops that are in vain.
  *
  * @param options Clock and random source.
  * @returns The throttle.
@@ -47,39 +55,54 @@
  */
 export const createTargetThrottle = (options: TargetThrottleOptions): TargetThrottle => {
   const { clock, random } = options;
-  const countsByTarget = new Map<string, DecayingCounts>();
+  const states = new Map<string, TargetState>();
 
-  const countsOf = (target: string, isLate: boolean) => {
+  const stateOf = (target: string, isLate: boolean) => {
     // Targets serve late requests after the others, and so refuse most of them.
     const name = isLate ? `${target} late` : target;
-    const now = clock.now();
-    const known = countsByTarget.get(name);
-    if (known === undefined) {
-      if (countsByTarget.size >= MAX_TARGETS) countsByTarget.clear();
-      const counts = { requests: 0, accepted: 0, countedAt: now };
-      countsByTarget.set(name, counts);
-      return counts;
-    }
-    const factor = 2 ** ((known.countedAt - now) / HALF_LIFE_MS);
-    known.requests *= factor;
-    known.accepted *= factor;
-    known.countedAt = now;
-    return known;
+    const known = states.get(name);
+    if (known !== undefined) return known;
+    if (states.size >= MAX_TARGETS) states.clear();
+    const state: TargetState = {
+      own: createAcceptanceRate({
+        clock, halfLifeMs: HALF_LIFE_MS, sentPerAccepted: SENT_PER_ACCEPTED,
+      }),
+      withheld: 0,
+      reported: 0,
+      reportedAt: clock.now(),
+    };
+    states.set(name, state);
+    return state;
   };
 
+  const reportedExcess = ({ reported, reportedAt }: TargetState) => (
+    clock.now() - reportedAt > MAX_REPORT_AGE_MS ? 0 : reported
+  );
+
   return {
     admit: (target, isLate) => {
-      const counts = countsOf(target, isLate);
-      const excess = counts.requests - counts.accepted * SENT_PER_ACCEPTED;
-      const isAdmitted = random() >= excess / (counts.requests + 1 + PRIOR_REQUESTS);
+      const state = stateOf(target, isLate);
+      const isAdmitted = random() >= Math.max(state.own.excess(), reportedExcess(state));
       // A request in flight says nothing yet about the target.
-      if (!isAdmitted) counts.requests += 1;
+      if (!isAdmitted) {
+        state.own.record(false);
+        state.withheld += 1;
+      }
       return isAdmitted;
     },
-    recordEnd: (target, isLate, isAccepted) => {
-      const counts = countsOf(target, isLate);
-      counts.requests += 1;
-      if (isAccepted) counts.accepted += 1;
+    takeWithheld: (target, isLate) => {
+      const state = stateOf(target, isLate);
+      const { withheld } = state;
+      state.withheld = 0;
+      return withheld;
+    },
+    recordEnd: (target, isLate, isAccepted) => stateOf(target, isLate).own.record(isAccepted),
+    recordExcess: (target, excess) => {
+      for (const isLate of [false, true]) {
+        const state = stateOf(target, isLate);
+        state.reported = isLate ? excess.late : excess.timely;
+        state.reportedAt = clock.now();
+      }
     },
   };
 };
