Choose instances by the attempts that they need until one is taken

Requests were refused although sound instances had room: instances that refuse everything at once look healthy and idle, and the choice by load preferred them.

The shorter expected wait won, whatever the instance refused. And an instance with a reduced share passed its picks on to instances with a full share only: once each of the others had refused a single request lately, there was none, so the refusing one was taken after all.

The expected wait is now divided by the fraction of requests that the instance takes, by the refusals of this node and by the excess that it reports. Picks that are passed on go to the others by their shares. The slow start of an instance affects its share as before, but not the comparison.

--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -57,6 +57,8 @@
   /** Moving average of the fraction of attempts that the instance refused. */
   refusalRate: number;
   refusalRateAt: number;
+  /** Fraction of the requests of all nodes that the instance cannot take, from its load report. */
+  excess: number;
   /** Time at which slow start begins; -Infinity for an instance that needs none. */
   slowStartAt: number;
   isCold: boolean;
@@ -69,6 +71,8 @@
 /** Time constant with which a load report decays, as the load of other nodes changes. */
 const LOAD_DECAY_MS = 1000;
 const REFUSAL_DECAY_MS = 2000;
+/** Time in ms for which a reported excess holds if no request brings the next report. */
+const MAX_EXCESS_AGE_MS = 5000;
 const REFUSAL_SAMPLE_WEIGHT = 0.1;
 /** Outstanding attempts that are never reported are dropped after this time without a new one. */
 const OUTSTANDING_EXPIRY_MS = 60_000;
@@ -132,6 +136,7 @@
         loadReportedAt: now,
         refusalRate: 0,
         refusalRateAt: now,
+        excess: 0,
         slowStartAt: isInitialDiscovery && !isCold ? -Infinity : now,
         isCold,
       });
@@ -141,12 +146,18 @@
     known.isCold = isCold;
   };
 
+  const acceptanceOf = (entry: InstanceStats) => {
+    const now = clock.now();
+    const decayed = entry.refusalRate * Math.exp((entry.refusalRateAt - now) / REFUSAL_DECAY_MS);
+    const excess = now - entry.loadReportedAt > MAX_EXCESS_AGE_MS ? 0 : entry.excess;
+    return Math.max(MIN_TRAFFIC_SHARE, 1 - Math.max(decayed, excess));
+  };
+
   const trafficShareOf = (instance: string, entry: InstanceStats) => {
     const now = clock.now();
     const rampStartAt = Math.max(entry.slowStartAt, ejection.ejectedUntil(instance) ?? -Infinity);
     const rampFraction = entry.isCold ? 0 : Math.min(1, (now - rampStartAt) / SLOW_START_MS);
-    const decayed = entry.refusalRate * Math.exp((entry.refusalRateAt - now) / REFUSAL_DECAY_MS);
-    return Math.max(MIN_TRAFFIC_SHARE, rampFraction) * Math.max(MIN_TRAFFIC_SHARE, 1 - decayed);
+    return Math.max(MIN_TRAFFIC_SHARE, rampFraction) * acceptanceOf(entry);
   };
 
   const loadOf = ({
@@ -180,6 +191,9 @@
     get trafficShare() {
       return trafficShareOf(instance, entry);
     },
+    get acceptance() {
+      return acceptanceOf(entry);
+    },
     get ejected() {
       return ejection.isEjected(instance);
     },
@@ -235,6 +249,7 @@
       entry.load = load;
       entry.remoteLoad = Math.max(0, load.inFlight + load.queued - entry.outstanding);
       entry.loadReportedAt = now;
+      entry.excess = load.excess?.timely ?? 0;
     }
     if (outcome !== 'cancelled') {
       const decayed = entry.refusalRate * Math.exp((entry.refusalRateAt - now) / REFUSAL_DECAY_MS);
--- a/routing/choose_instance.ts
+++ b/routing/choose_instance.ts
@@ -11,6 +11,8 @@
   readonly serviceRate: number;
   /** Fraction of its usual traffic to send, reduced by slow start and by recent refusals. */
   readonly trafficShare: number;
+  /** Fraction of the requests that the instance takes; all by default. */
+  readonly acceptance?: number;
   /** Whether outlier detection has ejected the instance. */
   readonly ejected: boolean;
 }
@@ -51,6 +53,22 @@
   return known[Math.floor(known.length / 2)] ?? DEFAULT_RATE;
 };
 
+const trafficShareOf = ({ trafficShare }: InstanceView) => trafficShare;
+
+const pickWeighted = <View>(
+  views: readonly View[],
+  weightOf: (view: View) => number,
+  random: () => number,
+): View => {
+  const weights = views.map(weightOf);
+  let remaining = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  for (const [index, weight] of weights.entries()) {
+    remaining -= weight;
+    if (remaining < 0) return views[index]!;
+  }
+  return views.at(-1)!;
+};
+
 /** Picks at random; an instance with reduced traffic passes part of its picks to the others. */
 const pickRandom = <View extends InstanceView>(
   views: readonly View[],
@@ -58,8 +76,8 @@
 ): View | undefined => {
   const view = views[Math.floor(random() * views.length)];
   if (view === undefined || view.trafficShare >= 1 || random() < view.trafficShare) return view;
-  const others = views.filter((other) => other !== view && other.trafficShare >= 1);
-  return others[Math.floor(random() * others.length)] ?? view;
+  const others = views.filter((other) => other !== view);
+  return others.length === 0 ? view : pickWeighted(others, trafficShareOf, random);
 };
 
 /** Expected wait at an instance; without a measured rate, it uses the median rate of `all`. */
@@ -82,21 +100,9 @@
   const first = pickRandom(candidates, random);
   const second = pickRandom(candidates, random);
   if (first === undefined || second === undefined || first === second) return first ?? second;
-  return expectedWaitMs(second, all) < expectedWaitMs(first, all) ? second : first;
-};
-
-const pickWeighted = <View>(
-  views: readonly View[],
-  weightOf: (view: View) => number,
-  random: () => number,
-): View => {
-  const weights = views.map(weightOf);
-  let remaining = random() * weights.reduce((sum, weight) => sum + weight, 0);
-  for (const [index, weight] of weights.entries()) {
-    remaining -= weight;
-    if (remaining < 0) return views[index]!;
-  }
-  return views.at(-1)!;
+  // One that refuses at once looks idle, but it takes several attempts until it accepts one.
+  const waitOf = (view: View) => expectedWaitMs(view, all) / (view.acceptance ?? 1);
+  return waitOf(second) < waitOf(first) ? second : first;
 };
 
 /**
