Refuse requests for keys without room before their body is read

A request that the throttle was to refuse had its headers copied, its body read and its turn in the queue for the event loop, and took part in a race of attempts, before its owner was looked up.

The owner and the throttle are asked once the head is read, for requests with a key; a request without an owner is refused then, too. The deposit in the retry budget is made as before. The gate is a module of its own, which the sender uses for requests without a key.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -133,6 +133,11 @@
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
       return;
     }
+    const early = options.sender.refuseEarly(request);
+    if (early !== undefined) {
+      refuseAtOnce(request.requestId, route, response, early);
+      return;
+    }
     const reservation = bodies.open();
     response.once('close', reservation.release);
     const body = await readBody(message, {
@@ -170,7 +175,11 @@
       ? createBulkSink(response, () => undefined, link)
       : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
     const outcome = decision === 'forward'
-      ? await options.sender.send({ ...request, body }, route.maxAttempts, sink)
+      ? await options.sender.send(
+        { ...request, body, isAdmitted: request.key !== undefined },
+        route.maxAttempts,
+        sink,
+      )
       : refuseSaturated();
     respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -38,7 +38,7 @@
     },
     callerService: () => 'orders',
     routes: () => table,
-    sender: { send },
+    sender: { send, refuseEarly: () => undefined },
     shutdown,
     link: createEgressLink({
       clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -33,6 +33,8 @@
   readonly isCallerRetry: boolean;
   /** Requests for the same target that the sending node withheld since its last one. */
   readonly withheld: number;
+  /** The throttle of the target has let the request pass. */
+  readonly isAdmitted?: boolean;
   /** Aborts when the caller no longer waits for the response. */
   readonly signal: AbortSignal;
 }
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -6,13 +6,13 @@
 import {
   isOverloaded, mergeOutcomes, reportedOutcome, UNSENT,
 } from './_attempt_outcomes.ts';
-import { refuseNotRun } from './_refusals.ts';
+import { createTargetGate, refuseNoTarget, refuseThrottled } from './_target_gate.ts';
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import type { PeerClient } from './peer_client.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
 import {
-  type AttemptOutcome, type GatewayRequest, isIdempotent, isNestedCall,
+  type AttemptOutcome, type GatewayRequest, isIdempotent,
 } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import { createTargetThrottle } from './target_throttle.ts';
@@ -30,6 +30,13 @@
   readonly send: (request: GatewayRequest, maxSends: number, sink: ResponseSink) => (
     Promise<AttemptOutcome>
   );
+  /**
+   * Refuses a request with a key whose owner cannot take it now, before its body is read. The
+   * throttle lets a request pass that is not refused, and is not to be asked again in `send`.
+   */
+  readonly refuseEarly: (request: Omit<GatewayRequest, 'body'>) => (
+    Extract<AttemptOutcome, { kind: 'refused' }> | undefined
+  );
 }
 
 /** Options of the request sender. */
@@ -55,7 +62,6 @@
 /** An attempt that starts with less time to the deadline cannot succeed. */
 const MIN_ATTEMPT_MS = 60;
 const FIRST_SERVER_ERROR = 500;
-const THROTTLED_RETRY_AFTER_MS = 400;
 /** Bytes of error responses that are held while their requests are tried again. */
 const MAX_HELD_BYTES = 1_048_576;
 /** Not retried: the instance ran out of time, so another run would too. */
@@ -77,6 +83,9 @@
   const logger = options.logger.forComponent('routing');
   const openHeldError = createHeldErrors(MAX_HELD_BYTES);
   const throttle = createTargetThrottle({ clock, random: options.random ?? Math.random });
+  const { isCounted: isThrottled, refuseEarly } = createTargetGate({
+    clock, chooser, throttle, retryBudget,
+  });
 
   const sendTo = async (
     target: Target,
@@ -162,8 +171,7 @@
     for (;;) {
       const target = chooser.choose(request, excluded);
       if (target.kind === 'none') {
-        const { reason, retryAfterMs } = target;
-        return lastOutcome ?? refuseNotRun(reason, retryAfterMs, { step: 'routing.choose' });
+        return lastOutcome ?? refuseNoTarget(target);
       }
       // A late copy of the first refusal would be taken for that of a second run.
       if (!idempotent && refusedBy.has(target.instance)) {
@@ -172,14 +180,11 @@
       }
       const startedAt = clock.now();
       const isLate = request.latencyTargetAt <= startedAt;
-      // The request that makes a nested call holds a slot and fails without it.
-      const isCounted = target.kind === 'peer' && !isNestedCall(request, startedAt);
-      if (isCounted && !throttle.admit(target.instance, isLate)) {
+      const isCounted = isThrottled(request, target);
+      if (isCounted && request.isAdmitted !== true && !throttle.admit(target.instance, isLate)) {
         const { instance } = target;
         chooser.report(request, target, UNSENT);
-        lastOutcome ??= refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
-          step: 'routing.throttle', peer: instance,
-        });
+        lastOutcome ??= refuseThrottled(instance);
         excluded.add(instance);
         nodeRefusals += 1;
         if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return lastOutcome;
@@ -289,5 +294,5 @@
     }
   };
 
-  return { send };
+  return { send, refuseEarly };
 };
--- a/gateway/target_chooser.ts
+++ b/gateway/target_chooser.ts
@@ -44,14 +44,17 @@
   readonly load: AdmissionLoad | undefined;
 }
 
+/** What the choice of a target depends on. */
+export type TargetRequest = Pick<GatewayRequest, 'service' | 'kind' | 'key'>;
+
 /** Chooses the target of each attempt and collects the outcomes. */
 export interface TargetChooser {
   /** Chooses a target; names in `excluded` are instances that are not to be tried again. */
   readonly choose: (
-    request: GatewayRequest,
+    request: TargetRequest,
     excluded: ReadonlySet<string>,
   ) => Target | NoTarget;
-  readonly report: (request: GatewayRequest, target: Target, report: TargetReport) => void;
+  readonly report: (request: TargetRequest, target: Target, report: TargetReport) => void;
 }
 
 /** Address and reachability of a node. */
@@ -97,7 +100,7 @@
 export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
   const { self } = options;
 
-  const chooseOwner = (request: GatewayRequest, key: number): Target | NoTarget => {
+  const chooseOwner = (request: TargetRequest, key: number): Target | NoTarget => {
     const versioned = options.recordOf(request.service);
     const row = versioned && findRow(versioned.record, key);
     if (versioned === undefined || row?.owner === undefined) {
@@ -132,7 +135,7 @@
   };
 
   const chooseByLoad = (
-    request: GatewayRequest,
+    request: TargetRequest,
     excluded: ReadonlySet<string>,
   ): Target | NoTarget => {
     const views = options.viewOf(request.service).instanceViews(excluded);
--- a/gateway/unhandled_failure_test.ts
+++ b/gateway/unhandled_failure_test.ts
@@ -42,7 +42,7 @@
     },
     callerService: () => 'shop',
     routes: () => routes,
-    sender: { send },
+    sender: { send, refuseEarly: () => undefined },
     shutdown: createShutdownTracker(clock),
     link: createEgressLink({
       clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
