--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -25,8 +25,8 @@
   readonly mayServe: (key: number) => boolean;
   /** Time in ms until the instance is expected to receive its next key grants. */
   readonly retryAfterMs: () => number;
-  /** Counts requests in the load of the key. */
-  readonly record: (key: number, requests: number) => void;
+  /** Counts a request in the load of the key. */
+  readonly record: (key: number) => void;
 }
 
 /** Forwards requests to the instance on this host. */
@@ -100,10 +100,7 @@
     const refusedBefore = checkServable(request, options.instance());
     if (refusedBefore !== undefined) return refusedBefore;
     // The key load drives rebalancing, and retries of one caller would be counted several times.
-    // Those that the sender withheld are demand too; on average, they are for the same keys.
-    if (request.key !== undefined && !request.isCallerRetry) {
-      keys.record(request.key, 1 + request.withheld);
-    }
+    if (request.key !== undefined && !request.isCallerRetry) keys.record(request.key);
     const recordEnd = demand.open(request);
     const permit = await queue.acquire({
       sendMs,
--- a/ranges/key_load.ts
+++ b/ranges/key_load.ts
@@ -9,8 +9,7 @@
 
 /** Measures the request rate by key, with exponential decay. */
 export interface KeyLoad {
-  /** Counts a request, or as many as it stands for. */
-  readonly record: (key: number, requests?: number) => void;
+  readonly record: (key: number) => void;
   /** Splits ranges into cells of about equal load; a hot key can be a cell of its own. */
   readonly cells: (ranges: readonly KeyRange[], maxCells: number) => readonly LoadCell[];
 }
@@ -76,9 +75,9 @@
   };
 
   return {
-    record: (key, requests = 1) => {
+    record: (key) => {
       decay();
-      weights.set(key, (weights.get(key) ?? 0) + requests);
+      weights.set(key, (weights.get(key) ?? 0) + 1);
     },
     cells,
   };
