Let a reported excess hold for a second, at two requests for each one taken

Callers were refused for some seconds after an overload had passed: a sender with few requests for an owner kept an old report for up to five seconds.

--- a/gateway/demand_meter.ts
+++ b/gateway/demand_meter.ts
@@ -34,7 +34,7 @@
 /** The node sees the requests of the whole fleet, so that a second holds enough of them. */
 const HALF_LIFE_MS = 1000;
 /** Keeps the slots busy although the senders withhold requests at random. */
-const SENT_PER_ACCEPTED = 1.5;
+const SENT_PER_ACCEPTED = 2;
 /** Some refusals at low load are no lack of capacity. */
 const MIN_REQUESTS = 8;
 /** One that refuses some requests at random may still take the next one. */
--- a/gateway/demand_meter_test.ts
+++ b/gateway/demand_meter_test.ts
@@ -21,7 +21,7 @@
 // Once senders withhold requests, those that arrive are mostly taken, and alone would hide it.
 test('the requests that senders withheld count as demand', () => {
   const { meter, requestOf } = setUp();
-  for (let request = 0; request < 50; request += 1) meter.open(requestOf({ withheld: 3 }))(true);
+  for (let request = 0; request < 50; request += 1) meter.open(requestOf({ withheld: 7 }))(true);
   const { timely, late } = meter.excess();
   assert.ok(timely > 0.5, `${timely}`);
   assert.is(late, 0);
--- a/gateway/target_throttle.ts
+++ b/gateway/target_throttle.ts
@@ -34,8 +34,8 @@
 }
 
 const HALF_LIFE_MS = 2000;
-/** Time in ms for which a report holds if none of the few requests sent brings the next one. */
-const MAX_REPORT_AGE_MS = 5000;
+/** An older report would withhold requests after the overload has passed. */
+const MAX_REPORT_AGE_MS = 1000;
 const SENT_PER_ACCEPTED = 2;
 /** Above the instances of the largest fleet, each for timely and for late requests. */
 const MAX_TARGETS = 2048;
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -72,7 +72,7 @@
 const LOAD_DECAY_MS = 1000;
 const REFUSAL_DECAY_MS = 2000;
 /** Time in ms for which a reported excess holds if no request brings the next report. */
-const MAX_EXCESS_AGE_MS = 5000;
+const MAX_EXCESS_AGE_MS = 3000;
 const REFUSAL_SAMPLE_WEIGHT = 0.1;
 /** Outstanding attempts that are never reported are dropped after this time without a new one. */
 const OUTSTANDING_EXPIRY_MS = 60_000;
