Test which requests are refused before their body is read

An overloaded owner's requests are refused early and the throttle is asked once; requests without a key and nested calls are not refused early. Both pass on the code as it is.

--- a/gateway/request_sender_test.ts
+++ b/gateway/request_sender_test.ts
@@ -77,7 +77,9 @@
     ...changes,
   };
   const run = () => sender.send(request, 1, sink);
-  return { clock, sentTo, run };
+  return {
+    clock, sentTo, run, sender, request,
+  };
 };
 
 test('a request is sent to further nodes until one accepts it', async () => {
@@ -108,6 +110,35 @@
   assert.ok(sentTo.length < 40, `${sentTo.length} of 200 sent`);
 });
 
+// Guards against reading the body of a request whose owner is known to have no room.
+test('a request for an overloaded owner is refused early, and is asked about once', async () => {
+  const {
+    run, sender, request, sentTo,
+  } = setUp(new Set(['n1']), { key: 7 });
+  assert.is(sender.refuseEarly(request), undefined);
+  for (let count = 0; count < 200; count += 1) await run();
+  let refused = 0;
+  for (let count = 0; count < 100; count += 1) {
+    const early = sender.refuseEarly(request);
+    if (early === undefined) continue;
+    refused += 1;
+    assert.is(early.refusal.step, 'routing.throttle');
+    assert.is(early.refusal.outcome, 'not run');
+  }
+  assert.ok(refused > 70, `${refused} of 100 refused`);
+  const sentBefore = sentTo.length;
+  await sender.send({ ...request, isAdmitted: true }, 1, sink);
+  assert.is(sentTo.length, sentBefore + 1);
+});
+
+test('requests without a key and nested calls are not refused early', async () => {
+  for (const change of [{ key: undefined }, { key: 7, priority: 0 }]) {
+    const { run, sender, request } = setUp(new Set(['n1']), change);
+    for (let count = 0; count < 100; count += 1) await run();
+    assert.is(sender.refuseEarly(request), undefined);
+  }
+});
+
 test('nested calls are sent to an overloaded target', async () => {
   const { sentTo, run } = setUp(new Set(['n1']), { key: 7, priority: 0 });
   for (let count = 0; count < 50; count += 1) await run();
