Bound the withheld requests that a hop header may name

A peer that is faulty could name any number of withheld requests, which would count as demand for the instance and have all senders withhold requests for minutes. More than 1000 count as 1000, and what is no number as none. The new test fails without the bound, as 1e308 was taken as it was.

--- a/gateway/_hop_header.ts
+++ b/gateway/_hop_header.ts
@@ -18,6 +18,9 @@
   readonly latencyTargetMs: number;
 };
 
+/** Bounds what a faulty peer can add to the demand at an instance. */
+const MAX_WITHHELD = 1000;
+
 const kindByName: Readonly<Record<string, RouteKind>> = {
   safe: 'safe', unsafe: 'unsafe', download: 'download',
 };
@@ -85,6 +88,6 @@
     key: typeof key === 'number' ? key : undefined,
     instance: typeof instance === 'string' ? instance : undefined,
     isCallerRetry: isCallerRetry === 1,
-    withheld: typeof withheld === 'number' && withheld > 0 ? withheld : 0,
+    withheld: typeof withheld === 'number' ? Math.min(Math.max(0, withheld), MAX_WITHHELD) : 0,
   };
 };
--- a/gateway/hop_header_test.ts
+++ b/gateway/hop_header_test.ts
@@ -42,6 +42,15 @@
   assert.is(parseHop(formatHop({ ...request, withheld: 0 }, 1000))?.withheld, 0);
 });
 
+// Guards against a faulty peer that has the instance report a lack of room for minutes.
+test('the number of withheld requests is bounded', () => {
+  for (const [withheld, decoded] of [[1e308, 1000], [-5, 0]] as const) {
+    assert.is(parseHop(formatHop({ ...request, withheld }, 1000))?.withheld, decoded);
+  }
+  const text = formatHop({ ...request, withheld: 7 }, 1000);
+  assert.is(parseHop(text.replace(/7\]$/u, '"x"]'))?.withheld, 0);
+});
+
 test('a malformed or missing header is rejected', () => {
   for (const text of [
     undefined, '', '{', '{}', '[]', '["ledger","other",2,"safe/2/300",1,1,1,"i-1"]',
