--- a/gateway/fleet_load_test.ts
+++ b/gateway/fleet_load_test.ts
@@ -12,17 +12,21 @@
   }))
 );
 
+const order: SimulatedRoute = {
+  name: 'order',
+  service: 'control',
+  kind: 'unsafe',
+  priority: 1,
+  targetLatencyMs: 540,
+  deadlineMs: 3200,
+  meanMs: 95,
+  requestBytes: 1200,
+  responseBytes: 5000,
+};
+
 const routes: readonly SimulatedRoute[] = [
   {
-    name: 'order',
-    service: 'control',
-    kind: 'unsafe',
-    priority: 1,
-    targetLatencyMs: 540,
-    deadlineMs: 3200,
-    meanMs: 95,
-    requestBytes: 1200,
-    responseBytes: 5000,
+    ...order,
     calls: {
       route: 'probe', times: 2, probability: 0.7, inParallel: true,
     },
@@ -107,17 +111,6 @@
     ...control.map((host, index) => ({ ...host, shedsAll: index % 2 === 0 })),
     ...['a', 'b', 'c'].flatMap((domain) => hostsOf('ledger', domain, 15)),
   ];
-  const order: SimulatedRoute = {
-    name: 'order',
-    service: 'control',
-    kind: 'unsafe',
-    priority: 1,
-    targetLatencyMs: 540,
-    deadlineMs: 3200,
-    meanMs: 95,
-    requestBytes: 1200,
-    responseBytes: 5000,
-  };
   const fleet = createSimulatedFleet(hosts, [order], 5);
   // The 12 sound instances serve 500 a second.
   fleet.load('order', () => 130, 10_000);
