Keep relays in use after the store has compacted its history

A relay now says that its history is too short, and the follower lists the store once and goes on with the same relay. A relay that says so twice in a row counts as failed, so that a wrong history cannot make a node list without end. Both tests fail on the code before (ten direct watches in place of none).

--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -32,6 +32,10 @@
   contract: storeRevision.default(0),
 });
 
+/** The answer of a peer whose history no longer reaches back to the revision that is asked for. */
+const compactedSchema = z.object({ compacted: z.literal(true) });
+const COMPACTED_TEXT = JSON.stringify({ compacted: true });
+
 /**
  * Encodes changes as the JSON body of a control response.
  *
@@ -48,14 +52,17 @@
 });
 
 /**
- * Decodes changes.
+ * Decodes changes; `compacted` if the peer no longer has all of them, so that the store must be
+ * listed.
  *
  * @throws {Error} when the text is malformed.
  */
-export const decodeChanges = (text: string): PeerChanges => {
+export const decodeChanges = (text: string): PeerChanges | 'compacted' => {
+  const json: unknown = JSON.parse(text);
+  if (compactedSchema.safeParse(json).success) return 'compacted';
   const {
     at, events, current, contract,
-  } = changesSchema.parse(JSON.parse(text));
+  } = changesSchema.parse(json);
   return {
     at,
     isCurrent: current,
@@ -73,8 +80,8 @@
 }
 
 /**
- * Requests the changes after a revision from a peer, by long polling over HTTP; undefined when the
- * peer does not have them.
+ * Requests the changes after a revision from a peer, by long polling over HTTP; `compacted` when
+ * its history no longer reaches back to them, undefined when it does not follow the store.
  *
  * @param address Address of the peer's listener.
  * @param after Store revision up to which all changes are known.
@@ -88,7 +95,7 @@
   address: string,
   after: number,
   { isCatchingUp = false }: FetchOptions = {},
-): Promise<PeerChanges | undefined> => {
+): Promise<PeerChanges | 'compacted' | undefined> => {
   const waitMs = isCatchingUp ? 0 : MAX_WAIT_MS;
   const { status, text } = await fetchFromPeer(
     address,
@@ -107,7 +114,7 @@
   readonly contractRevision: () => number;
 }
 
-/** Encodes the response to a peer's request for changes; undefined when they are not available. */
+/** Encodes the response to a peer's request for changes; undefined if the request is malformed. */
 export const serveChanges = async (
   { history, view, contractRevision }: ChangesSource,
   path: string,
@@ -118,7 +125,7 @@
   const waitMs = Number(query.get('wait') ?? Number.NaN);
   if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
-  if (changes === undefined) return undefined;
+  if (changes === undefined) return COMPACTED_TEXT;
   // The view may have taken in further changes since these were chosen.
   const isComplete = changes.at >= view.revision();
   return encodeChanges({
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -121,6 +121,8 @@
   const { clock, node, direct } = options;
   const logger = options.logger.forComponent('relay');
   const failures = new Map<string, RelayFailure>();
+  /** The relay whose history did not reach back far enough at the last request. */
+  let compactedBy: string | undefined;
 
   const recordFailure = (address: string) => {
     const before = failures.get(address)?.backoffMs ?? MIN_RELAY_BACKOFF_MS / 2;
@@ -171,7 +173,16 @@
         const changes = await options.fetchChanges(relay.peerAddress, after, {
           isCatchingUp: index > 0,
         });
-        if (changes !== undefined) {
+        if (changes === 'compacted' && compactedBy !== relay.peerAddress) {
+          // A relay that has just listed the store is as good as before, once this node has, too.
+          compactedBy = relay.peerAddress;
+          logger.info({ peer: relay.node, after }, 'the history of the relay is too short');
+          return err(new StoreError('compacted', 'the relay has no changes after this revision', {
+            step: 'relay.watch', peer: relay.node,
+          }));
+        }
+        compactedBy = undefined;
+        if (changes !== undefined && changes !== 'compacted') {
           failures.delete(relay.peerAddress);
           options.onContractRevision?.(changes.contractRevision);
           return ok(changes);
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -6,7 +6,9 @@
 } from '../directory/mod.ts';
 import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { encodeChanges, type PeerChanges, serveChanges } from './changes_message.ts';
+import {
+  decodeChanges, encodeChanges, type PeerChanges, serveChanges,
+} from './changes_message.ts';
 import { createRelayActivity, createRelayedChanges, mayRelay } from './relayed_changes.ts';
 
 const test = suite('relayed changes');
@@ -27,7 +29,7 @@
   const entries = Array.from({ length: nodes }, (_, index) => entryOf(index));
   const asked: string[] = [];
   let direct = 0;
-  const answers = new Map<string, PeerChanges>();
+  const answers = new Map<string, PeerChanges | 'compacted'>();
   const activity = createRelayActivity(clock);
   let losses = 0;
   const watchOf = (node: string) => createRelayedChanges({
@@ -119,6 +121,30 @@
   assert.is(directCalls(), 2);
 });
 
+// After the store had compacted its history, the relays listed it and had no older changes. Their
+// followers took them for failed, and each of them watched the store for seconds.
+test('a relay that has listed the store after a compaction stays in use', async () => {
+  const { watchOf, answers, directCalls } = setUp(30);
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, 'compacted');
+  const watch = watchOf('host-10');
+  const result = await watch('p/', 5, { waitMs: 0 });
+  assert.is(result._unsafeUnwrapErr().kind, 'compacted');
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
+  for (let poll = 0; poll < 10; poll += 1) await watch('p/', 9, { waitMs: 0 });
+  assert.is(directCalls(), 0);
+});
+
+// A relay whose revisions are ahead of those of the store would make a node list it without end.
+test('a relay whose history stays too short counts as failed', async () => {
+  const { watchOf, answers, asked } = setUp(30);
+  answers.set('10.0.0.0:1', 'compacted');
+  answers.set('10.0.0.1:1', NO_CHANGES);
+  const watch = watchOf('host-10');
+  assert.is((await watch('p/', 5, { waitMs: 0 })).isErr(), true);
+  assert.is((await watch('p/', 5, { waitMs: 0 })).isOk(), true);
+  assert.equal(asked, ['10.0.0.0:1', '10.0.0.0:1', '10.0.0.1:1 at once']);
+});
+
 // A false entry that sorts first kept the part of a relay, and each follower waited for it.
 test('an entry behind which nobody answers loses the part of a relay', async () => {
   const {
@@ -209,9 +235,12 @@
 
 test('changes before a gap are not served, so that the peer reads all entries again', async () => {
   const history = createViewHistory(createFakeClock());
-  assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
+  const answer = async () => (
+    decodeChanges((await serveChanges(sourceOf(history), 'changes?after=5&wait=0'))!)
+  );
+  assert.is(await answer(), 'compacted');
   history.reset(10);
-  assert.is(await serveChanges(sourceOf(history), 'changes?after=5&wait=0'), undefined);
+  assert.is(await answer(), 'compacted');
   assert.is(
     await serveChanges(sourceOf(history), 'changes?after=10&wait=0'),
     encodeChanges({ at: 10, events: [], contractRevision: 3 }),
