Follow all keys of the operator and derive the evacuated failure domains

Cause: a node watched the contract's key alone, so it could not learn that an operator evacuates a failure domain, and followers of a relay were told the revision of the contract only, which a removed key does not change. Change: the watch covers the operator's prefix at the same number of store calls; relays tell the revision of the newest change under it, removals included, and a follower compares it with the revision that its own view has reached. createEvacuations derives the state from the keys; no node writes it.

--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -15,6 +15,7 @@
 export {
   createStoreView, type StoreView, type StoreViewOptions, type ViewChange,
 } from './store_view.ts';
+export { createEvacuations, type Evacuations, type EvacuationsOptions } from './evacuations.ts';
 export { createFleetMembership, type FleetMembershipOptions } from './fleet_membership.ts';
 export { createViewHistory, type ViewHistory } from './view_history.ts';
 export { createFleetView, type FleetView, type FleetViewOptions } from './fleet_view.ts';
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -13,6 +13,12 @@
   readonly entries: () => Iterable<StoreEntry>;
   /** Returns the store revision up to which all changes are applied to the view. */
   readonly revision: () => number;
+  /**
+   * Returns the revision of the newest change that the view has seen, removals included; 0 before
+   * the first one. After a full read, this is the revision of the read, since the removal of a key
+   * that is absent may be as recent.
+   */
+  readonly changedRevision: () => number;
   /** Returns whether all entries have been read at least once. */
   readonly isLoaded: () => boolean;
   /** Returns whether the last read from the store or the watch source succeeded. */
@@ -104,6 +110,7 @@
   let loaded = false;
   let connected = false;
   let viewRevision = 0;
+  let changedRevision = 0;
   const currentListeners: ((sent: ClockReading) => void)[] = [];
   /** Number of calls sent so far, and the last one sent of those that made the view current. */
   let sentCalls = 0;
@@ -164,6 +171,7 @@
       if (!present.has(key) && removeIfNotNewer(key, listed.value.at)) changed.add(key);
     }
     viewRevision = listed.value.at;
+    changedRevision = Math.max(changedRevision, viewRevision);
     loaded = true;
     options.history?.reset(viewRevision);
     logger.info({ prefix, revision: viewRevision, entries: entries.size }, 'loaded all entries');
@@ -174,6 +182,7 @@
   const applyEvents = (events: EntryChanges['events']) => {
     const changed: string[] = [];
     for (const event of events) {
+      changedRevision = Math.max(changedRevision, event.revision);
       const isApplied = 'removed' in event
         ? removeIfNotNewer(event.key, event.revision)
         : putIfNewer(event);
@@ -252,6 +261,7 @@
     get: (key) => entries.get(key),
     entries: () => entries.values(),
     revision: () => viewRevision,
+    changedRevision: () => changedRevision,
     isLoaded: () => loaded,
     isConnected: () => connected,
     onChange: (listener) => {
--- /dev/null
+++ b/fleet/_operator_services.ts
@@ -0,0 +1,66 @@
+import type { Clock } from '../clock/mod.ts';
+import {
+  createEvacuations, createStoreView, type Evacuations, type StoreView,
+} from '../directory/mod.ts';
+import type { Kernel } from '../kernel/mod.ts';
+import { decodeEvacuatedDomain, OPERATOR_PREFIX, type PlatformSettings } from '../platform/mod.ts';
+import type { LeasedStore } from '../store/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+import { createEvacuationRules, type EvacuationRules } from './evacuation_rules.ts';
+import type { RelayAnswers } from './relayed_changes.ts';
+
+/**
+ * A connection may go silent for good. A version that is acknowledged meanwhile must be in force
+ * once the node counts as sound again, 3 s later, so the wait, the margin and a new watch fit in.
+ */
+const WATCH_WAIT_MS = 1900;
+const WATCH_MARGIN_MS = 800;
+/** Maximum wait of a node that also learns from its relays of a change by the operator. */
+const RELAYED_WATCH_WAIT_MS = 25_000;
+const WATCH_PAUSE_MS = 30;
+
+/** Registers the view of the operator's keys and what follows from them, but for the contract. */
+export const registerOperatorServices = (kernel: Kernel, settings: PlatformSettings) => {
+  kernel.register<StoreView>({
+    name: 'operator-view',
+    needs: ['clock', 'store', 'logger', 'relay-answers'],
+    start: (find) => ({
+      service: createStoreView({
+        clock: find<Clock>('clock'),
+        store: find<LeasedStore>('store'),
+        prefix: OPERATOR_PREFIX,
+        logger: find<Logger>('logger'),
+        waitMs: () => (
+          find<RelayAnswers>('relay-answers').isRecent() ? RELAYED_WATCH_WAIT_MS : WATCH_WAIT_MS
+        ),
+        marginMs: WATCH_MARGIN_MS,
+        pauseMs: () => WATCH_PAUSE_MS,
+      }),
+    }),
+  });
+
+  kernel.register<Evacuations>({
+    name: 'evacuations',
+    needs: ['clock', 'operator-view', 'logger'],
+    start: (find) => ({
+      service: createEvacuations({
+        clock: find<Clock>('clock'),
+        view: find<StoreView>('operator-view'),
+        failureDomainOf: decodeEvacuatedDomain,
+        logger: find<Logger>('logger'),
+      }),
+    }),
+  });
+
+  kernel.register<EvacuationRules>({
+    name: 'rules',
+    needs: ['evacuations'],
+    start: (find) => ({
+      service: createEvacuationRules({
+        evacuations: find<Evacuations>('evacuations'),
+        failureDomain: settings.failureDomain,
+        boundMs: settings.bounds.evacuationMs,
+      }),
+    }),
+  });
+};
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -6,9 +6,7 @@
 } from '../directory/mod.ts';
 import { createInstanceClient } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
-import {
-  CONTRACT_KEY, createPlatformStore, platformHeaders, type PlatformSettings,
-} from '../platform/mod.ts';
+import { createPlatformStore, platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import { createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant } from '../ranges/mod.ts';
 import { type LeasedStore, abortStaleWatches } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
@@ -30,21 +28,12 @@
   readonly isStopping: () => boolean;
 }
 
-/**
- * A connection may go silent for good. A version that is acknowledged meanwhile must be in force
- * once the node counts as sound again, 3 s later, so the wait, the margin and a new watch fit in.
- */
-const CONTRACT_WAIT_MS = 1900;
-const CONTRACT_MARGIN_MS = 800;
 /**
  * Delay in ms between two watches of the entries and records. A relay collects more changes, since
  * each costs a call and is sent to, and decoded by, tens of nodes.
  */
 const VIEW_PAUSE_MS = 100;
 const RELAY_PAUSE_MS = 250;
-/** Maximum wait of a node that also learns from its relays of a new contract. */
-const RELAYED_CONTRACT_WAIT_MS = 25_000;
-const CONTRACT_PAUSE_MS = 30;
 /** Connections in addition to one per slot, to replace those that are closing. */
 const SPARE_CONNECTIONS = 4;
 
@@ -145,23 +134,12 @@
 
   kernel.register<ContractSource>({
     name: 'contracts',
-    needs: ['clock', 'store', 'logger', 'relay-answers', 'view-history'],
+    // The view is followed from here on, so the evacuations must listen to it before.
+    needs: ['clock', 'logger', 'operator-view', 'evacuations', 'view-history'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
-      const view = createStoreView({
-        clock,
-        store: find<LeasedStore>('store'),
-        prefix: CONTRACT_KEY,
-        logger,
-        waitMs: () => (
-          find<RelayAnswers>('relay-answers').isRecent()
-            ? RELAYED_CONTRACT_WAIT_MS
-            : CONTRACT_WAIT_MS
-        ),
-        marginMs: CONTRACT_MARGIN_MS,
-        pauseMs: () => CONTRACT_PAUSE_MS,
-      });
+      const view = find<StoreView>('operator-view');
       const service = createContractSource(view, logger);
       // Nodes that rely on this one learn of the change at once, not with its next entry.
       view.onChange(() => find<ViewHistory>('view-history').wake());
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -15,9 +15,9 @@
 const ROUND_TRIP_ALLOWANCE_MS = 500;
 const HTTP_OK = 200;
 
-/** The changes that a peer has seen in the store, and the revision of the contract it knows. */
+/** The changes that a peer has seen, and the revision of the operator's newest change it knows. */
 export interface PeerChanges extends EntryChanges {
-  /** Store revision of the peer's newest contract; 0 if it knows none. */
+  /** Store revision of the newest change by the operator, removals included; 0 if none is known. */
   readonly contractRevision: number;
 }
 
@@ -103,7 +103,7 @@
 export interface ChangesSource {
   readonly history: ViewHistory;
   readonly view: Pick<StoreView, 'revision' | 'startCurrencyCheck'>;
-  /** Store revision of the newest known contract. */
+  /** Store revision of the newest known change by the operator, removals included. */
   readonly contractRevision: () => number;
 }
 
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -12,11 +12,14 @@
   readonly namesService: (service: string) => boolean;
   /** Names of the services whose requests are partitioned by key. */
   readonly keyedServices: () => readonly string[];
-  /** Store revision of the newest contract that this process has seen; 0 before the first one. */
+  /**
+   * Store revision of the newest change under the operator's prefix that this process has seen,
+   * removals included; 0 before the first one.
+   */
   readonly storedRevision: () => number;
   /** Gives up the watch in progress and sends a new one, as its wait may be too long. */
   readonly restartWatch: () => void;
-  /** Reads the contract if a peer has seen a newer one, which the own watch may have missed. */
+  /** Reads what the operator wrote if a peer has seen a newer change, which the watch may miss. */
   readonly noteStoredRevision: (revision: number) => void;
 }
 
@@ -24,7 +27,7 @@
  * Watches the published contract. A revision that is not newer is ignored, and when a revision
  * cannot be decoded, the last accepted one remains active.
  *
- * @param view View of the store that includes the contract's key.
+ * @param view View of all keys of the operator.
  * @param logger Logger.
  * @returns The source.
  *
@@ -37,10 +40,9 @@
   let keyedServices: readonly string[] = [];
   let namedServices: ReadonlySet<string> = new Set();
   let isRefreshing = false;
-  const storedRevision = () => view.get(CONTRACT_KEY)?.revision ?? 0;
 
-  view.onChange(() => {
-    const entry = view.get(CONTRACT_KEY);
+  view.onChange(({ keys }) => {
+    const entry = keys.includes(CONTRACT_KEY) ? view.get(CONTRACT_KEY) : undefined;
     if (entry === undefined) return;
     const contract = decodeContract(entry.value);
     if (contract.isErr()) {
@@ -68,14 +70,16 @@
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
     namesService: (service) => namedServices.has(service),
     keyedServices: () => keyedServices,
-    storedRevision,
+    storedRevision: view.changedRevision,
     restartWatch: view.restartWatch,
     noteStoredRevision: (revision) => {
-      if (isRefreshing || revision <= storedRevision() || !view.isLoaded()) return;
+      if (isRefreshing || revision <= view.revision() || !view.isLoaded()) return;
       isRefreshing = true;
       // The first connection may have gone silent; a call after a timeout uses a new one.
       view.refresh().then((isRead) => isRead || view.refresh()).catch((error: unknown) => {
-        log.error({ stored: revision, reason: String(error) }, 'failed to read the contract');
+        log.error({
+          stored: revision, reason: String(error),
+        }, 'failed to read the changes of the operator');
       }).finally(() => {
         isRefreshing = false;
       });
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -22,7 +22,7 @@
   readonly isAsked: () => boolean;
   /** Called when no relay has the changes, so that this node follows the store by itself. */
   readonly onNoRelay?: () => void;
-  /** Called with the revision of the newest contract that a relay knows. */
+  /** Called with the revision of the newest change by the operator that a relay knows. */
   readonly onContractRevision?: (revision: number) => void;
   readonly logger: Logger;
 }
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
-import type { FleetView, NodeRegistration, StoreView } from '../directory/mod.ts';
+import type {
+  Evacuations, FleetView, NodeRegistration, StoreView,
+} from '../directory/mod.ts';
 import type { LocalForwarder, ShutdownTracker } from '../gateway/mod.ts';
 import { type HttpListener, splitAddress } from '../http/mod.ts';
 import { createKernel, type Kernel } from '../kernel/mod.ts';
@@ -17,6 +19,7 @@
 import type { RelayActivity } from './relayed_changes.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 import { registerKeyServices } from './_key_services.ts';
+import { registerOperatorServices } from './_operator_services.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
 
@@ -127,6 +130,8 @@
   metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
   metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
   metrics.observe('fleet_nodes', 'Nodes in the directory', () => fleet.present().size);
+  const evacuations = kernel.find<Evacuations>('evacuations');
+  metrics.observe('evacuated_domains', 'Evacuated failure domains', evacuations.count);
   metrics.observe('unusable_entries', 'Directory entries of no use', fleet.unusableCount);
 };
 
@@ -163,6 +168,7 @@
   });
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings, () => callerService);
+  registerOperatorServices(kernel, settings);
   registerKeyServices(kernel, settings);
   await kernel.start();
 
