Keep requests away from the instances of an evacuated failure domain

Cause: neither the choice of an instance nor the node beside it knew of evacuations, so requests by load, by key, from the own host, nested calls and those waiting for a slot all reached instances of an evacuated domain. The node beside the instance refuses as not run by the same rules, before and after the wait for a slot, and until it knows the evacuations where the settings bound them.

--- a/directory/fleet_membership.ts
+++ b/directory/fleet_membership.ts
@@ -14,6 +14,8 @@
   readonly self: () => NodeEntry;
   /** Returns whether the node at this peer address recently failed to answer. */
   readonly isSuspect: (peerAddress: string) => boolean;
+  /** Returns whether no request may be sent to the instances of a failure domain. */
+  readonly isEvacuated?: (failureDomain: string) => boolean;
 }
 
 const instancesOf = (entry: NodeEntry, now: number): readonly InstanceInfo[] => {
@@ -58,7 +60,9 @@
     failureDomain: entry.failureDomain,
     controlAddress: entry.peerAddress,
     peerAddress: entry.peerAddress,
-    instances: instancesOf(entry, clock.wallTime()),
+    instances: options.isEvacuated?.(entry.failureDomain) === true
+      ? []
+      : instancesOf(entry, clock.wallTime()),
   });
 
   return {
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import { createFleetMembership, type FleetView } from '../directory/mod.ts';
+import { createFleetMembership, type Evacuations, type FleetView } from '../directory/mod.ts';
 import {
   type BodyBudget, createBodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
@@ -15,6 +15,7 @@
 import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlMessageHandler } from './_control_messages.ts';
+import type { EvacuationRules } from './evacuation_rules.ts';
 import { createFailureDomainLookup } from './_failure_domains.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { RangeController } from './range_controller.ts';
@@ -88,7 +89,7 @@
 
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'rules'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -106,6 +107,7 @@
           queue: find<SlotQueue>('queue'),
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
           link: find<EgressLink>('link'),
+          findObjection: find<EvacuationRules>('rules').findObjection,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
@@ -115,7 +117,7 @@
 
   kernel.register<Map<string, ServiceView>>({
     name: 'service-views',
-    needs: ['clock', 'fleet', 'registry'],
+    needs: ['clock', 'fleet', 'registry', 'evacuations'],
     start: (find) => {
       const views = new Map<string, ServiceView>();
       const invalidate = () => {
@@ -123,6 +125,7 @@
       };
       find<FleetView>('fleet').onChange(invalidate);
       find<InstanceRegistry>('registry').onChange(invalidate);
+      find<Evacuations>('evacuations').onChange(invalidate);
       const timer = setInterval(invalidate, VIEW_REFRESH_MS);
       return { service: views, stop: () => clearInterval(timer) };
     },
@@ -154,17 +157,19 @@
 
   kernel.register<TargetChooser>({
     name: 'chooser',
-    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges'],
+    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges', 'rules'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
       const views = find<Map<string, ServiceView>>('service-views');
       const { isSuspect } = find<PeerClient>('peers');
+      const rules = find<EvacuationRules>('rules');
       const membership = createFleetMembership({
         clock,
         fleet,
         self: find<LocalNode>('self').entry,
         isSuspect,
+        isEvacuated: rules.isEvacuated,
       });
       const viewOf = (service: string) => {
         const known = views.get(service);
@@ -185,6 +190,7 @@
               node,
               address: entry.peerAddress,
               isSuspect: isSuspect(entry.peerAddress),
+              isEvacuated: !rules.mayServeKeys(entry.failureDomain),
             };
           },
         }),
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -47,6 +47,8 @@
   readonly demand: DemandMeter;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
+  /** Returns why the instance must not get a request with or without a key, if it must not. */
+  readonly findObjection?: (hasKey: boolean) => string | undefined;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called with the kind of the route and the time in ms from the start to the end of a run. */
@@ -56,12 +58,15 @@
 /** A stopped instance restarts after some seconds, or other instances take over. */
 const DOWN_RETRY_AFTER_MS = 400;
 const MOVED_RETRY_AFTER_MS = 50;
+/** A failure domain that is being evacuated hands its keys over within about 2 s. */
+const EVACUATED_RETRY_AFTER_MS = 400;
 /** An instance that refuses nearly everything needs seconds to recover. */
 const REFUSING_RETRY_AFTER_MS = 300;
 
 /**
  * Creates the local destination of requests. A request is checked again after its wait for a slot,
- * because the instance may have started to drain or lost the key meanwhile.
+ * because the instance may have started to drain or lost the key, or its failure domain may have
+ * been evacuated meanwhile.
  *
  * @param options Clock, instance, key ownership and slot queue.
  * @returns The local destination.
@@ -80,6 +85,12 @@
       return refuseNotRun('the instance is down', DOWN_RETRY_AFTER_MS, { step });
     }
     const context = { step, peer: current.instance };
+    const objection = options.findObjection?.(request.key !== undefined);
+    if (objection !== undefined) {
+      return refuseNotRun(objection, EVACUATED_RETRY_AFTER_MS, {
+        ...context, step: 'local.evacuated',
+      });
+    }
     if (current.service !== request.service) {
       return refuseNotRun('the instance is of another service', MOVED_RETRY_AFTER_MS, context);
     }
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -5,7 +5,7 @@
 import { refuseNotRun } from './_refusals.ts';
 import { createDemandMeter } from './demand_meter.ts';
 import type { InstanceClient } from './instance_client.ts';
-import { createLocalForwarder } from './local_forwarder.ts';
+import { createLocalForwarder, type LocalForwarderOptions } from './local_forwarder.ts';
 import type { GatewayRequest } from './request.ts';
 import { createSlotQueue } from './slot_queue.ts';
 
@@ -19,7 +19,10 @@
 };
 
 /** Creates a forwarder in front of an instance to which `send` sends. */
-const setUp = (send: InstanceClient['send']) => {
+const setUp = (
+  send: InstanceClient['send'],
+  findObjection: LocalForwarderOptions['findObjection'] = () => undefined,
+) => {
   const clock = createFakeClock();
   const link = createEgressLink({ clock, megabitsPerSecond: 8, maxBufferedBytes: 100_000 });
   const keyLoad: number[] = [];
@@ -40,6 +43,7 @@
         keyLoad.push(key);
       },
     },
+    findObjection,
     queue: createSlotQueue({ clock, slots: () => 1, instance: () => 'a' }),
     demand: createDemandMeter({ clock, random: () => 0.5 }),
     link: {
@@ -99,6 +103,39 @@
   assert.equal(keyLoad, [5]);
 });
 
+// The instance ran requests that were waiting for a slot when its failure domain was evacuated.
+test('an evacuated instance gets no request, nested calls and waiting ones included', async () => {
+  let isEvacuated = false;
+  const sent: string[] = [];
+  let finish: () => void = () => undefined;
+  const { forwarder, requestOf } = setUp(async ({ requestId }) => {
+    sent.push(requestId);
+    await new Promise<void>((resolve) => {
+      finish = resolve;
+    });
+    return { kind: 'answered', status: 200 };
+  }, (hasKey) => (isEvacuated && !hasKey ? 'evacuated' : undefined));
+  const forward = (changes: Partial<GatewayRequest>) => (
+    forwarder.forward(requestOf({ kind: 'safe', ...changes }), sink)
+  );
+  const running = forward({ requestId: 'running' });
+  await Promise.resolve();
+  const waiting = [forward({ requestId: 'call', priority: 0 }), forward({ requestId: 'waiting' })];
+  isEvacuated = true;
+  const late = await forward({ requestId: 'late', priority: 0 });
+  finish();
+  assert.is((await running).kind, 'answered');
+  for (const outcome of [late, ...await Promise.all(waiting)]) {
+    assert.is(outcome.kind === 'refused' && outcome.refusal.outcome, 'not run');
+    assert.ok(outcome.kind === 'refused' && !outcome.reachedInstance);
+  }
+  assert.equal(sent, ['running']);
+  const keyed = forward({ requestId: 'keyed', key: 5 });
+  await Promise.resolve();
+  finish();
+  assert.is((await keyed).kind, 'answered');
+});
+
 // Guards against sending nearly everything to an instance that refuses nearly everything.
 test('an instance that refuses everything is asked less and less', async () => {
   let asked = 0;
--- a/gateway/target_chooser.ts
+++ b/gateway/target_chooser.ts
@@ -63,6 +63,8 @@
   readonly address: string;
   /** The node recently failed to respond. */
   readonly isSuspect: boolean;
+  /** The failure domain of the node is evacuated, and the time to hand its keys over has passed. */
+  readonly isEvacuated?: boolean;
 }
 
 /** A range record with its revision in the store. */
@@ -117,6 +119,13 @@
         retryAfterMs: NO_OWNER_RETRY_AFTER_MS,
       };
     }
+    if (ownerNode.isEvacuated === true) {
+      return {
+        kind: 'none',
+        reason: `the failure domain of the owner is evacuated: ${node}`,
+        retryAfterMs: NO_OWNER_RETRY_AFTER_MS,
+      };
+    }
     if (ownerNode.isSuspect && node !== self) {
       return {
         kind: 'none',
