Hand the keys of an evacuated failure domain over to owners outside

Cause: owners in an evacuated domain kept their keys, which nobody may serve. When all of them release at once, each node writes the one record from a view that is 0.1 s old or more, and each conflict costs 200 ms. Change: the first owner outside plans next owners for all their keys in one write, from the load of all owners. Owners release once they have one, or after 0.6 s. The node of a released owner in such a domain reads the record before it writes, and after a conflict writes again at once. A planner that is new collects the loads when an evacuation begins.

--- a/fleet/_key_services.ts
+++ b/fleet/_key_services.ts
@@ -10,6 +10,7 @@
 import type { LeasedStore } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import type { ContractSource } from './contract_source.ts';
+import type { EvacuationRules } from './evacuation_rules.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import { createLoadCollector, type LoadCollector } from './load_collector.ts';
 import { createPlannerSuccession, type PlannerSuccession } from './planner_succession.ts';
@@ -56,7 +57,7 @@
     needs: [
       'succession',
       'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'own-entry', 'logger',
-      'contracts', 'collector', 'metrics',
+      'contracts', 'collector', 'metrics', 'rules',
     ],
     start: (find) => ({
       service: createRangeController({
@@ -80,6 +81,7 @@
         maxHoldMs: settings.bounds.maxHoldMs,
         rightMs: RIGHT_TO_GRANT_MS,
         firstAssignmentMs: settings.isFirstStart ? FIRST_ASSIGNMENT_MS : 0,
+        rules: find<EvacuationRules>('rules'),
         isPlannerOf: find<PlannerSuccession>('succession').isPlanner,
         onRowsChanged: (rows, reason) => find<NodeMetrics>('metrics').recordRows(reason, rows),
       }),
--- a/fleet/_owners.ts
+++ b/fleet/_owners.ts
@@ -3,11 +3,16 @@
 
 type Entries = ReadonlyMap<string, NodeEntry>;
 
-/** Reports whether an owner can take keys: its node's entry lists the same process as ready. */
-export const isLiveOwner = (entries: Entries, owner: Owner): boolean => {
-  const { instance } = entries.get(owner.node) ?? {};
+type IsEvacuated = (failureDomain: string) => boolean;
+
+/**
+ * Reports whether an owner can take keys: its node's entry lists the same process as ready, in a
+ * failure domain that is not evacuated.
+ */
+export const isLiveOwner = (entries: Entries, owner: Owner, isEvacuated: IsEvacuated): boolean => {
+  const { instance, failureDomain = '' } = entries.get(owner.node) ?? {};
   return instance?.state === 'ready' && instance.instance === owner.instance
-    && instance.startedAt === owner.startedAt;
+    && instance.startedAt === owner.startedAt && !isEvacuated(failureDomain);
 };
 
 /**
@@ -31,10 +36,17 @@
 };
 
 /** Lists the instances of a service that can take keys, sorted by node name on every node. */
-export const listOwners = (entries: Entries, service: string): readonly Owner[] => {
+export const listOwners = (
+  entries: Entries,
+  service: string,
+  isEvacuated: IsEvacuated,
+): readonly Owner[] => {
   const owners: Owner[] = [];
-  for (const { node, instance, isStopping } of entries.values()) {
+  for (const {
+    node, failureDomain, instance, isStopping,
+  } of entries.values()) {
     if (instance?.service !== service || instance.state !== 'ready' || isStopping) continue;
+    if (isEvacuated(failureDomain)) continue;
     owners.push({ node, instance: instance.instance, startedAt: instance.startedAt });
   }
   return owners.sort((left, right) => (left.node < right.node ? -1 : 1));
--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -18,6 +18,8 @@
   requestMoves,
 } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { requestEvacuationMoves } from './_evacuation_moves.ts';
+import type { EvacuationRules } from './evacuation_rules.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import {
   isLiveOwner, isReplaced, listOwners, planLogFields, rankOf,
@@ -69,6 +71,8 @@
   readonly firstAssignmentMs: number;
   /** Reports whether the contract names a service. */
   readonly namesService: (service: string) => boolean;
+  /** Which owners may take keys while failure domains are evacuated. */
+  readonly rules: Pick<EvacuationRules, 'isEvacuated' | 'isSelfEvacuated' | 'mustRelease'>;
   /** Reports whether this node plans the moves between these owners. */
   readonly isPlannerOf: (owners: readonly Owner[]) => boolean;
 }
@@ -90,6 +94,7 @@
   const {
     clock, node, fleet, registry, grantTracker, logger,
   } = options;
+  const { isEvacuated } = options.rules;
   const startedAt = clock.now();
   const states = new Map<string, ServiceState>();
 
@@ -106,8 +111,33 @@
     return state;
   };
 
-  const isLive = (owner: Owner) => isLiveOwner(fleet.present(), owner);
-  const ownersOf = (service: string) => listOwners(fleet.present(), service);
+  const isLive = (owner: Owner) => isLiveOwner(fleet.present(), owner, isEvacuated);
+  const ownersOf = (service: string) => listOwners(fleet.present(), service, isEvacuated);
+
+  const isInEvacuatedDomain = (owner: Owner) => {
+    const failureDomain = fleet.find(owner.node)?.failureDomain;
+    return failureDomain !== undefined && isEvacuated(failureDomain);
+  };
+
+  /** Gives the keys of evacuated owners next owners, also between two plans of moves. */
+  const moveOutOfEvacuated = (record: RangeRecord, service: string) => {
+    const isDue = record.rows.some(({ owner, successor }) => (
+      owner !== undefined && successor === undefined && isInEvacuatedDomain(owner)
+    ));
+    if (!isDue) return record;
+    const snapshot = options.loadSnapshotOf(listOwners(fleet.present(), service, () => false));
+    const next = requestEvacuationMoves(record, snapshot, isInEvacuatedDomain);
+    if (next !== record) {
+      logger.info({
+        service,
+        from: [...new Set(record.rows.flatMap(({ owner }) => (
+          owner !== undefined && isInEvacuatedDomain(owner) ? [owner.node] : []
+        )))],
+        rows: next.rows.filter((row) => !record.rows.includes(row)).length,
+      }, 'moves keys out of evacuated failure domains');
+    }
+    return next;
+  };
 
   const isReleasedLocally = (row: RangeRow, { released }: ServiceState) => {
     if (row.owner?.node !== node) return false;
@@ -176,7 +206,11 @@
     let record = releaseRows(before, isReleased, isLive, grantTracker.handovers());
     const releasedNow = record !== before;
     const isPlanner = options.isPlannerOf(owners);
-    if (isPlanner) record = dropDeadSuccessors(record, isLive);
+    if (isPlanner) {
+      const next = moveOutOfEvacuated(dropDeadSuccessors(record, isLive), service);
+      if (next !== record && !releasedNow) reason = 'moves requested';
+      record = next;
+    }
     if (owners.length > 0 && mayAssign(record, state, rank, releasedNow)) {
       const snapshot = options.loadSnapshotOf(owners);
       record = assignRanges(record, planAssignments(record, snapshot));
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -15,7 +15,9 @@
 import { noopLogger } from '../telemetry/mod.ts';
 import { createInstanceRegistry } from './instance_registry.ts';
 import { createRangeController, grantableMs } from './range_controller.ts';
+import { createEvacuator, createTestRules } from './_test_evacuation.ts';
 import { createTestInstance, type TestInstance } from './_test_instance.ts';
+import { countWrites, createTestHostStore, type WriteCounts } from './_test_store.ts';
 
 /** A simulated host: a node and its instance. */
 export interface TestHost {
@@ -38,6 +40,14 @@
   readonly setAnnouncementsDropped: (isDropped: boolean) => void;
 }
 
+/** Options of simulated hosts. */
+export interface TestClusterOptions {
+  /** Number of failure domains, `d0` and so on, over which the hosts are spread in turn. */
+  readonly failureDomains?: number;
+  /** Time in ms that a call to the store takes each way. */
+  readonly storeDelayMs?: number;
+}
+
 /** Simulated hosts that share one store, with a check that no key has two holders. */
 export interface TestCluster {
   readonly clock: FakeClock;
@@ -49,6 +59,10 @@
   readonly stop: () => void;
   /** Fraction of the keys that are held by an instance. */
   readonly heldFraction: () => number;
+  /** Begins or ends the evacuation of a failure domain, as an operator does. */
+  readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => Promise<void>;
+  /** Numbers of transactions that took effect and that met a conflict. */
+  readonly writes: () => WriteCounts;
 }
 
 export const MAX_HOLD_MS = 10_000;
@@ -57,22 +71,6 @@
 const RECONCILE_STEPS = 4;
 const TOTAL_KEYS = 65_536;
 
-/** Redirects calls to an unavailable store while the shared one is out of reach. */
-const withOutage = (
-  store: LeasedStore,
-  isUnavailable: () => boolean,
-  unavailableStore: LeasedStore,
-): LeasedStore => (
-  new Proxy(store, {
-    get: (target, name: keyof LeasedStore) => (
-      (...args: readonly never[]) => {
-        const chosen = isUnavailable() ? unavailableStore : target;
-        return (chosen[name] as (...values: readonly never[]) => unknown)(...args);
-      }
-    ),
-  })
-);
-
 interface RunningNode {
   readonly stop: () => void;
   readonly reconcile: () => void;
@@ -82,11 +80,13 @@
 
 const createHost = (
   clock: FakeClock,
-  shared: MemoryLeasedStore,
+  shared: LeasedStore,
   unavailableStore: MemoryLeasedStore,
   index: number,
+  { failureDomains = 1, storeDelayMs = 0 }: TestClusterOptions,
 ) => {
-  const node = `host-${index}`;
+  const node = `host-${String(index).padStart(failureDomains > 1 ? 2 : 1, '0')}`;
+  const failureDomain = `d${index % failureDomains}`;
   let peerAddress = `${node}:2`;
   let isStorePartitioned = false;
   let areAnnouncementsDropped = false;
@@ -97,11 +97,14 @@
 
   const startNode = () => {
     const stopping = new AbortController();
-    const store = withOutage(
+    const store = createTestHostStore({
+      clock,
       shared,
-      () => isStorePartitioned || stopping.signal.aborted,
       unavailableStore,
-    );
+      isUnavailable: () => isStorePartitioned || stopping.signal.aborted,
+      delayMs: storeDelayMs,
+    });
+    const { operatorView, rules } = createTestRules(clock, store, failureDomain);
     const view = createStoreView({
       clock, store, prefix: KEY_PREFIX, logger: noopLogger,
     });
@@ -130,7 +133,7 @@
       startedAt,
       peerAddress,
       region: 'r',
-      failureDomain: 'd',
+      failureDomain,
       isStopping: false,
       instance: registry.describe(),
     });
@@ -165,9 +168,11 @@
       maxHoldMs: MAX_HOLD_MS,
       rightMs: RIGHT_TO_GRANT_MS,
       firstAssignmentMs: 2000,
+      rules,
       isPlannerOf: (owners) => owners[0]?.node === node,
     });
     view.follow(stopping.signal);
+    operatorView.follow(stopping.signal);
     own.run(stopping.signal);
     departureLog.run(stopping.signal);
     running = {
@@ -228,20 +233,25 @@
   const step = (count: number) => {
     const isDue = (count * STEP_MS + index * 130) % ANNOUNCE_INTERVAL_MS < STEP_MS;
     if (isDue) instance?.announce();
-    if (count % RECONCILE_STEPS === 0) running?.reconcile();
+    // A node also reconciles after each announcement, whose releases it writes.
+    if (isDue || count % RECONCILE_STEPS === 0) running?.reconcile();
     if (count % RECONCILE_STEPS === 1) running?.probe();
   };
   return { host, step, held: () => instance?.held() ?? [] };
 };
 
 /** Starts hosts with one node and one instance each. */
-export const createTestCluster = (count: number): TestCluster => {
+export const createTestCluster = (
+  count: number,
+  options: TestClusterOptions = {},
+): TestCluster => {
   const clock = createFakeClock();
   const store = createMemoryLeasedStore(clock);
+  const { counted, writes } = countWrites(store);
   const unavailableStore = createMemoryLeasedStore(clock);
   unavailableStore.faults.failWith = 'unavailable';
   const hosts = Array.from({ length: count }, (_, index) => (
-    createHost(clock, store, unavailableStore, index)
+    createHost(clock, counted, unavailableStore, index, options)
   ));
   let steps = 0;
 
@@ -278,5 +288,7 @@
     heldFraction: () => hosts
       .flatMap(({ held }) => held())
       .reduce((sum, { from, to }) => sum + to - from + 1, 0) / TOTAL_KEYS,
+    setEvacuated: createEvacuator(store),
+    writes,
   };
 };
--- a/fleet/evacuation_rules.ts
+++ b/fleet/evacuation_rules.ts
@@ -4,6 +4,8 @@
 export interface EvacuationRules {
   /** Reports whether the instances of a failure domain may take neither requests nor keys. */
   readonly isEvacuated: (failureDomain: string) => boolean;
+  /** Reports whether the failure domain of this node is evacuated. */
+  readonly isSelfEvacuated: () => boolean;
   /** Reports whether the owner of a key in a failure domain may still get requests for it. */
   readonly mayServeKeys: (failureDomain: string) => boolean;
   /** Returns why the instance of this host must not get a request; undefined if it may. */
@@ -62,6 +64,7 @@
 
   return {
     isEvacuated,
+    isSelfEvacuated: () => isEvacuated(failureDomain),
     mayServeKeys,
     findObjection: (hasKey) => {
       // Platforms without evacuations go on during an outage of the store, as they always have.
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -36,6 +36,14 @@
   readonly onRowsChanged?: (rows: number, reason: string) => void;
 }
 
+/**
+ * Writes in a row of a node whose failure domain is evacuated, all of whose owners write the same
+ * record within one announce interval. A conflict then costs a call instead of 200 ms.
+ */
+const MAX_CONTENDED_WRITES = 5;
+/** Longest pause in ms before such a write is repeated; several times the round trip of a write. */
+const MAX_CONTENDED_PAUSE_MS = 40;
+
 /**
  * Returns the time for which a node may grant holds. While its entry was missing, the node may have
  * lost keys, so its view must be at least as recent as the creation of the entry.
@@ -93,24 +101,30 @@
     || recordOf(service)?.record.rows.some(({ owner }) => owner?.node === node)
   ));
 
-  const updateRecord = async (service: string): Promise<void> => {
+  const readNewest = async (service: string) => {
+    const newest = await options.store.get(rangesKey(service));
+    if (newest.isOk() && newest.value !== undefined) view.apply(newest.value);
+  };
+
+  /** Brings the record closer to the plan; resolves to true after a conflict. */
+  const updateRecord = async (service: string): Promise<boolean> => {
     const key = rangesKey(service);
     const known = recordOf(service);
     const entry = view.get(key);
     if (entry !== undefined && known === undefined) {
       logger.error({ service, revision: entry.revision }, 'failed to decode the range record');
-      return;
+      return false;
     }
     const before = known?.record ?? emptyRecord;
     const state = stateOf(service);
     let planned = plan(before, service);
     if (planned.lost.size > 0) {
       // The view may be stale on a silent connection, and the lost nodes may have returned since.
-      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return;
+      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return false;
       planned = plan(before, service);
     }
     const { record, lost, reason } = planned;
-    if (record === before) return;
+    if (record === before) return false;
     // The write may take effect late even if it fails, so these rows are never granted again.
     for (const row of before.rows) {
       if (isReleasedLocally(row, state)) state.released.add(rowKey(row));
@@ -138,12 +152,26 @@
       view.apply({ key, revision: result.value, value });
       const ownRows = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
       for (const row of state.released) if (!ownRows.has(row)) state.released.delete(row);
-      return;
+      return false;
     }
     logger.warn({ service, reason: result.error.message }, 'failed to change the range record');
-    if (result.error.kind !== 'conflict') return;
-    const newest = await options.store.get(key);
-    if (newest.isOk() && newest.value !== undefined) view.apply(newest.value);
+    return result.error.kind === 'conflict';
+  };
+
+  /** Reports whether the owners of this node's failure domain release their keys all at once. */
+  const isContended = (service: string) => (
+    options.rules.isSelfEvacuated() && recordOf(service)?.record.rows.some((row) => (
+      isReleasedLocally(row, stateOf(service))
+    )) === true
+  );
+
+  /** Writes the released rows of an evacuated owner, from the newest record. */
+  const updateContended = async (service: string) => {
+    for (let written = 1; written <= MAX_CONTENDED_WRITES; written += 1) {
+      await readNewest(service);
+      if (!await updateRecord(service)) return;
+      await options.clock.sleep(Math.random() * MAX_CONTENDED_PAUSE_MS);
+    }
   };
 
   const reconcile = async () => {
@@ -156,7 +184,10 @@
     try {
       do {
         isRerunNeeded = false;
-        for (const service of servicesOfHost()) await updateRecord(service);
+        for (const service of servicesOfHost()) {
+          if (isContended(service)) await updateContended(service);
+          else if (await updateRecord(service)) await readNewest(service);
+        }
       } while (isRerunNeeded);
     } finally {
       isReconciling = false;
@@ -172,7 +203,8 @@
       record,
       rightMs: options.grantableMs(),
       isWithdrawn: (row) => released.has(rowKey(row))
-        || (announcement.isDraining && hasOthers && view.isConnected()),
+        || ((announcement.isDraining || options.rules.mustRelease())
+          && hasOthers && view.isConnected()),
     });
     for (const row of outcome.released) released.add(rowKey(row));
     logger.debug({
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -97,6 +97,12 @@
     ));
     await collector.collect(owners);
   };
+  // The first owner outside an evacuated domain may have become the planner, without any reports.
+  kernel.find<Evacuations>('evacuations').onChange(() => {
+    collect().catch((error: unknown) => {
+      logger.error({ reason: String(error) }, 'failed to collect the loads of the owners');
+    }).finally(reconcile);
+  });
   const stops = [
     runPeriodically(RECONCILE_INTERVAL_MS, 'reconcile', logger, ranges.reconcile),
     runPeriodically(COLLECT_INTERVAL_MS, 'collect', logger, collect),
