Mix evacuations into the random faults of the range controller

Cause: the random faults covered kills, partitions and store outages, but no evacuation that overlaps with them. Change: a second run of the same seeds adds begins and ends of evacuations of three domains over four hosts; the checks are the same, so no key may ever have two holders and all keys must be held again afterwards.

--- a/fleet/random_faults_test.ts
+++ b/fleet/random_faults_test.ts
@@ -3,7 +3,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { nodeKey } from '../directory/mod.ts';
-import { createTestCluster, type TestCluster } from './_test_cluster.ts';
+import { createTestCluster, type TestCluster, type TestClusterOptions } from './_test_cluster.ts';
 
 const test = suite('range controller under random faults');
 
@@ -24,7 +24,7 @@
   return (limit) => uniformInt(generator, 0, limit - 1);
 };
 
-type Fault = (cluster: TestCluster, host: number) => void;
+type Fault = (cluster: TestCluster, host: number) => unknown;
 
 /** Faults and recoveries, picked at random; hosts may also be restarted while partitioned. */
 const faults: readonly Fault[] = [
@@ -48,7 +48,7 @@
   ({ store }) => Object.assign(store.faults, { failWith: undefined, loseReplies: true }),
   ({ store }) => Object.assign(store.faults, { loseReplies: false }),
   ({ store }) => store.expireAllLeases(),
-  ({ store }, host) => store.removeEntry(nodeKey(`host-${host}`)),
+  ({ store, hosts }, host) => store.removeEntry(nodeKey(hosts[host]!.node)),
   ({ store }) => store.compact(),
 ];
 
@@ -64,26 +64,49 @@
   }
 };
 
-test('no key ever has two holders, and all keys are held again after the faults end', async () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
-    const random = createRandom(seed);
-    const cluster = createTestCluster(HOSTS);
-    try {
-      await cluster.run(START_MS);
-      for (let step = 0; step < STEPS; step += 1) {
-        faults[random(faults.length)]!(cluster, random(HOSTS));
-        // A long step leaves enough time for a takeover because of a missing entry.
-        const isLong = random(LONG_STEP_ODDS) === 0;
-        await cluster.run(isLong ? LONG_STEP_MS : 100 + random(25) * 100);
+/** Evacuations that begin, end and overlap, in addition to the faults; d2 has a single host. */
+const evacuationFaults: readonly Fault[] = [
+  ...faults,
+  ...[0, 1, 2].flatMap((domain): readonly Fault[] => [
+    ({ setEvacuated }) => setEvacuated(`d${domain}`, true),
+    ({ setEvacuated }) => setEvacuated(`d${domain}`, false),
+  ]),
+];
+
+const runWithFaults = async (
+  kinds: readonly Fault[],
+  random: Random,
+  options: TestClusterOptions = {},
+) => {
+  const cluster = createTestCluster(HOSTS, options);
+  await cluster.run(START_MS);
+  for (let step = 0; step < STEPS; step += 1) {
+    kinds[random(kinds.length)]!(cluster, random(HOSTS));
+    // A long step leaves enough time for a takeover because of a missing entry.
+    const isLong = random(LONG_STEP_ODDS) === 0;
+    await cluster.run(isLong ? LONG_STEP_MS : 100 + random(25) * 100);
+  }
+  endAllFaults(cluster);
+  for (const domain of ['d0', 'd1', 'd2']) await cluster.setEvacuated(domain, false);
+  await cluster.run(SETTLE_MS);
+  return cluster;
+};
+
+for (const { name, kinds, options } of [
+  { name: 'the faults', kinds: faults, options: {} },
+  { name: 'faults and evacuations', kinds: evacuationFaults, options: { failureDomains: 3 } },
+]) {
+  test(`no key ever has two holders, and all keys are held again after ${name} end`, async () => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+      try {
+        const cluster = await runWithFaults(kinds, createRandom(seed), options);
+        assert.is(cluster.heldFraction(), 1);
+        cluster.stop();
+      } catch (error) {
+        throw new Error(`seed ${seed}: ${String(error)}`);
       }
-      endAllFaults(cluster);
-      await cluster.run(SETTLE_MS);
-    } catch (error) {
-      throw new Error(`seed ${seed}: ${String(error)}`);
     }
-    assert.is(cluster.heldFraction(), 1, `seed ${seed}`);
-    cluster.stop();
-  }
-});
+  });
+}
 
 test.run();
