Limit the requests that a cold instance receives

Cause: an instance that has just started got its usual requests, although it crashes well above the rate that the contract names as cold_per_s. Nothing bounded what all senders together sent to it, keyed requests and nested calls included.

Change: the node beside the instance counts requests when they are written, in a window of 1.1 s, and refuses the excess as not run, before its wait for a slot where that is known. Nested calls go first, and Retry-After spreads the returns over the room that comes free. Lost connections, a newer process and the end of an evacuation make the instance count as not known to be warm until its next announcement. Services without cold_per_s and settings without both figures have no bound.

--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -26,3 +26,6 @@
   type RotatingHistogram,
   type RotatingHistogramOptions,
 } from './rotating_histogram.ts';
+export {
+  type ColdStartLimit, type ColdStartLimitOptions, type ColdStartPermit, createColdStartLimit,
+} from './cold_start_limit.ts';
--- a/contract/published_contract.ts
+++ b/contract/published_contract.ts
@@ -33,6 +33,8 @@
   readonly keyed: boolean;
   /** Maximum number of connections that an instance accepts. */
   readonly maxConnections: number;
+  /** Requests per second that a cold instance can handle; absent if it needs no limit. */
+  readonly coldPerSecond?: number;
 }
 
 /** The routes and services in one revision of the contract that the operators publish. */
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,3 +1,4 @@
+import type { ColdStartLimit } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
@@ -88,7 +89,9 @@
 
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: [
+      'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'cold-start-limit',
+    ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -105,8 +108,10 @@
           },
           queue: find<SlotQueue>('queue'),
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
+          coldStart: find<ColdStartLimit>('cold-start-limit'),
           link: find<EgressLink>('link'),
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
+          onColdRefusal: (when) => find<NodeMetrics>('metrics').recordSlotRefusal(`cold ${when}`),
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
       };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -14,6 +14,8 @@
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { fetchPeerChanges } from './changes_message.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
+import { trackColdStarts } from './_cold_registry.ts';
+import type { ColdInstance } from './cold_instance.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
@@ -194,15 +196,16 @@
 
   kernel.register<InstanceRegistry>({
     name: 'registry',
-    needs: ['clock', 'store', 'logger', 'contracts'],
+    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
+      const cold = find<ColdInstance>('cold-instance');
       const departureLog = createDepartureLog({
         clock, store: find<LeasedStore>('store'), node: settings.node, logger,
       });
       const { namesService } = find<ContractSource>('contracts');
-      const registry = createInstanceRegistry({
+      const registry = trackColdStarts(clock, createInstanceRegistry({
         clock,
         node: settings.node,
         logger,
@@ -218,9 +221,15 @@
           instance: announcement.instance,
           connections: announcement.slots + SPARE_CONNECTIONS,
           headers: platformHeaders,
-          onConnectionRefused,
+          onConnectionRefused: () => {
+            cold.recordDoubt('its address refused a connection', announcement.startedAt);
+            onConnectionRefused();
+          },
+          onConnectionsLost: () => (
+            cold.recordDoubt('its connections were closed', announcement.startedAt)
+          ),
         }),
-      });
+      }), cold);
       return {
         service: registry,
         stop: runUntilStop(departureLog.run, { clock, logger, part: 'departures' }),
--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -30,6 +30,8 @@
   readonly workMs?: number;
   /** Timeout of all routes in ms. */
   readonly timeoutMs?: number;
+  /** Time in ms for which instances are cold, with a bound of 9 requests in any second. */
+  readonly coldMs?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -66,7 +68,7 @@
       },
     })),
     { resource_type: 'services', metadata: { name: 'ledger' }, spec: { sharded: true } },
-    { resource_type: 'services', metadata: { name: 'orders' }, spec: {} },
+    { resource_type: 'services', metadata: { name: 'orders' }, spec: { cold_per_s: 4 } },
   ],
 });
 
@@ -91,7 +93,7 @@
 export const startLoopbackFleet = async (
   services: readonly string[],
   {
-    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, reachStoreThrough,
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, coldMs, reachStoreThrough,
   }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
@@ -126,6 +128,7 @@
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         extraRetries: 600,
+        ...(coldMs === undefined ? {} : { coldExcess: 1.5, coldSlack: 3 }),
       },
       listen: {
         caller: `${address}:${ports.caller}`,
@@ -143,6 +146,7 @@
       service,
       announceAddress: settings.listen.announcements,
       ...(workMs === undefined ? {} : { workMs }),
+      ...(coldMs === undefined ? {} : { coldMs }),
     });
     hosts.push({ settings, node, instance });
   }
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -1,3 +1,4 @@
+import type { PublishedService } from '../contract/mod.ts';
 import { createRouteTable, type RouteTable } from '../gateway/mod.ts';
 import type { StoreView } from '../directory/mod.ts';
 import { CONTRACT_KEY, decodeContract } from '../platform/mod.ts';
@@ -8,6 +9,8 @@
   /** Current routes; undefined until the first contract has been accepted. */
   readonly routes: () => RouteTable | undefined;
   readonly isKeyed: (service: string) => boolean;
+  /** Returns a service that the contract lists. */
+  readonly serviceOf: (service: string) => PublishedService | undefined;
   /** Reports whether the contract lists a service, or a route leads to it. */
   readonly namesService: (service: string) => boolean;
   /** Names of the services whose requests are partitioned by key. */
@@ -65,6 +68,7 @@
 
   return {
     routes: () => table,
+    serviceOf: (service) => table?.contract.services.get(service),
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
     namesService: (service) => namedServices.has(service),
     keyedServices: () => keyedServices,
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -9,6 +9,8 @@
   createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type Logger, type NodeMetrics,
   readProcessUsage,
 } from '../telemetry/mod.ts';
+import { registerColdServices } from './_cold_services.ts';
+import type { ColdInstance } from './cold_instance.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlListeners } from './control_listeners.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
@@ -113,11 +115,14 @@
 const registerGauges = (kernel: Kernel) => {
   const metrics = kernel.find<NodeMetrics>('metrics');
   const local = kernel.find<LocalForwarder>('local');
+  const cold = kernel.find<ColdInstance>('cold-instance');
   const right = kernel.find<RightToGrant>('right');
   const contracts = kernel.find<ContractSource>('contracts');
   const view = kernel.find<StoreView>('view');
   const fleet = kernel.find<FleetView>('fleet');
   metrics.observe('in_flight', 'Requests that the instance runs', () => local.load().inFlight);
+  const isCold = () => Number(cold.isCold());
+  metrics.observe('instance_cold', '1 while the instance is not known to be warm', isCold);
   metrics.observe('queued', 'Requests that wait for the local instance', () => local.load().queued);
   metrics.observe('right_to_grant_ms', 'Time for which holds may be given', right.remainingMs);
   const revision = () => contracts.routes()?.revision ?? 0;
@@ -164,6 +169,7 @@
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings, () => callerService);
   registerKeyServices(kernel, settings);
+  registerColdServices(kernel, settings);
   await kernel.start();
 
   const localNode = kernel.find<LocalNode>('self');
--- a/forward/truncation_aware_pool.ts
+++ b/forward/truncation_aware_pool.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import { createBoundedPool } from '../http/mod.ts';
 import { findHeader } from './headers.ts';
@@ -19,6 +20,8 @@
   readonly connectTimeoutMs: number;
   /** Time in ms after which an idle connection is closed. */
   readonly keepAliveMs: number;
+  /** Called with each new connection. */
+  readonly onConnect?: (socket: Socket) => void;
 }
 
 const isChunked = (raw: readonly string[]) => (
@@ -49,6 +52,7 @@
   const pool = createBoundedPool(`http://${address}`, {
     ...options,
     onConnect: (socket) => {
+      options.onConnect?.(socket);
       socket.on('error', () => {
         isReset = true;
         process.nextTick(clearFlags);
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -4,7 +4,9 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 const STATUS_MISDIRECTED = 421;
 /** Steps that refuse for want of slots or processor time, and the one that gets no answer. */
-const OVERLOAD_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'local.admit', 'peer.send']);
+const OVERLOAD_STEPS = new Set([
+  'admission.acquire', 'admission.cold', 'dispatch.wait', 'local.admit', 'peer.send',
+]);
 
 /** Returns the outcome of an attempt as the chooser counts it. */
 export const reportedOutcome = (outcome: AttemptOutcome, isAborted: boolean) => {
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -4,6 +4,7 @@
   type ResponseSink, createTruncationAwarePool, exchange, type ExchangeResult, findHeader,
 } from '../forward/mod.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
+import { createConnectionLosses } from './_connection_losses.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
 
 /** Lower-case names of the headers between a node and the instance on its host. */
@@ -21,8 +22,15 @@
 
 /** HTTP client for one incarnation of the instance on this host. */
 export interface InstanceClient {
-  /** Sends a request to the instance and streams the response into `sink`. */
-  readonly send: (request: GatewayRequest, sink: ResponseSink) => Promise<AttemptOutcome>;
+  /**
+   * Sends a request to the instance and streams the response into `sink`. `onSent` is called in the
+   * turn of the event loop in which the request is written to a connection.
+   */
+  readonly send: (
+    request: GatewayRequest,
+    sink: ResponseSink,
+    onSent?: () => void,
+  ) => Promise<AttemptOutcome>;
   /** Sends no further requests and closes each connection once its request has ended. */
   readonly close: () => void;
 }
@@ -37,6 +45,8 @@
   readonly headers: InstanceHeaders;
   /** Called when the address refuses a connection, so that no process listens there. */
   readonly onConnectionRefused: () => void;
+  /** Called when the instance has closed all connections at once, as an ended process does. */
+  readonly onConnectionsLost?: () => void;
 }
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -72,10 +82,12 @@
  */
 export const createInstanceClient = (options: InstanceClientOptions): InstanceClient => {
   const { clock, address, headers: headerNames } = options;
+  const losses = createConnectionLosses(clock, options.onConnectionsLost ?? (() => undefined));
   const { pool, checkEnd } = createTruncationAwarePool(address, {
     connections: options.connections,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveMs: KEEP_ALIVE_MS,
+    onConnect: losses.watch,
   });
   const replacedHeaders = new Set([headerNames.remainingMs, headerNames.expectedInstance]);
 
@@ -122,7 +134,7 @@
     return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
   };
 
-  const send: InstanceClient['send'] = async (request, sink) => {
+  const send: InstanceClient['send'] = async (request, sink, onSent) => {
     let notRunStatus: number | undefined;
     let failedStatus: number | undefined;
     let fault: string | undefined;
@@ -158,9 +170,14 @@
       endDeadlineAt: request.deadlineAt + BODY_SLACK_MS,
       headProgressTimeoutMs: Number.POSITIVE_INFINITY,
       bodyProgressTimeoutMs: BODY_STALL_MS,
+      beforeWrite: () => {
+        onSent?.();
+        return undefined;
+      },
       checkHead: checkHead(request),
       checkEnd,
     });
+    if (end.kind === 'failed' && end.cause === 'connection' && end.written) losses.recordFailure();
     if (fault !== undefined) {
       const context = { step: 'instance.send', peer: options.instance };
       return refuseUnknown(`the answer ${fault}`, context);
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -1,4 +1,4 @@
-import type { AdmissionLoad } from '../admission/mod.ts';
+import type { AdmissionLoad, ColdStartLimit } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { EgressLink } from '../http/mod.ts';
@@ -6,7 +6,9 @@
 import type { InstanceClient } from './instance_client.ts';
 import { isRefusedByInstance } from './_attempt_outcomes.ts';
 import type { DemandMeter, DemandRequest } from './demand_meter.ts';
-import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
+import {
+  type AttemptOutcome, type GatewayRequest, isBulk, isNestedCall,
+} from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
 
 /** State of the instance on this host. */
@@ -45,10 +47,14 @@
   readonly keys: KeyOwnership;
   readonly queue: SlotQueue;
   readonly demand: DemandMeter;
+  /** Limit of the requests to a cold instance; by default, there is none. */
+  readonly coldStart?: ColdStartLimit;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
+  /** Called when the limit of a cold instance refuses a request. */
+  readonly onColdRefusal?: (when: 'on arrival' | 'after the wait') => void;
   /** Called with the kind of the route and the time in ms from the start to the end of a run. */
   readonly onRun?: (kind: string, runMs: number) => void;
 }
@@ -71,7 +77,7 @@
  */
 export const createLocalForwarder = (options: LocalForwarderOptions): LocalForwarder => {
   const {
-    clock, keys, queue, link, demand,
+    clock, keys, queue, link, demand, coldStart,
   } = options;
 
   const checkServable = (request: GatewayRequest, current: LocalInstance | undefined) => {
@@ -92,6 +98,17 @@
     return undefined;
   };
 
+  const refuseCold = (
+    when: 'on arrival' | 'after the wait',
+    retryAfterMs: number,
+    peer: string | undefined,
+  ) => {
+    options.onColdRefusal?.(when);
+    return refuseNotRun(`the instance is cold and has no room ${when}`, retryAfterMs, {
+      step: 'admission.cold', peer: peer ?? '',
+    });
+  };
+
   const runInSlot = async (
     request: GatewayRequest,
     sendMs: number | undefined,
@@ -102,6 +119,12 @@
     // The key load drives rebalancing, and retries of one caller would be counted several times.
     if (request.key !== undefined && !request.isCallerRetry) keys.record(request.key);
     const recordEnd = demand.open(request);
+    const isNested = isNestedCall(request, clock.now());
+    const coldRetryMs = coldStart?.refuseEarly(isNested, queue.queued());
+    if (coldRetryMs !== undefined) {
+      recordEnd(false);
+      return refuseCold('on arrival', coldRetryMs, options.instance()?.instance);
+    }
     const permit = await queue.acquire({
       sendMs,
       priority: request.priority,
@@ -131,13 +154,21 @@
         step: 'local.admit', peer: current.instance,
       });
     }
+    const room = coldStart?.reserve(isNested);
+    if (room?.isErr()) {
+      permit.value.release(false);
+      recordEnd(false);
+      return refuseCold('after the wait', room.error, current.instance);
+    }
+    const place = room?.unwrapOr(undefined);
     const startedAt = clock.now();
     let isSample = false;
     let outcome: AttemptOutcome;
     try {
-      outcome = await current.client.send(request, sink);
+      outcome = await current.client.send(request, sink, place?.markSent);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
     } finally {
+      place?.release();
       permit.value.release(isSample);
     }
     const isRefused = isRefusedByInstance(outcome);
@@ -162,6 +193,13 @@
   return {
     forward,
     recordRefusal: (request) => demand.open(request)(false),
-    load: () => ({ ...queue.load(), excess: demand.excess() }),
+    load: () => {
+      const load = queue.load();
+      return {
+        ...load,
+        serviceRate: coldStart?.capRate(load.serviceRate) ?? load.serviceRate,
+        excess: demand.excess(),
+      };
+    },
   };
 };
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { createColdStartLimit } from '../admission/mod.ts';
 import { createFakeClock } from '../clock/mod.ts';
 import { createEgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
@@ -19,7 +20,7 @@
 };
 
 /** Creates a forwarder in front of an instance to which `send` sends. */
-const setUp = (send: InstanceClient['send']) => {
+const setUp = (send: InstanceClient['send'], maxColdPerSecond = Infinity) => {
   const clock = createFakeClock();
   const link = createEgressLink({ clock, megabitsPerSecond: 8, maxBufferedBytes: 100_000 });
   const keyLoad: number[] = [];
@@ -42,6 +43,9 @@
     },
     queue: createSlotQueue({ clock, slots: () => 1, instance: () => 'a' }),
     demand: createDemandMeter({ clock, random: () => 0.5 }),
+    coldStart: createColdStartLimit({
+      clock, isCold: () => true, maxPerSecond: () => maxColdPerSecond,
+    }),
     link: {
       bulkDelayMs: link.bulkDelayMs,
       expectBulk: () => {
@@ -74,7 +78,7 @@
     ...changes,
   });
   return {
-    forwarder, requestOf, keyLoad, openExpectations: () => openExpectations,
+    clock, forwarder, requestOf, keyLoad, openExpectations: () => openExpectations,
   };
 };
 
@@ -114,4 +118,46 @@
   assert.ok((forwarder.load().excess?.timely ?? 0) > 0.9);
 });
 
+// Guards against the crash of a cold instance. Its senders must learn to go elsewhere.
+test('a cold instance is sent its bound, and the rest is refused as not run', async () => {
+  let sent = 0;
+  const { clock, forwarder, requestOf } = setUp(async (request, to, onSent) => {
+    onSent?.();
+    sent += 1;
+    return { kind: 'answered', status: 200 };
+  }, 10);
+  await clock.advance(1200);
+  const outcomes = [];
+  for (let count = 0; count < 60; count += 1) {
+    outcomes.push(await forwarder.forward(requestOf({ kind: 'safe' }), sink));
+    await clock.advance(10);
+  }
+  assert.is(sent, 10);
+  const refused = outcomes.flatMap((outcome) => (outcome.kind === 'refused' ? [outcome] : []));
+  assert.is(refused.length, 50);
+  for (const { refusal, reachedInstance } of refused) {
+    assert.is(refusal.outcome, 'not run');
+    assert.is(refusal.step, 'admission.cold');
+    assert.not.ok(reachedInstance);
+    assert.ok(refusal.retryAfterSeconds! > 0);
+  }
+  const { serviceRate, excess, inFlight } = forwarder.load();
+  assert.is(serviceRate, 9);
+  assert.is(inFlight, 0);
+  assert.ok((excess?.timely ?? 0) > 0.5, 'senders are told to withhold requests');
+});
+
+// Guards against slots and places of the limit that a failed connection keeps for good.
+test('a request that was never written to the instance takes no place in the bound', async () => {
+  const { clock, forwarder, requestOf } = setUp(
+    async () => refuseNotRun('connect ECONNREFUSED', 100, { step: 'instance.send' }),
+    1,
+  );
+  await clock.advance(1200);
+  for (let count = 0; count < 3; count += 1) {
+    const outcome = await forwarder.forward(requestOf({ kind: 'safe' }), sink);
+    assert.is(outcome.kind === 'refused' && outcome.refusal.step, 'instance.send');
+  }
+});
+
 test.run();
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -34,6 +34,8 @@
   /** Waits for a slot; fails with a refusal when none is expected to be free in time. */
   readonly acquire: (request: SlotRequest) => Promise<Result<SlotPermit, RefusalError>>;
   readonly load: () => AdmissionLoad;
+  /** Number of requests that wait for a slot. */
+  readonly queued: () => number;
   /** Recent runs of the instance, by which keys are moved. */
   readonly recentWork: () => InstanceWork;
 }
@@ -284,6 +286,7 @@
 
   return {
     acquire,
+    queued: () => queue.length,
     recentWork: () => ({ slots: slots(), classes: times.recentWork() }),
     load: () => ({
       inFlight: running.size,
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -32,6 +32,8 @@
   readonly slots?: number;
   readonly workMs?: number;
   readonly announceIntervalMs?: number;
+  /** Time in ms after the start for which the instance announces that it is cold. */
+  readonly coldMs?: number;
   /** Port to listen on; 0 selects a free one. */
   readonly port?: number;
 }
@@ -152,7 +154,9 @@
             slots: options.slots ?? DEFAULT_SLOTS,
           },
           status: {
-            state: isDraining ? 'draining' : 'ready', sequence, cold_remaining: '0ms',
+            state: isDraining ? 'draining' : 'ready',
+            sequence,
+            cold_remaining: `${Math.max(0, startedAt + (options.coldMs ?? 0) - sentAt)}ms`,
           },
           holds: heldRanges.current(),
           freed: heldRanges.released(),
