Place keys by what a cold instance may receive

Cause: the planner of moves takes the speed of recent runs for the capacity of an owner, so a cold instance looked as able to take busy keys as before its restart, while its node refuses most requests for them.

Change: a load report carries capacityLimit while the instance announces that it is cold, and the planner uses the lower figure.

--- a/fleet/_key_services.ts
+++ b/fleet/_key_services.ts
@@ -1,3 +1,4 @@
+import type { ColdStartLimit } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { FleetView, NodeRegistration, StoreView } from '../directory/mod.ts';
 import type { SlotQueue } from '../gateway/mod.ts';
@@ -9,6 +10,7 @@
 } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
+import type { ColdInstance } from './cold_instance.ts';
 import type { ContractSource } from './contract_source.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import { createLoadCollector, type LoadCollector } from './load_collector.ts';
@@ -88,7 +90,9 @@
 
   kernel.register<LoadCollector>({
     name: 'collector',
-    needs: ['clock', 'logger', 'key-load', 'ledger', 'queue'],
+    needs: [
+      'clock', 'logger', 'key-load', 'ledger', 'queue', 'cold-instance', 'cold-start-limit',
+    ],
     start: (find) => ({
       service: createLoadCollector({
         clock: find<Clock>('clock'),
@@ -97,6 +101,11 @@
         logger: find<Logger>('logger'),
         ownRanges: find<GrantTracker>('ledger').ranges,
         ownCapacity: () => find<SlotQueue>('queue').load().serviceRate,
+        ownCapacityLimit: () => (
+          find<ColdInstance>('cold-instance').isAnnouncedCold()
+            ? find<ColdStartLimit>('cold-start-limit').capRate(0)
+            : undefined
+        ),
         ownWork: find<SlotQueue>('queue').recentWork,
       }),
     }),
--- a/fleet/load_collector.ts
+++ b/fleet/load_collector.ts
@@ -24,6 +24,8 @@
   readonly cells: readonly LoadCell[];
   /** Absent in the reports of earlier versions, whose capacity is used instead. */
   readonly work?: InstanceWork;
+  /** Requests per second that a cold instance may receive; absent unless it is cold. */
+  readonly capacityLimit?: number | undefined;
 }
 
 /** Collects load reports from the owners of a service; used by the node that plans moves. */
@@ -55,6 +57,8 @@
   readonly ownRanges: () => readonly KeyRange[];
   /** Requests per second that the instance of this host can serve; 0 while unknown. */
   readonly ownCapacity: () => number;
+  /** Requests per second that a cold instance may receive; undefined unless it is cold. */
+  readonly ownCapacityLimit?: () => number | undefined;
   /** Recent runs of the instance of this host. */
   readonly ownWork: () => InstanceWork;
   /** Sends a control message to a peer; over HTTP by default. */
@@ -82,6 +86,7 @@
 
 const reportSchema = z.object({
   capacity: z.number().positive().max(MAX_RATE),
+  capacityLimit: z.number().positive().max(MAX_RATE).optional(),
   cells: z.array(
     z.object({ from: keySchema, to: keySchema, rate: rateSchema })
       .refine(({ from, to }) => from <= to),
@@ -148,7 +153,8 @@
   }
   return (report: LoadReport | undefined): number => {
     if (report === undefined) return DEFAULT_CAPACITY;
-    return capacities.get(report) ?? report.capacity;
+    const capacity = capacities.get(report) ?? report.capacity;
+    return Math.min(capacity, report.capacityLimit ?? Infinity);
   };
 };
 
@@ -174,6 +180,7 @@
     cells: options.load.cells(options.ownRanges(), REPORT_CELLS)
       .map(({ from, to, rate }) => ({ from, to, rate: roundToHundredths(rate) })),
     work: roundWork(options.ownWork()),
+    capacityLimit: options.ownCapacityLimit?.(),
   });
 
   const fetchReport = async (address: string): Promise<LoadReport | undefined> => {
