Reject responses whose status is not that of a response

Cause: the statuses 600 to 999 were passed on over both hops, and 000, 099 and 101 ended in an assertion of the client library, whose text reached the caller with 502. A refusal header in such a response counted as a proof that the request had not run.

Change: forward/ accepts 200 to 599 as final and 100 to 199 but 101 as interim, before any header is looked at. Anything else ends the attempt as a mismatch with unknown outcome and closes the connection, so that a safe request goes elsewhere, in the product's own stack too.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -3,6 +3,7 @@
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
+import { findStatusFault, isInterimStatus } from './_status_check.ts';
 import { toStrings } from './_to_strings.ts';
 import { unsentResponsesOfProcess } from './_unsent_responses.ts';
 
@@ -71,7 +72,6 @@
 const MAX_DRAIN_MS = 100;
 /** Far above what a live peer sends, which is a few in a second. */
 const MAX_INTERIM_RESPONSES = 1000;
-const MIN_FINAL_STATUS = 200;
 /** Delay of a progress check from which on this process is assumed to have been paused. */
 const LATE_CHECK_MS = 250;
 
@@ -223,7 +223,7 @@
       options.onReceive?.();
       if (isSettled) return;
       lastProgressAt = clock.now();
-      if (statusCode < MIN_FINAL_STATUS) {
+      if (isInterimStatus(statusCode)) {
         interimCount += 1;
         if (interimCount > MAX_INTERIM_RESPONSES) {
           fail('connection', new Error('too many interim responses'));
@@ -231,7 +231,7 @@
         return;
       }
       const raw = toStrings(current.rawHeaders);
-      const mismatch = options.checkHead?.(raw);
+      const mismatch = findStatusFault(statusCode) ?? options.checkHead?.(raw);
       if (mismatch !== undefined) {
         fail('mismatch', new Error(mismatch));
         return;
