--- /dev/null
+++ b/fleet/_listener_services.ts
@@ -0,0 +1,41 @@
+import type { Clock } from '../clock/mod.ts';
+import {
+  type BodyBudget, createBodyBudget, createDispatchQueue, createShutdownTracker,
+  type DispatchQueue, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES, type ShutdownTracker,
+} from '../gateway/mod.ts';
+import { createEgressLink, type EgressLink } from '../http/mod.ts';
+import type { Kernel } from '../kernel/mod.ts';
+import type { PlatformSettings } from '../platform/mod.ts';
+
+/** Registers what the listeners for callers and for peers share: order, memory, link and stop. */
+export const registerListenerServices = (kernel: Kernel, settings: PlatformSettings) => {
+  kernel.register<ShutdownTracker>({
+    name: 'progress',
+    needs: ['clock'],
+    start: (find) => ({ service: createShutdownTracker(find<Clock>('clock')) }),
+  });
+
+  kernel.register<EgressLink>({
+    name: 'link',
+    needs: ['clock'],
+    start: (find) => ({
+      service: createEgressLink({
+        clock: find<Clock>('clock'),
+        megabitsPerSecond: settings.linkMegabitsPerSecond,
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+      }),
+    }),
+  });
+
+  kernel.register<BodyBudget>({
+    name: 'bodies',
+    needs: [],
+    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
+  });
+
+  kernel.register<DispatchQueue>({
+    name: 'dispatch',
+    needs: ['clock'],
+    start: (find) => ({ service: createDispatchQueue({ clock: find<Clock>('clock') }) }),
+  });
+};
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,13 +1,13 @@
+import type { ColdStartLimit } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type Evacuations, type FleetView } from '../directory/mod.ts';
 import {
-  type BodyBudget, createBodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
-  createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
-  createServiceRetryBudget, createShutdownTracker, createSlotQueue, createTargetChooser,
-  type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES,
-  type PeerClient, type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
+  type BodyBudget, createCallerListener, createDemandMeter, createLocalForwarder, createPeerClient,
+  createPeerListener, createRequestSender, createServiceRetryBudget, createSlotQueue,
+  createTargetChooser, type DispatchQueue, type LocalForwarder, type PeerClient,
+  type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
-import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
+import type { EgressLink, HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
@@ -35,18 +35,12 @@
 /** Additional attempts per window beyond the ratio, for services with few requests. */
 const SEARCH_EXTRA = 40;
 
-/** Registers the services that requests pass through: queue, routing, peers and listeners. */
+/** Registers the services that requests pass through: slots, routing, peers and listeners. */
 export const registerRequestServices = (
   kernel: Kernel,
   settings: PlatformSettings,
   callerService: () => string,
 ) => {
-  kernel.register<ShutdownTracker>({
-    name: 'progress',
-    needs: ['clock'],
-    start: (find) => ({ service: createShutdownTracker(find<Clock>('clock')) }),
-  });
-
   kernel.register<SlotQueue>({
     name: 'queue',
     needs: ['clock', 'registry', 'metrics'],
@@ -63,33 +57,12 @@
     },
   });
 
-  kernel.register<EgressLink>({
-    name: 'link',
-    needs: ['clock'],
-    start: (find) => ({
-      service: createEgressLink({
-        clock: find<Clock>('clock'),
-        megabitsPerSecond: settings.linkMegabitsPerSecond,
-        maxBufferedBytes: MAX_BUFFERED_BYTES,
-      }),
-    }),
-  });
-
-  kernel.register<BodyBudget>({
-    name: 'bodies',
-    needs: [],
-    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
-  });
-
-  kernel.register<DispatchQueue>({
-    name: 'dispatch',
-    needs: ['clock'],
-    start: (find) => ({ service: createDispatchQueue({ clock: find<Clock>('clock') }) }),
-  });
-
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'rules'],
+    needs: [
+      'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'rules',
+      'cold-start-limit',
+    ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -106,9 +79,11 @@
           },
           queue: find<SlotQueue>('queue'),
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
+          coldStart: find<ColdStartLimit>('cold-start-limit'),
           link: find<EgressLink>('link'),
           findObjection: find<EvacuationRules>('rules').findObjection,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
+          onColdRefusal: (when) => find<NodeMetrics>('metrics').recordSlotRefusal(`cold ${when}`),
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
       };
