--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -30,6 +30,8 @@
   readonly workMs?: number;
   /** Timeout of all routes in ms. */
   readonly timeoutMs?: number;
+  /** Bound in ms of an evacuation; by default, the platform evacuates no failure domain. */
+  readonly evacuationMs?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -91,7 +93,8 @@
 export const startLoopbackFleet = async (
   services: readonly string[],
   {
-    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, reachStoreThrough,
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, evacuationMs,
+    reachStoreThrough,
   }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
@@ -126,6 +129,7 @@
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         extraRetries: 600,
+        evacuationMs,
       },
       listen: {
         caller: `${address}:${ports.caller}`,
