Tell the evacuated failure domains in the answers of relays

Cause: a follower whose host is cut off from the store alone heard from its relay that the operator had changed something, could not read it, and went on serving an evacuated domain for as long as the partition lasted. Change: a relay's answer carries the domains evacuated as of the revision that it names. A node goes by it while that revision is newer than its own view. Answers of earlier builds lack the field and change nothing. Result: the new tests of evacuations.ts and of the relays' answers pass; on the code before, the answer had no such field and the follower kept the domain in use.

--- a/directory/evacuations.ts
+++ b/directory/evacuations.ts
@@ -15,6 +15,16 @@
   readonly evacuatedForMs: (failureDomain: string) => number;
   /** Time in ms since the last evacuation of a failure domain ended; Infinity if none was seen. */
   readonly endedForMs: (failureDomain: string) => number;
+  /** Evacuated failure domains in this node's own view of the store, for nodes that rely on it. */
+  readonly stored: () => readonly string[];
+  /**
+   * Applies what a relay has in its view of the store. It counts while it is newer than the view of
+   * this node, which may be cut off from the store.
+   *
+   * @param revision Revision of the newest change by the operator that the relay has seen.
+   * @param failureDomains Failure domains that are evacuated since then.
+   */
+  readonly noteRelayed: (revision: number, failureDomains: readonly string[]) => void;
   /** Number of evacuated failure domains. */
   readonly count: () => number;
   /** Adds a listener that is called after each begin or end of an evacuation. */
@@ -25,7 +35,7 @@
 export interface EvacuationsOptions {
   readonly clock: Clock;
   /** View of the operator's keys. */
-  readonly view: Pick<StoreView, 'entries' | 'isLoaded' | 'onChange'>;
+  readonly view: Pick<StoreView, 'entries' | 'isLoaded' | 'onChange' | 'revision'>;
   /** Returns the failure domain that a key evacuates; undefined for any other key. */
   readonly failureDomainOf: (key: string) => string | undefined;
   readonly logger: Logger;
@@ -49,8 +59,10 @@
   const learnedAt = new Map<string, number>();
   const endedAt = new Map<string, number>();
   const listeners: (() => void)[] = [];
+  /** The newest state that a relay has told. */
+  let relayed: { readonly revision: number; readonly domains: ReadonlySet<string> } | undefined;
 
-  const listDomains = () => {
+  const listStored = (): ReadonlySet<string> => {
     const domains = new Set<string>();
     for (const { key } of view.entries()) {
       const failureDomain = failureDomainOf(key);
@@ -73,7 +85,8 @@
   };
 
   const update = (isMissed: boolean) => {
-    const domains = listDomains();
+    const isRelayNewer = relayed !== undefined && relayed.revision > view.revision();
+    const domains = isRelayNewer ? relayed!.domains : listStored();
     const begun = [...domains].filter((failureDomain) => !learnedAt.has(failureDomain));
     const ended = [...learnedAt.keys()].filter((failureDomain) => !domains.has(failureDomain));
     for (const failureDomain of begun) begin(failureDomain, isMissed);
@@ -87,12 +100,19 @@
 
   return {
     isEvacuated: (failureDomain) => learnedAt.has(failureDomain),
-    isKnown: view.isLoaded,
+    isKnown: () => view.isLoaded() || relayed !== undefined,
     evacuatedForMs: (failureDomain) => {
       const since = learnedAt.get(failureDomain);
       return since === undefined ? 0 : clock.now() - since;
     },
     endedForMs: (failureDomain) => clock.now() - (endedAt.get(failureDomain) ?? -Infinity),
+    stored: () => [...listStored()],
+    noteRelayed: (revision, failureDomains) => {
+      if (revision < (relayed?.revision ?? 0)) return;
+      const isFirst = relayed === undefined && !view.isLoaded();
+      relayed = { revision, domains: new Set(failureDomains) };
+      update(isFirst);
+    },
     count: () => learnedAt.size,
     onChange: (listener) => {
       listeners.push(listener);
--- a/directory/evacuations_test.ts
+++ b/directory/evacuations_test.ts
@@ -128,4 +128,33 @@
   stop();
 });
 
+// A follower that was cut off from the store, but not from its relay, went on serving the domain.
+test('a node without the store goes by its relay until its own view is newer', async () => {
+  const {
+    clock, store, start, put, remove, stop,
+  } = setUp();
+  const relay = start();
+  const follower = start();
+  await clock.advance(200);
+  const relayed = () => follower.evacuations.noteRelayed(relay.view.changedRevision(), relay.evacuations.stored());
+  // The view of the follower lags, as it would behind a partition.
+  store.faults.failWith = 'unavailable';
+  await clock.advance(100);
+  follower.evacuations.noteRelayed(relay.view.revision() + 1, ['a']);
+  assert.ok(follower.evacuations.isEvacuated('a'));
+  assert.is(follower.evacuations.evacuatedForMs('a'), 0);
+  follower.evacuations.noteRelayed(relay.view.revision(), []);
+  assert.ok(follower.evacuations.isEvacuated('a'), 'an older state changes nothing');
+  store.faults.failWith = undefined;
+  await put('b');
+  await put('c');
+  await remove('c');
+  await clock.advance(2000);
+  relayed();
+  assert.equal(relay.evacuations.stored(), ['b']);
+  assert.not(follower.evacuations.isEvacuated('a'));
+  assert.ok(follower.evacuations.isEvacuated('b'));
+  stop();
+});
+
 test.run();
--- a/fleet/_control_messages.ts
+++ b/fleet/_control_messages.ts
@@ -1,4 +1,4 @@
-import type { StoreView, ViewHistory } from '../directory/mod.ts';
+import type { Evacuations, StoreView, ViewHistory } from '../directory/mod.ts';
 import type { FindService } from '../kernel/mod.ts';
 import type { RightToGrant } from '../ranges/mod.ts';
 import { CHANGES_PATH, serveChanges } from './changes_message.ts';
@@ -22,6 +22,7 @@
   const succession = find<PlannerSuccession>('succession');
   const activity = find<RelayActivity>('relay-activity');
   const contracts = find<ContractSource>('contracts');
+  const { stored: evacuated } = find<Evacuations>('evacuations');
   const history = find<ViewHistory>('view-history');
   const view = find<StoreView>('view');
   const right = find<RightToGrant>('right');
@@ -34,6 +35,8 @@
     }
     if (!path.startsWith(`${CHANGES_PATH}?`) || !mayRelay(view, right)) return undefined;
     activity.record();
-    return serveChanges({ history, view, contractRevision: contracts.storedRevision }, path);
+    return serveChanges({
+      history, view, contractRevision: contracts.storedRevision, evacuated,
+    }, path);
   };
 };
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -241,7 +241,7 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics',
+      'metrics', 'evacuations',
     ],
     start: async (find) => {
       const service = createPeerListener({
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../clock/mod.ts';
 import {
   createDepartureLog, createFleetView, createNodeRegistration, createStoreView, createViewHistory,
-  type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry, type NodeRegistration,
-  RANGES_PREFIX, type StoreView, type ViewHistory,
+  type Evacuations, type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry,
+  type NodeRegistration, RANGES_PREFIX, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
 import { createInstanceClient } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -108,10 +108,13 @@
           find<RelayAnswers>('relay-answers').clear();
           if (kernel.isRunning('contracts')) find<ContractSource>('contracts').restartWatch();
         },
-        onContractRevision: (revision) => {
+        onContractRevision: (revision, evacuated) => {
           find<RelayAnswers>('relay-answers').record();
           // The contracts start later than this view.
           if (!kernel.isRunning('contracts')) return;
+          if (evacuated !== undefined) {
+            find<Evacuations>('evacuations').noteRelayed(revision, evacuated);
+          }
           find<ContractSource>('contracts').noteStoredRevision(revision);
         },
         logger,
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -14,11 +14,15 @@
 /** Allowance in ms for the round trip, in addition to the wait. */
 const ROUND_TRIP_ALLOWANCE_MS = 500;
 const HTTP_OK = 200;
+/** Far above the failure domains of any fleet. */
+const MAX_EVACUATED = 1000;
 
 /** The changes that a peer has seen, and the revision of the operator's newest change it knows. */
 export interface PeerChanges extends EntryChanges {
   /** Store revision of the newest change by the operator, removals included; 0 if none is known. */
   readonly contractRevision: number;
+  /** Failure domains that are evacuated since then; undefined if the peer does not tell. */
+  readonly evacuated?: readonly string[] | undefined;
 }
 
 const storeRevision = z.int().min(0);
@@ -30,6 +34,7 @@
   ])),
   current: z.boolean().default(false),
   contract: storeRevision.default(0),
+  evacuated: z.array(z.string()).max(MAX_EVACUATED).optional(),
 });
 
 /**
@@ -45,6 +50,7 @@
   )),
   current: changes.isCurrent === true,
   contract: changes.contractRevision,
+  evacuated: changes.evacuated,
 });
 
 /**
@@ -54,12 +60,13 @@
  */
 export const decodeChanges = (text: string): PeerChanges => {
   const {
-    at, events, current, contract,
+    at, events, current, contract, evacuated,
   } = changesSchema.parse(JSON.parse(text));
   return {
     at,
     isCurrent: current,
     contractRevision: contract,
+    ...(evacuated === undefined ? {} : { evacuated }),
     events: events.map(([key, revision, value]) => (
       value === null ? { key, revision, removed: true } : { key, revision, value }
     )),
@@ -105,11 +112,15 @@
   readonly view: Pick<StoreView, 'revision' | 'startCurrencyCheck'>;
   /** Store revision of the newest known change by the operator, removals included. */
   readonly contractRevision: () => number;
+  /** Evacuated failure domains in this node's view of the store. */
+  readonly evacuated?: () => readonly string[];
 }
 
 /** Encodes the response to a peer's request for changes; undefined when they are not available. */
 export const serveChanges = async (
-  { history, view, contractRevision }: ChangesSource,
+  {
+    history, view, contractRevision, evacuated,
+  }: ChangesSource,
   path: string,
 ): Promise<string | undefined> => {
   const isCurrent = view.startCurrencyCheck();
@@ -122,6 +133,9 @@
   // The view may have taken in further changes since these were chosen.
   const isComplete = changes.at >= view.revision();
   return encodeChanges({
-    ...changes, isCurrent: isComplete && isCurrent(), contractRevision: contractRevision(),
+    ...changes,
+    isCurrent: isComplete && isCurrent(),
+    contractRevision: contractRevision(),
+    evacuated: evacuated?.(),
   });
 };
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -22,8 +22,11 @@
   readonly isAsked: () => boolean;
   /** Called when no relay has the changes, so that this node follows the store by itself. */
   readonly onNoRelay?: () => void;
-  /** Called with the revision of the newest change by the operator that a relay knows. */
-  readonly onContractRevision?: (revision: number) => void;
+  /**
+   * Called with the revision of the newest change by the operator that a relay knows, and the
+   * failure domains that are evacuated since then, if it tells them.
+   */
+  readonly onContractRevision?: (revision: number, evacuated?: readonly string[]) => void;
   readonly logger: Logger;
 }
 
@@ -173,7 +176,7 @@
         });
         if (changes !== undefined) {
           failures.delete(relay.peerAddress);
-          options.onContractRevision?.(changes.contractRevision);
+          options.onContractRevision?.(changes.contractRevision, changes.evacuated);
           return ok(changes);
         }
       } catch (error) {
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -6,7 +6,9 @@
 } from '../directory/mod.ts';
 import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { encodeChanges, type PeerChanges, serveChanges } from './changes_message.ts';
+import {
+  decodeChanges, encodeChanges, type PeerChanges, serveChanges,
+} from './changes_message.ts';
 import { createRelayActivity, createRelayedChanges, mayRelay } from './relayed_changes.ts';
 
 const test = suite('relayed changes');
@@ -29,6 +31,7 @@
   let direct = 0;
   const answers = new Map<string, PeerChanges>();
   const activity = createRelayActivity(clock);
+  const heard: unknown[] = [];
   let losses = 0;
   const watchOf = (node: string) => createRelayedChanges({
     clock,
@@ -47,6 +50,9 @@
     onNoRelay: () => {
       losses += 1;
     },
+    onContractRevision: (...values) => {
+      heard.push(values);
+    },
     logger: noopLogger,
   });
   return {
@@ -58,6 +64,7 @@
     activity,
     directCalls: () => direct,
     losses: () => losses,
+    heard,
   };
 };
 
@@ -242,6 +249,24 @@
   assert.is(text, '{"at":11,"events":[["a",11,"x"]],"current":false,"contract":3}');
 });
 
+// Guards against taking the answer of an earlier build for the end of all evacuations.
+test('an answer tells the evacuated domains, or that it does not know of evacuations', async () => {
+  const history = createViewHistory(createFakeClock());
+  history.reset(10);
+  const ask = async (source: Parameters<typeof serveChanges>[0]) => (
+    decodeChanges((await serveChanges(source, 'changes?after=10&wait=0'))!)
+  );
+  const source = sourceOf(history);
+  assert.not('evacuated' in await ask(source));
+  assert.equal((await ask({ ...source, evacuated: () => [] })).evacuated, []);
+  const told = await ask({ ...source, evacuated: () => ['d0'] });
+  assert.equal(told.evacuated, ['d0']);
+  const { watchOf, answers, heard } = setUp(12);
+  for (const index of [0, 1]) answers.set(entryOf(index).peerAddress, told);
+  await watchOf('host-07')('p/', 0, { waitMs: 0 });
+  assert.equal(heard, [[3, ['d0']]]);
+});
+
 // A node that relied on a relay learned of a new contract only with the next answer of the relay.
 test('a waiting peer learns of a new contract immediately', async () => {
   const clock = createFakeClock();
