--- a/directory/evacuations_test.ts
+++ b/directory/evacuations_test.ts
@@ -136,7 +136,6 @@
   const relay = start();
   const follower = start();
   await clock.advance(200);
-  const relayed = () => follower.evacuations.noteRelayed(relay.view.changedRevision(), relay.evacuations.stored());
   // The view of the follower lags, as it would behind a partition.
   store.faults.failWith = 'unavailable';
   await clock.advance(100);
@@ -150,7 +149,7 @@
   await put('c');
   await remove('c');
   await clock.advance(2000);
-  relayed();
+  follower.evacuations.noteRelayed(relay.view.changedRevision(), relay.evacuations.stored());
   assert.equal(relay.evacuations.stored(), ['b']);
   assert.not(follower.evacuations.isEvacuated('a'));
   assert.ok(follower.evacuations.isEvacuated('b'));
