Read the evacuations after a pause before requests are served

Cause: a host that was suspended when its failure domain was evacuated served, on waking, the requests that waited in its sockets, and its keys for 1.5 s more, because it learned of the evacuation only by the next watch. Where the settings bound evacuations, the node refuses as not run until a read sent after the pause has returned, for 2 s at most; what it learns counts as begun before. On the code before, nothing noticed the pause.

--- a/directory/evacuations.ts
+++ b/directory/evacuations.ts
@@ -38,6 +38,8 @@
   readonly view: Pick<StoreView, 'entries' | 'isLoaded' | 'onChange' | 'revision'>;
   /** Returns the failure domain that a key evacuates; undefined for any other key. */
   readonly failureDomainOf: (key: string) => string | undefined;
+  /** Returns whether the view may lag, so that what it learns may have begun long before. */
+  readonly mayLag?: () => boolean;
   readonly logger: Logger;
 }
 
@@ -87,9 +89,10 @@
   const update = (isMissed: boolean) => {
     const isRelayNewer = relayed !== undefined && relayed.revision > view.revision();
     const domains = isRelayNewer ? relayed!.domains : listStored();
+    const isLate = isMissed || options.mayLag?.() === true;
     const begun = [...domains].filter((failureDomain) => !learnedAt.has(failureDomain));
     const ended = [...learnedAt.keys()].filter((failureDomain) => !domains.has(failureDomain));
-    for (const failureDomain of begun) begin(failureDomain, isMissed);
+    for (const failureDomain of begun) begin(failureDomain, isLate);
     for (const failureDomain of ended) end(failureDomain);
     if (begun.length + ended.length === 0) return;
     for (const listener of listeners) listener();
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -17,5 +17,6 @@
 } from './store_view.ts';
 export { createEvacuations, type Evacuations, type EvacuationsOptions } from './evacuations.ts';
 export { createFleetMembership, type FleetMembershipOptions } from './fleet_membership.ts';
+export { createPauseGuard, type PauseGuard, type PauseGuardOptions } from './pause_guard.ts';
 export { createViewHistory, type ViewHistory } from './view_history.ts';
 export { createFleetView, type FleetView, type FleetViewOptions } from './fleet_view.ts';
--- a/fleet/_operator_services.ts
+++ b/fleet/_operator_services.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createEvacuations, createStoreView, type Evacuations, type StoreView,
+  createEvacuations, createPauseGuard, createStoreView, type Evacuations, type PauseGuard,
+  type StoreView,
 } from '../directory/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { decodeEvacuatedDomain, OPERATOR_PREFIX, type PlatformSettings } from '../platform/mod.ts';
@@ -39,14 +40,28 @@
     }),
   });
 
+  kernel.register<PauseGuard>({
+    name: 'pause-guard',
+    needs: ['clock', 'operator-view', 'logger'],
+    start: (find) => {
+      const service = createPauseGuard({
+        clock: find<Clock>('clock'),
+        view: find<StoreView>('operator-view'),
+        logger: find<Logger>('logger'),
+      });
+      return { service, stop: service.stop };
+    },
+  });
+
   kernel.register<Evacuations>({
     name: 'evacuations',
-    needs: ['clock', 'operator-view', 'logger'],
+    needs: ['clock', 'operator-view', 'pause-guard', 'logger'],
     start: (find) => ({
       service: createEvacuations({
         clock: find<Clock>('clock'),
         view: find<StoreView>('operator-view'),
         failureDomainOf: decodeEvacuatedDomain,
+        mayLag: () => !find<PauseGuard>('pause-guard').isCurrent(),
         logger: find<Logger>('logger'),
       }),
     }),
@@ -54,10 +69,11 @@
 
   kernel.register<EvacuationRules>({
     name: 'rules',
-    needs: ['evacuations'],
+    needs: ['evacuations', 'pause-guard'],
     start: (find) => ({
       service: createEvacuationRules({
         evacuations: find<Evacuations>('evacuations'),
+        isCurrent: find<PauseGuard>('pause-guard').isCurrent,
         failureDomain: settings.failureDomain,
         boundMs: settings.bounds.evacuationMs,
       }),
--- a/fleet/evacuation_rules.ts
+++ b/fleet/evacuation_rules.ts
@@ -17,6 +17,8 @@
 /** Options for {@link createEvacuationRules}. */
 export interface EvacuationRulesOptions {
   readonly evacuations: Evacuations;
+  /** Reports false while this node may have missed an evacuation; true by default. */
+  readonly isCurrent?: () => boolean;
   /** Failure domain of this node. */
   readonly failureDomain: string;
   /**
@@ -53,6 +55,7 @@
  */
 export const createEvacuationRules = (options: EvacuationRulesOptions): EvacuationRules => {
   const { evacuations, failureDomain, boundMs } = options;
+  const isCurrent = options.isCurrent ?? (() => true);
   const serviceMs = boundMs === undefined
     ? KEY_SERVICE_MS
     : Math.max(0, Math.min(KEY_SERVICE_MS, boundMs - MAX_LEARNING_MS));
@@ -68,7 +71,9 @@
     mayServeKeys,
     findObjection: (hasKey) => {
       // Platforms without evacuations go on during an outage of the store, as they always have.
-      if (boundMs !== undefined && !evacuations.isKnown()) return 'the evacuations are not known';
+      if (boundMs !== undefined && !(evacuations.isKnown() && isCurrent())) {
+        return 'the evacuations are not known';
+      }
       const isAllowed = hasKey ? mayServeKeys(failureDomain) : !isEvacuated(failureDomain);
       return isAllowed ? undefined : 'the failure domain is evacuated';
     },
