Leave an unreasonable number of evacuated domains out of relays' answers

Cause: a follower rejects an answer that names more than 1000 domains, and would leave all its relays for the store. Change: such a list is left out of the answer; followers then read the operator's keys themselves, as they do for the contract.

--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -50,7 +50,8 @@
   )),
   current: changes.isCurrent === true,
   contract: changes.contractRevision,
-  evacuated: changes.evacuated,
+  // An answer that the follower rejects would end its use of the relay.
+  evacuated: (changes.evacuated?.length ?? 0) > MAX_EVACUATED ? undefined : changes.evacuated,
 });
 
 /**
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -259,6 +259,8 @@
   const source = sourceOf(history);
   assert.not('evacuated' in await ask(source));
   assert.equal((await ask({ ...source, evacuated: () => [] })).evacuated, []);
+  const tooMany = Array.from({ length: 1001 }, (_, index) => `d${index}`);
+  assert.not('evacuated' in await ask({ ...source, evacuated: () => tooMany }));
   const told = await ask({ ...source, evacuated: () => ['d0'] });
   assert.equal(told.evacuated, ['d0']);
   const { watchOf, answers, heard } = setUp(12);
