Ask a peer for the evacuated domains when the own watch fails

Cause: a relay, or a node of a domain without relays, that was cut off from the store alone went on sending the requests of its host to its evacuated instance until the partition ended. Change: when the watch of the operator's keys fails, the node asks one peer a second, another one each time, by the message that relays answer, for the evacuations alone. A peer that is cut off, too, does not answer.

--- a/directory/evacuations.ts
+++ b/directory/evacuations.ts
@@ -23,8 +23,13 @@
    *
    * @param revision Revision of the newest change by the operator that the relay has seen.
    * @param failureDomains Failure domains that are evacuated since then.
+   * @param isLate Whether these evacuations may have begun long before.
    */
-  readonly noteRelayed: (revision: number, failureDomains: readonly string[]) => void;
+  readonly noteRelayed: (
+    revision: number,
+    failureDomains: readonly string[],
+    isLate?: boolean,
+  ) => void;
   /** Number of evacuated failure domains. */
   readonly count: () => number;
   /** Adds a listener that is called after each begin or end of an evacuation. */
@@ -110,11 +115,11 @@
     },
     endedForMs: (failureDomain) => clock.now() - (endedAt.get(failureDomain) ?? -Infinity),
     stored: () => [...listStored()],
-    noteRelayed: (revision, failureDomains) => {
+    noteRelayed: (revision, failureDomains, isLate = false) => {
       if (revision < (relayed?.revision ?? 0)) return;
       const isFirst = relayed === undefined && !view.isLoaded();
       relayed = { revision, domains: new Set(failureDomains) };
-      update(isFirst);
+      update(isFirst || isLate);
     },
     count: () => learnedAt.size,
     onChange: (listener) => {
--- a/fleet/_operator_services.ts
+++ b/fleet/_operator_services.ts
@@ -1,13 +1,15 @@
 import type { Clock } from '../clock/mod.ts';
 import {
-  createEvacuations, createPauseGuard, createStoreView, type Evacuations, type PauseGuard,
-  type StoreView,
+  createEvacuations, createPauseGuard, createStoreView, type Evacuations, type FleetView,
+  type PauseGuard, type StoreView,
 } from '../directory/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { decodeEvacuatedDomain, OPERATOR_PREFIX, type PlatformSettings } from '../platform/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { fetchPeerChanges } from './changes_message.ts';
 import { createEvacuationRules, type EvacuationRules } from './evacuation_rules.ts';
+import { askPeersOnFailure } from './peer_evacuations.ts';
 import type { RelayAnswers } from './relayed_changes.ts';
 
 /**
@@ -20,15 +22,31 @@
 const RELAYED_WATCH_WAIT_MS = 25_000;
 const WATCH_PAUSE_MS = 30;
 
+const listPeers = (fleet: FleetView, self: string) => [...fleet.present().values()]
+  .filter(({ node, isStopping }) => node !== self && !isStopping)
+  .map(({ peerAddress }) => peerAddress);
+
 /** Registers the view of the operator's keys and what follows from them, but for the contract. */
 export const registerOperatorServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<StoreView>({
     name: 'operator-view',
-    needs: ['clock', 'store', 'logger', 'relay-answers'],
+    needs: ['clock', 'store', 'logger', 'relay-answers', 'fleet'],
     start: (find) => ({
       service: createStoreView({
         clock: find<Clock>('clock'),
         store: find<LeasedStore>('store'),
+        watch: askPeersOnFailure(find<LeasedStore>('store').watch, {
+          clock: find<Clock>('clock'),
+          peers: () => listPeers(find<FleetView>('fleet'), settings.node),
+          fetchChanges: fetchPeerChanges,
+          // The evacuations depend on this view, so they start later.
+          noteRelayed: (...state) => {
+            if (kernel.isRunning('evacuations')) {
+              find<Evacuations>('evacuations').noteRelayed(...state);
+            }
+          },
+          logger: find<Logger>('logger'),
+        }),
         prefix: OPERATOR_PREFIX,
         logger: find<Logger>('logger'),
         waitMs: () => (
--- a/fleet/evacuated_domain_test.ts
+++ b/fleet/evacuated_domain_test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import { request } from 'undici';
 import { EVACUATE_PREFIX } from '../platform/mod.ts';
+import { startTcpRelay, type TcpRelay } from '../testing/tcp_relay.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 
 const test = suite('an evacuated failure domain');
@@ -116,6 +117,45 @@
   }
 });
 
+// The instance of a host that was cut off from the store went on serving the callers of its host.
+test('gets no request from its own host either when that is cut off from the store', async () => {
+  let relay: TcpRelay | undefined;
+  const fleet = await startLoopbackFleet(['orders', 'orders'], {
+    evacuationMs: BOUND_MS,
+    reachStoreThrough: async (address) => {
+      relay = await startTcpRelay(address);
+      return relay.address;
+    },
+  });
+  const [cutOff] = fleet.hosts;
+  let count = 0;
+  const get = async () => {
+    count += 1;
+    const { statusCode, body } = await request(
+      `http://${cutOff!.settings.listen.caller}/reads/x`,
+      { headers: { host: 'shop.example', 'request-id': `cut-${count}`, 'deadline-ms': '900' } },
+    );
+    return { status: statusCode, instance: (await body.text()).split(' ran at ')[1] };
+  };
+  try {
+    await sleep(1500);
+    assert.is((await get()).instance, cutOff!.instance.instance);
+    relay!.kill();
+    await fleet.server.store.transact({
+      expect: [], puts: [{ key: `${EVACUATE_PREFIX}d0`, value: '{}' }],
+    });
+    await sleep(BOUND_MS);
+    for (let sent = 0; sent < 20; sent += 1) {
+      const { status, instance } = await get();
+      assert.is(status, 200);
+      assert.is(instance, fleet.hosts[1]!.instance.instance);
+    }
+  } finally {
+    await fleet.stop();
+    relay!.kill();
+  }
+});
+
 test('refuses as not run, with a time to retry, when it is not the only one', async () => {
   const fleet = await startLoopbackFleet(['orders', 'orders'], { evacuationMs: BOUND_MS });
   const get = (host: number) => request(
