--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -32,6 +32,8 @@
   readonly timeoutMs?: number;
   /** Time in ms for which instances are cold, with a bound of 9 requests in any second. */
   readonly coldMs?: number;
+  /** Bound in ms of an evacuation; by default, the platform evacuates no failure domain. */
+  readonly evacuationMs?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -93,7 +95,8 @@
 export const startLoopbackFleet = async (
   services: readonly string[],
   {
-    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, coldMs, reachStoreThrough,
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, coldMs, evacuationMs,
+    reachStoreThrough,
   }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
@@ -129,6 +132,7 @@
         retryWindowMs: 10_000,
         extraRetries: 600,
         ...(coldMs === undefined ? {} : { coldExcess: 1.5, coldSlack: 3 }),
+        evacuationMs,
       },
       listen: {
         caller: `${address}:${ports.caller}`,
