Abandon connections on which an instance never answers

Cause: an instance that leaves a request without an answer, and everything later on its connection, kept the caller until its deadline and got as many requests as it announces slots, although it may accept fewer.

Change: a response whose head is missing for twice the longest time of its class, while ten later requests of the class were answered, ends the attempt as unknown and closes the connection. The slot stays taken until the deadline. Two silences at the highest load within 10 s lower the slots in use, which rise again step by step.

Result: of 4 requests on a silent connection over two hops, all waited for their deadline of 3 s without the change; with it the safe ones are answered elsewhere and the unsafe ones end with 502 within 1.8 s.

--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -4,10 +4,10 @@
   type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry, type NodeRegistration,
   RANGES_PREFIX, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
-import { createInstanceClient } from '../gateway/mod.ts';
+import type { ResponseSilence } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import {
-  CONTRACT_KEY, createPlatformStore, platformHeaders, type PlatformSettings,
+  CONTRACT_KEY, createPlatformStore, type PlatformSettings,
 } from '../platform/mod.ts';
 import { createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant } from '../ranges/mod.ts';
 import { type LeasedStore, abortStaleWatches } from '../store/mod.ts';
@@ -16,6 +16,7 @@
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { trackColdStarts } from './_cold_registry.ts';
 import type { ColdInstance } from './cold_instance.ts';
+import { createPortOpener } from './_instance_connections.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
@@ -47,8 +48,6 @@
 /** Maximum wait of a node that also learns from its relays of a new contract. */
 const RELAYED_CONTRACT_WAIT_MS = 25_000;
 const CONTRACT_PAUSE_MS = 30;
-/** Connections in addition to one per slot, to replace those that are closing. */
-const SPARE_CONNECTIONS = 4;
 
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
 export const registerStateServices = (
@@ -196,11 +195,12 @@
 
   kernel.register<InstanceRegistry>({
     name: 'registry',
-    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance'],
+    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance', 'response-silence'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const cold = find<ColdInstance>('cold-instance');
+      const silence = find<ResponseSilence>('response-silence');
       const departureLog = createDepartureLog({
         clock, store: find<LeasedStore>('store'), node: settings.node, logger,
       });
@@ -215,23 +215,10 @@
         drainMs: settings.bounds.drainMs,
         isKnownService: (service) => service === callerService() || namesService(service),
         isConnectionRefused,
-        openPort: (announcement, onConnectionRefused) => createInstanceClient({
-          clock,
-          address: announcement.address,
-          instance: announcement.instance,
-          connections: announcement.slots + SPARE_CONNECTIONS,
-          headers: platformHeaders,
-          onConnectionRefused: () => {
-            cold.recordDoubt('its address refused a connection', announcement.startedAt);
-            onConnectionRefused();
-          },
-          onConnectionsLost: () => (
-            cold.recordDoubt('its connections were closed', announcement.startedAt)
-          ),
-        }),
+        openPort: createPortOpener(clock, cold, silence),
       }), cold);
       return {
-        service: registry,
+        service: { ...registry, slots: () => silence.acceptedSlots(registry.slots()) },
         stop: runUntilStop(departureLog.run, { clock, logger, part: 'departures' }),
       };
     },
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { FleetView, NodeRegistration, StoreView } from '../directory/mod.ts';
-import type { LocalForwarder, ShutdownTracker } from '../gateway/mod.ts';
+import type { LocalForwarder, ResponseSilence, ShutdownTracker } from '../gateway/mod.ts';
 import { type HttpListener, splitAddress } from '../http/mod.ts';
 import { createKernel, type Kernel } from '../kernel/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
@@ -10,6 +10,7 @@
   readProcessUsage,
 } from '../telemetry/mod.ts';
 import { registerColdServices } from './_cold_services.ts';
+import { registerResponseSilence } from './_instance_connections.ts';
 import type { ColdInstance } from './cold_instance.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlListeners } from './control_listeners.ts';
@@ -121,6 +122,10 @@
   const view = kernel.find<StoreView>('view');
   const fleet = kernel.find<FleetView>('fleet');
   metrics.observe('in_flight', 'Requests that the instance runs', () => local.load().inFlight);
+  const registry = kernel.find<InstanceRegistry>('registry');
+  const silence = kernel.find<ResponseSilence>('response-silence');
+  metrics.observe('accepted_slots', 'Slots that the instance accepts', registry.slots);
+  metrics.observe('silent_responses', 'Connections found silent', silence.silentCount);
   const isCold = () => Number(cold.isCold());
   metrics.observe('instance_cold', '1 while the instance is not known to be warm', isCold);
   metrics.observe('queued', 'Requests that wait for the local instance', () => local.load().queued);
@@ -170,6 +175,7 @@
   registerStateServices(kernel, settings, () => callerService);
   registerKeyServices(kernel, settings);
   registerColdServices(kernel, settings);
+  registerResponseSilence(kernel);
   await kernel.start();
 
   const localNode = kernel.find<LocalNode>('self');
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -31,10 +31,10 @@
   /** Timeout in ms without progress before the final head; interim responses count as progress. */
   readonly headProgressTimeoutMs: number;
   /**
-   * Called at each timeout before the final head with the time of the last progress; without it,
-   * the timeout fails the exchange.
+   * Called at each timeout before the final head with the time of the last progress. Without it,
+   * or if it returns true, the timeout fails the exchange.
    */
-  readonly onSilent?: (since: number) => void;
+  readonly onSilent?: (since: number) => boolean | undefined;
   /** Called when a head, interim or final, or a part of the body arrives. */
   readonly onReceive?: () => void;
   /** Timeout in ms without progress of the response body. */
@@ -160,8 +160,8 @@
       return;
     }
     let timeoutAt = lastProgressAt + progressTimeoutMs();
-    if (now >= timeoutAt && responseAction === undefined && options.onSilent !== undefined) {
-      options.onSilent(lastProgressAt);
+    const mayGoOn = responseAction === undefined && options.onSilent !== undefined;
+    if (now >= timeoutAt && mayGoOn && options.onSilent?.(lastProgressAt) !== true) {
       lastProgressAt = now;
       timeoutAt = now + progressTimeoutMs();
     }
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -8,7 +8,8 @@
 import {
   type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
-  createRequestSender, createRouteTable, createServiceRetryBudget, createShutdownTracker,
+  createRequestSender, createResponseSilence, createRouteTable, createServiceRetryBudget,
+  createShutdownTracker,
   createSlotQueue, MAX_BUFFERED_BYTES,
 } from './mod.ts';
 
@@ -137,13 +138,17 @@
 const startDestination = async (name: string, respond: Respond, options: PathOptions) => {
   const instance = await startRawInstance(respond);
   const link = createLink();
-  const queue = createSlotQueue({ clock, slots: () => options.slots ?? 4, instance: () => name });
+  const silence = createResponseSilence({ clock, logger: noopLogger });
+  const queue = createSlotQueue({
+    clock, slots: () => silence.acceptedSlots(options.slots ?? 4), instance: () => name,
+  });
   const client = createInstanceClient({
     clock,
     address: instance.address,
     instance: name,
     connections: (options.slots ?? 4) + 2,
     headers: HEADERS,
+    silence,
     onConnectionRefused: () => undefined,
   });
   const forwarder = createLocalForwarder({
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -3,9 +3,11 @@
 import {
   type ResponseSink, createTruncationAwarePool, exchange, type ExchangeResult, findHeader,
 } from '../forward/mod.ts';
+import { SILENT_STEP } from './_attempt_outcomes.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { createConnectionLosses } from './_connection_losses.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import type { ResponseSilence } from './response_silence.ts';
 
 /** Lower-case names of the headers between a node and the instance on its host. */
 export interface InstanceHeaders {
@@ -47,6 +49,8 @@
   readonly onConnectionRefused: () => void;
   /** Called when the instance has closed all connections at once, as an ended process does. */
   readonly onConnectionsLost?: () => void;
+  /** Tells silent connections from long runs; by default, none is taken for silent. */
+  readonly silence?: ResponseSilence;
 }
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -129,6 +133,11 @@
     if (end.begun) return { kind: 'truncated', error: new StepError(end.error.message, context) };
     if (errorCodeOf(end.error) === 'ECONNREFUSED') options.onConnectionRefused();
     if (!end.written) return refuseNotRun(end.error.message, REFUSED_RETRY_AFTER_MS, context);
+    if (end.cause === 'silent') {
+      return refuseUnknown('the instance does not answer on this connection', {
+        ...context, step: SILENT_STEP,
+      });
+    }
     const isTimeout = end.cause === 'deadline' || clock.now() >= request.deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
     return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
@@ -138,6 +147,7 @@
     let notRunStatus: number | undefined;
     let failedStatus: number | undefined;
     let fault: string | undefined;
+    const watch = options.silence?.watch(request.workClass, request.deadlineAt);
     const end = await exchange(pool, {
       method: request.method,
       path: request.path,
@@ -151,6 +161,7 @@
           notRunStatus = status;
           return 'drain';
         }
+        watch?.recordHead(status);
         if (isSuccess(status)) {
           if (findHeader(headers, headerNames.signature) === undefined) fault = 'is not signed';
           if (findHeader(headers, 'content-encoding') !== undefined) fault = 'is encoded';
@@ -168,15 +179,18 @@
       signal: request.signal,
       deadlineAt: request.deadlineAt + DEADLINE_SLACK_MS,
       endDeadlineAt: request.deadlineAt + BODY_SLACK_MS,
-      headProgressTimeoutMs: Number.POSITIVE_INFINITY,
+      headProgressTimeoutMs: watch?.timeoutMs ?? Number.POSITIVE_INFINITY,
+      onSilent: () => watch?.isSilent(),
       bodyProgressTimeoutMs: BODY_STALL_MS,
       beforeWrite: () => {
+        watch?.start();
         onSent?.();
         return undefined;
       },
       checkHead: checkHead(request),
       checkEnd,
     });
+    watch?.end();
     if (end.kind === 'failed' && end.cause === 'connection' && end.written) losses.recordFailure();
     if (fault !== undefined) {
       const context = { step: 'instance.send', peer: options.instance };
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,7 +4,7 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import { isRefusedByInstance } from './_attempt_outcomes.ts';
+import { isAbandoned, isRefusedByInstance } from './_attempt_outcomes.ts';
 import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import {
   type AttemptOutcome, type GatewayRequest, isBulk, isNestedCall,
@@ -163,13 +163,17 @@
     const place = room?.unwrapOr(undefined);
     const startedAt = clock.now();
     let isSample = false;
+    let freeSlotAfterMs = 0;
     let outcome: AttemptOutcome;
     try {
       outcome = await current.client.send(request, sink, place?.markSent);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
+      // The instance may be at work until the deadline, which the request has told it.
+      if (isAbandoned(outcome)) freeSlotAfterMs = request.deadlineAt - clock.now();
     } finally {
       place?.release();
-      permit.value.release(isSample);
+      if (freeSlotAfterMs > 0) clock.schedule(freeSlotAfterMs, () => permit.value.release(false));
+      else permit.value.release(isSample);
     }
     const isRefused = isRefusedByInstance(outcome);
     demand.recordInstance(!isRefused);
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -41,6 +41,9 @@
 export {
   type AttemptOutcome, type GatewayRequest, isBulk, isIdempotent,
 } from './request.ts';
+export {
+  createResponseSilence, type ResponseSilence, type ResponseSilenceOptions,
+} from './response_silence.ts';
 export {
   createServiceRetryBudget, type ServiceRetryBudget, type ServiceRetryBudgetOptions,
 } from './service_retry_budget.ts';
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -181,6 +181,7 @@
       onSilent: (since) => {
         if (detector.recordSilence(address, since)) onSuspect(address, 'no progress in time');
         onSilent?.();
+        return false;
       },
       bodyProgressTimeoutMs: BODY_STALL_MS,
       checkHead,
