--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -127,6 +127,7 @@
   readonly timeoutMs?: number;
   /** Slots of each instance. */
   readonly slots?: number;
+  readonly onConnectionsLost?: () => void;
   /** Memory for request bodies of the caller listener, and of each peer listener. */
   readonly bodies?: BodyBudget;
   readonly peerBodies?: BodyBudget;
@@ -150,6 +151,7 @@
     headers: HEADERS,
     silence,
     onConnectionRefused: () => undefined,
+    onConnectionsLost: options.onConnectionsLost,
   });
   const forwarder = createLocalForwarder({
     clock,
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -48,7 +48,7 @@
   /** Called when the address refuses a connection, so that no process listens there. */
   readonly onConnectionRefused: () => void;
   /** Called when the instance has closed all connections at once, as an ended process does. */
-  readonly onConnectionsLost?: () => void;
+  readonly onConnectionsLost?: (() => void) | undefined;
   /** Tells silent connections from long runs; by default, none is taken for silent. */
   readonly silence?: ResponseSilence;
 }
--- a/gateway/response_silence.ts
+++ b/gateway/response_silence.ts
@@ -54,8 +54,8 @@
 const MIN_SAMPLES = 100;
 /** A run of this many times the longest of a minute is far beyond the processing times. */
 const LONGEST_FACTOR = 2;
-/** Shorter silences are within the pauses of a process. */
-const MIN_SILENCE_MS = 250;
+/** Shorter times are within the pauses of a process. */
+const MIN_LONGEST_MS = 125;
 /** Requests of the class that were sent later and answered; an instance that stalls ends none. */
 const MIN_LATER_HEADS = 10;
 /** Far above the work classes of a contract. */
@@ -142,7 +142,7 @@
     rotate(times);
     const { current, previous } = times;
     if (current.samples + previous.samples < MIN_SAMPLES) return Infinity;
-    return Math.max(MIN_SILENCE_MS, current.longestMs, previous.longestMs);
+    return Math.max(MIN_LONGEST_MS, current.longestMs, previous.longestMs);
   };
 
   const countAbandoned = () => {
--- a/proxy/failure_test.ts
+++ b/proxy/failure_test.ts
@@ -45,6 +45,23 @@
   await node.stop();
 });
 
+// Guards against statuses that are passed on, and against texts of the client library.
+test('a status that is not that of a response leaves a submission unknown', async () => {
+  let status = '';
+  const node = await startNodeWithUpstream((_, response) => {
+    response.socket!.write(`HTTP/1.1 ${status} Text\r\ncontent-length: 5\r\n\r\nhello`);
+  }, { contract });
+  for (const target of [peerTarget(node.peerAddress), localTarget()]) {
+    node.state.decide = () => target;
+    for (status of ['000', '099', '600', '999']) {
+      const answer = await call(node.callerAddress, '/submit', { method: 'POST', body: 'x' });
+      assert.equal([answer.status, answer.problem.outcome], [502, 'unknown']);
+      assert.match(answer.text, `the status ${status} is not that of a response`);
+    }
+  }
+  await node.stop();
+});
+
 test('a response after the deadline does not reach the next caller', async () => {
   const { held, listener } = createManualUpstream();
   const node = await startNodeWithUpstream(listener, { contract, connections: 1 });
