--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -4,9 +4,9 @@
   type Evacuations, type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry,
   type NodeRegistration, RANGES_PREFIX, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
-import { createInstanceClient } from '../gateway/mod.ts';
+import type { ResponseSilence } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
-import { createPlatformStore, platformHeaders, type PlatformSettings } from '../platform/mod.ts';
+import { createPlatformStore, type PlatformSettings } from '../platform/mod.ts';
 import { createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant } from '../ranges/mod.ts';
 import { type LeasedStore, abortStaleWatches } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
@@ -14,6 +14,7 @@
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { trackColdStarts } from './_cold_registry.ts';
 import type { ColdInstance } from './cold_instance.ts';
+import { createPortOpener } from './_instance_connections.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
@@ -36,8 +37,6 @@
  */
 const VIEW_PAUSE_MS = 100;
 const RELAY_PAUSE_MS = 250;
-/** Connections in addition to one per slot, to replace those that are closing. */
-const SPARE_CONNECTIONS = 4;
 
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
 export const registerStateServices = (
@@ -177,11 +176,12 @@
 
   kernel.register<InstanceRegistry>({
     name: 'registry',
-    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance'],
+    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance', 'response-silence'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const cold = find<ColdInstance>('cold-instance');
+      const silence = find<ResponseSilence>('response-silence');
       const departureLog = createDepartureLog({
         clock, store: find<LeasedStore>('store'), node: settings.node, logger,
       });
@@ -196,23 +196,10 @@
         drainMs: settings.bounds.drainMs,
         isKnownService: (service) => service === callerService() || namesService(service),
         isConnectionRefused,
-        openPort: (announcement, onConnectionRefused) => createInstanceClient({
-          clock,
-          address: announcement.address,
-          instance: announcement.instance,
-          connections: announcement.slots + SPARE_CONNECTIONS,
-          headers: platformHeaders,
-          onConnectionRefused: () => {
-            cold.recordDoubt('its address refused a connection', announcement.startedAt);
-            onConnectionRefused();
-          },
-          onConnectionsLost: () => (
-            cold.recordDoubt('its connections were closed', announcement.startedAt)
-          ),
-        }),
+        openPort: createPortOpener(clock, cold, silence),
       }), cold);
       return {
-        service: registry,
+        service: { ...registry, slots: () => silence.acceptedSlots(registry.slots()) },
         stop: runUntilStop(departureLog.run, { clock, logger, part: 'departures' }),
       };
     },
--- a/fleet/peer_evacuations.ts
+++ b/fleet/peer_evacuations.ts
@@ -53,7 +53,8 @@
       const changes = await options.fetchChanges(address, AFTER_ALL_CHANGES, {
         isCatchingUp: true,
       });
-      if (changes?.evacuated === undefined) return;
+      if (changes === undefined || changes === 'compacted') return;
+      if (changes.evacuated === undefined) return;
       // The failed watch has taken its time, so an evacuation that is new here has begun before.
       options.noteRelayed(changes.contractRevision, changes.evacuated, true);
     } catch (error) {
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -8,7 +8,8 @@
 import {
   type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
-  createRequestSender, createRouteTable, createServiceRetryBudget, createShutdownTracker,
+  createRequestSender, createResponseSilence, createRouteTable, createServiceRetryBudget,
+  createShutdownTracker,
   createSlotQueue, MAX_BUFFERED_BYTES,
 } from './mod.ts';
 
@@ -126,6 +127,7 @@
   readonly timeoutMs?: number;
   /** Slots of each instance. */
   readonly slots?: number;
+  readonly onConnectionsLost?: () => void;
   /** Memory for request bodies of the caller listener, and of each peer listener. */
   readonly bodies?: BodyBudget;
   readonly peerBodies?: BodyBudget;
@@ -137,14 +139,19 @@
 const startDestination = async (name: string, respond: Respond, options: PathOptions) => {
   const instance = await startRawInstance(respond);
   const link = createLink();
-  const queue = createSlotQueue({ clock, slots: () => options.slots ?? 4, instance: () => name });
+  const silence = createResponseSilence({ clock, logger: noopLogger });
+  const queue = createSlotQueue({
+    clock, slots: () => silence.acceptedSlots(options.slots ?? 4), instance: () => name,
+  });
   const client = createInstanceClient({
     clock,
     address: instance.address,
     instance: name,
     connections: (options.slots ?? 4) + 2,
     headers: HEADERS,
+    silence,
     onConnectionRefused: () => undefined,
+    onConnectionsLost: options.onConnectionsLost,
   });
   const forwarder = createLocalForwarder({
     clock,
--- /dev/null
+++ b/gateway/silent_instance_test.ts
@@ -0,0 +1,56 @@
+import type { Socket } from 'node:net';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { RouteKind } from '../contract/mod.ts';
+import { isMet } from './_test_caller.ts';
+import { answerSoundly, startPath } from './_test_path.ts';
+import { hops } from './_test_sick_call.ts';
+
+const test = suite('an instance that never answers on a connection');
+
+const TIMEOUT_MS = 3000;
+const WORK_MS = 10;
+const USUAL_CALLS = 40;
+const CALLERS = 3;
+/** Far below the deadline, and above what a busy machine adds to 250 ms. */
+const MAX_ANSWER_MS = 1800;
+
+/** Calls an instance that leaves one request of many without an answer. */
+const callSilent = async (hop: typeof hops[number], kind: RouteKind) => {
+  let isNextSilent = false;
+  let silentSocket: Socket | undefined;
+  const path = await startPath({ hop, timeoutMs: TIMEOUT_MS }, (socket, ...rest) => {
+    assert.is.not(socket, silentSocket, 'the connection was used again');
+    if (isNextSilent) silentSocket = socket;
+    else setTimeout(() => answerSoundly(socket, ...rest), WORK_MS);
+    isNextSilent = false;
+  }, answerSoundly);
+  const callMany = () => Promise.all(Array.from({ length: CALLERS }, async () => {
+    for (let index = 0; index < USUAL_CALLS; index += 1) await path.call({ kind });
+  }));
+  await callMany();
+  isNextSilent = true;
+  const silent = path.call({ kind });
+  assert.ok(await isMet(() => silentSocket !== undefined));
+  const [answer] = await Promise.all([silent, callMany()]);
+  assert.ok(answer.durationMs < MAX_ANSWER_MS, `answered after ${answer.durationMs} ms`);
+  assert.is(path.slotsInUse(), 1, 'the instance may be at work until the deadline');
+  assert.ok(await isMet(() => path.slotsInUse() === 0, TIMEOUT_MS), 'the slot was not released');
+  await path.stop();
+  return answer;
+};
+
+// Guards against callers that wait until their deadline.
+for (const hop of hops) {
+  test(`${hop}: a safe request on a silent connection is answered elsewhere in time`, async () => {
+    assert.is((await callSilent(hop, 'safe')).text, 'sound');
+  });
+
+  test(`${hop}: an unsafe request on a silent connection is unknown long before`, async () => {
+    const { status, text } = await callSilent(hop, 'unsafe');
+    assert.is(status, 502);
+    assert.match(text, '"outcome":"unknown"');
+  });
+}
+
+test.run();
