Keep the slot of a request whose caller left while the instance works

Cause: the slot became free when a caller left, although the instance may go on with the request. An instance that never answers what it cannot queue then got one request too many, and the next caller paid for it.

Change: once a connection of this process of the instance has been silent, the slot stays taken for as long as the longest run of the class takes, or until the deadline. Other instances are treated as before.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -2,18 +2,20 @@
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
-  type BodyBudget, createBodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
+  type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
   createServiceRetryBudget, createShutdownTracker, createSlotQueue, createTargetChooser,
-  type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES,
-  type PeerClient, type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
+  type DispatchQueue, type LocalForwarder,
+  type PeerClient, type RequestSender, type ResponseSilence, type ShutdownTracker, type SlotQueue,
+  type TargetChooser,
 } from '../gateway/mod.ts';
-import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
+import type { EgressLink, HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
 import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
+import { registerBufferServices } from './_buffer_services.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlMessageHandler } from './_control_messages.ts';
 import { createFailureDomainLookup } from './_failure_domains.ts';
@@ -63,23 +65,7 @@
     },
   });
 
-  kernel.register<EgressLink>({
-    name: 'link',
-    needs: ['clock'],
-    start: (find) => ({
-      service: createEgressLink({
-        clock: find<Clock>('clock'),
-        megabitsPerSecond: settings.linkMegabitsPerSecond,
-        maxBufferedBytes: MAX_BUFFERED_BYTES,
-      }),
-    }),
-  });
-
-  kernel.register<BodyBudget>({
-    name: 'bodies',
-    needs: [],
-    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
-  });
+  registerBufferServices(kernel, settings);
 
   kernel.register<DispatchQueue>({
     name: 'dispatch',
@@ -91,6 +77,7 @@
     name: 'local',
     needs: [
       'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'cold-start-limit',
+      'response-silence',
     ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
@@ -110,6 +97,7 @@
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
           coldStart: find<ColdStartLimit>('cold-start-limit'),
           link: find<EgressLink>('link'),
+          leftWorkMs: find<ResponseSilence>('response-silence').leftWorkMs,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onColdRefusal: (when) => find<NodeMetrics>('metrics').recordSlotRefusal(`cold ${when}`),
           onRun: find<NodeMetrics>('metrics').recordRun,
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -27,6 +27,11 @@
   outcome.kind === 'refused' && outcome.refusal.step === SILENT_STEP
 );
 
+/** Returns whether an attempt ended without an answer after the instance had got the request. */
+export const mayHaveRun = (outcome: AttemptOutcome) => (
+  outcome.kind === 'refused' && outcome.refusal.outcome === 'unknown'
+);
+
 /** Report to the chooser on a target to which nothing was sent. */
 export const UNSENT = { durationMs: 0, outcome: 'cancelled', load: undefined } as const;
 
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,7 +4,7 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import { isAbandoned, isRefusedByInstance } from './_attempt_outcomes.ts';
+import { isAbandoned, isRefusedByInstance, mayHaveRun } from './_attempt_outcomes.ts';
 import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import {
   type AttemptOutcome, type GatewayRequest, isBulk, isNestedCall,
@@ -51,6 +51,8 @@
   readonly coldStart?: ColdStartLimit;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
+  /** Time in ms for which the instance is at work on a request that its caller has left. */
+  readonly leftWorkMs?: (workClass: string, ranMs: number) => number;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called when the limit of a cold instance refuses a request. */
@@ -169,7 +171,12 @@
       outcome = await current.client.send(request, sink, place?.markSent);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
       // The instance may be at work until the deadline, which the request has told it.
-      if (isAbandoned(outcome)) freeSlotAfterMs = request.deadlineAt - clock.now();
+      const untilDeadlineMs = request.deadlineAt - clock.now();
+      if (isAbandoned(outcome)) freeSlotAfterMs = untilDeadlineMs;
+      else if (request.signal.aborted && mayHaveRun(outcome)) {
+        const leftMs = options.leftWorkMs?.(request.workClass, clock.now() - startedAt) ?? 0;
+        freeSlotAfterMs = Math.min(leftMs, untilDeadlineMs);
+      }
     } finally {
       place?.release();
       if (freeSlotAfterMs > 0) clock.schedule(freeSlotAfterMs, () => permit.value.release(false));
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -3,7 +3,7 @@
 import { createColdStartLimit } from '../admission/mod.ts';
 import { createFakeClock } from '../clock/mod.ts';
 import { createEgressLink } from '../http/mod.ts';
-import { refuseNotRun } from './_refusals.ts';
+import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { createDemandMeter } from './demand_meter.ts';
 import type { InstanceClient } from './instance_client.ts';
 import { createLocalForwarder } from './local_forwarder.ts';
@@ -43,6 +43,7 @@
     },
     queue: createSlotQueue({ clock, slots: () => 1, instance: () => 'a' }),
     demand: createDemandMeter({ clock, random: () => 0.5 }),
+    leftWorkMs: (_, ranMs) => 80 - ranMs,
     coldStart: createColdStartLimit({
       clock, isCold: () => true, maxPerSecond: () => maxColdPerSecond,
     }),
@@ -93,6 +94,21 @@
   assert.is(openExpectations(), 0);
 });
 
+// Guards against one request too many at an instance that never answers what it cannot queue.
+test('the slot of a request that its caller left is taken while the instance works', async () => {
+  const abort = new AbortController();
+  const { clock, forwarder, requestOf } = setUp(async () => {
+    clock.jump(50);
+    abort.abort();
+    return refuseUnknown('cancelled', { step: 'instance.send' });
+  });
+  await forwarder.forward(requestOf({ signal: abort.signal }), sink);
+  await clock.advance(29);
+  assert.is(forwarder.load().inFlight, 1);
+  await clock.advance(1);
+  assert.is(forwarder.load().inFlight, 0);
+});
+
 // Guards against cold keys that look hot, since a request for one comes after many withheld ones.
 test('neither withheld requests nor retries of callers count in the load of a key', async () => {
   const { forwarder, requestOf, keyLoad } = setUp(
--- a/gateway/response_silence.ts
+++ b/gateway/response_silence.ts
@@ -21,6 +21,11 @@
   readonly watch: (workClass: string, deadlineAt: number) => ResponseWatch;
   /** Returns how many of the announced slots the instance accepts, as far as was learned. */
   readonly acceptedSlots: (announced: number) => number;
+  /**
+   * Returns the time in ms for which the instance may still be at work on a request whose caller
+   * has left; 0 while no connection of this process has been silent, as one too many does no harm.
+   */
+  readonly leftWorkMs: (workClass: string, ranMs: number) => number;
   /** Number of connections that were found silent. */
   readonly silentCount: () => number;
   /** Forgets what was learned, as another process of the instance has started. */
@@ -105,6 +110,7 @@
   /** Deadlines of requests that were given up, until which the instance may be at work on them. */
   let abandoned: readonly number[] = [];
   let silentCount = 0;
+  let hasBeenSilent = false;
   let accepted = Infinity;
   let raiseMs = MIN_RAISE_MS;
   let raiseAt = Infinity;
@@ -230,6 +236,7 @@
         if (!isUnanswered(own.sentAt, LONGEST_FACTOR * longestMsOf(times))) return false;
         isFound = true;
         silentCount += 1;
+        hasBeenSilent = true;
         abandoned = [...abandoned, deadlineAt];
         return true;
       },
@@ -262,9 +269,14 @@
       }
       return Math.min(announced, accepted);
     },
+    leftWorkMs: (workClass, ranMs) => {
+      const times = hasBeenSilent ? classes.get(workClass) : undefined;
+      return times === undefined ? 0 : Math.max(0, longestMsOf(times) - ranMs);
+    },
     silentCount: () => silentCount,
     reset: () => {
       generation += 1;
+      hasBeenSilent = false;
       classes = new Map();
       running.clear();
       abandoned = [];
