--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -5,7 +5,8 @@
   type BodyBudget, createCallerListener, createDemandMeter, createLocalForwarder, createPeerClient,
   createPeerListener, createRequestSender, createServiceRetryBudget, createSlotQueue,
   createTargetChooser, type DispatchQueue, type LocalForwarder, type PeerClient,
-  type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
+  type RequestSender, type ResponseSilence, type ShutdownTracker, type SlotQueue,
+  type TargetChooser,
 } from '../gateway/mod.ts';
 import type { EgressLink, HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
@@ -61,7 +62,7 @@
     name: 'local',
     needs: [
       'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'rules',
-      'cold-start-limit',
+      'cold-start-limit', 'response-silence',
     ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
@@ -82,6 +83,7 @@
           coldStart: find<ColdStartLimit>('cold-start-limit'),
           link: find<EgressLink>('link'),
           findObjection: find<EvacuationRules>('rules').findObjection,
+          leftWorkMs: find<ResponseSilence>('response-silence').leftWorkMs,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onColdRefusal: (when) => find<NodeMetrics>('metrics').recordSlotRefusal(`cold ${when}`),
           onRun: find<NodeMetrics>('metrics').recordRun,
