Tell nested calls from callers' requests by the runs of the instance

Priority 0 or little time left marked a request as a nested call, so that callers' urgent and late requests went before others and were never withheld. A detector compares requests with the runs of the local instance, by connection, route and remote address; the origin is a field of its own in requests and in the hop header, and the priority stays that of the route.

Tests that marked calls by priority 0 now mark them by the field. Two tests that required the old guess are replaced: urgent and late callers' requests are withheld from an overloaded target, and the caller listener marks what the detector names and keeps the rank.

--- /dev/null
+++ b/admission/call_detector_test.ts
@@ -0,0 +1,120 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import { createRandom } from './_test_support.ts';
+import { type CallDetector, createCallDetector } from './mod.ts';
+
+const test = suite('call detector');
+
+/** Requests that were classified after the first 10 s, and those classified wrongly. */
+interface Tally {
+  requests: number;
+  wrong: number;
+}
+
+const STEP_MS = 5;
+const SLOTS = 4;
+
+/**
+ * Simulates a host with callers on kept and on new connections, late callers, and an instance whose
+ * runs make nested calls, on a route of their own and on one that callers use too.
+ */
+const simulate = async (calmUntil: number, runsPerSecond: number, seed: number) => {
+  const clock = createFakeClock();
+  const random = createRandom(seed);
+  const detector: CallDetector = createCallDetector({ clock });
+  const runs = new Map<{ readonly deadlineAt: number }, { endsAt: number; callAt: number }>();
+  const endOf = new Map<object, (isComplete: boolean) => void>();
+  const kept = Array.from({ length: 4 }, () => ({}));
+  const instanceConnections = Array.from({ length: 3 }, () => ({}));
+  const callers: Tally = { requests: 0, wrong: 0 };
+  const calls: Tally = { requests: 0, wrong: 0 };
+  const pick = (connections: readonly object[]) => (
+    connections[Math.floor(random() * connections.length)]!
+  );
+  const happens = (perSecond: number) => random() < (perSecond * STEP_MS) / 1000;
+  const send = (isCall: boolean, connection: object, route: string, remainingMs: number) => {
+    const deadlineAt = clock.now() + remainingMs;
+    const origin = detector.classify({ connection, route, deadlineAt });
+    if (clock.now() < 10_000) return;
+    const tally = isCall ? calls : callers;
+    tally.requests += 1;
+    if (isCall !== (origin === 'call')) tally.wrong += 1;
+  };
+
+  while (clock.now() < 40_000) {
+    await clock.advance(STEP_MS);
+    const now = clock.now();
+    for (const [run, state] of runs) {
+      if (now >= state.callAt) {
+        state.callAt = Infinity;
+        const remainingMs = Math.min(340, run.deadlineAt - now);
+        send(true, pick(instanceConnections), random() < 0.7 ? 'probe' : 'stock', remainingMs);
+      }
+      if (now >= state.endsAt) {
+        endOf.get(run)?.(true);
+        runs.delete(run);
+      }
+    }
+    if (happens(now < calmUntil ? 8 : runsPerSecond) && runs.size < SLOTS) {
+      const run = { deadlineAt: now + 300 + random() * 2900 };
+      runs.set(run, { endsAt: now + 40 + random() * 120, callAt: now + 20 });
+      endOf.set(run, detector.startRun(run.deadlineAt));
+    }
+    if (happens(8)) send(false, pick(kept), 'order', 3200 * (0.85 + random() * 0.15));
+    if (happens(4)) send(false, pick(kept), 'order', 100 + random() * 400);
+    if (happens(6)) send(false, {}, 'urgent', 340 + random() * 60);
+    if (happens(4)) send(false, pick(kept), 'stock', 340);
+    if (happens(2)) send(false, {}, 'stock', 340);
+  }
+  return { callers, calls };
+};
+
+// Guards against taking the urgent and late requests of callers for nested calls. By priority 0 or
+// little time left, 16 of each 24 of these requests of callers would count as calls.
+test('requests of callers hardly ever count as calls, and calls are mostly found', async () => {
+  const days = [
+    ['calm', 10_000, 8],
+    ['busy', 10_000, 40],
+    ['full', 10_000, 400],
+    ['full from the start', 0, 400],
+  ] as const;
+  for (const [name, calmUntil, runsPerSecond] of days) {
+    const { callers, calls } = await simulate(calmUntil, runsPerSecond, 3);
+    const callerErrors = callers.wrong / callers.requests;
+    const callErrors = calls.wrong / calls.requests;
+    console.log(name, {
+      callers, calls, callerErrors, callErrors,
+    });
+    assert.ok(callerErrors <= 0.01, `${name}: ${callerErrors} of the callers' requests`);
+    // On an instance that was never idle, calls cannot be told apart and count as callers'.
+    if (calmUntil > 0) assert.ok(callErrors <= 0.1, `${name}: ${callErrors} of the calls`);
+  }
+});
+
+// An instance that went on after its response was lost made calls that no known run explained.
+test('a run without a complete response counts until its deadline', async () => {
+  const clock = createFakeClock();
+  const detector = createCallDetector({ clock });
+  await clock.advance(4000);
+  detector.startRun(clock.now() + 1000)(false);
+  const classify = () => detector.classify({
+    connection: {}, route: 'probe', deadlineAt: clock.now() + 100,
+  });
+  assert.is(classify(), 'unsure');
+  await clock.advance(1300);
+  assert.is(classify(), 'caller');
+});
+
+// A node that had been restarted under its working instance took all its calls for callers'.
+test('nothing is learned while runs of an earlier process may go on', async () => {
+  const clock = createFakeClock();
+  const detector = createCallDetector({ clock });
+  const request = { connection: {}, route: 'probe' };
+  assert.is(detector.classify({ ...request, deadlineAt: clock.now() + 100 }), 'unsure');
+  await clock.advance(4000);
+  detector.startRun(clock.now() + 1000);
+  assert.is(detector.classify({ ...request, deadlineAt: clock.now() + 100 }), 'unsure');
+});
+
+test.run();
--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -3,6 +3,10 @@
   Admission, AdmissionLoad, AdmissionRequest, ExcessDemand, Permit, PermitOutcome,
 } from './admission.ts';
 export type { CustomerLimits, LimitPermit, RetryBudget } from './customer_limits.ts';
+export {
+  type ArrivingRequest, type CallDetector, type CallDetectorOptions, createCallDetector,
+  type RequestOrigin,
+} from './call_detector.ts';
 export { type AdmissionOptions, createAdmission } from './create_admission.ts';
 export {
   type ConcurrencyLimit,
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,3 +1,4 @@
+import type { CallDetector } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
@@ -88,7 +89,7 @@
 
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: ['call-detector', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -106,6 +107,7 @@
           queue: find<SlotQueue>('queue'),
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
           link: find<EgressLink>('link'),
+          startRun: find<CallDetector>('call-detector').startRun,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
@@ -262,7 +264,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch', 'bodies',
+      'dispatch', 'bodies', 'call-detector',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -278,11 +280,13 @@
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
+        callDetector: find<CallDetector>('call-detector'),
         logger: find<Logger>('logger'),
         random: Math.random,
         onRequestEnd: ({
-          kind, outcome, reason, durationMs,
+          kind, outcome, reason, durationMs, origin = 'unsure',
         }) => {
+          metrics.recordOrigin(origin);
           metrics.recordRequest(kind, outcome, durationMs);
           if (outcome === 'refused') metrics.recordRefusal(reason);
         },
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -17,6 +17,7 @@
 import type { RelayActivity } from './relayed_changes.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 import { registerKeyServices } from './_key_services.ts';
+import { registerAdmissionServices } from './_admission_services.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
 
@@ -161,6 +162,7 @@
       service: createEventLoopMonitor({ clock, logger, usage: readProcessUsage }),
     }),
   });
+  registerAdmissionServices(kernel);
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings, () => callerService);
   registerKeyServices(kernel, settings);
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -25,6 +25,12 @@
   outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
 );
 
+/** Returns whether the instance has certainly ended its work on the request, or not begun it. */
+export const hasEnded = (outcome: AttemptOutcome) => (
+  outcome.kind === 'answered' || outcome.kind === 'failed'
+    || (outcome.kind === 'refused' && outcome.refusal.outcome === 'not run')
+);
+
 /** Returns whether the instance itself refused the request for want of capacity. */
 export const isRefusedByInstance = (outcome: AttemptOutcome) => {
   if (outcome.kind !== 'refused' || !outcome.reachedInstance) return false;
--- a/gateway/_caller_request.ts
+++ b/gateway/_caller_request.ts
@@ -2,7 +2,7 @@
 import type { PublishedRoute } from '../contract/mod.ts';
 import { endToEndHeaders } from '../forward/mod.ts';
 import { firstHeaderValue } from './_http_messages.ts';
-import { type GatewayRequest, isNestedCall, NESTED_CALL_PRIORITY } from './request.ts';
+import type { GatewayRequest } from './request.ts';
 import { createRequestAgeEstimator } from './request_age_estimator.ts';
 import { chooseService, type RouteTable } from './route_table.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
@@ -35,6 +35,7 @@
   message: IncomingMessage,
   route: PublishedRoute,
   arrivedAt: number,
+  isNestedCall: boolean,
   signal: AbortSignal,
 ) => Omit<GatewayRequest, 'body'> | undefined;
 
@@ -66,7 +67,7 @@
   const replacedHeaders = new Set([headerNames.callerService, headerNames.remainingMs]);
   const ageEstimator = createRequestAgeEstimator();
 
-  return (message, route, arrivedAt, signal) => {
+  return (message, route, arrivedAt, isNestedCall, signal) => {
     const service = chooseService(route, options.random);
     if (service === undefined) return undefined;
     const remainingMs = readRemainingMs(message, headerNames);
@@ -78,15 +79,14 @@
       firstAttemptAt + route.targetLatencyMs,
     );
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
-    const isNested = isNestedCall({ ...route, deadlineAt, latencyTargetAt }, arrivedAt);
     const headers = endToEndHeaders(message.rawHeaders, replacedHeaders);
     headers.push(headerNames.callerService, options.callerService());
     return {
       requestId: firstHeaderValue(message, headerNames.requestId) ?? '',
       service,
       kind: route.kind,
-      // Kept on the way, as a nested call that has become late is still needed.
-      priority: isNested ? NESTED_CALL_PRIORITY : route.priority,
+      priority: route.priority,
+      isNestedCall,
       workClass: `${route.kind}/${route.priority}/${route.targetLatencyMs}`,
       key: isKeyed && key !== undefined && /^\d+$/u.test(key) ? Number(key) : undefined,
       instance: undefined,
--- a/gateway/_hop_header.ts
+++ b/gateway/_hop_header.ts
@@ -11,6 +11,7 @@
 export type HopFields = Pick<
   GatewayRequest,
   'service' | 'kind' | 'priority' | 'workClass' | 'key' | 'instance' | 'isCallerRetry' | 'withheld'
+  | 'isNestedCall'
 > & {
   /** Time in ms until the deadline. */
   readonly remainingMs: number;
@@ -45,7 +46,8 @@
   request.key ?? null,
   request.instance ?? null,
   Number(request.isCallerRetry),
-  ...(request.withheld > 0 ? [request.withheld] : []),
+  ...(request.withheld > 0 || request.isNestedCall ? [request.withheld] : []),
+  ...(request.isNestedCall ? [1] : []),
 ]);
 
 const parseArray = (text: string): readonly unknown[] => {
@@ -70,7 +72,7 @@
   if (text === undefined) return undefined;
   const [
     service, kindName, priority, workClass, remainingMs, latencyTargetMs, key, instance,
-    isCallerRetry, withheld,
+    isCallerRetry, withheld, isNestedCall,
   ] = parseArray(text);
   const kind = typeof kindName === 'string' ? kindByName[kindName] : undefined;
   if (typeof service !== 'string' || kind === undefined || typeof workClass !== 'string') {
@@ -89,5 +91,6 @@
     instance: typeof instance === 'string' ? instance : undefined,
     isCallerRetry: isCallerRetry === 1,
     withheld: typeof withheld === 'number' ? Math.min(Math.max(0, withheld), MAX_WITHHELD) : 0,
+    isNestedCall: isNestedCall === 1,
   };
 };
--- a/gateway/_simulated_fleet.ts
+++ b/gateway/_simulated_fleet.ts
@@ -112,6 +112,7 @@
     path: route.name,
     headers: [],
     body: null,
+    isNestedCall: parentDeadlineAt < Infinity,
     deadlineAt: Math.min(clock.now() + route.deadlineMs, parentDeadlineAt),
     latencyTargetAt: clock.now() + route.targetLatencyMs,
     isCallerRetry: false,
--- a/gateway/_target_gate.ts
+++ b/gateway/_target_gate.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { UNSENT } from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
-import { type AttemptOutcome, type GatewayRequest, isNestedCall } from './request.ts';
+import type { AttemptOutcome, GatewayRequest } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import type { NoTarget, Target, TargetChooser } from './target_chooser.ts';
 import type { TargetThrottle } from './target_throttle.ts';
@@ -46,7 +46,7 @@
 
   // The request that makes a nested call holds a slot and fails without it.
   const isCounted: TargetGate['isCounted'] = (request, target) => (
-    target.kind === 'peer' && !isNestedCall(request, clock.now())
+    target.kind === 'peer' && request.isNestedCall !== true
   );
 
   return {
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RequestOrigin } from '../admission/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
 import {
@@ -126,8 +127,10 @@
     response: ServerResponse,
     route: PublishedRoute,
     arrivedAt: number,
+    origin: RequestOrigin,
   ) => {
-    const request = toRequest(message, route, arrivedAt, abortOnClose(response));
+    const isNestedCall = origin === 'call';
+    const request = toRequest(message, route, arrivedAt, isNestedCall, abortOnClose(response));
     if (request === undefined) {
       const text = '{"error":"the route has no service"}';
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
@@ -191,6 +194,7 @@
       outcome: isDisconnected ? 'gone' : outcome.kind,
       reason: refusal?.step ?? '',
       durationMs,
+      origin,
     });
     const fields = {
       request: request.requestId,
@@ -198,6 +202,7 @@
       service: request.service,
       revision: options.routes()?.revision,
       outcome: isDisconnected ? 'gone' : outcome.kind,
+      origin,
       durationMs: Math.round(durationMs),
       readMs: Math.round(readMs),
       leftMs: firstHeaderValue(message, headerNames.remainingMs),
@@ -245,12 +250,19 @@
       return;
     }
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
+    const origin = options.callDetector?.classify({
+      connection: message.socket,
+      remoteAddress: message.socket.remoteAddress,
+      route: route.name,
+      deadlineAt,
+    }) ?? 'unsure';
     if (!options.shutdown.mayAccept(deadlineAt)) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
     const isTimely = options.dispatch.isTimely({
       priority: route.priority,
+      isNestedCall: origin === 'call',
       isFromPeer: false,
       deadlineAt,
       latencyTargetAt: arrivedAt + route.targetLatencyMs,
@@ -261,7 +273,7 @@
     }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
     sendContinueIfExpected(expect, response);
-    serve(message, response, route, arrivedAt).catch((error: unknown) => {
+    serve(message, response, route, arrivedAt, origin).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -1,3 +1,4 @@
+import type { CallDetector, RequestOrigin } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { EgressLink } from '../http/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
@@ -19,6 +20,8 @@
   /** Step that refused the request; empty for other outcomes. */
   readonly reason: string;
   readonly durationMs: number;
+  /** Whether the sender was known to be an instance, known to be a caller, or not known. */
+  readonly origin?: RequestOrigin;
 }
 
 /** Options of the caller listener. */
@@ -38,6 +41,8 @@
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
   readonly shutdown: ShutdownTracker;
+  /** Tells nested calls of the instance of this host from callers' requests. */
+  readonly callDetector?: Pick<CallDetector, 'classify'>;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -7,8 +7,8 @@
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import {
-  createCallerListener, createDispatchQueue, createRouteTable, createShutdownTracker,
-  type DispatchQueue, MAX_BUFFERED_BYTES, type RequestSender,
+  type CallerListenerOptions, createCallerListener, createDispatchQueue, createRouteTable,
+  createShutdownTracker, type DispatchQueue, MAX_BUFFERED_BYTES, type RequestSender,
 } from './mod.ts';
 
 const test = suite('caller listener');
@@ -25,7 +25,11 @@
   targets: [{ service: 'orders', weight: 1 }],
 };
 
-const setUp = async (send: RequestSender['send'], dispatch?: DispatchQueue) => {
+const setUp = async (
+  send: RequestSender['send'],
+  dispatch?: DispatchQueue,
+  callDetector?: CallerListenerOptions['callDetector'],
+) => {
   const clock = createSystemClock();
   const shutdown = createShutdownTracker(clock);
   const table = createRouteTable({ revision: 1, routes: [route], services: new Map() });
@@ -40,6 +44,7 @@
     routes: () => table,
     sender: { send, refuseEarly: () => undefined },
     shutdown,
+    callDetector,
     link: createEgressLink({
       clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
     }),
@@ -162,17 +167,18 @@
   listener.kill();
 });
 
-// A nested call that had become late on its way was refused, and its run was in vain.
-test('a request with a short time to live keeps the highest priority on its way', async () => {
-  const priorities: number[] = [];
-  const { listener, address } = await setUp(async ({ priority }, _, sink) => {
-    priorities.push(priority);
+// Guards against callers' late requests that go before others, as requests of rank 0 did that were
+// marked by their short time to live, and against calls that lose the rank of their route.
+test('a nested call is marked and keeps the rank of its route', async () => {
+  const received: unknown[] = [];
+  const { listener, address } = await setUp(async ({ priority, isNestedCall }, _, sink) => {
+    received.push([priority, isNestedCall]);
     sink.start(200, []);
     sink.end();
     return { kind: 'answered', status: 200 };
-  });
+  }, undefined, { classify: () => (received.length < 2 ? 'call' : 'unsure') });
   const { host, port } = splitAddress(address);
-  for (const deadlineMs of [340, 900]) {
+  for (const deadlineMs of [340, 900, 340]) {
     const socket = connect(port, host).on('error', () => undefined);
     socket.write([
       'GET /orders/a HTTP/1.1', 'host: shop.example', `deadline-ms: ${deadlineMs}`, '\r\n',
@@ -181,7 +187,7 @@
     socket.destroy();
   }
   listener.kill();
-  assert.equal(priorities, [0, 1]);
+  assert.equal(received, [[1, true], [1, true], [1, false]]);
 });
 
 test.run();
--- a/gateway/demand_meter.ts
+++ b/gateway/demand_meter.ts
@@ -1,12 +1,12 @@
 import type { ExcessDemand } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createAcceptanceRate } from './acceptance_rate.ts';
-import { type GatewayRequest, isNestedCall } from './request.ts';
+import type { GatewayRequest } from './request.ts';
 
 /** A request as its demand is counted. */
 export type DemandRequest = Pick<
   GatewayRequest,
-  'priority' | 'deadlineAt' | 'latencyTargetAt' | 'withheld'
+  'isNestedCall' | 'latencyTargetAt' | 'withheld'
 >;
 
 /** Measures at the node of an instance how much of the demand of all senders it can take. */
@@ -70,7 +70,7 @@
   return {
     open: (request) => {
       const now = clock.now();
-      if (isNestedCall(request, now)) return () => undefined;
+      if (request.isNestedCall === true) return () => undefined;
       const rate = request.latencyTargetAt > now ? timely : late;
       if (request.withheld > 0) rate.record(false, request.withheld);
       return rate.record;
--- a/gateway/demand_meter_test.ts
+++ b/gateway/demand_meter_test.ts
@@ -9,8 +9,6 @@
   const clock = createFakeClock();
   const meter = createDemandMeter({ clock, random: () => 0.5 });
   const requestOf = (change: Partial<DemandRequest> = {}): DemandRequest => ({
-    priority: 2,
-    deadlineAt: clock.now() + 2000,
     latencyTargetAt: clock.now() + 400,
     withheld: 0,
     ...change,
@@ -31,8 +29,7 @@
   const { clock, meter, requestOf } = setUp();
   for (let request = 0; request < 50; request += 1) {
     meter.open(requestOf({ latencyTargetAt: clock.now() - 1 }))(false);
-    meter.open(requestOf({ priority: 0 }))(false);
-    meter.open(requestOf({ deadlineAt: clock.now() + 300 }))(false);
+    meter.open(requestOf({ isNestedCall: true }))(false);
   }
   const { timely, late } = meter.excess();
   assert.is(timely, 0);
--- a/gateway/dispatch_queue.ts
+++ b/gateway/dispatch_queue.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '../clock/mod.ts';
-import { isNestedCall } from './request.ts';
 
 /** A request that has been read and is to be forwarded. Times are monotonic, in ms. */
 export interface DispatchRequest {
-  /** Priority; 0 is the highest and belongs to the nested calls that running requests make. */
+  /** Priority of the route; 0 is the highest. */
   readonly priority: number;
+  /** Without a response, a request that holds a slot fails. */
+  readonly isNestedCall?: boolean;
   /** Nothing was read from the connection before, so that the request may have waited in it. */
   readonly isFirstOnConnection: boolean;
   /** Another node forwarded the request, so part of its cost has been paid. */
@@ -72,9 +73,11 @@
 /** Time in ms without requests after which earlier turns tell nothing about the next ones. */
 const MAX_IDLE_MS = 1000;
 
+const isNested = ({ isNestedCall = false }: DispatchUrgency) => isNestedCall;
+
 const allowedWaitMs = (request: DispatchUrgency, now: number) => {
   const { latencyTargetAt, deadlineAt } = request;
-  if (isNestedCall(request, now)) return (deadlineAt - now) * MAX_NESTED_WAIT_FRACTION;
+  if (request.isNestedCall === true) return (deadlineAt - now) * MAX_NESTED_WAIT_FRACTION;
   return Math.max(
     (latencyTargetAt - now) * MAX_WAIT_FRACTION,
     (deadlineAt - now) * MAX_LATE_WAIT_FRACTION,
@@ -83,7 +86,7 @@
 
 /** Returns whether a request goes before another one that arrived earlier. */
 const overtakes = (one: DispatchUrgency, other: DispatchUrgency, now: number) => {
-  if (isNestedCall(one, now) !== isNestedCall(other, now)) return isNestedCall(one, now);
+  if (isNested(one) !== isNested(other)) return isNested(one);
   if (one.isFromPeer !== other.isFromPeer) return one.isFromPeer;
   if (one.priority !== other.priority) return one.priority < other.priority;
   return one.latencyTargetAt > now && other.latencyTargetAt <= now;
--- a/gateway/dispatch_queue_test.ts
+++ b/gateway/dispatch_queue_test.ts
@@ -51,7 +51,7 @@
   add('new');
   add('urgent', { priority: 1 });
   add('from peer', { isFromPeer: true });
-  add('nested', { priority: 0 });
+  add('nested', { isNestedCall: true });
   for (let turn = 0; turn < 6; turn += 1) await runTurn();
   const order = ['nested', 'from peer', 'urgent', 'new', 'late'];
   assert.equal(decisions, order.map((name) => `${name} forward`));
@@ -62,7 +62,7 @@
   const { add, decisions, runTurn } = setUp();
   for (let count = 0; count < 3; count += 1) add(`${count}`);
   await runTurn(30);
-  add('nested', { priority: 0, isFirstOnConnection: false });
+  add('nested', { isNestedCall: true, isFirstOnConnection: false });
   await runTurn(30);
   assert.equal(decisions, ['nested forward']);
 });
@@ -74,7 +74,7 @@
   for (let count = 0; count < 3; count += 1) add(`${count}`, { priority: 1 });
   await runTurn(1);
   clock.jump(150);
-  add('nested', { priority: 0, isFirstOnConnection: false });
+  add('nested', { isNestedCall: true, isFirstOnConnection: false });
   await runTurn(1);
   assert.equal(decisions, ['0 forward']);
   await runTurn(1);
@@ -123,7 +123,7 @@
   for (let turn = 0; turn < 4; turn += 1) await runTurn(30);
   decisions.length = 0;
   add('new', { deadlineAt: 920, latencyTargetAt: 420 });
-  add('nested', { priority: 0, deadlineAt: 460, latencyTargetAt: 256 });
+  add('nested', { isNestedCall: true, deadlineAt: 460, latencyTargetAt: 256 });
   await Promise.resolve();
   assert.equal(decisions, ['new expired']);
   for (let turn = 0; turn < 7; turn += 1) await runTurn(1);
@@ -136,7 +136,7 @@
 // A nested call that was refused for its latency target failed the request that had made it.
 test('a nested call may wait beyond its latency target', async () => {
   const { add, decisions, runTurn } = setUp();
-  add('nested', { priority: 0, latencyTargetAt: 100, deadlineAt: 320 });
+  add('nested', { isNestedCall: true, latencyTargetAt: 100, deadlineAt: 320 });
   await runTurn(70);
   await runTurn(70);
   assert.equal(decisions, ['nested forward']);
--- a/gateway/hop_header_test.ts
+++ b/gateway/hop_header_test.ts
@@ -36,10 +36,13 @@
     latencyTargetMs: -100,
     isCallerRetry: true,
     withheld: 3,
+    isNestedCall: false,
   });
   const unkeyed = parseHop(formatHop({ ...request, key: undefined }, 1000));
   assert.is(unkeyed?.key, undefined);
   assert.is(parseHop(formatHop({ ...request, withheld: 0 }, 1000))?.withheld, 0);
+  const call = parseHop(formatHop({ ...request, withheld: 0, isNestedCall: true }, 1000));
+  assert.equal([call?.isNestedCall, call?.priority, call?.withheld], [true, 2, 0]);
 });
 
 // Guards against a faulty peer that has the instance report a lack of room for minutes.
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,7 +4,7 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import { isRefusedByInstance } from './_attempt_outcomes.ts';
+import { hasEnded, isRefusedByInstance } from './_attempt_outcomes.ts';
 import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
@@ -47,6 +47,8 @@
   readonly demand: DemandMeter;
   /** Link of this host, over which responses are sent. */
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
+  /** Called at the start of a run with its deadline; returns the function to call at its end. */
+  readonly startRun?: (deadlineAt: number) => (isComplete: boolean) => void;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called with the kind of the route and the time in ms from the start to the end of a run. */
@@ -105,6 +107,7 @@
     const permit = await queue.acquire({
       sendMs,
       priority: request.priority,
+      isNestedCall: request.isNestedCall,
       workClass: request.workClass,
       deadlineAt: request.deadlineAt,
       latencyTargetAt: request.latencyTargetAt,
@@ -132,12 +135,16 @@
       });
     }
     const startedAt = clock.now();
+    const endRun = options.startRun?.(request.deadlineAt);
     let isSample = false;
+    let isComplete = false;
     let outcome: AttemptOutcome;
     try {
       outcome = await current.client.send(request, sink);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
+      isComplete = hasEnded(outcome);
     } finally {
+      endRun?.(isComplete);
       permit.value.release(isSample);
     }
     const isRefused = isRefusedByInstance(outcome);
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -1,8 +1,6 @@
 import type { RequestClass, RouteKind } from '../contract/mod.ts';
 import type { RefusalError, StepError } from '../errors/mod.ts';
 
-/** Priority of the nested calls that running requests make. */
-export const NESTED_CALL_PRIORITY = 0;
 /** A request with less time in ms to its deadline cannot be sent again after a refusal. */
 export const MIN_RETURN_MS = 500;
 
@@ -11,8 +9,10 @@
   readonly requestId: string;
   readonly service: string;
   readonly kind: RouteKind;
-  /** Priority of the request; 0 is the highest. */
+  /** Priority of the route; 0 is the highest. */
   readonly priority: number;
+  /** A running request made this one, holds a slot meanwhile and fails without the response. */
+  readonly isNestedCall?: boolean;
   /** Groups requests with similar processing times. */
   readonly workClass: string;
   /** Key of a request to a keyed service; undefined for other services. */
@@ -86,14 +86,3 @@
 
 /** Returns whether requests of this kind may safely run more than once. */
 export const isIdempotent = (kind: RouteKind): boolean => kind !== 'unsafe';
-
-/** Returns whether a request is a nested call, which fails a request that holds a slot. */
-export const isNestedCall = (
-  { priority, deadlineAt, latencyTargetAt }: (
-    Pick<GatewayRequest, 'priority' | 'deadlineAt' | 'latencyTargetAt'>
-  ),
-  now: number,
-): boolean => (
-  // Those on routes below the highest priority show by their short time to live.
-  priority <= NESTED_CALL_PRIORITY || (latencyTargetAt > now && deadlineAt - now < MIN_RETURN_MS)
-);
--- a/gateway/request_sender_test.ts
+++ b/gateway/request_sender_test.ts
@@ -132,7 +132,7 @@
 });
 
 test('requests without a key and nested calls are not refused early', async () => {
-  for (const change of [{ key: undefined }, { key: 7, priority: 0 }]) {
+  for (const change of [{ key: undefined }, { key: 7, isNestedCall: true }]) {
     const { run, sender, request } = setUp(new Set(['n1']), change);
     for (let count = 0; count < 100; count += 1) await run();
     assert.is(sender.refuseEarly(request), undefined);
@@ -140,18 +140,18 @@
 });
 
 test('nested calls are sent to an overloaded target', async () => {
-  const { sentTo, run } = setUp(new Set(['n1']), { key: 7, priority: 0 });
+  const { sentTo, run } = setUp(new Set(['n1']), { key: 7, isNestedCall: true });
   for (let count = 0; count < 50; count += 1) await run();
   assert.is(sentTo.length, 50);
 });
 
-// Nested calls on routes below the highest priority were refused, and their requests failed.
-test('nested calls that show by their deadline are sent to an overloaded target', async () => {
-  const { sentTo, run } = setUp(new Set(['n1']), {
-    key: 7, priority: 1, deadlineAt: 340, latencyTargetAt: 300,
-  });
-  for (let count = 0; count < 50; count += 1) await run();
-  assert.is(sentTo.length, 50);
+// Guards against callers' requests that pass as nested calls: for their route's rank, or as late.
+test('urgent and late requests of callers are withheld from an overloaded target', async () => {
+  for (const change of [{ priority: 0 }, { deadlineAt: 340, latencyTargetAt: 300 }]) {
+    const { sentTo, run } = setUp(new Set(['n1']), { key: 7, ...change });
+    for (let count = 0; count < 50; count += 1) await run();
+    assert.ok(sentTo.length < 30, `${sentTo.length} of 50 sent`);
+  }
 });
 
 test.run();
--- a/gateway/slot_queue.ts
+++ b/gateway/slot_queue.ts
@@ -3,13 +3,15 @@
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { RefusalError, type RefusalFigures } from '../errors/mod.ts';
 import type { InstanceWork } from '../ranges/mod.ts';
-import { MIN_RETURN_MS, NESTED_CALL_PRIORITY } from './request.ts';
+import { MIN_RETURN_MS } from './request.ts';
 import { createProcessingTimes } from './processing_times.ts';
 
 /** A request for a slot of the instance. Times are monotonic, in ms. */
 export interface SlotRequest {
-  /** Priority; 0 is the highest and belongs to the nested calls that running requests make. */
+  /** Priority of the route; 0 is the highest. */
   readonly priority: number;
+  /** A request that runs at an instance, and fails without the response, made this one. */
+  readonly isNestedCall?: boolean;
   /** Groups requests with similar processing times. */
   readonly workClass: string;
   readonly deadlineAt: number;
@@ -83,6 +85,8 @@
 /** Callers retry within a third of their deadline, so slots reserved for later stay unused. */
 const MAX_RETRY_AFTER_MS = 700;
 
+const isNested = ({ isNestedCall = false }: SlotRequest) => isNestedCall;
+
 /**
  * Creates an empty queue. It refuses a request at once when the wait would be too long for a
  * useful response, and serves requests by priority, so that nested calls of admitted requests and
@@ -119,6 +123,7 @@
 
   /** Returns whether a request is served before another one that arrived later. */
   const isServedBefore = (one: SlotRequest, other: SlotRequest) => {
+    if (isNested(one) !== isNested(other)) return isNested(one);
     if (one.priority !== other.priority) return one.priority < other.priority;
     if (isLate(one) !== isLate(other)) return isLate(other);
     return isLate(one) || one.latencyTargetAt <= other.latencyTargetAt;
@@ -188,7 +193,7 @@
     const toTarget = latencyTargetAt - now;
     const toDeadline = deadlineAt - now - processingMs;
     // The calling request already holds a slot and fails without the nested call.
-    if (request.priority === NESTED_CALL_PRIORITY) return toDeadline;
+    if (isNested(request)) return toDeadline;
     if (isLate(request)) return toDeadline * LATE_WAIT_FRACTION;
     if (deadlineAt - now < MIN_RETURN_MS) return toDeadline;
     return Math.min(toDeadline, Math.max(toTarget - processingMs, toTarget * MIN_WAIT_FRACTION));
--- a/gateway/slot_queue_test.ts
+++ b/gateway/slot_queue_test.ts
@@ -78,7 +78,7 @@
   const running = (await queue.acquire(requestOf()))._unsafeUnwrap();
   const order: string[] = [];
   queue.acquire(requestOf()).then(() => order.push('request'));
-  queue.acquire(requestOf({ priority: 0 })).then((permit) => {
+  queue.acquire(requestOf({ isNestedCall: true })).then((permit) => {
     order.push('call');
     permit._unsafeUnwrap().release(true);
   });
@@ -92,7 +92,7 @@
   const { clock, queue, requestOf } = setUp(1);
   const running = (await queue.acquire(requestOf({ workClass: 'long' })))._unsafeUnwrap();
   const waiting = queue.acquire(requestOf({
-    priority: 0, latencyTargetAt: clock.now() + 20, deadlineAt: clock.now() + 300,
+    isNestedCall: true, latencyTargetAt: clock.now() + 20, deadlineAt: clock.now() + 300,
   }));
   await clock.advance(100);
   running.release(true);
@@ -124,7 +124,7 @@
   for (let count = 0; count < 6; count += 1) await queue.acquire(requestOf());
   // The latency target is 100 ms away; a slot becomes free within 80 ms.
   const call = queue.acquire(requestOf({
-    priority: 0,
+    isNestedCall: true,
     workClass: 'call',
     latencyTargetAt: clock.now() + 100,
     deadlineAt: clock.now() + 250,
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -6,6 +6,8 @@
 export interface NodeMetrics {
   readonly recordRequest: (kind: string, outcome: string, durationMs: number) => void;
   readonly recordRefusal: (step: string) => void;
+  /** Counts a request by its sender: `call` of the local instance, `caller` or `unsure`. */
+  readonly recordOrigin: (origin: string) => void;
   /** Counts a refusal of a request that a node in a failure domain had forwarded to this one. */
   readonly recordPeerRefusal: (step: string, domain: string) => void;
   /** Counts a refusal by the slot queue of the local instance. */
@@ -59,6 +61,12 @@
     labelNames: ['step'],
     registers,
   });
+  const origins = new Counter({
+    name: `${PREFIX}request_origins_total`,
+    help: 'Requests at the caller listener by sender: call of the instance, caller or unsure',
+    labelNames: ['origin'],
+    registers,
+  });
   const peerRefusals = new Counter({
     name: `${PREFIX}peer_refusals_total`,
     help: 'Refused requests of other nodes by the step that refused and the failure domain',
@@ -120,6 +128,7 @@
       requests.inc({ kind, outcome });
       durations.observe({ kind }, durationMs);
     },
+    recordOrigin: (origin) => origins.inc({ origin }),
     recordRefusal: (step) => refusals.inc({ step }),
     recordPeerRefusal: (step, domain) => peerRefusals.inc({ step, domain }),
     recordSlotRefusal: (cause) => slotRefusals.inc({ cause }),
