Refuse as not run what was never sent to an instance

A request whose deadline had passed in queues of its own node was still written to a peer and ended as 504, as nothing could come back in time; an error before a request was forwarded ended as 502, unknown.

Before, the new test of the listener got 502 and the outcome unknown; after, 503 and not run. A request that was written to a silent peer stays unknown, since only the peer can tell.

--- a/fleet/_admission_services.ts
+++ b/fleet/_admission_services.ts
@@ -1,5 +1,6 @@
 import { type CallDetector, createCallDetector } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
+import { createEntrance, type RequestSender } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
@@ -20,4 +21,14 @@
       };
     },
   });
+
+  kernel.register<RequestSender>({
+    name: 'entrance',
+    needs: ['clock', 'attempts'],
+    start: (find) => ({
+      service: createEntrance({
+        clock: find<Clock>('clock'), sender: find<RequestSender>('attempts'),
+      }),
+    }),
+  });
 };
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -263,7 +263,7 @@
   kernel.register<HttpListener>({
     name: 'caller-listener',
     needs: [
-      'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
+      'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
       'dispatch', 'bodies', 'call-detector',
     ],
     start: async (find) => {
@@ -276,7 +276,7 @@
         routes: find<ContractSource>('contracts').routes,
         dispatch: find<DispatchQueue>('dispatch'),
         bodies: find<BodyBudget>('bodies'),
-        sender: find<RequestSender>('attempts'),
+        sender: find<RequestSender>('entrance'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -128,6 +128,7 @@
     route: PublishedRoute,
     arrivedAt: number,
     origin: RequestOrigin,
+    progress: { isForwarded: boolean },
   ) => {
     const isNestedCall = origin === 'call';
     const request = toRequest(message, route, arrivedAt, isNestedCall, abortOnClose(response));
@@ -177,6 +178,7 @@
     const sink = isBulk(route.kind)
       ? createBulkSink(response, () => undefined, link)
       : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
+    Object.assign(progress, { isForwarded: true });
     const outcome = decision === 'forward'
       ? await options.sender.send(
         { ...request, body, isAdmitted: request.key !== undefined },
@@ -273,14 +275,17 @@
     }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
     sendContinueIfExpected(expect, response);
-    serve(message, response, route, arrivedAt, origin).catch((error: unknown) => {
+    const progress = { isForwarded: false };
+    serve(message, response, route, arrivedAt, origin, progress).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
       }, isCut ? 'ended without an answer' : 'failed to handle request');
       const idHeader = [headerNames.requestId, requestId ?? ''];
-      const text = '{"error":"the request could not be handled","outcome":"unknown"}';
-      respondToError(clock, response, STATUS_BAD_GATEWAY, idHeader, text);
+      const [status, result] = progress.isForwarded
+        ? [STATUS_BAD_GATEWAY, 'unknown'] : [STATUS_UNAVAILABLE, 'not run'];
+      const text = `{"error":"the request could not be handled","outcome":"${result}"}`;
+      respondToError(clock, response, status, idHeader, text);
     });
   };
 
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -25,6 +25,7 @@
   type LocalInstance,
   type LocalForwarder,
 } from './local_forwarder.ts';
+export { createEntrance, type EntranceOptions } from './entrance.ts';
 export { createFailureDetector, type FailureDetector } from './failure_detector.ts';
 export {
   createDispatchQueue, type DispatchDecision, type DispatchQueue, type DispatchQueueOptions,
--- a/gateway/unhandled_failure_test.ts
+++ b/gateway/unhandled_failure_test.ts
@@ -29,7 +29,10 @@
   services: new Map(),
 });
 
-const sendThrough = async (send: RequestSender['send']) => {
+const sendThrough = async (
+  send: RequestSender['send'],
+  refuseEarly: RequestSender['refuseEarly'] = () => undefined,
+) => {
   const listener = createCallerListener({
     clock,
     dispatch: createDispatchQueue({ clock }),
@@ -42,7 +45,7 @@
     },
     callerService: () => 'shop',
     routes: () => routes,
-    sender: { send, refuseEarly: () => undefined },
+    sender: { send, refuseEarly },
     shutdown: createShutdownTracker(clock),
     link: createEgressLink({
       clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
@@ -71,6 +74,18 @@
   assert.match(text, '"outcome":"unknown"');
 });
 
+// A defect before the request was forwarded ended as unknown, so that callers could not retry it.
+test('a request whose handling throws before it is forwarded has not run', async () => {
+  const { status, text } = await sendThrough(
+    () => Promise.reject(new Error('not expected')),
+    () => {
+      throw new Error('a defect');
+    },
+  );
+  assert.is(status, 503, text);
+  assert.match(text, '"outcome":"not run"');
+});
+
 test('a response that has begun is cut when the handling throws', async () => {
   const { status } = await sendThrough((_, __, sink) => {
     sink.start(200, ['content-length', '10']);
