Send fewer runs whose nested calls find no room

A run whose nested call was refused had taken a slot and other calls in vain, and entrances kept sending runs because the service itself had room.

--- a/admission/admission.ts
+++ b/admission/admission.ts
@@ -42,6 +42,8 @@
   readonly timely: number;
   /** Of those that cannot meet it any more. */
   readonly late: number;
+  /** Fraction of the nested calls of the instance's runs that find no room; 0 if absent. */
+  readonly callFailures?: number;
 }
 
 /** Admits requests to the local instance, queues them, or refuses them. */
--- a/admission/entrance_gate.ts
+++ b/admission/entrance_gate.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
+import type { AdmissionLoad } from './admission.ts';
 import { createRankedDemand, type RankedDemand } from './ranked_demand.ts';
 
 /** A request of a caller for a service without keys. */
@@ -18,6 +19,8 @@
   readonly admit: (request: EntranceRequest) => boolean;
   /** Records that a request that was admitted was refused for want of room. */
   readonly recordRefused: (service: string) => void;
+  /** Records what an instance reports of the nested calls of its runs. */
+  readonly recordLoad: (service: string, load: Pick<AdmissionLoad, 'excess'>) => void;
 }
 
 /** Options of an entrance gate. */
@@ -32,6 +35,11 @@
   sent: number;
   refused: number;
   countedAt: number;
+  /** Moving average of the fraction of nested calls that fail. */
+  callFailures: number;
+  reportedAt: number;
+  /** Runs are limited until all that are asked for have been sent for some time. */
+  isLimitedByCalls: boolean;
   isHoldingBack: boolean;
   heldBackAt: number;
 }
@@ -46,6 +54,16 @@
 const MAX_REFUSED_FRACTION = 0.05;
 /** A single refusal on a node with few requests holds nothing back after a half-life. */
 const MIN_REFUSED = 0.5;
+/** Runs with two calls fail in less than a tenth of the cases with this fraction. */
+const MAX_CALL_FAILURES = 0.05;
+/** Makes the number of runs steady where 4.5 % of the calls fail. */
+const CALL_FAILURE_WEIGHT = 2;
+/** Reports follow a change of the number of runs by a second or two. */
+const MIN_FACTOR = 0.9;
+/** Time without a request held back after which the calls no longer limit the runs. */
+const CALL_LIMIT_MS = 1000;
+const MAX_REPORT_AGE_MS = 3000;
+const REPORT_WEIGHT = 0.3;
 /** Bounds the log lines while requests are held back now and then. */
 const QUIET_MS = 5000;
 /** Above the services of a contract. */
@@ -56,6 +74,9 @@
  * sent, the node sends little more than they take: first the higher ranks, within a rank first the
  * requests that can still meet their target. What is held back is refused here, without a hop.
  *
+ * Where nested calls of the runs find no room, fewer runs are sent, although their service has
+ * room: a run whose call fails has taken a slot and calls of other services in vain.
+ *
  * The state is this node's own attempts. The reports of single instances are a second old, and
  * with many instances one of them nearly always reports a free slot that is taken by now.
  *
@@ -78,6 +99,9 @@
       sent: 0,
       refused: 0,
       countedAt: clock.now(),
+      callFailures: 0,
+      reportedAt: -Infinity,
+      isLimitedByCalls: false,
       isHoldingBack: false,
       heldBackAt: -Infinity,
     };
@@ -93,8 +117,23 @@
     });
   };
 
+  const updateCallLimit = (state: ServiceState) => {
+    const now = clock.now();
+    if (now - state.reportedAt > MAX_REPORT_AGE_MS) Object.assign(state, { callFailures: 0 });
+    const isFailing = state.callFailures > MAX_CALL_FAILURES;
+    if (isFailing || now - state.heldBackAt > CALL_LIMIT_MS) {
+      Object.assign(state, { isLimitedByCalls: isFailing });
+    }
+  };
+
   /** Number of requests to send within about the half-life. */
-  const roomOf = ({ sent, refused }: ServiceState) => {
+  const roomOf = ({
+    sent, refused, callFailures, isLimitedByCalls,
+  }: ServiceState) => {
+    if (isLimitedByCalls) {
+      const factor = SENT_PER_ACCEPTED * (1 - CALL_FAILURE_WEIGHT * callFailures);
+      return Math.max(MIN_ROOM, (sent - refused) * Math.max(MIN_FACTOR, factor));
+    }
     if (refused <= Math.max(MIN_REFUSED, sent * MAX_REFUSED_FRACTION)) return Infinity;
     return Math.max(MIN_ROOM, (sent - refused) * SENT_PER_ACCEPTED);
   };
@@ -112,6 +151,7 @@
     }) => {
       const state = stateOf(service);
       add(state, 0, 0);
+      updateCallLimit(state);
       state.demand.record(rank, isLate);
       const room = roomOf(state);
       const isAdmitted = room === Infinity
@@ -123,5 +163,11 @@
       return isAdmitted;
     },
     recordRefused: (service) => add(stateOf(service), 0, 1),
+    recordLoad: (service, { excess }) => {
+      const fraction = excess?.callFailures ?? 0;
+      const state = stateOf(service);
+      const callFailures = state.callFailures + (fraction - state.callFailures) * REPORT_WEIGHT;
+      Object.assign(state, { callFailures, reportedAt: clock.now() });
+    },
   };
 };
--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -7,6 +7,7 @@
   type ArrivingRequest, type CallDetector, type CallDetectorOptions, createCallDetector,
   type RequestOrigin,
 } from './call_detector.ts';
+export { type CallFailures, createCallFailures } from './call_failures.ts';
 export {
   createEntranceGate, type EntranceGate, type EntranceGateOptions, type EntranceRequest,
 } from './entrance_gate.ts';
--- a/fleet/_admission_services.ts
+++ b/fleet/_admission_services.ts
@@ -1,10 +1,13 @@
 import {
-  type CallDetector, createCallDetector, createEntranceGate,
+  type CallDetector, type CallFailures, createCallDetector, createCallFailures, createEntranceGate,
+  type EntranceGate,
 } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import { createEntrance, type RequestSender } from '../gateway/mod.ts';
+import {
+  type BodyBudget, createBodyBudget, createEntrance, MAX_KEPT_BODY_BYTES, type RequestSender,
+} from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 
 /** Registers the services that decide which requests get the capacity. */
 export const registerAdmissionServices = (kernel: Kernel) => {
@@ -24,19 +27,48 @@
     },
   });
 
-  kernel.register<RequestSender>({
-    name: 'entrance',
-    needs: ['clock', 'logger', 'attempts'],
+  kernel.register<BodyBudget>({
+    name: 'bodies',
+    needs: [],
+    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
+  });
+
+  kernel.register<CallFailures>({
+    name: 'call-failures',
+    needs: ['clock', 'metrics'],
+    start: (find) => {
+      const service = createCallFailures(find<Clock>('clock'));
+      const help = 'Fraction of the nested calls of the local instance that find no room';
+      find<NodeMetrics>('metrics').observe('call_failures', help, service.fraction);
+      return { service };
+    },
+  });
+
+  kernel.register<EntranceGate>({
+    name: 'entrance-gate',
+    needs: ['clock', 'logger'],
     start: (find) => {
-      const clock = find<Clock>('clock');
       const logger = find<Logger>('logger').forComponent('routing');
-      const gate = createEntranceGate({
-        clock,
-        onChange: (service, isHoldingBack) => logger.info({ service }, isHoldingBack
+      const service = createEntranceGate({
+        clock: find<Clock>('clock'),
+        onChange: (name, isHoldingBack) => logger.info({ service: name }, isHoldingBack
           ? 'holding back requests: the service has no room for all'
           : 'no longer holding back requests'),
       });
-      return { service: createEntrance({ clock, gate, sender: find<RequestSender>('attempts') }) };
+      return { service };
     },
   });
+
+  kernel.register<RequestSender>({
+    name: 'entrance',
+    needs: ['clock', 'attempts', 'entrance-gate', 'call-failures'],
+    start: (find) => ({
+      service: createEntrance({
+        clock: find<Clock>('clock'),
+        sender: find<RequestSender>('attempts'),
+        gate: find<EntranceGate>('entrance-gate'),
+        callFailures: find<CallFailures>('call-failures'),
+      }),
+    }),
+  });
 };
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,11 +1,11 @@
-import type { CallDetector } from '../admission/mod.ts';
+import type { CallDetector, CallFailures, EntranceGate } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
-  type BodyBudget, createBodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
+  type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createLocalForwarder, createPeerClient, createPeerListener, createRequestSender,
   createServiceRetryBudget, createShutdownTracker, createSlotQueue, createTargetChooser,
-  type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES, MAX_KEPT_BODY_BYTES,
+  type DispatchQueue, type LocalForwarder, MAX_BUFFERED_BYTES,
   type PeerClient, type RequestSender, type ShutdownTracker, type SlotQueue, type TargetChooser,
 } from '../gateway/mod.ts';
 import { createEgressLink, type EgressLink, type HttpListener } from '../http/mod.ts';
@@ -75,12 +75,6 @@
     }),
   });
 
-  kernel.register<BodyBudget>({
-    name: 'bodies',
-    needs: [],
-    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
-  });
-
   kernel.register<DispatchQueue>({
     name: 'dispatch',
     needs: ['clock'],
@@ -89,7 +83,10 @@
 
   kernel.register<LocalForwarder>({
     name: 'local',
-    needs: ['call-detector', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics'],
+    needs: [
+      'call-detector', 'call-failures', 'link', 'clock', 'registry', 'queue', 'ledger', 'key-load',
+      'metrics',
+    ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
       const untilNextGrantMs = () => (
@@ -108,6 +105,7 @@
           demand: createDemandMeter({ clock: find<Clock>('clock') }),
           link: find<EgressLink>('link'),
           startRun: find<CallDetector>('call-detector').startRun,
+          callFailures: find<CallFailures>('call-failures').fraction,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onRun: find<NodeMetrics>('metrics').recordRun,
         }),
@@ -196,7 +194,7 @@
 
   kernel.register<RequestSender>({
     name: 'attempts',
-    needs: ['clock', 'logger', 'chooser', 'local', 'peers', 'fleet', 'metrics'],
+    needs: ['clock', 'logger', 'chooser', 'local', 'peers', 'fleet', 'metrics', 'entrance-gate'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
@@ -222,6 +220,7 @@
             nodeCount: () => 1,
           }),
           logger: find<Logger>('logger'),
+          onLoad: find<EntranceGate>('entrance-gate').recordLoad,
           onRetry: metrics.recordRetry,
           onAttempt: ({ kind, view }, outcome, durationMs) => {
             metrics.recordAttempt(kind, outcome, durationMs);
--- a/forward/load_header.ts
+++ b/forward/load_header.ts
@@ -41,14 +41,18 @@
  * Formats the excess demand at an instance as a header value.
  *
  * @param excess Fractions of the requests to withhold.
- * @returns Percentages of the timely and the late requests; undefined if none is to be withheld.
+ * @returns Percentages of the timely and the late requests, and of the nested calls that fail if
+ *   there are any; undefined if all are 0.
  *
  * @example
  * formatExcess({ timely: 0.25, late: 0.5 }); // '25,50'
  */
 export const formatExcess = (excess: ExcessDemand | undefined): string | undefined => {
   if (excess === undefined) return undefined;
-  const percentages = [excess.timely, excess.late].map((part) => Math.round(part * PERCENT));
+  const { timely, late, callFailures = 0 } = excess;
+  const percentages = [timely, late, callFailures].map((part) => Math.round(part * PERCENT));
+  // Nodes without the third figure accept two only.
+  if (percentages[2] === 0) percentages.pop();
   return percentages.every((part) => part === 0) ? undefined : percentages.join();
 };
 
@@ -64,11 +68,14 @@
 export const parseExcess = (text: string | undefined): ExcessDemand | undefined => {
   if (text === undefined) return undefined;
   const fractions = text.split(',').map((part) => Number(part) / PERCENT);
-  const [timely, late] = fractions;
-  if (fractions.length !== 2 || !fractions.every((part) => part >= 0 && part <= 1)) {
+  const [timely, late, callFailures] = fractions;
+  const areFractions = fractions.every((part) => part >= 0 && part <= 1);
+  if (fractions.length < 2 || fractions.length > 3 || !areFractions) {
     return undefined;
   }
-  return { timely: timely!, late: late! };
+  return {
+    timely: timely!, late: late!, ...(callFailures === undefined ? {} : { callFailures }),
+  };
 };
 
 /**
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -1,4 +1,4 @@
-import { createEntranceGate } from '../admission/mod.ts';
+import { createCallFailures, createEntranceGate } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import { createEgressLink, type EgressLink } from '../http/mod.ts';
@@ -124,6 +124,8 @@
     sink.end();
     return action === 'drain' ? { kind: 'failed', status } : { kind: 'answered', status };
   };
+  const callFailures = createCallFailures(clock);
+  const gate = createEntranceGate({ clock });
   const local = createLocalForwarder({
     clock,
     instance: () => ({
@@ -136,6 +138,7 @@
     keys: { mayServe: () => true, retryAfterMs: () => 100, record: () => undefined },
     queue: createSlotQueue({ clock, slots: () => host.slots, instance: () => `i-${name}` }),
     demand: createDemandMeter({ clock, random }),
+    callFailures: callFailures.fraction,
     link: egress,
   });
 
@@ -202,8 +205,11 @@
     failoverBudget: budgetOf(2, 40, 1),
     logger: noopLogger,
     random,
+    onLoad: gate.recordLoad,
+  });
+  const entrance = createEntrance({
+    clock, sender, gate, callFailures,
   });
-  const entrance = createEntrance({ clock, sender, gate: createEntranceGate({ clock }) });
   return {
     host, local, sender: entrance, link, egress,
   };
--- a/gateway/entrance.ts
+++ b/gateway/entrance.ts
@@ -1,4 +1,4 @@
-import type { EntranceGate } from '../admission/mod.ts';
+import type { CallFailures, EntranceGate } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { isWithoutRoom } from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
@@ -12,6 +12,8 @@
   /** Sends what the entrance lets pass. */
   readonly sender: RequestSender;
   readonly gate: EntranceGate;
+  /** Counts the nested calls of the instance of this host. */
+  readonly callFailures?: Pick<CallFailures, 'record'>;
 }
 
 /**
@@ -37,7 +39,9 @@
  * @example
  * const sender = createEntrance({ clock, gate, sender: createRequestSender(options) });
  */
-export const createEntrance = ({ clock, sender, gate }: EntranceOptions): RequestSender => ({
+export const createEntrance = ({
+  clock, sender, gate, callFailures,
+}: EntranceOptions): RequestSender => ({
   refuseEarly: (request) => {
     if (!isGated(request)) return sender.refuseEarly(request);
     const now = clock.now();
@@ -52,11 +56,15 @@
   },
   send: async (request, maxSends, sink) => {
     if (request.deadlineAt - clock.now() < MIN_HOP_MS) {
+      // The run that made the call waited for room until its end.
+      if (request.isNestedCall === true) callFailures?.record(true);
       const reason = 'the deadline passed before the request was sent';
       return refuseNotRun(reason, EXPIRED_RETRY_AFTER_MS, { step: 'entrance.deadline' });
     }
     const outcome = await sender.send(request, maxSends, sink);
-    if (isGated(request) && isWithoutRoom(outcome)) gate.recordRefused(request.service);
+    const isRefused = isWithoutRoom(outcome);
+    if (isGated(request) && isRefused) gate.recordRefused(request.service);
+    if (request.isNestedCall === true) callFailures?.record(isRefused);
     return outcome;
   },
 });
--- a/gateway/entrance_load_test.ts
+++ b/gateway/entrance_load_test.ts
@@ -57,4 +57,37 @@
   assert.ok(figures.roomUsed >= 0.9, `${figures.roomUsed} of the room used`);
 });
 
+const probe: SimulatedRoute = {
+  ...browse, name: 'probe', service: 'archive', priority: 0, targetLatencyMs: 136, deadlineMs: 340,
+};
+
+// Guards against runs that take slots and end in vain, since their calls find no room elsewhere.
+test('few runs end in vain when the service that they call is the scarce one', async () => {
+  const hosts = [...hostsOf('shop', 24), ...hostsOf('archive', 6), ...hostsOf('control', 42)];
+  const fleet = createSimulatedFleet(hosts, [
+    {
+      ...order,
+      calls: {
+        route: 'probe', times: 2, probability: 1, inParallel: true,
+      },
+    },
+    probe,
+  ], 3);
+  // The archive has room for 300 calls a second, which are 150 runs.
+  fleet.load('order', () => 75, LOAD_MS, 2);
+  await fleet.clock.advance(LOAD_MS + 5000);
+  const {
+    failed, inTime, late, refused,
+  } = fleet.resultOf('order');
+  const figures = {
+    inVain: failed / (failed + inTime + late),
+    refusalsPerAnswer: refused / (inTime + late),
+    roomUsed: (inTime + late) / ((150 * LOAD_MS) / 1000),
+  };
+  console.log('runs whose calls find no room', figures);
+  assert.ok(figures.inVain <= 0.1, `${figures.inVain} of the runs in vain`);
+  // An entrance that sends nothing would pass the first check.
+  assert.ok(figures.roomUsed >= 0.5, `${figures.roomUsed} of the room used`);
+});
+
 test.run();
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -49,6 +49,8 @@
   readonly link: Pick<EgressLink, 'bulkDelayMs' | 'expectBulk'>;
   /** Called at the start of a run with its deadline; returns the function to call at its end. */
   readonly startRun?: (deadlineAt: number) => (isComplete: boolean) => void;
+  /** Returns which fraction of the nested calls of the instance finds no room. */
+  readonly callFailures?: () => number;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called with the kind of the route and the time in ms from the start to the end of a run. */
@@ -169,6 +171,9 @@
   return {
     forward,
     recordRefusal: (request) => demand.open(request)(false),
-    load: () => ({ ...queue.load(), excess: demand.excess() }),
+    load: () => ({
+      ...queue.load(),
+      excess: { ...demand.excess(), callFailures: options.callFailures?.() ?? 0 },
+    }),
   };
 };
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -1,3 +1,4 @@
+import type { AdmissionLoad } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
@@ -52,6 +53,8 @@
   readonly logger: Logger;
   /** Returns uniform numbers from 0 to less than 1; `Math.random` by default. */
   readonly random?: () => number;
+  /** Called with each load report of an instance of the service. */
+  readonly onLoad?: (service: string, load: AdmissionLoad) => void;
   readonly onRetry?: (service: string, reason: string) => void;
   /** Called at the end of each attempt with its result and its duration in ms. */
   readonly onAttempt?: (target: Target, outcome: string, durationMs: number) => void;
@@ -66,7 +69,6 @@
 const MAX_HELD_BYTES = 1_048_576;
 /** Not retried: the instance ran out of time, so another run would too. */
 const STATUS_GATEWAY_TIMEOUT = 504;
-const NO_EXCESS = { timely: 0, late: 0 } as const;
 
 /**
  * Creates the sender of a node. A request that is not idempotent is retried only while no instance
@@ -83,7 +85,6 @@
   const logger = options.logger.forComponent('routing');
   const openHeldError = createHeldErrors(MAX_HELD_BYTES);
   const throttle = createTargetThrottle({ clock, random: options.random ?? Math.random });
-  const { admit } = throttle;
   const { isCounted: isThrottled, refuseEarly } = createTargetGate({
     clock, chooser, throttle, retryBudget,
   });
@@ -171,9 +172,7 @@
     options.failoverBudget.deposit(service);
     for (;;) {
       const target = chooser.choose(request, excluded);
-      if (target.kind === 'none') {
-        return lastOutcome ?? refuseNoTarget(target);
-      }
+      if (target.kind === 'none') return lastOutcome ?? refuseNoTarget(target);
       // A late copy of the first refusal would be taken for that of a second run.
       if (!idempotent && refusedBy.has(target.instance)) {
         chooser.report(request, target, UNSENT);
@@ -183,7 +182,7 @@
       const isLate = request.latencyTargetAt <= startedAt;
       const isCounted = isThrottled(request, target);
       const isAsked = isCounted && request.isAdmitted !== true;
-      if (isAsked && !admit(target.instance, isLate, request.priority)) {
+      if (isAsked && !throttle.admit(target.instance, isLate, request.priority)) {
         const { instance } = target;
         chooser.report(request, target, UNSENT);
         lastOutcome ??= refuseThrottled(instance);
@@ -232,8 +231,9 @@
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
       recordEnd(outcome);
-      if (target.kind === 'peer' && load !== undefined) {
-        throttle.recordExcess(target.instance, load.excess ?? NO_EXCESS);
+      if (load !== undefined) {
+        options.onLoad?.(service, load);
+        if (target.kind === 'peer') throttle.recordExcess(target.instance, load.excess);
       }
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
--- a/gateway/target_throttle.ts
+++ b/gateway/target_throttle.ts
@@ -17,7 +17,7 @@
   /** Records whether a target took a request that was sent to it. */
   readonly recordEnd: (target: string, isLate: boolean, isAccepted: boolean) => void;
   /** Records what a target reports of the requests of all senders. */
-  readonly recordExcess: (target: string, excess: ExcessDemand) => void;
+  readonly recordExcess: (target: string, excess: ExcessDemand | undefined) => void;
 }
 
 /** Options of a target throttle. */
@@ -106,7 +106,7 @@
     recordExcess: (target, excess) => {
       for (const isLate of [false, true]) {
         const state = stateOf(target, isLate);
-        state.reported = isLate ? excess.late : excess.timely;
+        state.reported = (isLate ? excess?.late : excess?.timely) ?? 0;
         state.reportedAt = clock.now();
       }
     },
