Spread the returns of callers that an entrance refuses

Entrances and throttles told all callers to return after 400 ms, so that those refused together came back together. The time now is 16 to 27 % of the caller's remaining time, spread by its deadline, which stays below the third for which callers wait.

--- a/gateway/_target_gate.ts
+++ b/gateway/_target_gate.ts
@@ -2,6 +2,7 @@
 import { UNSENT } from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { spreadRetryMs } from './_retry_time.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import type { NoTarget, Target, TargetChooser } from './target_chooser.ts';
 import type { TargetThrottle } from './target_throttle.ts';
@@ -25,12 +26,11 @@
   readonly retryBudget: ServiceRetryBudget;
 }
 
-const THROTTLED_RETRY_AFTER_MS = 400;
 const NO_EXCLUSIONS: ReadonlySet<string> = new Set();
 
 /** Creates the refusal of a request that the throttle does not let pass. */
-export const refuseThrottled = (instance: string): Refused => (
-  refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
+export const refuseThrottled = (instance: string, deadlineAt: number, now: number): Refused => (
+  refuseNotRun('the instance is overloaded', spreadRetryMs(deadlineAt, now), {
     step: 'routing.throttle', peer: instance,
   })
 );
@@ -60,7 +60,7 @@
       const isLate = request.latencyTargetAt <= clock.now();
       if (throttle.admit(target.instance, isLate, request.priority)) return undefined;
       options.retryBudget.deposit(request.service);
-      return refuseThrottled(target.instance);
+      return refuseThrottled(target.instance, request.deadlineAt, clock.now());
     },
   };
 };
--- a/gateway/entrance.ts
+++ b/gateway/entrance.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { isWithoutRoom } from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
+import { spreadRetryMs } from './_retry_time.ts';
 import { stableDraw } from './_stable_draw.ts';
 import type { GatewayRequest } from './request.ts';
 import type { RequestSender } from './request_sender.ts';
@@ -22,7 +23,6 @@
  */
 const MIN_HOP_MS = 20;
 const EXPIRED_RETRY_AFTER_MS = 100;
-const FULL_RETRY_AFTER_MS = 400;
 
 /** The owner of a key is one instance, for which the throttle of the sender decides. */
 const isGated = ({ key, isNestedCall = false }: Omit<GatewayRequest, 'body'>) => (
@@ -52,7 +52,8 @@
       draw: stableDraw(request.deadlineAt, now),
     });
     if (isAdmitted) return undefined;
-    return refuseNotRun('the service has no room', FULL_RETRY_AFTER_MS, { step: 'entrance.gate' });
+    const retryAfterMs = spreadRetryMs(request.deadlineAt, now);
+    return refuseNotRun('the service has no room', retryAfterMs, { step: 'entrance.gate' });
   },
   send: async (request, maxSends, sink) => {
     if (request.deadlineAt - clock.now() < MIN_HOP_MS) {
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -185,7 +185,7 @@
       if (isAsked && !throttle.admit(target.instance, isLate, request.priority)) {
         const { instance } = target;
         chooser.report(request, target, UNSENT);
-        lastOutcome ??= refuseThrottled(instance);
+        lastOutcome ??= refuseThrottled(instance, request.deadlineAt, startedAt);
         excluded.add(instance);
         nodeRefusals += 1;
         if (request.key !== undefined || nodeRefusals >= MAX_NODE_REFUSALS) return lastOutcome;
