Hold nothing back at an entrance for single refusals

On a node with few requests one refusal in 0.7 s was above 5 % of them, so that the entrance held requests back while instances had free slots. It now takes 8 %, and nearly one refusal at least.

A test of the local forwarder shows that runs are reported to the call detector with their end.

--- a/admission/entrance_gate.ts
+++ b/admission/entrance_gate.ts
@@ -51,9 +51,9 @@
 /** About one request a second shows when a service that took nothing has room again. */
 const MIN_ROOM = 1;
 /** Fraction of the requests that may be refused before any is held back. */
-const MAX_REFUSED_FRACTION = 0.05;
-/** A single refusal on a node with few requests holds nothing back after a half-life. */
-const MIN_REFUSED = 0.5;
+const MAX_REFUSED_FRACTION = 0.08;
+/** A refusal now and then on a node with few requests is a matter of chance, not a lack of room. */
+const MIN_REFUSED = 0.8;
 /** Runs with two calls fail in less than a tenth of the cases with this fraction. */
 const MAX_CALL_FAILURES = 0.05;
 /** Makes the number of runs steady where 4.5 % of the calls fail. */
--- a/gateway/entrance_load_test.ts
+++ b/gateway/entrance_load_test.ts
@@ -57,6 +57,19 @@
   assert.ok(figures.roomUsed >= 0.9, `${figures.roomUsed} of the room used`);
 });
 
+// Guards against an entrance that holds requests back for single refusals while slots are free.
+test('at nine tenths of the room, nearly every request is answered', async () => {
+  const fleet = createSimulatedFleet([...hostsOf('shop', 12), ...hostsOf('control', 60)], [
+    browse, order,
+  ], 3);
+  fleet.load('order', () => 60, LOAD_MS, 2);
+  fleet.load('browse', () => 120, LOAD_MS, 2);
+  await fleet.clock.advance(LOAD_MS + 5000);
+  const { asked, inTime, late } = fleet.resultOf('browse');
+  console.log('nine tenths of the room', { asked, inTime, late });
+  assert.ok(inTime + late >= asked * 0.999, `${inTime + late} of ${asked} answered`);
+});
+
 const probe: SimulatedRoute = {
   ...browse, name: 'probe', service: 'archive', priority: 0, targetLatencyMs: 136, deadlineMs: 340,
 };
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { createFakeClock } from '../clock/mod.ts';
 import { createEgressLink } from '../http/mod.ts';
-import { refuseNotRun } from './_refusals.ts';
+import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { createDemandMeter } from './demand_meter.ts';
 import type { InstanceClient } from './instance_client.ts';
 import { createLocalForwarder } from './local_forwarder.ts';
@@ -23,6 +23,7 @@
   const clock = createFakeClock();
   const link = createEgressLink({ clock, megabitsPerSecond: 8, maxBufferedBytes: 100_000 });
   const keyLoad: number[] = [];
+  const runs: unknown[] = [];
   let openExpectations = 0;
   const forwarder = createLocalForwarder({
     clock,
@@ -42,6 +43,7 @@
     },
     queue: createSlotQueue({ clock, slots: () => 1, instance: () => 'a' }),
     demand: createDemandMeter({ clock, random: () => 0.5 }),
+    startRun: (deadlineAt) => (isComplete) => runs.push([deadlineAt, isComplete]),
     link: {
       bulkDelayMs: link.bulkDelayMs,
       expectBulk: () => {
@@ -74,7 +76,7 @@
     ...changes,
   });
   return {
-    forwarder, requestOf, keyLoad, openExpectations: () => openExpectations,
+    forwarder, requestOf, keyLoad, runs, openExpectations: () => openExpectations,
   };
 };
 
@@ -114,4 +116,20 @@
   assert.ok((forwarder.load().excess?.timely ?? 0) > 0.9);
 });
 
+// Guards against calls that count as callers' requests while an instance works on a lost request.
+test('a run is reported with its deadline, and as complete only with an answer', async () => {
+  for (const [outcome, isComplete] of [
+    [{ kind: 'answered', status: 200 } as const, true],
+    [refuseNotRun('full', 100, { step: 'instance.send' }), true],
+    [refuseUnknown('reset', { step: 'instance.send' }), false],
+  ] as const) {
+    const { forwarder, requestOf, runs } = setUp(async () => outcome);
+    await forwarder.forward(requestOf({ deadlineAt: 1700 }), sink);
+    assert.equal(runs, [[1700, isComplete]]);
+  }
+  const { forwarder, requestOf, runs } = setUp(() => Promise.reject(new Error('a defect')));
+  await forwarder.forward(requestOf({ deadlineAt: 1700 }), sink).catch(String);
+  assert.equal(runs, [[1700, false]]);
+});
+
 test.run();
