Let runs of lower ranks give way where their calls compete

Nested calls carry the rank of their own route, so that runs of two services that call a scarce third one were limited alike, whatever their ranks. The fraction of failing calls that an entrance tolerates now is lower for ranks below 1, so that their runs are lowered first.

--- a/admission/entrance_gate.ts
+++ b/admission/entrance_gate.ts
@@ -54,10 +54,17 @@
 const MAX_REFUSED_FRACTION = 0.08;
 /** A refusal now and then on a node with few requests is a matter of chance, not a lack of room. */
 const MIN_REFUSED = 0.8;
-/** Runs with two calls fail in less than a tenth of the cases with this fraction. */
-const MAX_CALL_FAILURES = 0.05;
-/** Makes the number of runs steady where 4.5 % of the calls fail. */
+/** Weighted fraction above which runs are limited; their number is steady at 0.09. */
+const MAX_CALL_FAILURES = 0.1;
+/** The number of runs of the highest ranks is steady where 4.5 % of the calls fail. */
 const CALL_FAILURE_WEIGHT = 2;
+/**
+ * Lower ranks are steady at a lower fraction, so that they give way where runs of several services
+ * call the same one: the calls carry the rank of their own route.
+ */
+const RANK_WEIGHT = 0.5;
+/** Ranks below 1 that the weight tells apart; 0 and 1 count alike. */
+const MAX_WEIGHTED_STEPS = 6;
 /** Reports follow a change of the number of runs by a second or two. */
 const MIN_FACTOR = 0.9;
 /** Time without a request held back after which the calls no longer limit the runs. */
@@ -69,6 +76,10 @@
 /** Above the services of a contract. */
 const MAX_SERVICES = 1024;
 
+const weightOf = (rank: number) => (
+  CALL_FAILURE_WEIGHT * (1 + RANK_WEIGHT * Math.min(MAX_WEIGHTED_STEPS, Math.max(0, rank - 1)))
+);
+
 /**
  * Creates a gate that admits everything. Once the instances of a service refuse a part of what is
  * sent, the node sends little more than they take: first the higher ranks, within a rank first the
@@ -117,21 +128,21 @@
     });
   };
 
-  const updateCallLimit = (state: ServiceState) => {
+  const updateCallLimit = (rank: number, state: ServiceState) => {
     const now = clock.now();
     if (now - state.reportedAt > MAX_REPORT_AGE_MS) Object.assign(state, { callFailures: 0 });
-    const isFailing = state.callFailures > MAX_CALL_FAILURES;
+    const isFailing = state.callFailures * weightOf(rank) > MAX_CALL_FAILURES;
     if (isFailing || now - state.heldBackAt > CALL_LIMIT_MS) {
       Object.assign(state, { isLimitedByCalls: isFailing });
     }
   };
 
   /** Number of requests to send within about the half-life. */
-  const roomOf = ({
+  const roomOf = (rank: number, {
     sent, refused, callFailures, isLimitedByCalls,
   }: ServiceState) => {
     if (isLimitedByCalls) {
-      const factor = SENT_PER_ACCEPTED * (1 - CALL_FAILURE_WEIGHT * callFailures);
+      const factor = SENT_PER_ACCEPTED * (1 - weightOf(rank) * callFailures);
       return Math.max(MIN_ROOM, (sent - refused) * Math.max(MIN_FACTOR, factor));
     }
     if (refused <= Math.max(MIN_REFUSED, sent * MAX_REFUSED_FRACTION)) return Infinity;
@@ -151,9 +162,9 @@
     }) => {
       const state = stateOf(service);
       add(state, 0, 0);
-      updateCallLimit(state);
+      updateCallLimit(rank, state);
       state.demand.record(rank, isLate);
-      const room = roomOf(state);
+      const room = roomOf(rank, state);
       const isAdmitted = room === Infinity
         || draw < state.demand.fractionWithin(rank, isLate, room);
       // Taken until it is refused, so that the time of a run does not look like a refusal.
--- a/gateway/entrance_load_test.ts
+++ b/gateway/entrance_load_test.ts
@@ -103,4 +103,34 @@
   assert.ok(figures.roomUsed >= 0.5, `${figures.roomUsed} of the room used`);
 });
 
+// Guards against runs of a low rank that take the room of a service that both call: nested calls
+// carry the rank of their own route, so that the destination cannot tell their runs apart.
+test('of runs whose calls compete for a service, high ranks are served more often', async () => {
+  const hosts = [
+    ...hostsOf('shop', 12),
+    ...hostsOf('desk', 12),
+    ...hostsOf('archive', 6),
+    ...hostsOf('control', 42),
+  ];
+  const calls = {
+    route: 'probe', times: 2, probability: 1, inParallel: true,
+  };
+  const report: SimulatedRoute = {
+    ...order, name: 'report', service: 'desk', priority: 3, calls,
+  };
+  const fleet = createSimulatedFleet(hosts, [{ ...order, calls }, report, probe], 3);
+  fleet.load('order', () => 37, 2 * LOAD_MS, 2);
+  fleet.load('report', () => 37, 2 * LOAD_MS, 2);
+  await fleet.clock.advance(2 * LOAD_MS + 5000);
+  const servedOf = (route: string) => {
+    const {
+      asked, inTime, late, failed,
+    } = fleet.resultOf(route);
+    return { served: (inTime + late) / asked, inVain: failed / (failed + inTime + late) };
+  };
+  const [orders, reports] = [servedOf('order'), servedOf('report')];
+  console.log('runs of two services', { orders, reports });
+  assert.ok(orders.served >= reports.served, `${orders.served} and ${reports.served} served`);
+});
+
 test.run();
