--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -3,6 +3,15 @@
   Admission, AdmissionLoad, AdmissionRequest, ExcessDemand, Permit, PermitOutcome,
 } from './admission.ts';
 export type { CustomerLimits, LimitPermit, RetryBudget } from './customer_limits.ts';
+export {
+  type ArrivingRequest, type CallDetector, type CallDetectorOptions, createCallDetector,
+  type RequestOrigin,
+} from './call_detector.ts';
+export { type CallFailures, createCallFailures } from './call_failures.ts';
+export {
+  createEntranceGate, type EntranceGate, type EntranceGateOptions, type EntranceRequest,
+} from './entrance_gate.ts';
+export { createRankedDemand, type RankedDemand } from './ranked_demand.ts';
 export { type AdmissionOptions, createAdmission } from './create_admission.ts';
 export {
   type ConcurrencyLimit,
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -1,4 +1,6 @@
-import type { ColdStartLimit } from '../admission/mod.ts';
+import type {
+  CallDetector, CallFailures, ColdStartLimit, EntranceGate,
+} from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { createFleetMembership, type Evacuations, type FleetView } from '../directory/mod.ts';
 import {
@@ -62,7 +64,7 @@
     name: 'local',
     needs: [
       'link', 'clock', 'registry', 'queue', 'ledger', 'key-load', 'metrics', 'rules',
-      'cold-start-limit', 'response-silence',
+      'cold-start-limit', 'response-silence', 'call-detector', 'call-failures',
     ],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
@@ -84,6 +86,8 @@
           link: find<EgressLink>('link'),
           findObjection: find<EvacuationRules>('rules').findObjection,
           leftWorkMs: find<ResponseSilence>('response-silence').leftWorkMs,
+          startRun: find<CallDetector>('call-detector').startRun,
+          callFailures: find<CallFailures>('call-failures').fraction,
           onQueued: find<NodeMetrics>('metrics').recordQueueTime,
           onColdRefusal: (when) => find<NodeMetrics>('metrics').recordSlotRefusal(`cold ${when}`),
           onRun: find<NodeMetrics>('metrics').recordRun,
@@ -177,7 +181,7 @@
 
   kernel.register<RequestSender>({
     name: 'attempts',
-    needs: ['clock', 'logger', 'chooser', 'local', 'peers', 'fleet', 'metrics'],
+    needs: ['clock', 'logger', 'chooser', 'local', 'peers', 'fleet', 'metrics', 'entrance-gate'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
@@ -203,6 +207,7 @@
             nodeCount: () => 1,
           }),
           logger: find<Logger>('logger'),
+          onLoad: find<EntranceGate>('entrance-gate').recordLoad,
           onRetry: metrics.recordRetry,
           onAttempt: ({ kind, view }, outcome, durationMs) => {
             metrics.recordAttempt(kind, outcome, durationMs);
@@ -244,8 +249,8 @@
   kernel.register<HttpListener>({
     name: 'caller-listener',
     needs: [
-      'clock', 'logger', 'contracts', 'attempts', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch', 'bodies',
+      'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
+      'dispatch', 'bodies', 'call-detector',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -257,15 +262,17 @@
         routes: find<ContractSource>('contracts').routes,
         dispatch: find<DispatchQueue>('dispatch'),
         bodies: find<BodyBudget>('bodies'),
-        sender: find<RequestSender>('attempts'),
+        sender: find<RequestSender>('entrance'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
+        callDetector: find<CallDetector>('call-detector'),
         logger: find<Logger>('logger'),
         random: Math.random,
         onRequestEnd: ({
-          kind, outcome, reason, durationMs,
+          kind, outcome, reason, durationMs, origin = 'unsure',
         }) => {
+          metrics.recordOrigin(origin);
           metrics.recordRequest(kind, outcome, durationMs);
           if (outcome === 'refused') metrics.recordRefusal(reason);
         },
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -24,6 +24,7 @@
 import { registerKeyServices } from './_key_services.ts';
 import { registerListenerServices } from './_listener_services.ts';
 import { registerOperatorServices } from './_operator_services.ts';
+import { registerAdmissionServices } from './_admission_services.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
 
@@ -184,6 +185,7 @@
     }),
   });
   registerListenerServices(kernel, settings);
+  registerAdmissionServices(kernel);
   registerRequestServices(kernel, settings, () => callerService);
   registerStateServices(kernel, settings, () => callerService);
   registerOperatorServices(kernel, settings);
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -8,6 +8,9 @@
   'admission.acquire', 'admission.cold', 'dispatch.wait', 'local.admit', 'peer.send',
 ]);
 
+/** Steps that refuse for want of room; an instance that refuses most requests may be faulty. */
+const ROOM_STEPS = new Set(['admission.acquire', 'dispatch.wait', 'routing.throttle']);
+
 /** Returns the outcome of an attempt as the chooser counts it. */
 export const reportedOutcome = (outcome: AttemptOutcome, isAborted: boolean) => {
   if (isAborted) return 'cancelled';
@@ -40,6 +43,18 @@
   outcome.kind === 'refused' && OVERLOAD_STEPS.has(outcome.refusal.step)
 );
 
+/** Returns whether the instance has certainly ended its work on the request, or not begun it. */
+export const hasEnded = (outcome: AttemptOutcome) => (
+  outcome.kind === 'answered' || outcome.kind === 'failed'
+    || (outcome.kind === 'refused' && outcome.refusal.outcome === 'not run')
+);
+
+/** Returns whether a request was certainly not run, for want of room. */
+export const isWithoutRoom = (outcome: AttemptOutcome) => (
+  outcome.kind === 'refused' && outcome.refusal.outcome === 'not run'
+    && ROOM_STEPS.has(outcome.refusal.step)
+);
+
 /** Returns whether the instance itself refused the request for want of capacity. */
 export const isRefusedByInstance = (outcome: AttemptOutcome) => {
   if (outcome.kind !== 'refused' || !outcome.reachedInstance) return false;
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -1,3 +1,4 @@
+import { createCallFailures, createEntranceGate } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import { createEgressLink, type EgressLink } from '../http/mod.ts';
@@ -10,7 +11,7 @@
 import type { SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
 import { createSimulatedLink, type SimulatedLink } from './_simulated_link.ts';
 import {
-  type AttemptOutcome, createDemandMeter, createLocalForwarder, createRequestSender,
+  type AttemptOutcome, createDemandMeter, createEntrance, createLocalForwarder, createRequestSender,
   createServiceRetryBudget, createSlotQueue, createTargetChooser, type GatewayRequest, isBulk,
   type LocalForwarder, MAX_BUFFERED_BYTES, type RequestSender,
 } from './mod.ts';
@@ -123,6 +124,8 @@
     sink.end();
     return action === 'drain' ? { kind: 'failed', status } : { kind: 'answered', status };
   };
+  const callFailures = createCallFailures(clock);
+  const gate = createEntranceGate({ clock });
   const local = createLocalForwarder({
     clock,
     instance: () => ({
@@ -135,6 +138,7 @@
     keys: { mayServe: () => true, retryAfterMs: () => 100, record: () => undefined },
     queue: createSlotQueue({ clock, slots: () => host.slots, instance: () => `i-${name}` }),
     demand: createDemandMeter({ clock, random }),
+    callFailures: callFailures.fraction,
     link: egress,
   });
 
@@ -201,8 +205,12 @@
     failoverBudget: budgetOf(2, 40, 1),
     logger: noopLogger,
     random,
+    onLoad: gate.recordLoad,
+  });
+  const entrance = createEntrance({
+    clock, sender, gate, callFailures,
   });
   return {
-    host, local, sender, link, egress,
+    host, local, sender: entrance, link, egress,
   };
 };
--- a/gateway/_target_gate.ts
+++ b/gateway/_target_gate.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../clock/mod.ts';
 import { UNSENT } from './_attempt_outcomes.ts';
 import { refuseNotRun } from './_refusals.ts';
-import { type AttemptOutcome, type GatewayRequest, isNestedCall } from './request.ts';
+import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import { spreadRetryMs } from './_retry_time.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import type { NoTarget, Target, TargetChooser } from './target_chooser.ts';
 import type { TargetThrottle } from './target_throttle.ts';
@@ -25,12 +26,11 @@
   readonly retryBudget: ServiceRetryBudget;
 }
 
-const THROTTLED_RETRY_AFTER_MS = 400;
 const NO_EXCLUSIONS: ReadonlySet<string> = new Set();
 
 /** Creates the refusal of a request that the throttle does not let pass. */
-export const refuseThrottled = (instance: string): Refused => (
-  refuseNotRun('the instance is overloaded', THROTTLED_RETRY_AFTER_MS, {
+export const refuseThrottled = (instance: string, deadlineAt: number, now: number): Refused => (
+  refuseNotRun('the instance is overloaded', spreadRetryMs(deadlineAt, now), {
     step: 'routing.throttle', peer: instance,
   })
 );
@@ -46,7 +46,7 @@
 
   // The request that makes a nested call holds a slot and fails without it.
   const isCounted: TargetGate['isCounted'] = (request, target) => (
-    target.kind === 'peer' && !isNestedCall(request, clock.now())
+    target.kind === 'peer' && request.isNestedCall !== true
   );
 
   return {
@@ -57,9 +57,10 @@
       if (target.kind === 'none') return refuseNoTarget(target);
       chooser.report(request, target, UNSENT);
       if (!isCounted(request, target)) return undefined;
-      if (throttle.admit(target.instance, request.latencyTargetAt <= clock.now())) return undefined;
+      const isLate = request.latencyTargetAt <= clock.now();
+      if (throttle.admit(target.instance, isLate, request.priority)) return undefined;
       options.retryBudget.deposit(request.service);
-      return refuseThrottled(target.instance);
+      return refuseThrottled(target.instance, request.deadlineAt, clock.now());
     },
   };
 };
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RequestOrigin } from '../admission/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
 import {
@@ -126,8 +127,11 @@
     response: ServerResponse,
     route: PublishedRoute,
     arrivedAt: number,
+    origin: RequestOrigin,
+    progress: { isForwarded: boolean },
   ) => {
-    const request = toRequest(message, route, arrivedAt, abortOnClose(response));
+    const isNestedCall = origin === 'call';
+    const request = toRequest(message, route, arrivedAt, isNestedCall, abortOnClose(response));
     if (request === undefined) {
       const text = '{"error":"the route has no service"}';
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
@@ -174,6 +178,7 @@
     const sink = isBulk(route.kind)
       ? createBulkSink(response, () => undefined, link)
       : createCountedSink(createResponseSink(response, () => undefined, responseBuffer), link);
+    Object.assign(progress, { isForwarded: true });
     const outcome = decision === 'forward'
       ? await options.sender.send(
         { ...request, body, isAdmitted: request.key !== undefined },
@@ -191,6 +196,7 @@
       outcome: isDisconnected ? 'gone' : outcome.kind,
       reason: refusal?.step ?? '',
       durationMs,
+      origin,
     });
     const fields = {
       request: request.requestId,
@@ -198,6 +204,7 @@
       service: request.service,
       revision: options.routes()?.revision,
       outcome: isDisconnected ? 'gone' : outcome.kind,
+      origin,
       durationMs: Math.round(durationMs),
       readMs: Math.round(readMs),
       leftMs: firstHeaderValue(message, headerNames.remainingMs),
@@ -245,12 +252,19 @@
       return;
     }
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
+    const origin = options.callDetector?.classify({
+      connection: message.socket,
+      remoteAddress: message.socket.remoteAddress,
+      route: route.name,
+      deadlineAt,
+    }) ?? 'unsure';
     if (!options.shutdown.mayAccept(deadlineAt)) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
     const isTimely = options.dispatch.isTimely({
       priority: route.priority,
+      isNestedCall: origin === 'call',
       isFromPeer: false,
       deadlineAt,
       latencyTargetAt: arrivedAt + route.targetLatencyMs,
@@ -261,14 +275,17 @@
     }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
     sendContinueIfExpected(expect, response);
-    serve(message, response, route, arrivedAt).catch((error: unknown) => {
+    const progress = { isForwarded: false };
+    serve(message, response, route, arrivedAt, origin, progress).catch((error: unknown) => {
       const isCut = response.headersSent && !response.writableEnded;
       logger.error({
         request: requestId, route: route.name, reason: String(error),
       }, isCut ? 'ended without an answer' : 'failed to handle request');
       const idHeader = [headerNames.requestId, requestId ?? ''];
-      const text = '{"error":"the request could not be handled","outcome":"unknown"}';
-      respondToError(clock, response, STATUS_BAD_GATEWAY, idHeader, text);
+      const [status, result] = progress.isForwarded
+        ? [STATUS_BAD_GATEWAY, 'unknown'] : [STATUS_UNAVAILABLE, 'not run'];
+      const text = `{"error":"the request could not be handled","outcome":"${result}"}`;
+      respondToError(clock, response, status, idHeader, text);
     });
   };
 
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,11 +4,11 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import { isAbandoned, isRefusedByInstance, mayHaveRun } from './_attempt_outcomes.ts';
-import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import {
-  type AttemptOutcome, type GatewayRequest, isBulk, isNestedCall,
-} from './request.ts';
+  hasEnded, isAbandoned, isRefusedByInstance, mayHaveRun,
+} from './_attempt_outcomes.ts';
+import type { DemandMeter, DemandRequest } from './demand_meter.ts';
+import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
 
 /** State of the instance on this host. */
@@ -55,6 +55,10 @@
   readonly findObjection?: (hasKey: boolean) => string | undefined;
   /** Time in ms for which the instance is at work on a request that its caller has left. */
   readonly leftWorkMs?: (workClass: string, ranMs: number) => number;
+  /** Called at the start of a run with its deadline; returns the function to call at its end. */
+  readonly startRun?: (deadlineAt: number) => (isComplete: boolean) => void;
+  /** Returns which fraction of the nested calls of the instance finds no room. */
+  readonly callFailures?: () => number;
   /** Called with the time in ms that an admitted request waited for a slot. */
   readonly onQueued?: (queuedMs: number) => void;
   /** Called when the limit of a cold instance refuses a request. */
@@ -132,7 +136,7 @@
     // The key load drives rebalancing, and retries of one caller would be counted several times.
     if (request.key !== undefined && !request.isCallerRetry) keys.record(request.key);
     const recordEnd = demand.open(request);
-    const isNested = isNestedCall(request, clock.now());
+    const isNested = request.isNestedCall === true;
     const coldRetryMs = coldStart?.refuseEarly(isNested, queue.queued());
     if (coldRetryMs !== undefined) {
       recordEnd(false);
@@ -141,6 +145,7 @@
     const permit = await queue.acquire({
       sendMs,
       priority: request.priority,
+      isNestedCall: request.isNestedCall,
       workClass: request.workClass,
       deadlineAt: request.deadlineAt,
       latencyTargetAt: request.latencyTargetAt,
@@ -175,12 +180,15 @@
     }
     const place = room?.unwrapOr(undefined);
     const startedAt = clock.now();
+    const endRun = options.startRun?.(request.deadlineAt);
     let isSample = false;
     let freeSlotAfterMs = 0;
+    let isComplete = false;
     let outcome: AttemptOutcome;
     try {
       outcome = await current.client.send(request, sink, place?.markSent);
       isSample = outcome.kind === 'answered' && outcome.status < 500;
+      isComplete = hasEnded(outcome);
       // The instance may be at work until the deadline, which the request has told it.
       const untilDeadlineMs = request.deadlineAt - clock.now();
       if (isAbandoned(outcome)) freeSlotAfterMs = untilDeadlineMs;
@@ -190,6 +198,7 @@
       }
     } finally {
       place?.release();
+      endRun?.(isComplete);
       if (freeSlotAfterMs > 0) clock.schedule(freeSlotAfterMs, () => permit.value.release(false));
       else permit.value.release(isSample);
     }
@@ -220,7 +229,7 @@
       return {
         ...load,
         serviceRate: coldStart?.capRate(load.serviceRate) ?? load.serviceRate,
-        excess: demand.excess(),
+        excess: { ...demand.excess(), callFailures: options.callFailures?.() ?? 0 },
       };
     },
   };
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -30,6 +30,7 @@
   const clock = createFakeClock();
   const link = createEgressLink({ clock, megabitsPerSecond: 8, maxBufferedBytes: 100_000 });
   const keyLoad: number[] = [];
+  const runs: unknown[] = [];
   let openExpectations = 0;
   const forwarder = createLocalForwarder({
     clock,
@@ -54,6 +55,7 @@
     coldStart: createColdStartLimit({
       clock, isCold: () => true, maxPerSecond: () => maxColdPerSecond,
     }),
+    startRun: (deadlineAt) => (isComplete) => runs.push([deadlineAt, isComplete]),
     link: {
       bulkDelayMs: link.bulkDelayMs,
       expectBulk: () => {
@@ -86,7 +88,7 @@
     ...changes,
   });
   return {
-    clock, forwarder, requestOf, keyLoad, openExpectations: () => openExpectations,
+    clock, forwarder, requestOf, keyLoad, runs, openExpectations: () => openExpectations,
   };
 };
 
@@ -216,4 +218,20 @@
   }
 });
 
+// Guards against calls that count as callers' requests while an instance works on a lost request.
+test('a run is reported with its deadline, and as complete only with an answer', async () => {
+  for (const [outcome, isComplete] of [
+    [{ kind: 'answered', status: 200 } as const, true],
+    [refuseNotRun('full', 100, { step: 'instance.send' }), true],
+    [refuseUnknown('reset', { step: 'instance.send' }), false],
+  ] as const) {
+    const { forwarder, requestOf, runs } = setUp(async () => outcome);
+    await forwarder.forward(requestOf({ deadlineAt: 1700 }), sink);
+    assert.equal(runs, [[1700, isComplete]]);
+  }
+  const { forwarder, requestOf, runs } = setUp(() => Promise.reject(new Error('a defect')));
+  await forwarder.forward(requestOf({ deadlineAt: 1700 }), sink).catch(String);
+  assert.equal(runs, [[1700, false]]);
+});
+
 test.run();
