--- a/fleet/_admission_services.ts
+++ b/fleet/_admission_services.ts
@@ -3,9 +3,7 @@
   type EntranceGate,
 } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import {
-  type BodyBudget, createBodyBudget, createEntrance, MAX_KEPT_BODY_BYTES, type RequestSender,
-} from '../gateway/mod.ts';
+import { createEntrance, type RequestSender } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 
@@ -27,12 +25,6 @@
     },
   });
 
-  kernel.register<BodyBudget>({
-    name: 'bodies',
-    needs: [],
-    start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
-  });
-
   kernel.register<CallFailures>({
     name: 'call-failures',
     needs: ['clock', 'metrics'],
