Spread the writes of evacuated owners, and put the evacuation tests together

Change: each of these writes waits up to 40 ms at random before the read. The tests of the evacuations, rules and pauses share their set-up.

--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -59,8 +59,8 @@
   readonly stop: () => void;
   /** Fraction of the keys that are held by an instance. */
   readonly heldFraction: () => number;
-  /** Begins or ends the evacuation of a failure domain, as an operator does. */
-  readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => Promise<void>;
+  /** Begins or ends evacuations, as an operator does. */
+  readonly setEvacuated: ReturnType<typeof createEvacuator>;
   /** Numbers of transactions that took effect and that met a conflict. */
   readonly writes: () => WriteCounts;
 }
--- a/fleet/_test_evacuation.ts
+++ b/fleet/_test_evacuation.ts
@@ -8,30 +8,39 @@
 export const TEST_BOUND_MS = 5000;
 
 /** Creates the rules of a node and the view that they follow, which the caller has to start. */
-export const createTestRules = (clock: Clock, store: LeasedStore, failureDomain: string) => {
+export const createTestRules = (
+  clock: Clock,
+  store: LeasedStore,
+  failureDomain: string,
+  { boundMs = TEST_BOUND_MS, watch = store.watch } = {},
+) => {
   const operatorView = createStoreView({
     clock,
     store,
     prefix: OPERATOR_PREFIX,
     logger: noopLogger,
+    watch,
     waitMs: () => 1900,
     pauseMs: () => 30,
   });
   const evacuations = createEvacuations({
     clock, view: operatorView, failureDomainOf: decodeEvacuatedDomain, logger: noopLogger,
   });
-  const rules = createEvacuationRules({ evacuations, failureDomain, boundMs: TEST_BOUND_MS });
-  return { operatorView, rules };
+  const rules = createEvacuationRules({ evacuations, failureDomain, boundMs });
+  return { operatorView, evacuations, rules };
 };
 
-/** Creates a function that begins or ends the evacuation of a failure domain. */
+/**
+ * Creates a function that begins or ends the evacuation of failure domains in one write; it
+ * returns the revision of the write, or 0 if that fails.
+ */
 export const createEvacuator = (store: LeasedStore) => (
-  async (failureDomain: string, isEvacuated: boolean) => {
-    const key = `${EVACUATE_PREFIX}${failureDomain}`;
-    await store.transact({
+  async (failureDomains: string | readonly string[], isEvacuated: boolean) => {
+    const keys = [failureDomains].flat().map((domain) => `${EVACUATE_PREFIX}${domain}`);
+    return (await store.transact({
       expect: [],
-      puts: isEvacuated ? [{ key, value: '{}' }] : [],
-      removals: isEvacuated ? [] : [key],
-    });
+      puts: isEvacuated ? keys.map((key) => ({ key, value: '{}' })) : [],
+      removals: isEvacuated ? [] : keys,
+    })).unwrapOr(0);
   }
 );
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -41,7 +41,10 @@
  * record within one announce interval. A conflict then costs a call instead of 200 ms.
  */
 const MAX_CONTENDED_WRITES = 5;
-/** Longest pause in ms before such a write is repeated; several times the round trip of a write. */
+/**
+ * Longest pause in ms before each of these writes, which spreads those of owners that announce
+ * themselves at the same time. Pauses up to 100 ms made more keys wait for another announcement.
+ */
 const MAX_CONTENDED_PAUSE_MS = 40;
 
 /**
@@ -168,9 +171,9 @@
   /** Writes the released rows of an evacuated owner, from the newest record. */
   const updateContended = async (service: string) => {
     for (let written = 1; written <= MAX_CONTENDED_WRITES; written += 1) {
+      await options.clock.sleep(Math.random() * MAX_CONTENDED_PAUSE_MS);
       await readNewest(service);
       if (!await updateRecord(service)) return;
-      await options.clock.sleep(Math.random() * MAX_CONTENDED_PAUSE_MS);
     }
   };
 
