Decide by failure domain how many requests leave it

Cause: another failure domain counted as 1 ms, whatever its round trip and the size of the transfer, and every request followed the last known load of single instances. Requests crossed domains while all were short, and kept going into a domain that was cut off or no longer reported its load. Change: each node keeps means of utilisation, queue, time and refusals by domain from the responses it gets, and at most four times a second computes the share of each route kind for each other domain. Nodes report the time that they spent on a request (mh-spent-ms), from which senders learn round trips; sizes are learned by route kind. The price is the setting crossDomain.costMsPerKilobyte; without it, or without a report or round trip of a domain, the rule by ratio stays in force.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -18,6 +18,7 @@
 import { createFailureDomainLookup } from './_failure_domains.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { RangeController } from './range_controller.ts';
+import { type DomainTraffic, registerDomainTraffic } from './_domain_traffic.ts';
 import type { LocalNode } from './_state_services.ts';
 
 /** Time in ms from the arrival of an announcement until its grants take effect. */
@@ -128,9 +129,11 @@
     },
   });
 
+  registerDomainTraffic(kernel, settings);
+
   kernel.register<PeerClient>({
     name: 'peers',
-    needs: ['clock', 'logger', 'service-views', 'fleet'],
+    needs: ['clock', 'logger', 'service-views', 'fleet', 'domain-traffic'],
     start: (find) => {
       const logger = find<Logger>('logger').forComponent('peer');
       const views = find<Map<string, ServiceView>>('service-views');
@@ -138,6 +141,7 @@
       const peers = createPeerClient({
         clock: find<Clock>('clock'),
         requestIdHeader: platformHeaders.requestId,
+        ...find<DomainTraffic>('domain-traffic').peerListeners,
         onSuspect: (address, reason) => {
           logger.warn({ peer: address, reason }, 'a peer is suspected of having failed');
           for (const view of views.values()) view.invalidate();
@@ -154,7 +158,7 @@
 
   kernel.register<TargetChooser>({
     name: 'chooser',
-    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges'],
+    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges', 'domain-traffic'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
@@ -178,6 +182,7 @@
           self: settings.node,
           random: Math.random,
           viewOf,
+          spillover: find<DomainTraffic>('domain-traffic').spillover,
           recordOf: find<RangeController>('ranges').recordOf,
           nodeOf: (node) => {
             const entry = fleet.find(node);
--- a/forward/headers.ts
+++ b/forward/headers.ts
@@ -16,6 +16,8 @@
   load: 'mh-load',
   /** Fractions of the requests that senders are to withhold; absent if none. */
   excess: 'mh-excess',
+  /** Time in ms from the arrival of a request at the node to the head of its response. */
+  spentMs: 'mh-spent-ms',
   reached: 'mh-reached',
   /** In a refusal of a node that accepts no further requests. */
   stopping: 'mh-stopping',
--- a/forward/load_header.ts
+++ b/forward/load_header.ts
@@ -75,15 +75,33 @@
  * Returns the headers by which a node reports the load of its instance with a response.
  *
  * @param load Load of the instance.
+ * @param spentMs Time in ms that the node has spent on the request, from which the sender computes
+ * the round trip; not sent if undefined.
  * @returns Names and values in turn.
  *
  * @example
  * headers.push(...loadHeaders(load));
  */
-export const loadHeaders = (load: AdmissionLoad): readonly string[] => {
+export const loadHeaders = (load: AdmissionLoad, spentMs?: number): readonly string[] => {
   const excess = formatExcess(load.excess);
   const headers = [hopHeaders.load, formatLoad(load)];
-  return excess === undefined ? headers : [...headers, hopHeaders.excess, excess];
+  if (excess !== undefined) headers.push(hopHeaders.excess, excess);
+  if (spentMs !== undefined) headers.push(hopHeaders.spentMs, spentMs.toFixed(1));
+  return headers;
+};
+
+/**
+ * Reads the time that a node has spent on a request from the headers of its response.
+ *
+ * @param rawHeaders Names and values in turn.
+ * @returns The time in ms, or undefined if it is absent or malformed.
+ *
+ * @example
+ * const spentMs = readSpentMs(rawHeaders);
+ */
+export const readSpentMs = (rawHeaders: readonly string[]): number | undefined => {
+  const spentMs = Number(findHeader(rawHeaders, hopHeaders.spentMs) ?? NaN);
+  return spentMs >= 0 && Number.isFinite(spentMs) ? spentMs : undefined;
 };
 
 /**
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -32,7 +32,7 @@
   type CachedResponse,
 } from './idempotency_table.ts';
 export {
-  formatExcess, formatLoad, loadHeaders, parseExcess, parseLoad, readLoad,
+  formatExcess, formatLoad, loadHeaders, parseExcess, parseLoad, readLoad, readSpentMs,
 } from './load_header.ts';
 export { decodeRefusal, encodeRefusal } from './refusal_headers.ts';
 export {
--- a/gateway/_simulated_fleet.ts
+++ b/gateway/_simulated_fleet.ts
@@ -13,9 +13,13 @@
   readonly failureDomain: string;
   readonly service: string;
   readonly slots: number;
-  /** Factor on the processing time of the instance. */
-  readonly slowness: number;
+  /** Factor on the processing time of the instance; it may change during a simulation. */
+  slowness: number;
   readonly linkMbps: number;
+  /** Packets from and to other failure domains are lost; it may change during a simulation. */
+  isCutOff?: boolean;
+  /** Responses to other nodes report no load; it may change during a simulation. */
+  hidesLoad?: boolean;
   /** The instance refuses all requests at once, and looks healthy otherwise. */
   readonly shedsAll?: boolean;
 }
@@ -60,6 +64,13 @@
   crossDomainBytes: number;
 }
 
+/** What traffic between the failure domains of a simulation costs. */
+export interface SimulatedDomains {
+  readonly oneWayMs: number;
+  /** Price by which shares decide; without it, the rule by ratio does. */
+  readonly costMsPerKilobyte?: number;
+}
+
 /** A running simulation. */
 export interface SimulatedFleet {
   readonly clock: VirtualClock;
@@ -68,6 +79,7 @@
     Promise<void>
   );
   readonly resultOf: (route: string) => RouteResult;
+  readonly nodes: ReadonlyMap<string, SimulatedNode>;
 }
 
 /**
@@ -78,6 +90,7 @@
   hosts: readonly SimulatedHost[],
   routes: readonly SimulatedRoute[],
   seed: number,
+  domains: SimulatedDomains = { oneWayMs: 0 },
 ): SimulatedFleet => {
   const clock = createVirtualClock();
   const random = createRandom(seed);
@@ -176,6 +189,7 @@
     clock,
     random,
     hosts,
+    domains,
     members,
     routeByName,
     nodes,
@@ -200,8 +214,8 @@
     clock,
     load: async (name, perSecond, durationMs) => {
       const route = routeByName.get(name)!;
-      const domains = [...new Set(hosts.map(({ failureDomain }) => failureDomain))];
-      await Promise.all(domains.map(async (domain) => {
+      const names = [...new Set(hosts.map(({ failureDomain }) => failureDomain))];
+      await Promise.all(names.map(async (domain) => {
         const senders = callers(domain);
         const endAt = clock.now() + durationMs;
         for (;;) {
@@ -215,5 +229,6 @@
       }));
     },
     resultOf: (name) => results.get(name)!,
+    nodes,
   };
 };
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -4,10 +4,13 @@
 import { createFakeMembership } from '../membership/mod.ts';
 import type { MemberUpdate } from '../proto/mod.ts';
 import { assignRanges, emptyRecord, KEY_COUNT } from '../ranges/mod.ts';
-import { createServiceView, type ServiceView } from '../routing/mod.ts';
+import {
+  createRoundTripTimes, createServiceView, createSpillover, createTransferSizes, type ServiceView,
+  type Spillover,
+} from '../routing/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
-import type { SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
+import type { SimulatedDomains, SimulatedHost, SimulatedRoute } from './_simulated_fleet.ts';
 import { createSimulatedLink, type SimulatedLink } from './_simulated_link.ts';
 import {
   type AttemptOutcome, createDemandMeter, createLocalForwarder, createRequestSender,
@@ -22,6 +25,7 @@
   readonly sender: RequestSender;
   readonly link: SimulatedLink;
   readonly egress: EgressLink;
+  readonly spillover: Spillover | undefined;
 }
 
 /** What the nodes of a simulation share. */
@@ -29,6 +33,7 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly hosts: readonly SimulatedHost[];
+  readonly domains: SimulatedDomains;
   readonly members: readonly MemberUpdate[];
   readonly routeByName: ReadonlyMap<string, SimulatedRoute>;
   readonly nodes: ReadonlyMap<string, SimulatedNode>;
@@ -47,6 +52,8 @@
 /** Heads of requests and responses. */
 const HEAD_BYTES = 500;
 const CHUNK_BYTES = 16_384;
+/** Time after which a connection into a partition fails. */
+const CONNECT_TIMEOUT_MS = 300;
 /** First status that counts as a failure of the instance. */
 export const STATUS_FAILED = 500;
 
@@ -81,7 +88,7 @@
   context: SimulationContext,
 ): SimulatedNode => {
   const {
-    clock, random, hosts, members, routeByName, nodes, runNested,
+    clock, random, hosts, domains, members, routeByName, nodes, runNested,
   } = context;
   const host = hosts[index]!;
   const name = `n${index}`;
@@ -138,10 +145,33 @@
     link: egress,
   });
 
+  const roundTrips = createRoundTripTimes();
+  const sizes = createTransferSizes();
+  const spillover = domains.costMsPerKilobyte === undefined ? undefined : createSpillover({
+    clock,
+    ownDomain: host.failureDomain,
+    costMsPerKilobyte: domains.costMsPerKilobyte,
+    roundTrips,
+    sizes,
+    slotsOf: (service, domain) => hosts.reduce((sum, one) => (
+      one.service === service && one.failureDomain === domain ? sum + one.slots : sum
+    ), 0),
+    logger: noopLogger,
+  });
+
   const sendToPeer = async (address: string, request: GatewayRequest, sink: ResponseSink) => {
     const peer = nodes.get(address.split(':')[0]!)!;
     const route = routeByName.get(request.path)!;
+    const domain = peer.host.failureDomain;
+    const oneWayMs = domain === host.failureDomain ? 0 : domains.oneWayMs;
+    if (domain !== host.failureDomain && (host.isCutOff || peer.host.isCutOff)) {
+      await clock.sleep(CONNECT_TIMEOUT_MS);
+      return { outcome: refuseNotRun('connect', 100, { step: 'peer.send' }), load: undefined };
+    }
+    const sentAt = clock.now();
     await link.transfer(HEAD_BYTES + route.requestBytes);
+    await clock.sleep(oneWayMs);
+    const arrivedAt = clock.now();
     let bytes = HEAD_BYTES;
     let status = 0;
     const outcome = await peer.local.forward(request, {
@@ -155,7 +185,10 @@
         return true;
       },
     });
-    const load = peer.local.load();
+    const load = peer.host.hidesLoad ? undefined : peer.local.load();
+    await clock.sleep(oneWayMs);
+    roundTrips.record(domain, arrivedAt - sentAt + oneWayMs);
+    sizes.record(request.kind, HEAD_BYTES + route.requestBytes + bytes);
     if (isBulk(request.kind)) await sendBulk(peer, bytes);
     else {
       peer.egress.count(bytes);
@@ -184,6 +217,7 @@
       self: name,
       random,
       viewOf,
+      spillover,
       recordOf: (service) => {
         const owner = hosts.findIndex((one) => one.service === service);
         return { record: createRecordOf(`n${owner}`), version: 1 };
@@ -203,6 +237,6 @@
     random,
   });
   return {
-    host, local, sender, link, egress,
+    host, local, sender, link, egress, spillover,
   };
 };
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -1,5 +1,6 @@
 import type { AdmissionLoad } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
+import type { RouteKind } from '../contract/mod.ts';
 import { StepError } from '../errors/mod.ts';
 import {
   type ResponseSink,
@@ -10,6 +11,7 @@
   hopHeaders,
   readLoad,
   decodeRefusal,
+  readSpentMs,
   type TruncationAwarePool,
 } from '../forward/mod.ts';
 import { formatHop, HOP_HEADER } from './_hop_header.ts';
@@ -52,6 +54,13 @@
   readonly requestIdHeader: string;
   /** Called when a peer becomes suspect, but not again while it stays so. */
   readonly onSuspect?: (address: string, reason: string) => void;
+  /**
+   * Called at the head of a response that names the time which the peer has spent: the duration of
+   * the attempt less that time, in ms.
+   */
+  readonly onRoundTrip?: (address: string, roundTripMs: number) => void;
+  /** Called at the end of a response with the approximate bytes of request and response. */
+  readonly onTransfer?: (kind: RouteKind, bytes: number) => void;
 }
 
 /** Bounds the wait for a partitioned host, which drops the packets of a new connection. */
@@ -71,6 +80,8 @@
 const BODY_SLACK_MS = 180;
 const BODY_STALL_MS = 10_000;
 const RETRY_AFTER_MS = 150;
+/** Assumed bytes of the heads of a request and its response. */
+const HEADS_BYTES = 800;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
 const isConnectionRefused = (error: Error) => 'code' in error && error.code === 'ECONNREFUSED';
@@ -133,11 +144,14 @@
     let failedStatus: number | undefined;
     let rawHeaders: readonly string[] = [];
     let isNamed = false;
+    let bytes = HEADS_BYTES + (request.body?.length ?? 0);
     const checkHead = (raw: readonly string[]) => {
       rawHeaders = raw;
       load = readLoad(raw);
       const responseId = findHeader(raw, options.requestIdHeader);
       isNamed = responseId !== undefined;
+      const spentMs = readSpentMs(raw);
+      if (spentMs !== undefined) options.onRoundTrip?.(address, clock.now() - startedAt - spentMs);
       return responseId === undefined || responseId === request.requestId
         ? undefined
         : 'the answer belongs to another request';
@@ -166,6 +180,10 @@
         if (use === 'drain') failedStatus = status;
         return use;
       },
+      write: (chunk) => {
+        bytes += chunk.length;
+        return sink.write(chunk);
+      },
       drained: (body) => {
         if (failedStatus !== undefined) sink.drained?.(body);
       },
@@ -186,6 +204,9 @@
       checkHead,
       checkEnd,
     });
+    if (end.kind === 'complete' && refusedOutcome === undefined) {
+      options.onTransfer?.(request.kind, bytes);
+    }
     if (refusedOutcome !== undefined) return { outcome: refusedOutcome, load };
     if (failedStatus !== undefined) {
       return { outcome: { kind: 'failed', status: failedStatus }, load };
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -205,7 +205,7 @@
     if (decision === 'expired') local.recordRefusal(request);
     const stopInterimResponses = startInterimResponses(response);
     const addLoad = (headers: string[]) => {
-      headers.push(...loadHeaders(local.load()));
+      headers.push(...loadHeaders(local.load(), clock.now() - arrivedAt));
     };
     const sink = isBulk(request.kind)
       ? createBulkSink(response, addLoad, link)
@@ -245,7 +245,7 @@
       respondWithJson(response, refusal.status, [
         ...encodeRefusal(refusal),
         ...nameRequest,
-        ...loadHeaders(local.load()),
+        ...loadHeaders(local.load(), clock.now() - arrivedAt),
         ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
         ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
       ], '');
--- a/gateway/target_chooser.ts
+++ b/gateway/target_chooser.ts
@@ -2,7 +2,7 @@
 import type { RangeRecord } from '../ranges/mod.ts';
 import { findRow } from '../ranges/mod.ts';
 import {
-  type AttemptReport, chooseInstance, type ServiceView,
+  type AttemptReport, chooseInstance, type ServiceView, type Spillover,
 } from '../routing/mod.ts';
 import { requestClassByKind, type GatewayRequest } from './request.ts';
 
@@ -24,6 +24,7 @@
 export interface TargetView {
   /** 0: same failure domain, 1: same region, 2: another region. */
   readonly distance: number;
+  readonly failureDomain?: string;
   readonly load: number;
   readonly slots: number;
   /** Age in ms of the latest load report; undefined before the first one. */
@@ -78,6 +79,8 @@
   /** Returns uniform numbers from 0 to less than 1. */
   readonly random: () => number;
   readonly viewOf: (service: string) => ServiceView;
+  /** Decides which requests leave the failure domain; without it, the rule by ratio does. */
+  readonly spillover?: Spillover;
   readonly recordOf: (service: string) => VersionedRecord | undefined;
   readonly nodeOf: (node: string) => TargetNode | undefined;
 }
@@ -98,7 +101,7 @@
  * const target = chooser.choose(request, new Set());
  */
 export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
-  const { self } = options;
+  const { self, random, spillover } = options;
 
   const chooseOwner = (request: TargetRequest, key: number): Target | NoTarget => {
     const versioned = options.recordOf(request.service);
@@ -139,7 +142,8 @@
     excluded: ReadonlySet<string>,
   ): Target | NoTarget => {
     const views = options.viewOf(request.service).instanceViews(excluded);
-    const choice = chooseInstance(views, { random: options.random });
+    const preference = spillover?.prefer(request.service, request.kind, views, random);
+    const choice = chooseInstance(views, { random, preference });
     if (choice === undefined) {
       return {
         kind: 'none',
@@ -148,8 +152,11 @@
       };
     }
     const {
-      node, peerAddress, instance, distance, load, slots, loadAgeMs,
+      node, peerAddress, instance, distance, failureDomain, load, slots, loadAgeMs,
     } = choice.view;
+    if (preference?.domain === undefined && distance > 0 && failureDomain !== undefined) {
+      spillover?.recordOverflow(request.service, failureDomain);
+    }
     return {
       kind: node === self ? 'local' : 'peer',
       node,
@@ -159,6 +166,7 @@
       version: 0,
       view: {
         distance,
+        failureDomain,
         load: Math.round(load * TENTHS) / TENTHS,
         slots,
         ageMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
@@ -183,6 +191,8 @@
         outcome,
         load,
       });
+      const domain = target.view?.failureDomain;
+      if (domain !== undefined) spillover?.report(request.service, domain, outcome, load);
     },
   };
 };
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -176,6 +176,7 @@
     node: member.node,
     peerAddress: member.peerAddress,
     distance,
+    failureDomain: member.failureDomain,
     get load() {
       return loadOf(entry);
     },
--- a/routing/choose_instance.ts
+++ b/routing/choose_instance.ts
@@ -3,6 +3,7 @@
   readonly instance: string;
   /** 0: same failure domain, 1: same region, 2: another region. */
   readonly distance: number;
+  readonly failureDomain?: string;
   /** Estimated number of requests in flight and queued at the instance. */
   readonly load: number;
   /** Requests that the instance runs concurrently. */
@@ -21,6 +22,27 @@
 export interface ChooseInstanceOptions {
   /** Returns uniformly distributed numbers in [0, 1). */
   readonly random: () => number;
+  /** Failure domain by the shares of the service; without it, the rule by ratio decides. */
+  readonly preference?: DomainPreference;
+}
+
+/** Failure domain that a request is to be served in. */
+export interface DomainPreference {
+  /** `undefined` for the own domain. */
+  readonly domain: string | undefined;
+  /**
+   * Returns the terms on which a request may go to another domain because the chosen instance of
+   * the own one is busy; `undefined` if nothing is known of the domain.
+   */
+  readonly overflowTo: (domain: string) => OverflowTerms | undefined;
+}
+
+/** Terms of sending a request to another failure domain. */
+export interface OverflowTerms {
+  /** Fraction of the requests that the domain has free slots for. */
+  readonly room: number;
+  /** Round trip and price of the transfer in ms. */
+  readonly costMs: number;
 }
 
 /** A chosen instance and why it was chosen. */
@@ -33,7 +55,7 @@
 const SPILLOVER_RATIO = 1.5;
 /** Below this utilisation of its slots an instance answers without queueing: stay in its domain. */
 const MIN_SPILLOVER_UTILISATION = 0.85;
-/** Round trip to another failure domain, added to the expected wait there. */
+/** Round trip to another failure domain, added to the expected wait there while it is unknown. */
 const CROSS_DOMAIN_COST_MS = 1;
 /**
  * Load per slot above which instances are chosen at random, weighted by service rate over load.
@@ -105,11 +127,54 @@
   return waitOf(second) < waitOf(first) ? second : first;
 };
 
+/** Returns the instances of the preferred domain; empty without a preference for another one. */
+const preferredInstances = <View extends InstanceView>(
+  views: readonly View[],
+  preference: DomainPreference | undefined,
+): readonly View[] => (
+  preference?.domain === undefined
+    ? []
+    : views.filter(({ failureDomain }) => failureDomain === preference.domain)
+);
+
+/** Instances of the own domain and of those of which nothing is known, unless none is left. */
+const undecidedInstances = <View extends InstanceView>(
+  views: readonly View[],
+  { overflowTo }: DomainPreference,
+): readonly View[] => {
+  const undecided = views.filter(({ distance, failureDomain }) => (
+    distance === 0 || failureDomain === undefined || overflowTo(failureDomain) === undefined
+  ));
+  return undecided.length > 0 ? undecided : views;
+};
+
+/** Instances of the domains that have room; random, so that a part of the requests leaves. */
+const instancesWithRoom = <View extends InstanceView>(
+  views: readonly View[],
+  preference: DomainPreference | undefined,
+  random: () => number,
+): readonly View[] => {
+  if (preference === undefined) return views;
+  const chance = random();
+  return views.filter(({ failureDomain }) => (
+    failureDomain === undefined || (preference.overflowTo(failureDomain)?.room ?? 1) > chance
+  ));
+};
+
+const crossingCostMs = (
+  { failureDomain }: InstanceView,
+  preference: DomainPreference | undefined,
+) => {
+  const terms = failureDomain === undefined ? undefined : preference?.overflowTo(failureDomain);
+  return terms?.costMs ?? CROSS_DOMAIN_COST_MS;
+};
+
 /**
  * Chooses an instance by the power of two choices: the one with the shorter expected wait of two
  * random instances in the nearest failure domain, unless the same choice among farther instances is
  * less busy by a margin. While queues are long, it chooses among all instances at random, weighted
- * by service rate over load. When all instances are ejected, ejection is ignored.
+ * by service rate over load. When all instances are ejected, ejection is ignored. A preference for
+ * a failure domain goes before all that, and bounds what may go to domains with known loads.
  *
  * @param views The eligible instances.
  * @param options Random source.
@@ -122,29 +187,40 @@
   views: readonly View[],
   options: ChooseInstanceOptions,
 ): InstanceChoice<View> | undefined => {
-  const { random } = options;
+  const { random, preference } = options;
   const notEjected = views.some(({ ejected }) => ejected)
     ? views.filter(({ ejected }) => !ejected)
     : views;
   const eligible = notEjected.length > 0 ? notEjected : views;
   if (eligible.length === 0) return undefined;
+  const preferred = pickBetterOfTwo(preferredInstances(eligible, preference), eligible, random);
+  if (preferred !== undefined) {
+    return { view: preferred, reason: 'the share of requests for another failure domain' };
+  }
   const near = pickBetterOfTwo(nearestInstances(eligible), eligible, random)!;
   if (near.load > near.slots * LONG_QUEUE_LOAD_PER_SLOT) {
+    const candidates = preference === undefined
+      ? eligible
+      : undecidedInstances(eligible, preference);
     const view = pickWeighted(
-      eligible,
+      candidates,
       (one) => one.trafficShare / expectedWaitMs(one, eligible),
       random,
     );
     return { view, reason: 'weighted by service rate because the queues are long' };
   }
   if (near.load >= near.slots * MIN_SPILLOVER_UTILISATION) {
-    const farther = eligible.filter(({ distance }) => distance > near.distance);
+    const farther = instancesWithRoom(
+      eligible.filter(({ distance }) => distance > near.distance),
+      preference,
+      random,
+    );
     const far = pickBetterOfTwo(farther, eligible, random);
     const nearWaitMs = expectedWaitMs(near, eligible);
-    if (
-      far !== undefined
-      && expectedWaitMs(far, eligible) * SPILLOVER_RATIO + CROSS_DOMAIN_COST_MS < nearWaitMs
-    ) {
+    const farWaitMs = far === undefined
+      ? Infinity
+      : expectedWaitMs(far, eligible) * SPILLOVER_RATIO + crossingCostMs(far, preference);
+    if (far !== undefined && farWaitMs < nearWaitMs) {
       return { view: far, reason: 'shorter expected wait than in the nearest failure domain' };
     }
   }
--- a/routing/mod.ts
+++ b/routing/mod.ts
@@ -3,7 +3,8 @@
   AttemptReport, NoTarget, Router, RouteTarget, RoutingDecision, RoutingRequest,
 } from './router.ts';
 export {
-  chooseInstance, type ChooseInstanceOptions, type InstanceChoice, type InstanceView,
+  chooseInstance, type ChooseInstanceOptions, type DomainPreference, type InstanceChoice,
+  type InstanceView,
 } from './choose_instance.ts';
 export { chooseSubset, type SubsetCandidate, type SubsetOptions } from './choose_subset.ts';
 export { createRouter, type RouterOptions } from './create_router.ts';
@@ -14,3 +15,9 @@
 export {
   createServiceView, type InstanceEndpoint, type ServiceView, type ServiceViewOptions,
 } from './_service_view.ts';
+export {
+  type KindDemand, type OtherDomain, type OwnDomain, planDomainShares, type SharesByKind,
+} from './domain_share.ts';
+export { createRoundTripTimes, type RoundTripTimes } from './round_trip_times.ts';
+export { createSpillover, type Spillover, type SpilloverOptions } from './spillover.ts';
+export { createTransferSizes, type TransferSizes } from './transfer_sizes.ts';
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -15,6 +15,8 @@
   readonly recordAttempt: (target: string, outcome: string, durationMs: number) => void;
   /** Records the age in ms of the load report by which an instance was chosen. */
   readonly recordLoadAge: (ageMs: number) => void;
+  /** Sets the fraction of the requests for a service that is sent to another failure domain. */
+  readonly setSpilloverShare: (service: string, domain: string, share: number) => void;
   readonly recordRetry: (service: string, reason: string) => void;
   readonly recordStoreCall: (call: string, outcome: string) => void;
   readonly recordRows: (reason: string, rows: number) => void;
@@ -97,6 +99,12 @@
     buckets: DURATION_BUCKETS_MS,
     registers,
   });
+  const spilloverShares = new Gauge({
+    name: `${PREFIX}spillover_share`,
+    help: 'Fraction of the requests for a service that is sent to another failure domain',
+    labelNames: ['service', 'domain'],
+    registers,
+  });
   const retries = new Counter({
     name: `${PREFIX}retries_total`,
     help: 'Sends beyond the first of a request',
@@ -129,6 +137,9 @@
       durationMs,
     ),
     recordLoadAge: (ageMs) => loadAges.observe(ageMs),
+    setSpilloverShare: (service, domain, share) => (
+      spilloverShares.set({ service, domain }, share)
+    ),
     recordQueueTime: (durationMs) => queueTimes.observe(durationMs),
     recordRetry: (service, reason) => retries.inc({ service, reason }),
     recordStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
