Test the measurements of traffic between failure domains

Cause: round trips and sizes were tested only in the simulation, which has no HTTP, and the wiring in the fleet not at all. A lookup of the domain by IP address alone would give all nodes behind one address the same domain.

--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -9,7 +9,7 @@
   type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
   createRequestSender, createRouteTable, createServiceRetryBudget, createShutdownTracker,
-  createSlotQueue, MAX_BUFFERED_BYTES,
+  createSlotQueue, MAX_BUFFERED_BYTES, type PeerClientOptions,
 } from './mod.ts';
 
 const clock = createSystemClock();
@@ -131,6 +131,7 @@
   readonly peerBodies?: BodyBudget;
   /** Returns the address through which the peer listener at an address is reached. */
   readonly reachThrough?: (address: string) => Promise<string>;
+  readonly peerListeners?: Pick<PeerClientOptions, 'onRoundTrip' | 'onTransfer'>;
 }
 
 /** Starts the destination of one raw instance, with a peer listener in front of it. */
@@ -199,7 +200,9 @@
     startDestination(`i-${index}`, respond, options)
   )));
   const addresses = await Promise.all(destinations.map(({ address }) => reachThrough(address)));
-  const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
+  const peers = createPeerClient({
+    clock, requestIdHeader: 'request-id', ...options.peerListeners,
+  });
   const budget = () => createServiceRetryBudget({
     clock, ratio: 1, extraRetries: 1000, windowMs: 10_000, nodeCount: () => 1,
   });
