Add the command where, which asks a node where a request would go

Cause: the entrance's loads, shares and suspicions are only in its memory, so an operator could not tell before a request was sent where it would go, nor why it would be refused. Change: `marjoramhollow where` sends one message to the peer listener of a node. The node describes, with the modules that decide about requests and without sending any, the route, each service with target, candidates, free slots and shares, and what would reject the request. A node that does not answer ends in one line and status 1.

--- a/command/main.ts
+++ b/command/main.ts
@@ -4,6 +4,7 @@
 import { commands } from './_commands.ts';
 import { createOperatorClient } from './_operator_client.ts';
 import { exitStatuses, type Output, processOutput } from './_output.ts';
+import { where } from './where.ts';
 
 const DEFAULT_OPERATOR_URL = 'http://127.0.0.1:8380';
 
@@ -26,6 +27,9 @@
   explain REQUEST-ID [FILE...]       prints the log lines of a request from all nodes in order of
                                      time and the cause of its outcome; reads standard input
                                      if no FILE is given
+  where --node HOST:PORT --method METHOD --url URL [--key N]
+                                     asks a node of the platform, at its peer listener, where a
+                                     request would go now and why, without sending it
 
 Options
   --operator URL           operator address of a node (default ${DEFAULT_OPERATOR_URL})
@@ -52,6 +56,9 @@
     key: { type: 'string' },
     authority: { type: 'string' },
     revision: { type: 'string' },
+    node: { type: 'string' },
+    method: { type: 'string' },
+    url: { type: 'string' },
   },
 });
 
@@ -121,6 +128,8 @@
     output.print(HELP);
     return exitStatuses.ok;
   }
+  // A node is asked over HTTP without a credential, and `--key` names a key, not a file.
+  if (positionals[0] === 'where') return where(values, values.json, output);
   const { command, args: commandArgs } = findCommand(positionals);
   if (command === undefined) {
     output.error(positionals.length === 0 ? HELP : `unknown command: ${positionals.join(' ')}`);
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -240,7 +240,7 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics',
+      'metrics', 'chooser', 'service-views', 'domain-traffic',
     ],
     start: async (find) => {
       const service = createPeerListener({
@@ -256,7 +256,7 @@
         logger: find<Logger>('logger'),
         failureDomainOf: createFailureDomainLookup(find<FleetView>('fleet')),
         onRefusal: find<NodeMetrics>('metrics').recordPeerRefusal,
-        handleControlMessage: createControlMessageHandler(find),
+        handleControlMessage: createControlMessageHandler(find, settings.node),
       });
       await service.listen();
       return { service, stop: service.stop };
--- a/fleet/mod.ts
+++ b/fleet/mod.ts
@@ -10,3 +10,7 @@
   createRangeController, grantableMs, type RangeController, type RangeControllerOptions,
 } from './range_controller.ts';
 export { type FleetNode, type FleetNodeOptions, startFleetNode } from './start_fleet_node.ts';
+export {
+  fetchWhere, serveWhere, type WhereAnswer, type WhereCandidate, type WhereDestination,
+  type WhereQuery, type WhereSource,
+} from './where_message.ts';
