Let shares rise after a pause as slowly as under load

Cause: the damping used the time since the last update, so after a pause of a service the first requests took the whole share of a plan that rested on a single report of each domain. Change: at most 0.5 s count between two updates. Result: the new test gave a share of 0.37 at the first request after a pause of 60 s before, and passes (below 0.26) now; routing 29 of 29.

--- a/routing/_service_spillover.ts
+++ b/routing/_service_spillover.ts
@@ -55,6 +55,8 @@
 }
 
 const UPDATE_INTERVAL_MS = 250;
+/** A service without requests for some time starts with the damping of a busy one. */
+const MAX_ELAPSED_MS = 500;
 /**
  * Time constant in ms of the fractions that are sent. A plan relates them to reports that are about
  * a second old; with 500 ms, shares of 80 simulated nodes swung between 0.02 and 0.7.
@@ -222,8 +224,9 @@
   };
 
   const update: ServiceSpillover['update'] = (views) => {
-    const elapsedMs = clock.now() - updatedAt;
-    if (elapsedMs < UPDATE_INTERVAL_MS) return;
+    const sinceUpdateMs = clock.now() - updatedAt;
+    if (sinceUpdateMs < UPDATE_INTERVAL_MS) return;
+    const elapsedMs = Math.min(sinceUpdateMs, MAX_ELAPSED_MS);
     updatedAt = clock.now();
     const present = new Set(views.map(({ failureDomain = ownDomain }) => failureDomain));
     const hasOwn = present.delete(ownDomain);
