Let samples of the load of a domain age

Cause: means of six samples, whatever their age, remembered a busy domain for up to 18 s while one request in 3 s brought a report, so the valleys of waves in other domains were not used. Shares also ended at 85 % of the slots of another domain, where it still had room for requests that the own one refuses. Change: rare samples age with 1.5 s; shares go up to 92 % and end above 98 %.

--- a/routing/_decaying_mean.ts
+++ b/routing/_decaying_mean.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../clock/mod.ts';
 
+/** Time constant in ms while samples are rare; older ones say nothing about waves of demand. */
+const MAX_TIME_CONSTANT_MS = 1500;
+
 /** Mean of samples whose weights decay exponentially with their age. */
 export interface DecayingMean {
   readonly record: (value: number) => void;
@@ -25,7 +28,11 @@
   return {
     record: (value) => {
       const now = clock.now();
-      const decay = Math.max(minDecay, Math.exp((recordedAt - now) / timeConstantMs));
+      const elapsedMs = now - recordedAt;
+      const decay = Math.max(
+        Math.exp(-elapsedMs / timeConstantMs),
+        Math.min(minDecay, Math.exp(-elapsedMs / MAX_TIME_CONSTANT_MS)),
+      );
       sum = sum * decay + value;
       weight = weight * decay + 1;
       recordedAt = now;
--- a/routing/domain_share.ts
+++ b/routing/domain_share.ts
@@ -41,9 +41,9 @@
 /** Part of the requests that stays, so that the load of the own domain remains known. */
 const MAX_SHARE = 0.9;
 /** Utilisation up to which other domains get a share; above it, their own requests wait longer. */
-const MAX_SHARED_UTILISATION = 0.85;
+const MAX_SHARED_UTILISATION = 0.92;
 /** Utilisation up to which other domains take requests beyond their share. */
-const MAX_UTILISATION = 0.95;
+const MAX_UTILISATION = 0.98;
 /**
  * Part of the free capacity of another domain that one plan uses. Other domains in need see the
  * same free capacity, and the reports that show its use arrive later.
