--- a/routing/_test_support.ts
+++ b/routing/_test_support.ts
@@ -3,6 +3,7 @@
 import {
   type InstanceInfo, InstanceState, MemberState, type MemberUpdate,
 } from '../proto/mod.ts';
+import type { InstanceView } from './mod.ts';
 
 /** Returns a seeded source of uniformly distributed numbers in [0, 1). */
 export const createRandom = (seed: number) => {
@@ -21,6 +22,18 @@
   ...change,
 });
 
+/** Builds the view of an idle instance that stands for its failure domain. */
+export const domainView = (failureDomain: string, isOwn: boolean): InstanceView => ({
+  instance: `i-${failureDomain}`,
+  distance: isOwn ? 0 : 1,
+  failureDomain,
+  load: 0,
+  slots: 100,
+  serviceRate: 400,
+  trafficShare: 1,
+  ejected: false,
+});
+
 /** Builds the membership entry of one alive node. */
 export const member = (
   node: string,
