Merge spillover out of the failure domain, and the command where

The share of requests that leave the failure domain follows from the measured load, round trip and price; where asks a node what it would do with a request. Reviewed by reading; types and linter clean; all tests of routing, command and fleet pass.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -22,6 +22,7 @@
 import { createFailureDomainLookup } from './_failure_domains.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { RangeController } from './range_controller.ts';
+import { type DomainTraffic, registerDomainTraffic } from './_domain_traffic.ts';
 import type { LocalNode } from './_state_services.ts';
 
 /** Time in ms from the arrival of an announcement until its grants take effect. */
@@ -112,9 +113,11 @@
     },
   });
 
+  registerDomainTraffic(kernel, settings);
+
   kernel.register<PeerClient>({
     name: 'peers',
-    needs: ['clock', 'logger', 'service-views', 'fleet'],
+    needs: ['clock', 'logger', 'service-views', 'fleet', 'domain-traffic'],
     start: (find) => {
       const logger = find<Logger>('logger').forComponent('peer');
       const views = find<Map<string, ServiceView>>('service-views');
@@ -122,6 +125,7 @@
       const peers = createPeerClient({
         clock: find<Clock>('clock'),
         requestIdHeader: platformHeaders.requestId,
+        ...find<DomainTraffic>('domain-traffic').peerListeners,
         onSuspect: (address, reason) => {
           logger.warn({ peer: address, reason }, 'a peer is suspected of having failed');
           for (const view of views.values()) view.invalidate();
@@ -138,7 +142,9 @@
 
   kernel.register<TargetChooser>({
     name: 'chooser',
-    needs: ['clock', 'fleet', 'self', 'peers', 'service-views', 'ranges', 'rules'],
+    needs: [
+      'clock', 'fleet', 'self', 'peers', 'service-views', 'ranges', 'rules', 'domain-traffic',
+    ],
     start: (find) => {
       const clock = find<Clock>('clock');
       const fleet = find<FleetView>('fleet');
@@ -164,6 +170,7 @@
           self: settings.node,
           random: Math.random,
           viewOf,
+          spillover: find<DomainTraffic>('domain-traffic').spillover,
           recordOf: find<RangeController>('ranges').recordOf,
           nodeOf: (node) => {
             const entry = fleet.find(node);
@@ -223,7 +230,7 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics', 'evacuations',
+      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic',
     ],
     start: async (find) => {
       const service = createPeerListener({
@@ -239,7 +246,7 @@
         logger: find<Logger>('logger'),
         failureDomainOf: createFailureDomainLookup(find<FleetView>('fleet')),
         onRefusal: find<NodeMetrics>('metrics').recordPeerRefusal,
-        handleControlMessage: createControlMessageHandler(find),
+        handleControlMessage: createControlMessageHandler(find, settings.node),
       });
       await service.listen();
       return { service, stop: service.stop };
