Make calls to the store safe across its eras

A store that is restored from an older copy issues revisions and lease numbers again, so a condition, a watch or a lease of before would apply to other writes. The memory store can go back to a copy of any moment.

--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Clock } from '../clock/mod.ts';
 import type { StoreError, StoreErrorKind } from '../errors/mod.ts';
-import { storePaths } from '../platform/mod.ts';
+import { platformHeaders, storePaths } from '../platform/mod.ts';
 import { createMemoryLeasedStore, type MemoryLeasedStore, type StoreEntry } from '../store/mod.ts';
 
 /** A stand-in for the platform's store, served over HTTP. */
@@ -37,6 +37,11 @@
 
 const createRoutes = (store: MemoryLeasedStore): Hono => {
   const routes = new Hono();
+  routes.use(async (context, next) => {
+    await next();
+    const era = store.era();
+    if (era !== undefined) context.header(platformHeaders.storeEra, String(era));
+  });
   routes.get(storePaths.get, async (context) => {
     const found = await store.get(context.req.query('key') ?? '');
     if (found.isErr()) return errorResponse(context, found.error);
--- a/store/memory_leased_store.ts
+++ b/store/memory_leased_store.ts
@@ -1,9 +1,8 @@
 import { err, ok } from 'neverthrow';
 import type { Clock } from '../clock/mod.ts';
 import { StoreError, type StoreErrorKind } from '../errors/mod.ts';
-import type {
-  EntryChanges, LeasedStore, RemovedEntry, Transaction,
-} from './leased_store.ts';
+import type { EraReportingStore, OnEra } from './follow_eras.ts';
+import type { EntryChanges, RemovedEntry, Transaction } from './leased_store.ts';
 import type { StoreEntry } from './store.ts';
 
 /** Faults of an in-memory store, which tests switch on and off. */
@@ -16,8 +15,26 @@
   leaseExpiryPaused: boolean;
 }
 
+/** The content of an in-memory store at one moment. */
+export interface StoreCopy {
+  readonly entries: readonly StoredEntry[];
+  readonly leases: ReadonlyMap<number, Lease>;
+  readonly revision: number;
+  readonly nextLease: number;
+}
+
 /** An in-memory store with leases, for tests and for the stand-in platform store. */
-export interface MemoryLeasedStore extends LeasedStore {
+export interface MemoryLeasedStore extends EraReportingStore {
+  /** Sets the era that responses name; without a call, the store has no eras. */
+  readonly setEra: (era: number) => void;
+  /** Returns the era that responses name; undefined if the store has no eras. */
+  readonly era: () => number | undefined;
+  readonly copy: () => StoreCopy;
+  /**
+   * Goes back to a copy under the next era. Later writes and leases are gone, their revisions and
+   * lease numbers are issued again, and watches from an unknown revision fail with `compacted`.
+   */
+  readonly restore: (copy: StoreCopy) => void;
   readonly faults: LeasedStoreFaults;
   /** Expires all leases at once, as after an outage in which none was renewed. */
   readonly expireAllLeases: () => void;
@@ -31,7 +48,11 @@
 
 interface Lease {
   readonly ttlMs: number;
-  endsAt: number;
+  readonly endsAt: number;
+}
+
+interface StoredEntry extends StoreEntry {
+  readonly lease: number;
 }
 
 const STEP = 'store.memory';
@@ -46,7 +67,7 @@
  * const store = createMemoryLeasedStore(clock);
  */
 export const createMemoryLeasedStore = (clock: Clock): MemoryLeasedStore => {
-  const entries = new Map<string, StoreEntry & { readonly lease: number }>();
+  const entries = new Map<string, StoredEntry>();
   const leases = new Map<number, Lease>();
   const waiters = new Set<() => void>();
   const faults: LeasedStoreFaults = {
@@ -57,6 +78,7 @@
   let compactedAt = 0;
   let nextLease = 1;
   let calls = 0;
+  let era: number | undefined;
 
   const fail = (kind: StoreErrorKind) => err(new StoreError(kind, kind, { step: STEP }));
 
@@ -82,9 +104,11 @@
     if (revision > before) wakeWatches();
   };
 
-  const beginCall = () => {
+  const beginCall = (onEra?: OnEra) => {
     calls += 1;
     expireLeases();
+    // A store that is out of reach sends no response.
+    if (faults.failWith === undefined) onEra?.(era);
     return faults.failWith;
   };
 
@@ -112,15 +136,21 @@
     at: revision,
   });
 
-  const watch: LeasedStore['watch'] = async (prefix, after, { waitMs, signal }) => {
+  const watch: EraReportingStore['watch'] = async (prefix, after, { waitMs, signal }, onEra) => {
     const fault = beginCall();
     if (fault !== undefined) return fail(fault);
     const endsAt = clock.now() + waitMs;
     for (;;) {
       // The history may be discarded while the watch waits, too.
-      if (after < compactedAt) return fail('compacted');
+      if (after < compactedAt || after > revision) {
+        onEra?.(era);
+        return fail('compacted');
+      }
       const found = findChanges(prefix, after);
-      if (found.events.length > 0 || clock.now() >= endsAt || signal?.aborted) return ok(found);
+      if (found.events.length > 0 || clock.now() >= endsAt || signal?.aborted) {
+        onEra?.(era);
+        return ok(found);
+      }
       const wakeController = new AbortController();
       const wake = () => wakeController.abort();
       waiters.add(wake);
@@ -136,41 +166,43 @@
 
   return {
     faults,
-    get: async (key) => {
-      const fault = beginCall();
+    get: async (key, onEra) => {
+      const fault = beginCall(onEra);
       return fault === undefined ? ok(entries.get(key)) : fail(fault);
     },
-    list: async (prefix) => {
-      const fault = beginCall();
+    list: async (prefix, onEra) => {
+      const fault = beginCall(onEra);
       if (fault !== undefined) return fail(fault);
       const found = [...entries.values()].filter(({ key }) => key.startsWith(prefix));
       return ok({ entries: found, at: revision });
     },
     watch,
-    transact: async (transaction) => {
+    transact: async (transaction, onEra) => {
       const fault = beginCall();
       if (fault !== undefined) return fail(fault);
       const result = apply(transaction);
-      return result.isOk() && faults.loseReplies ? fail('unknown') : result;
+      if (result.isOk() && faults.loseReplies) return fail('unknown');
+      onEra?.(era);
+      return result;
     },
-    grantLease: async (ttlMs) => {
-      const fault = beginCall();
+    grantLease: async (ttlMs, onEra) => {
+      const fault = beginCall(onEra);
       if (fault !== undefined) return fail(fault);
       const id = nextLease;
       nextLease += 1;
       leases.set(id, { ttlMs, endsAt: clock.now() + ttlMs });
       return ok(id);
     },
-    renewLease: async (id) => {
-      const fault = beginCall();
+    renewLease: async (id, onEra) => {
+      const fault = beginCall(onEra);
       if (fault !== undefined) return fail(fault);
       const lease = leases.get(id);
       if (lease === undefined) return fail('lease-ended');
-      lease.endsAt = clock.now() + lease.ttlMs;
+      leases.set(id, { ...lease, endsAt: clock.now() + lease.ttlMs });
       return ok(undefined);
     },
-    revokeLease: async (id) => {
-      const fault = beginCall();
+    revokeLease: async (id, onEra) => {
+      const fault = beginCall(onEra);
       if (fault !== undefined) return fail(fault);
       removeLease(id);
       wakeWatches();
@@ -189,5 +221,23 @@
       compactedAt = revision;
     },
     calls: () => calls,
+    setEra: (value) => {
+      era = value;
+    },
+    era: () => era,
+    copy: () => ({
+      entries: [...entries.values()], leases: new Map(leases), revision, nextLease,
+    }),
+    restore: (copy) => {
+      entries.clear();
+      leases.clear();
+      for (const entry of copy.entries) entries.set(entry.key, entry);
+      for (const [id, lease] of copy.leases) leases.set(id, lease);
+      ({ revision, nextLease } = copy);
+      history = history.filter((event) => event.revision <= revision);
+      compactedAt = Math.min(compactedAt, revision);
+      era = (era ?? 0) + 1;
+      wakeWatches();
+    },
   };
 };
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -25,7 +25,9 @@
   Transaction,
   LongPollOptions,
 } from './leased_store.ts';
+export { type EraReportingStore, followEras, type OnEra } from './follow_eras.ts';
+export { createStoreEras, eraOfRevision, type StoreEras } from './store_eras.ts';
 export { abortStaleWatches, type AbortStaleWatchesOptions } from './abort_stale_watches.ts';
 export {
-  createMemoryLeasedStore, type LeasedStoreFaults, type MemoryLeasedStore,
+  createMemoryLeasedStore, type LeasedStoreFaults, type MemoryLeasedStore, type StoreCopy,
 } from './memory_leased_store.ts';
