Let followers and relays be in different eras of the store

A relay that had not noticed a restore answered a follower that had with no changes, which the follower took for a current view, and one that had noticed first answered that it lacks the changes, after which it was left alone for 5 s. The request now names the follower's era: a relay ahead makes the follower list the store, a relay behind makes it ask the store for at most 1.2 s, and neither counts as a failure.

--- a/fleet/_era_services.ts
+++ b/fleet/_era_services.ts
@@ -12,6 +12,14 @@
 import { grantableMs } from './range_controller.ts';
 import type { LocalNode } from './_state_services.ts';
 
+/** Time in ms after a rise of the era in which all nodes list the store and write to it again. */
+const SETTLING_MS = 5000;
+
+/** Reports whether nodes are still bringing what they know into a restored store. */
+export const isSettling = (eras: StoreEras, clock: Pick<Clock, 'now'>): boolean => (
+  eras.rises() > 0 && clock.now() - eras.since() < SETTLING_MS
+);
+
 /** Registers the services that act when the store has been restored from an older copy. */
 export const registerEraServices = (kernel: Kernel) => {
   kernel.register<StoreEras>({
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -17,6 +17,7 @@
 import { fetchPeerChanges } from './changes_message.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
+import { isSettling } from './_era_services.ts';
 import type { EraRecovery } from './era_recovery.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
@@ -118,6 +119,7 @@
         direct: store.watch,
         fetchChanges: fetchPeerChanges,
         isAsked: find<RelayActivity>('relay-activity').isAsked,
+        isStoreRestored: () => isSettling(find<StoreEras>('eras'), clock),
         onNoRelay: () => {
           find<RelayAnswers>('relay-answers').clear();
           if (kernel.isRunning('contracts')) find<ContractSource>('contracts').restartWatch();
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 import { KEY_PREFIX, type StoreView, type ViewHistory } from '../directory/mod.ts';
-import type { EntryChanges } from '../store/mod.ts';
+import { type EntryChanges, eraOfRevision } from '../store/mod.ts';
 import { fetchFromPeer } from './_peer_messages.ts';
 
 /** Path of the control request for the changes that a peer has seen in the store. */
@@ -90,9 +90,10 @@
   { isCatchingUp = false }: FetchOptions = {},
 ): Promise<PeerChanges | undefined> => {
   const waitMs = isCatchingUp ? 0 : MAX_WAIT_MS;
+  const era = eraOfRevision(after);
   const { status, text } = await fetchFromPeer(
     address,
-    `${CHANGES_PATH}?after=${after}&wait=${waitMs}`,
+    `${CHANGES_PATH}?after=${after}&wait=${waitMs}${era === 0 ? '' : `&era=${era}`}`,
     waitMs + ROUND_TRIP_ALLOWANCE_MS,
     { isOnNewConnection: isCatchingUp },
   );
@@ -107,7 +108,10 @@
   readonly contractRevision: () => number;
 }
 
-/** Encodes the response to a peer's request for changes; undefined when they are not available. */
+/**
+ * Encodes the response to a peer's request for changes; undefined when they are not available. A
+ * peer that names an earlier era of the store only gets the revision of this node's view.
+ */
 export const serveChanges = async (
   { history, view, contractRevision }: ChangesSource,
   path: string,
@@ -117,8 +121,15 @@
   const after = Number(query.get('after') ?? Number.NaN);
   const waitMs = Number(query.get('wait') ?? Number.NaN);
   if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
+  const isOutdated = () => (
+    query.has('era') && eraOfRevision(after) < eraOfRevision(view.revision())
+  );
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
-  if (changes === undefined) return undefined;
+  if (changes === undefined) {
+    return isOutdated()
+      ? encodeChanges({ at: view.revision(), events: [], contractRevision: contractRevision() })
+      : undefined;
+  }
   // The view may have taken in further changes since these were chosen.
   const isComplete = changes.at >= view.revision();
   return encodeChanges({
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -3,7 +3,7 @@
 import type { NodeEntry, StoreView } from '../directory/mod.ts';
 import { StoreError } from '../errors/mod.ts';
 import type { RightToGrant } from '../ranges/mod.ts';
-import type { LeasedStore } from '../store/mod.ts';
+import { eraOfRevision, type LeasedStore } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import type { fetchPeerChanges } from './changes_message.ts';
 
@@ -22,6 +22,8 @@
   readonly isAsked: () => boolean;
   /** Called when no relay has the changes, so that this node follows the store by itself. */
   readonly onNoRelay?: () => void;
+  /** Reports whether relays may lack changes because the store was restored a moment ago. */
+  readonly isStoreRestored?: () => boolean;
   /** Called with the revision of the newest contract that a relay knows. */
   readonly onContractRevision?: (revision: number) => void;
   readonly logger: Logger;
@@ -41,6 +43,8 @@
 const ASKED_MS = 10_000;
 /** Time in ms after the answer of a relay in which the next one is expected. */
 const RELAY_ANSWER_MS = 3000;
+/** Longest watch in ms of the store by a node whose relays have not noticed the newest era. */
+const OUTDATED_RELAY_WAIT_MS = 1200;
 
 /**
  * Minimum remaining right to grant, in ms, of a node that acts as a relay. The right is confirmed
@@ -164,6 +168,8 @@
 
   return async (prefix, after, wait) => {
     const relays = chooseRelays();
+    const era = eraOfRevision(after);
+    let isBehind = false;
     for (const [index, relay] of relays.entries()) {
       let reason = 'it does not have the changes';
       try {
@@ -173,6 +179,16 @@
         });
         if (changes !== undefined) {
           failures.delete(relay.peerAddress);
+          const relayEra = eraOfRevision(changes.at);
+          if (relayEra > era) {
+            return err(new StoreError('compacted', 'the relay is in a later era of the store', {
+              step: 'relay.watch', peer: relay.node,
+            }));
+          }
+          if (relayEra < era) {
+            isBehind = true;
+            continue;
+          }
           options.onContractRevision?.(changes.contractRevision);
           return ok(changes);
         }
@@ -184,10 +200,15 @@
           step: 'relay.watch', peer: relay.node,
         }));
       }
+      if (options.isStoreRestored?.()) {
+        isBehind = true;
+        continue;
+      }
       recordFailure(relay.peerAddress);
       logger.warn({ peer: relay.node, after, reason }, 'failed to fetch changes from a relay');
     }
     if (relays.length > 0) options.onNoRelay?.();
-    return direct(prefix, after, wait);
+    const waitMs = isBehind ? Math.min(wait.waitMs, OUTDATED_RELAY_WAIT_MS) : wait.waitMs;
+    return direct(prefix, after, { ...wait, waitMs });
   };
 };
