Test the drill on simulated hosts, and wait for lost hosts meanwhile

The wait for the keys of a host lost in the drill began only when the record was confirmed, so its keys were held by nobody for 28 s.

--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -45,6 +45,8 @@
 /** Computes the desired range record of a service. */
 export interface RangePlanner {
   readonly plan: (before: RangeRecord, service: string) => RangePlan;
+  /** Starts the waits for the owners in a record whose entries are missing. */
+  readonly observe: (record: RangeRecord, service: string) => void;
   readonly stateOf: (service: string) => ServiceState;
   /** Reports whether it is proven that the owner of a row, on this host, no longer holds it. */
   readonly isReleasedLocally: (row: RangeRow, state: ServiceState) => boolean;
@@ -200,6 +202,10 @@
   };
 
   return {
-    plan, stateOf, isReleasedLocally, ownersOf,
+    plan,
+    observe: (record, service) => observeAbsences(record, stateOf(service)),
+    stateOf,
+    isReleasedLocally,
+    ownersOf,
   };
 };
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -243,10 +243,11 @@
   return { host, step, held: () => instance?.held() ?? [] };
 };
 
-/** Starts hosts with one node and one instance each. */
-export const createTestCluster = (count: number): TestCluster => {
+/** Starts hosts with one node and one instance each; the store has no eras by default. */
+export const createTestCluster = (count: number, era?: number): TestCluster => {
   const clock = createFakeClock();
   const store = createMemoryLeasedStore(clock);
+  if (era !== undefined) store.setEra(era);
   const unavailableStore = createMemoryLeasedStore(clock);
   unavailableStore.faults.failWith = 'unavailable';
   const hosts = Array.from({ length: count }, (_, index) => (
--- a/fleet/random_faults_test.ts
+++ b/fleet/random_faults_test.ts
@@ -11,6 +11,8 @@
 /** More seeds are run by hand: FIRST_SEED=1 SEEDS=200. */
 const FIRST_SEED = Number(process.env.FIRST_SEED ?? 1);
 const SEEDS = Number(process.env.SEEDS ?? 12);
+/** Two instances held a key in this run when the store was restored and nodes did not notice. */
+const RESTORE_SEED = 47;
 const HOSTS = 4;
 const STEPS = 24;
 const LONG_STEP_ODDS = 6;
@@ -85,12 +87,12 @@
 };
 
 test('no key ever has two holders, and all keys are held again after the faults end', async () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+  const seeds = Array.from({ length: SEEDS }, (_, index) => FIRST_SEED + index);
+  for (const seed of [...seeds, RESTORE_SEED]) {
     const random = createRandom(seed);
-    const cluster = createTestCluster(HOSTS);
-    const copies: AgedCopy[] = [];
     // Eras may be counted from 0 or 1.
-    cluster.store.setEra(seed % 2);
+    const cluster = createTestCluster(HOSTS, seed % 2);
+    const copies: AgedCopy[] = [];
     try {
       await cluster.run(START_MS);
       for (let step = 0; step < STEPS; step += 1) {
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -74,7 +74,7 @@
   } = options;
   const logger = options.logger.forComponent('ranges');
   const {
-    plan, stateOf, isReleasedLocally, ownersOf,
+    plan, observe, stateOf, isReleasedLocally, ownersOf,
   } = createRangePlanner({ ...options, logger });
   const decoded = new Map<string, { revision: number; record: RangeRecord | undefined }>();
   let isReconciling = false;
@@ -111,6 +111,7 @@
     }
     if (!recovery.isConfirmed(known?.record)) {
       if (!recovery.isViewCurrent()) return;
+      observe(recordOf(service)?.record ?? emptyRecord, service);
       await recovery.confirm(service, rankOf(ownersOf(service), node));
       return;
     }
