--- /dev/null
+++ b/directory/restored_store_test.ts
@@ -0,0 +1,154 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock, type FakeClock } from '../clock/mod.ts';
+import { createEraRight, createRightToGrant, RIGHT_TO_GRANT_MS } from '../ranges/mod.ts';
+import {
+  createMemoryLeasedStore, createStoreEras, followEras, type MemoryLeasedStore,
+} from '../store/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import {
+  createDepartureLog, createNodeRegistration, createStoreView, KEY_PREFIX, NODES_PREFIX,
+} from './mod.ts';
+
+const test = suite('directory in a restored store');
+
+const HOSTS = 200;
+/** Limits of the store for all hosts together. */
+const WRITES_PER_SECOND = 1200;
+const READS_PER_SECOND = 6000;
+
+type CallKind = 'read' | 'write';
+
+const countCalls = (store: MemoryLeasedStore, count: (kind: CallKind) => void) => {
+  const counted = <Values extends readonly unknown[], T>(
+    kind: CallKind,
+    call: (...values: Values) => T,
+  ) => (...values: Values) => {
+    count(kind);
+    return call(...values);
+  };
+  return {
+    ...store,
+    get: counted('read', store.get),
+    list: counted('read', store.list),
+    watch: counted('read', store.watch),
+    transact: counted('write', store.transact),
+    grantLease: counted('write', store.grantLease),
+    renewLease: counted('write', store.renewLease),
+  };
+};
+
+const startHost = (clock: FakeClock, raw: MemoryLeasedStore, node: string) => {
+  const eras = createStoreEras(clock);
+  const store = followEras(raw, eras);
+  const logger = noopLogger;
+  const view = createStoreView({
+    clock, store, prefix: KEY_PREFIX, logger, era: eras.current,
+  });
+  eras.onRise(view.restartWatch);
+  const stopping = new AbortController();
+  const own = createNodeRegistration({
+    clock,
+    store,
+    logger,
+    eras,
+    view,
+    right: createEraRight(createRightToGrant(clock, RIGHT_TO_GRANT_MS), eras),
+    entry: {
+      node,
+      startedAt: 1,
+      peerAddress: '127.0.0.1:1',
+      region: 'r',
+      failureDomain: 'd',
+      isStopping: false,
+      instance: undefined,
+    },
+  });
+  const departures = createDepartureLog({
+    clock, store, node, logger, eras,
+  });
+  departures.run(stopping.signal);
+  own.run(stopping.signal);
+  return {
+    view,
+    departures,
+    eras,
+    follow: () => view.follow(stopping.signal),
+    stop: () => stopping.abort(),
+  };
+};
+
+// Guards against hosts that notice a restore late, and against calls that all hosts make at once.
+test('200 hosts notice a restore within a second and stay within the limits', async () => {
+  const clock = createFakeClock();
+  const store = createMemoryLeasedStore(clock);
+  store.setEra(1);
+  const copy = store.copy();
+  const calls = { read: 0, write: 0 };
+  const counted = countCalls(store, (kind) => {
+    calls[kind] += 1;
+  });
+  const hosts = [];
+  for (let index = 0; index < HOSTS; index += 1) {
+    const host = startHost(clock, counted, `host-${index}`);
+    await clock.advance(5);
+    await host.departures.add({ instance: `i-${index}`, startedAt: 1, leftAt: 1 });
+    host.follow();
+    hosts.push(host);
+  }
+  await clock.advance(4000);
+  store.restore(copy);
+  for (let second = 0; second < 3; second += 1) {
+    Object.assign(calls, { read: 0, write: 0 });
+    await clock.advance(1000);
+    assert.ok(calls.write <= WRITES_PER_SECOND, `${calls.write} writes`);
+    assert.ok(calls.read <= READS_PER_SECOND, `${calls.read} reads`);
+    if (second === 0) assert.ok(hosts.every(({ eras }) => eras.current() === 2));
+  }
+  const listed = (await store.list(NODES_PREFIX))._unsafeUnwrap();
+  assert.is(listed.entries.length, HOSTS);
+  for (const { stop } of hosts) stop();
+});
+
+// Guards against a view that keeps entries, because the revisions of a restored store are lower.
+test('a view shows the older copy, and then what is written again', async () => {
+  const clock = createFakeClock();
+  const store = createMemoryLeasedStore(clock);
+  store.setEra(1);
+  const key = `${KEY_PREFIX}a`;
+  const put = (value: string) => store.transact({ expect: [], puts: [{ key, value }] });
+  await put('older');
+  const copy = store.copy();
+  const host = startHost(clock, store, 'host-1');
+  host.follow();
+  await put('newer');
+  await clock.advance(500);
+  assert.is(host.view.get(key)?.value, 'newer');
+  store.restore(copy);
+  await clock.advance(1300);
+  assert.is(host.view.get(key)?.value, 'older');
+  await put('again');
+  await clock.advance(300);
+  assert.is(host.view.get(key)?.value, 'again');
+  host.stop();
+});
+
+// Guards against an instance that a restarted node uses again, as its departure was lost.
+test('acknowledged departures are stored again', async () => {
+  const clock = createFakeClock();
+  const store = createMemoryLeasedStore(clock);
+  store.setEra(1);
+  const copy = store.copy();
+  const host = startHost(clock, store, 'host-1');
+  await clock.advance(100);
+  await host.departures.add({ instance: 'i-1', startedAt: 5, leftAt: 7 });
+  store.restore(copy);
+  await clock.advance(2000);
+  host.stop();
+  const restarted = startHost(clock, store, 'host-1');
+  await clock.advance(100);
+  assert.equal(restarted.departures.departures().map(({ instance }) => instance), ['i-1']);
+  restarted.stop();
+});
+
+test.run();
--- a/fleet/_era_services.ts
+++ b/fleet/_era_services.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { FleetView, NodeRegistration, StoreView } from '../directory/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
+import type { PlatformSettings } from '../platform/mod.ts';
 import {
   createEraRight, createRightToGrant, type EraRight, RIGHT_TO_GRANT_MS,
 } from '../ranges/mod.ts';
@@ -21,7 +22,7 @@
 );
 
 /** Registers the services that act when the store has been restored from an older copy. */
-export const registerEraServices = (kernel: Kernel) => {
+export const registerEraServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<StoreEras>({
     name: 'eras',
     needs: ['clock'],
@@ -60,6 +61,7 @@
         fleet: find<FleetView>('fleet'),
         logger: find<Logger>('logger'),
         waitMs: lostAfterMs(RIGHT_TO_GRANT_MS),
+        isFirstStart: settings.isFirstStart,
         isLocal: (service) => find<InstanceRegistry>('registry').local()?.service === service,
         onDeclaration: () => find<NodeRegistration>('own-entry').update(
           find<LocalNode>('self').entry(),
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -151,6 +151,7 @@
       logger: noopLogger,
       grantableMs: () => grantableMs(right, own, view),
       waitMs: lostAfterMs(RIGHT_TO_GRANT_MS),
+      isFirstStart: false,
       isLocal: (service) => registry.local()?.service === service,
       onDeclaration: () => own.update(entry()),
     });
--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -30,6 +30,8 @@
   readonly workMs?: number;
   /** Timeout of all routes in ms. */
   readonly timeoutMs?: number;
+  /** Era of the store; it has no eras by default. */
+  readonly storeEra?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -91,11 +93,12 @@
 export const startLoopbackFleet = async (
   services: readonly string[],
   {
-    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, reachStoreThrough,
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, storeEra, reachStoreThrough,
   }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
   const server = await startPlatformStore(clock);
+  if (storeEra !== undefined) server.store.setEra(storeEra);
   const publish = async (version: number, extraPrefix?: string) => {
     const key = 'op/config';
     const found = (await server.store.get(key))._unsafeUnwrap();
--- a/fleet/era_recovery.ts
+++ b/fleet/era_recovery.ts
@@ -54,6 +54,8 @@
   readonly logger: Logger;
   /** Time in ms after which every hold of the earlier era that no node has declared has ended. */
   readonly waitMs: number;
+  /** Reports whether this process was started with the fleet, before which no record existed. */
+  readonly isFirstStart: boolean;
   /** Reports whether this host has an instance of a service. */
   readonly isLocal: (service: string) => boolean;
   /** Called when the declaration of this node has changed. */
@@ -100,9 +102,11 @@
   let isContributing = false;
   let rewritten: string[] = [];
 
-  const isConfirmed: EraRecovery['isConfirmed'] = (stored) => (
-    !eras.isKnown() || isConfirmedIn(stored, eras.current(), eras.rises())
-  );
+  const isConfirmed: EraRecovery['isConfirmed'] = (stored) => {
+    if (!eras.isKnown()) return true;
+    const isFirstOfFleet = stored === undefined && options.isFirstStart && eras.rises() === 0;
+    return isFirstOfFleet || isConfirmedIn(stored, eras.current(), eras.rises());
+  };
 
   const readStored = (service: string): VersionedRecord | undefined => {
     const entry = view.get(rangesKey(service));
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -167,7 +167,7 @@
     }),
   });
   registerRequestServices(kernel, settings, () => callerService);
-  registerEraServices(kernel);
+  registerEraServices(kernel, settings);
   registerStateServices(kernel, settings, () => callerService);
   registerKeyServices(kernel, settings);
   await kernel.start();
