Undo late writes of an earlier era, and keep the operator's entries

A write sent before a restore can match a revision that was issued again and replace a confirmed record; the first owner, which had not seen the earlier era, would have confirmed it. Nodes now remember the confirmed record and write it again: the test of such a write failed without this (a key was held by nobody) and passes now. Entries of the operator that the copy lacks stay for 30 s in the view that follows op/, so that a contract or an evacuation does not end by itself before it is written again; an event of the removal ends them at once.

--- a/directory/restored_store_test.ts
+++ b/directory/restored_store_test.ts
@@ -133,6 +133,37 @@
   host.stop();
 });
 
+// Guards against an evacuation that ends by itself, as the operator's key is not in the copy.
+test('an entry that the restored store lacks is kept for a while or until removed', async () => {
+  const clock = createFakeClock();
+  const store = createMemoryLeasedStore(clock);
+  store.setEra(1);
+  const copy = store.copy();
+  const eras = createStoreEras(clock);
+  const view = createStoreView({
+    clock,
+    store: followEras(store, eras),
+    prefix: 'op/',
+    logger: noopLogger,
+    retainMs: 5000,
+    era: eras.current,
+  });
+  const stopping = new AbortController();
+  view.follow(stopping.signal);
+  const put = async (key: string) => store.transact({ expect: [], puts: [{ key, value: '{}' }] });
+  for (const key of ['op/a', 'op/b']) await put(key);
+  await clock.advance(500);
+  store.restore(copy);
+  await put('op/b');
+  await clock.advance(1000);
+  store.removeEntry('op/b');
+  await clock.advance(1000);
+  assert.equal([...view.entries()].map(({ key }) => key), ['op/a']);
+  await clock.advance(5000);
+  assert.equal([...view.entries()], []);
+  stopping.abort();
+});
+
 // Guards against an instance that a restarted node uses again, as its departure was lost.
 test('acknowledged departures are stored again', async () => {
   const clock = createFakeClock();
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -6,6 +6,7 @@
   type StoreEntry,
 } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { createRetainedEntries } from './_retained_entries.ts';
 import type { ViewHistory } from './view_history.ts';
 
 /** A local cache of the entries under a prefix of the store, kept up to date by a watch. */
@@ -57,6 +58,11 @@
   readonly watch?: LeasedStore['watch'];
   /** Returns the era of the store; the view lists all entries again when it has risen. */
   readonly era?: () => number;
+  /**
+   * Time in ms for which an entry stays that a restored store lacks, so that its writer can write
+   * it again; 0 by default.
+   */
+  readonly retainMs?: number;
   /** Records all changes, for peers that watch this view. */
   readonly history?: ViewHistory;
   /** Returns the maximum time in ms that the store holds the next watch open. */
@@ -104,6 +110,7 @@
   const listeners: ((change: ViewChange) => void)[] = [];
   /** Revision at which each key was removed, so that a delayed write cannot restore the entry. */
   const removalRevisions = new Map<string, number>();
+  const retained = createRetainedEntries(clock, options.retainMs ?? 0);
   let loaded = false;
   let connected = false;
   let viewRevision = 0;
@@ -155,6 +162,16 @@
     return entries.delete(key);
   };
 
+  /** Keeps an entry for a while, unless it changes meanwhile. */
+  const retain = (key: string): boolean => {
+    const revision = entries.get(key)?.revision;
+    const isKept = retained.keep(key, () => {
+      if (entries.get(key)?.revision === revision && entries.delete(key)) notify([key], false);
+    });
+    if (isKept) logger.warn({ key, revision }, 'keeping an entry that the restored store lacks');
+    return isKept;
+  };
+
   const load = async (): Promise<boolean> => {
     const listed = await store.list(prefix);
     if (listed.isErr()) return false;
@@ -163,8 +180,10 @@
     for (const entry of listed.value.entries) {
       if (putIfNewer(limitValue(entry))) changed.add(entry.key);
     }
+    const isRestored = loaded && eraOfRevision(viewRevision) < eraOfRevision(listed.value.at);
     for (const key of entries.keys()) {
-      if (!present.has(key) && removeIfNotNewer(key, listed.value.at)) changed.add(key);
+      if (present.has(key) || (isRestored && retain(key)) || retained.has(key)) continue;
+      if (removeIfNotNewer(key, listed.value.at)) changed.add(key);
     }
     viewRevision = listed.value.at;
     loaded = true;
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -49,6 +49,8 @@
 /** Maximum wait of a node that also learns from its relays of a new contract. */
 const RELAYED_CONTRACT_WAIT_MS = 25_000;
 const CONTRACT_PAUSE_MS = 30;
+/** A restored store is up to 30 s old; the operator writes again what it has lost. */
+const RETAIN_MS = 30_000;
 /** Connections in addition to one per slot, to replace those that are closing. */
 const SPARE_CONNECTIONS = 4;
 
@@ -168,6 +170,7 @@
         ),
         marginMs: CONTRACT_MARGIN_MS,
         pauseMs: () => CONTRACT_PAUSE_MS,
+        retainMs: RETAIN_MS,
         era: find<StoreEras>('eras').current,
       });
       find<StoreEras>('eras').onRise(view.restartWatch);
--- a/fleet/era_recovery.ts
+++ b/fleet/era_recovery.ts
@@ -23,6 +23,8 @@
   readonly isConfirmed: (stored: RangeRecord | undefined) => boolean;
   /** Reports whether this node may grant its rows of a record that is not confirmed. */
   readonly isTrusted: (service: string) => boolean;
+  /** Remembers a confirmed record, as a late write of an earlier era may replace it. */
+  readonly note: (service: string, stored: VersionedRecord) => void;
   /** The newer of a stored record and the one that this node remembers, if it is not confirmed. */
   readonly newestOf: (
     service: string,
@@ -91,7 +93,7 @@
     clock, store, eras, right, view, fleet,
   } = options;
   const logger = options.logger.forComponent('era');
-  /** Newest records known when the era rose; a confirmed one replaces them. */
+  /** Newest known records; a confirmed one replaces that of an earlier era. */
   const remembered = new Map<string, VersionedRecord>();
   const confirmableSince = new Map<string, number>();
   let awaited: readonly NodeEntry[] = [];
@@ -230,18 +232,24 @@
     isViewCurrent,
     isConfirmed,
     isTrusted,
+    note: (service, stored) => {
+      if (eras.isKnown() && isConfirmed(stored.record)) remembered.set(service, stored);
+    },
     newestOf: (service, stored) => {
       const known = remembered.get(service);
-      if (known === undefined) return stored;
-      if (isConfirmed(stored?.record)) {
-        remembered.delete(service);
-        return stored;
-      }
+      if (known === undefined || isConfirmed(stored?.record)) return stored;
       return isNewerRecord(known.record, stored?.record) ? known : stored;
     },
     contribute,
     confirm: async (service, rank) => {
-      const record = readStored(service)?.record ?? emptyRecord;
+      const stored = readStored(service)?.record;
+      const known = remembered.get(service)?.record;
+      // A late write of an earlier era may have replaced a confirmed record.
+      if (known !== undefined && isConfirmed(known) && isNewerRecord(known, stored)) {
+        await write(service, known, 'record');
+        return;
+      }
+      const record = stored ?? emptyRecord;
       if (!mayConfirm(service, record)) {
         confirmableSince.delete(service);
         return;
--- a/fleet/era_recovery_test.ts
+++ b/fleet/era_recovery_test.ts
@@ -172,6 +172,28 @@
   });
 }
 
+// Guards against a write that was sent before the restore and whose condition, a revision that was
+// issued again, happens to match.
+test('a late write of the earlier era is undone', async () => {
+  const cluster = await startCluster();
+  const { store, hosts } = cluster;
+  const key = rangesKey('ledger');
+  const { value } = (await store.get(key))._unsafeUnwrap()!;
+  hosts[1]!.drain();
+  await cluster.run(4000);
+  store.restore(store.copy());
+  await cluster.run(2000);
+  const before = holdersOf(cluster);
+  // The first owner has not seen the earlier era.
+  hosts[0]!.killNode();
+  hosts[0]!.startNode();
+  await cluster.run(TAKEOVER_MS);
+  await store.transact({ expect: [], puts: [{ key, value }] });
+  assert.is(await runAndWatch(cluster, 3000), 1);
+  assert.equal(holdersOf(cluster), before);
+  assert.is((await recordOf(cluster))?.era, 2);
+});
+
 test('responses are lost at the moment of the restore', async () => {
   const cluster = await startCluster();
   const { store, hosts } = cluster;
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -85,8 +85,10 @@
     if (entry === undefined) return undefined;
     let known = decoded.get(service);
     if (known?.revision !== entry.revision) {
-      known = { revision: entry.revision, record: decodeRecord(entry.value) };
+      const record = decodeRecord(entry.value);
+      known = { revision: entry.revision, record };
       decoded.set(service, known);
+      if (record !== undefined) recovery.note(service, { record, version: entry.revision });
     }
     return known.record && { record: known.record, version: known.revision };
   };
