Read the entry of a node after a lost reply before it is written again

While replies of writes were lost, each node wrote its entry again every 20 ms, although each write had taken effect: in a drill at the same moment four hosts made 1,386 calls in 5 s, which 200 hosts would multiply beyond the limits of the store. The entry is now read after a write without a reply, and taken as written if it has the new value and another revision.

--- a/directory/node_registration.ts
+++ b/directory/node_registration.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { StoreError } from '../errors/mod.ts';
-import type { RightToGrant } from '../ranges/mod.ts';
+import type { ClockReading, RightToGrant } from '../ranges/mod.ts';
 import type { LeasedStore, StoreEras } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { decodeNodeEntry, type NodeEntry } from './node_entry.ts';
@@ -117,6 +117,27 @@
     return isCurrent;
   };
 
+  const noteWritten = (written: number, text: string, sent: ClockReading) => {
+    if (storedValue === undefined || revision === 0) createdRevision = written;
+    revision = written;
+    storedValue = text;
+    hasWritten = true;
+    confirmedAtMs = sent.at;
+    right.confirm(sent);
+    options.view?.apply({ key, revision, value: text });
+    logger.info({ lease, revision }, 'wrote the entry of this node');
+  };
+
+  /** Reads the entry after a write without a reply; returns whether the write took effect. */
+  const readAttempt = async (text: string): Promise<boolean> => {
+    const sent = right.readClocks();
+    const found = await store.get(key);
+    const isWritten = found.isOk() && found.value?.value === text
+      && found.value.revision !== revision;
+    if (isWritten) noteWritten(found.value.revision, text, sent);
+    return isWritten;
+  };
+
   const writeEntry = async (): Promise<boolean> => {
     const text = desiredValue;
     const sent = right.readClocks();
@@ -125,16 +146,11 @@
     });
     updateReachability(result.isErr() ? result.error : undefined);
     if (result.isOk()) {
-      if (storedValue === undefined || revision === 0) createdRevision = result.value;
-      revision = result.value;
-      storedValue = text;
-      hasWritten = true;
-      confirmedAtMs = sent.at;
-      right.confirm(sent);
-      options.view?.apply({ key, revision, value: text });
-      logger.info({ lease, revision }, 'wrote the entry of this node');
+      noteWritten(result.value, text, sent);
       return true;
     }
+    // Another write for each lost reply would go on for as long as replies are lost.
+    if (result.error.kind === 'unknown' && await readAttempt(text)) return true;
     if (result.error.kind === 'lease-ended') lease = undefined;
     else await readEntry();
     return false;
