Forget released rows when a newer record lacks them

A row that an instance had released stayed marked when its move was cancelled and it was merged with its neighbour. When the merged row had been granted and a later move split it at the same bounds, the node handed the row over while its instance held it. Marks of rows that a confirmed newer record lacks are dropped, since the writes that released them depended on an earlier revision.

--- a/fleet/era_recovery_test.ts
+++ b/fleet/era_recovery_test.ts
@@ -11,7 +11,7 @@
 /** Above the time after which the keys of a lost host move: its lease, its right and margins. */
 const TAKEOVER_MS = 20_000;
 const TOKENS_PER_ERA = 2 ** 32;
-/** Calls of a host in the seconds of a drill: lists, leases, entries, renewals and watches. */
+/** Calls of a host in the 2 s and more of a drill; the store takes 36 a second from each of 200. */
 const MAX_CALLS = 50;
 
 const startCluster = async () => {
--- a/fleet/random_faults_test.ts
+++ b/fleet/random_faults_test.ts
@@ -11,8 +11,11 @@
 /** More seeds are run by hand: FIRST_SEED=1 SEEDS=200. */
 const FIRST_SEED = Number(process.env.FIRST_SEED ?? 1);
 const SEEDS = Number(process.env.SEEDS ?? 12);
-/** Two instances held a key in this run when the store was restored and nodes did not notice. */
-const RESTORE_SEED = 47;
+/**
+ * Two instances held a key in these runs: nodes did not notice that the store was restored, or a
+ * row had the bounds of one that was released before its move was cancelled.
+ */
+const FOUND_SEEDS = [47, 933];
 const HOSTS = 4;
 const STEPS = 24;
 const LONG_STEP_ODDS = 6;
@@ -88,7 +91,7 @@
 
 test('no key ever has two holders, and all keys are held again after the faults end', async () => {
   const seeds = Array.from({ length: SEEDS }, (_, index) => FIRST_SEED + index);
-  for (const seed of [...seeds, RESTORE_SEED]) {
+  for (const seed of [...seeds, ...FOUND_SEEDS]) {
     const random = createRandom(seed);
     // Eras may be counted from 0 or 1.
     const cluster = createTestCluster(HOSTS, seed % 2);
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -80,6 +80,17 @@
   let isReconciling = false;
   let isRerunNeeded = false;
 
+  /**
+   * Forgets released rows that a newer record lacks. The writes that released them were on
+   * condition of an earlier revision, and a row of the same bounds may be granted and held later.
+   */
+  const forgetReleased = (record: RangeRecord, service: string) => {
+    const { released } = stateOf(service);
+    if (released.size === 0) return;
+    const ownRows = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
+    for (const row of released) if (!ownRows.has(row)) released.delete(row);
+  };
+
   const storedOf: RangeController['recordOf'] = (service) => {
     const entry = view.get(rangesKey(service));
     if (entry === undefined) return undefined;
@@ -88,7 +99,10 @@
       const record = decodeRecord(entry.value);
       known = { revision: entry.revision, record };
       decoded.set(service, known);
-      if (record !== undefined) recovery.note(service, { record, version: entry.revision });
+      if (record !== undefined && recovery.isConfirmed(record)) {
+        recovery.note(service, { record, version: entry.revision });
+        forgetReleased(record, service);
+      }
     }
     return known.record && { record: known.record, version: known.revision };
   };
@@ -152,8 +166,7 @@
       }, 'changed the range record');
       options.onRowsChanged?.(changed, reason);
       view.apply({ key, revision: result.value, value });
-      const ownRows = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
-      for (const row of state.released) if (!ownRows.has(row)) state.released.delete(row);
+      forgetReleased(record, service);
       return;
     }
     logger.warn({ service, reason: result.error.message }, 'failed to change the range record');
