Merge eras of the store

A store that is restored from an older copy is noticed by its era, and what the nodes know is brought back before anyone plans from the restored records. The view of the operator's keys keeps for 30 s what the restored store lacks, evacuations included; owners of an evacuated domain release their keys once the record is confirmed. A relay whose history is too short for a follower of an earlier era names its own revision. The random faults mix restores with evacuations.

--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -1,7 +1,7 @@
 /** Service discovery: the nodes and instances of the fleet, as registered in the store. */
 export {
   decodeNodeEntry, type DirectoryInstance, type InstanceState, MAX_ENTRY_LENGTH, MAX_SLOTS,
-  type NodeEntry,
+  type NodeEntry, type StoreEraState,
 } from './node_entry.ts';
 export {
   createDepartureLog, type Departure, type DepartureLog, type DepartureLogOptions,
@@ -12,9 +12,8 @@
 export {
   departuresKey, NODES_PREFIX, nodeKey, KEY_PREFIX, RANGES_PREFIX, rangesKey,
 } from './store_keys.ts';
-export {
-  createStoreView, type StoreView, type StoreViewOptions, type ViewChange,
-} from './store_view.ts';
+export { createStoreView, type StoreView, type ViewChange } from './store_view.ts';
+export type { StoreViewOptions } from './store_view_options.ts';
 export { createEvacuations, type Evacuations, type EvacuationsOptions } from './evacuations.ts';
 export { createFleetMembership, type FleetMembershipOptions } from './fleet_membership.ts';
 export { createPauseGuard, type PauseGuard, type PauseGuardOptions } from './pause_guard.ts';
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -1,11 +1,11 @@
 import { once } from 'node:events';
-import type { Clock } from '../clock/mod.ts';
 import type { ClockReading } from '../ranges/mod.ts';
-import type {
-  EntryChanges, LeasedStore, LongPollOptions, RemovedEntry, StoreEntry,
+import {
+  type EntryChanges, eraOfRevision, type LeasedStore, type LongPollOptions, type RemovedEntry,
+  type StoreEntry,
 } from '../store/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
-import type { ViewHistory } from './view_history.ts';
+import { createRetainedEntries } from './_retained_entries.ts';
+import type { StoreViewOptions } from './store_view_options.ts';
 
 /** A local cache of the entries under a prefix of the store, kept up to date by a watch. */
 export interface StoreView {
@@ -52,29 +52,6 @@
   readonly mayMissChanges: boolean;
 }
 
-/** Options for `createStoreView`. */
-export interface StoreViewOptions {
-  readonly clock: Clock;
-  readonly store: LeasedStore;
-  readonly prefix: string;
-  readonly logger: Logger;
-  /** Watch to use instead of the store's own, for example one relayed by a peer. */
-  readonly watch?: LeasedStore['watch'];
-  /** Records all changes, for peers that watch this view. */
-  readonly history?: ViewHistory;
-  /** Returns the maximum time in ms that the store holds the next watch open. */
-  readonly waitMs?: () => number;
-  /** Time in ms past the wait after which a watch fails; by default, that of the store's client. */
-  readonly marginMs?: number;
-  /** Returns the delay in ms after a watch, so that a burst of changes costs a single call. */
-  readonly pauseMs?: () => number;
-  /**
-   * Returns the largest length of the value of a key, in characters; unlimited by default. Of a
-   * longer value, which another writer left, an empty one is kept.
-   */
-  readonly maxValueLength?: (key: string) => number;
-}
-
 /**
  * The platform charges for a watch when it returns, so longer waits cost less. A connection that
  * stopped responding is detected only after this time, unless another one does so first.
@@ -107,6 +84,7 @@
   const listeners: ((change: ViewChange) => void)[] = [];
   /** Revision at which each key was removed, so that a delayed write cannot restore the entry. */
   const removalRevisions = new Map<string, number>();
+  const retained = createRetainedEntries(clock, options.retainMs ?? 0);
   let loaded = false;
   let connected = false;
   let viewRevision = 0;
@@ -159,6 +137,16 @@
     return entries.delete(key);
   };
 
+  /** Keeps an entry for a while, unless it changes meanwhile. */
+  const retain = (key: string): boolean => {
+    const revision = entries.get(key)?.revision;
+    const isKept = retained.keep(key, () => {
+      if (entries.get(key)?.revision === revision && entries.delete(key)) notify([key], false);
+    });
+    if (isKept) logger.warn({ key, revision }, 'keeping an entry that the restored store lacks');
+    return isKept;
+  };
+
   const load = async (): Promise<boolean> => {
     const listed = await store.list(prefix);
     if (listed.isErr()) return false;
@@ -167,8 +155,10 @@
     for (const entry of listed.value.entries) {
       if (putIfNewer(limitValue(entry))) changed.add(entry.key);
     }
+    const isRestored = loaded && eraOfRevision(viewRevision) < eraOfRevision(listed.value.at);
     for (const key of entries.keys()) {
-      if (!present.has(key) && removeIfNotNewer(key, listed.value.at)) changed.add(key);
+      if (present.has(key) || (isRestored && retain(key)) || retained.has(key)) continue;
+      if (removeIfNotNewer(key, listed.value.at)) changed.add(key);
     }
     viewRevision = listed.value.at;
     changedRevision = Math.max(changedRevision, viewRevision);
@@ -226,6 +216,7 @@
     let needsReload = true;
     while (!signal.aborted) {
       let hasWaited = false;
+      needsReload ||= eraOfRevision(viewRevision) < (options.era?.() ?? 0);
       if (needsReload) {
         needsReload = !await load();
         setConnected(!needsReload, 'listing the entries failed');
--- a/fleet/_key_services.ts
+++ b/fleet/_key_services.ts
@@ -11,6 +11,7 @@
 import type { LeasedStore } from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import type { ColdInstance } from './cold_instance.ts';
+import type { EraRecovery } from './era_recovery.ts';
 import type { ContractSource } from './contract_source.ts';
 import type { EvacuationRules } from './evacuation_rules.ts';
 import type { InstanceRegistry } from './instance_registry.ts';
@@ -59,7 +60,7 @@
     needs: [
       'succession',
       'clock', 'store', 'view', 'fleet', 'registry', 'ledger', 'right', 'own-entry', 'logger',
-      'contracts', 'collector', 'metrics', 'rules',
+      'contracts', 'collector', 'metrics', 'rules', 'recovery',
     ],
     start: (find) => ({
       service: createRangeController({
@@ -75,6 +76,7 @@
           find<NodeRegistration>('own-entry'),
           find<StoreView>('view'),
         ),
+        recovery: find<EraRecovery>('recovery'),
         logger: find<Logger>('logger'),
         isKeyed: find<ContractSource>('contracts').isKeyed,
         keyedServices: find<ContractSource>('contracts').keyedServices,
--- a/fleet/_operator_services.ts
+++ b/fleet/_operator_services.ts
@@ -5,7 +5,7 @@
 } from '../directory/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { decodeEvacuatedDomain, OPERATOR_PREFIX, type PlatformSettings } from '../platform/mod.ts';
-import type { LeasedStore } from '../store/mod.ts';
+import type { LeasedStore, StoreEras } from '../store/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { fetchPeerChanges } from './changes_message.ts';
 import { createEvacuationRules, type EvacuationRules } from './evacuation_rules.ts';
@@ -21,6 +21,8 @@
 /** Maximum wait of a node that also learns from its relays of a change by the operator. */
 const RELAYED_WATCH_WAIT_MS = 25_000;
 const WATCH_PAUSE_MS = 30;
+/** A restored store is up to 30 s old; the operator writes again what it has lost. */
+const RETAIN_MS = 30_000;
 
 const listPeers = (fleet: FleetView, self: string) => [...fleet.present().values()]
   .filter(({ node, isStopping }) => node !== self && !isStopping)
@@ -30,9 +32,9 @@
 export const registerOperatorServices = (kernel: Kernel, settings: PlatformSettings) => {
   kernel.register<StoreView>({
     name: 'operator-view',
-    needs: ['clock', 'store', 'logger', 'relay-answers', 'fleet'],
-    start: (find) => ({
-      service: createStoreView({
+    needs: ['clock', 'store', 'eras', 'logger', 'relay-answers', 'fleet'],
+    start: (find) => {
+      const service = createStoreView({
         clock: find<Clock>('clock'),
         store: find<LeasedStore>('store'),
         watch: askPeersOnFailure(find<LeasedStore>('store').watch, {
@@ -54,8 +56,12 @@
         ),
         marginMs: WATCH_MARGIN_MS,
         pauseMs: () => WATCH_PAUSE_MS,
-      }),
-    }),
+        retainMs: RETAIN_MS,
+        era: find<StoreEras>('eras').current,
+      });
+      find<StoreEras>('eras').onRise(service.restartWatch);
+      return { service };
+    },
   });
 
   kernel.register<PauseGuard>({
--- a/fleet/_range_planner.ts
+++ b/fleet/_range_planner.ts
@@ -47,6 +47,8 @@
 /** Computes the desired range record of a service. */
 export interface RangePlanner {
   readonly plan: (before: RangeRecord, service: string) => RangePlan;
+  /** Starts the waits for the owners in a record whose entries are missing. */
+  readonly observe: (record: RangeRecord, service: string) => void;
   readonly stateOf: (service: string) => ServiceState;
   /** Reports whether it is proven that the owner of a row, on this host, no longer holds it. */
   readonly isReleasedLocally: (row: RangeRow, state: ServiceState) => boolean;
@@ -86,6 +88,11 @@
 /** Minimum interval between two plans of moves; load reports are collected once a second. */
 const PLAN_INTERVAL_MS = 900;
 
+/** Returns the time in ms after which the holds of a node have ended whose entry is missing. */
+export const lostAfterMs = (rightMs: number): number => (
+  rightMs * CLOCK_DRIFT_FACTOR + WATCH_LAG_MARGIN_MS
+);
+
 /** Returns a string that identifies one row, under one owner, within its service. */
 export const rowKey = ({ from, to, token }: RangeRow): string => `${from}-${to}-${token}`;
 
@@ -152,10 +159,10 @@
     return registry.silentMs() > options.maxHoldMs && grantTracker.remainingHoldMs() === 0;
   };
 
-  const lostAfterMs = options.rightMs * CLOCK_DRIFT_FACTOR + WATCH_LAG_MARGIN_MS;
+  const takeoverMs = lostAfterMs(options.rightMs);
   const isOfLostNode = ({ owner }: RangeRow, { absences }: ServiceState) => {
     if (owner === undefined || owner.node === node) return false;
-    return absences.absentMs(owner.node) > lostAfterMs
+    return absences.absentMs(owner.node) > takeoverMs
       || isReplaced(fleet, owner.node, options.namesService);
   };
 
@@ -229,6 +236,10 @@
   };
 
   return {
-    plan, stateOf, isReleasedLocally, ownersOf,
+    plan,
+    observe: (record, service) => observeAbsences(record, stateOf(service)),
+    stateOf,
+    isReleasedLocally,
+    ownersOf,
   };
 };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -7,8 +7,10 @@
 import type { ResponseSilence } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { createPlatformStore, type PlatformSettings } from '../platform/mod.ts';
-import { createRightToGrant, RIGHT_TO_GRANT_MS, type RightToGrant } from '../ranges/mod.ts';
-import { type LeasedStore, abortStaleWatches } from '../store/mod.ts';
+import type { RightToGrant } from '../ranges/mod.ts';
+import {
+  abortStaleWatches, followEras, type LeasedStore, type StoreEras,
+} from '../store/mod.ts';
 import type { Logger, NodeMetrics } from '../telemetry/mod.ts';
 import { fetchPeerChanges } from './changes_message.ts';
 import { type ContractSource, createContractSource } from './contract_source.ts';
@@ -16,6 +18,8 @@
 import type { ColdInstance } from './cold_instance.ts';
 import { createPortOpener } from './_instance_connections.ts';
 import { createInstanceRegistry, type InstanceRegistry } from './instance_registry.ts';
+import { isSettling } from './_era_services.ts';
+import type { EraRecovery } from './era_recovery.ts';
 import { isConnectionRefused } from './_is_connection_refused.ts';
 import {
   createRelayActivity, createRelayAnswers, createRelayedChanges, type RelayActivity,
@@ -46,7 +50,7 @@
 ) => {
   kernel.register<LeasedStore>({
     name: 'store',
-    needs: ['clock', 'metrics', 'logger'],
+    needs: ['clock', 'metrics', 'logger', 'eras'],
     start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const logger = find<Logger>('logger').forComponent('store');
@@ -58,7 +62,7 @@
           summary.record(call, outcome);
         },
       });
-      const service = abortStaleWatches(store, {
+      const service = abortStaleWatches(followEras(store, find<StoreEras>('eras')), {
         onAbort: (watches) => logger.info({ watches }, 'restarting watches after an outage'),
       });
       const stop = () => {
@@ -89,7 +93,7 @@
 
   kernel.register<StoreView>({
     name: 'view',
-    needs: ['clock', 'store', 'logger', 'view-history', 'relay-activity', 'relay-answers'],
+    needs: ['clock', 'store', 'eras', 'logger', 'view-history', 'relay-activity', 'relay-answers'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
@@ -105,6 +109,7 @@
         direct: store.watch,
         fetchChanges: fetchPeerChanges,
         isAsked: find<RelayActivity>('relay-activity').isAsked,
+        isStoreRestored: () => isSettling(find<StoreEras>('eras'), clock),
         onNoRelay: () => {
           find<RelayAnswers>('relay-answers').clear();
           if (kernel.isRunning('contracts')) find<ContractSource>('contracts').restartWatch();
@@ -126,12 +131,14 @@
         prefix: KEY_PREFIX,
         logger,
         watch,
+        era: find<StoreEras>('eras').current,
         history: find<ViewHistory>('view-history'),
         pauseMs: () => (
           find<RelayActivity>('relay-activity').isAsked() ? RELAY_PAUSE_MS : VIEW_PAUSE_MS
         ),
         maxValueLength: (key) => (key.startsWith(RANGES_PREFIX) ? Infinity : MAX_ENTRY_LENGTH),
       });
+      find<StoreEras>('eras').onRise(view.restartWatch);
       return { service: view, stop: runUntilStop(view.follow, { clock, logger, part: 'view' }) };
     },
   });
@@ -166,24 +173,24 @@
     },
   });
 
-  kernel.register<RightToGrant>({
-    name: 'right',
-    needs: ['clock'],
-    start: (find) => ({
-      service: createRightToGrant(find<Clock>('clock'), RIGHT_TO_GRANT_MS),
-    }),
-  });
-
   kernel.register<InstanceRegistry>({
     name: 'registry',
-    needs: ['clock', 'store', 'logger', 'contracts', 'cold-instance', 'response-silence'],
+    needs: [
+      'clock', 'store', 'eras', 'logger', 'contracts', 'cold-instance', 'response-silence',
+      'metrics',
+    ],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const cold = find<ColdInstance>('cold-instance');
       const silence = find<ResponseSilence>('response-silence');
       const departureLog = createDepartureLog({
-        clock, store: find<LeasedStore>('store'), node: settings.node, logger,
+        clock,
+        store: find<LeasedStore>('store'),
+        node: settings.node,
+        logger,
+        eras: find<StoreEras>('eras'),
+        onRewrite: () => find<NodeMetrics>('metrics').recordRewrite('departures'),
       });
       const { namesService } = find<ContractSource>('contracts');
       const registry = trackColdStarts(clock, createInstanceRegistry({
@@ -222,6 +229,10 @@
             failureDomain: settings.failureDomain,
             isStopping,
             instance: registry.describe(),
+            // The recovery starts later; the era has not risen before.
+            storeEra: kernel.isRunning('recovery')
+              ? find<EraRecovery>('recovery').declaration()
+              : undefined,
           }),
           setStopping: () => {
             isStopping = true;
@@ -234,7 +245,7 @@
 
   kernel.register<NodeRegistration>({
     name: 'own-entry',
-    needs: ['clock', 'store', 'logger', 'right', 'self', 'view', 'registry'],
+    needs: ['clock', 'store', 'eras', 'logger', 'right', 'self', 'view', 'registry'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
@@ -244,6 +255,7 @@
         store: find<LeasedStore>('store'),
         logger,
         right: find<RightToGrant>('right'),
+        eras: find<StoreEras>('eras'),
         entry: localNode.entry(),
         view: find<StoreView>('view'),
         onFormerEntry: ({ instance }) => {
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -6,64 +6,27 @@
 import {
   type Announcement,
   type AnnouncementAnswer,
+  createEraRight,
   createGrantTracker,
   createRightToGrant,
   overlaps,
   RIGHT_TO_GRANT_MS,
 } from '../ranges/mod.ts';
-import { createMemoryLeasedStore, type LeasedStore, type MemoryLeasedStore } from '../store/mod.ts';
+import {
+  createMemoryLeasedStore, createStoreEras, type EraReportingStore, followEras,
+  type MemoryLeasedStore,
+} from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { createEraRecovery, type EraRecovery } from './era_recovery.ts';
 import { createInstanceRegistry } from './instance_registry.ts';
 import { createRangeController, grantableMs } from './range_controller.ts';
+import { lostAfterMs } from './_range_planner.ts';
 import { createEvacuator, createTestRules } from './_test_evacuation.ts';
+import type { TestCluster, TestClusterOptions, TestHost } from './_test_cluster_types.ts';
 import { createTestInstance, type TestInstance } from './_test_instance.ts';
-import { countWrites, createTestHostStore, type WriteCounts } from './_test_store.ts';
+import { countWrites, createTestHostStore } from './_test_store.ts';
 
-/** A simulated host: a node and its instance. */
-export interface TestHost {
-  readonly node: string;
-  readonly instance: () => TestInstance;
-  /** Kills the node; the instance keeps running. */
-  readonly killNode: () => void;
-  readonly startNode: () => void;
-  /** Kills the instance; its address refuses connections afterwards. */
-  readonly killInstance: () => void;
-  readonly startInstance: () => void;
-  readonly drain: () => void;
-  /** Partitions the node from the store, or ends the partition. */
-  readonly setStorePartitioned: (isPartitioned: boolean) => void;
-  /** Changes the host's address from the next start of its node on. */
-  readonly changeAddress: (peerAddress: string) => void;
-  /** Delivers an announcement of another writer to the node. */
-  readonly announce: (announcement: Announcement) => AnnouncementAnswer | undefined;
-  /** Drops the announcements of the instance, or delivers them again. */
-  readonly setAnnouncementsDropped: (isDropped: boolean) => void;
-}
-
-/** Options of simulated hosts. */
-export interface TestClusterOptions {
-  /** Number of failure domains, `d0` and so on, over which the hosts are spread in turn. */
-  readonly failureDomains?: number;
-  /** Time in ms that a call to the store takes each way. */
-  readonly storeDelayMs?: number;
-}
-
-/** Simulated hosts that share one store, with a check that no key has two holders. */
-export interface TestCluster {
-  readonly clock: FakeClock;
-  readonly store: MemoryLeasedStore;
-  readonly hosts: readonly TestHost[];
-  /** Advances the time in steps; throws when two instances hold the same key. */
-  readonly run: (durationMs: number) => Promise<void>;
-  /** Kills all nodes. */
-  readonly stop: () => void;
-  /** Fraction of the keys that are held by an instance. */
-  readonly heldFraction: () => number;
-  /** Begins or ends evacuations, as an operator does. */
-  readonly setEvacuated: ReturnType<typeof createEvacuator>;
-  /** Numbers of transactions that took effect and that met a conflict. */
-  readonly writes: () => WriteCounts;
-}
+export type { TestCluster, TestClusterOptions, TestHost } from './_test_cluster_types.ts';
 
 export const MAX_HOLD_MS = 10_000;
 const ANNOUNCE_INTERVAL_MS = 870;
@@ -80,7 +43,7 @@
 
 const createHost = (
   clock: FakeClock,
-  shared: LeasedStore,
+  shared: EraReportingStore,
   unavailableStore: MemoryLeasedStore,
   index: number,
   { failureDomains = 1, storeDelayMs = 0 }: TestClusterOptions,
@@ -97,21 +60,23 @@
 
   const startNode = () => {
     const stopping = new AbortController();
-    const store = createTestHostStore({
+    const eras = createStoreEras(clock);
+    const store = followEras(createTestHostStore({
       clock,
       shared,
       unavailableStore,
       isUnavailable: () => isStorePartitioned || stopping.signal.aborted,
       delayMs: storeDelayMs,
-    });
+    }), eras);
     const { operatorView, rules } = createTestRules(clock, store, failureDomain);
     const view = createStoreView({
-      clock, store, prefix: KEY_PREFIX, logger: noopLogger,
+      clock, store, prefix: KEY_PREFIX, logger: noopLogger, era: eras.current,
     });
+    eras.onRise(view.restartWatch);
     const fleet = createFleetView({ clock, view });
-    const right = createRightToGrant(clock, RIGHT_TO_GRANT_MS);
+    const right = createEraRight(createRightToGrant(clock, RIGHT_TO_GRANT_MS), eras);
     const departureLog = createDepartureLog({
-      clock, store, node, logger: noopLogger,
+      clock, store, node, logger: noopLogger, eras,
     });
     const registry = createInstanceRegistry({
       departureLog,
@@ -128,6 +93,7 @@
       isConnectionRefused: async () => refusesConnections,
     });
     const startedAt = clock.wallTime();
+    let recovery: EraRecovery | undefined;
     const entry = (): NodeEntry => ({
       node,
       startedAt,
@@ -136,6 +102,7 @@
       failureDomain,
       isStopping: false,
       instance: registry.describe(),
+      storeEra: recovery?.declaration(),
     });
     const own = createNodeRegistration({
       clock,
@@ -144,12 +111,28 @@
       right,
       entry: entry(),
       view,
+      eras,
       onFormerEntry: ({ instance: former }) => {
         if (former !== undefined) registry.restore(former);
       },
     });
     registry.onChange(() => own.update(entry()));
+    recovery = createEraRecovery({
+      clock,
+      store,
+      eras,
+      right,
+      view,
+      fleet,
+      logger: noopLogger,
+      grantableMs: () => grantableMs(right, own, view),
+      waitMs: lostAfterMs(RIGHT_TO_GRANT_MS),
+      isFirstStart: false,
+      isLocal: (service) => registry.local()?.service === service,
+      onDeclaration: () => own.update(entry()),
+    });
     const controller = createRangeController({
+      recovery,
       clock,
       node,
       store,
@@ -247,6 +230,7 @@
 ): TestCluster => {
   const clock = createFakeClock();
   const store = createMemoryLeasedStore(clock);
+  if (options.era !== undefined) store.setEra(options.era);
   const { counted, writes } = countWrites(store);
   const unavailableStore = createMemoryLeasedStore(clock);
   unavailableStore.faults.failWith = 'unavailable';
--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -34,6 +34,8 @@
   readonly coldMs?: number;
   /** Bound in ms of an evacuation; by default, the platform evacuates no failure domain. */
   readonly evacuationMs?: number;
+  /** Era of the store; it has no eras by default. */
+  readonly storeEra?: number;
   /** Returns the address through which the first host reaches the store. */
   readonly reachStoreThrough?: (address: string) => Promise<string>;
 }
@@ -95,12 +97,13 @@
 export const startLoopbackFleet = async (
   services: readonly string[],
   {
-    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, coldMs, evacuationMs,
+    logger = noopLogger, workMs, timeoutMs = DEFAULT_TIMEOUT_MS, coldMs, evacuationMs, storeEra,
     reachStoreThrough,
   }: LoopbackFleetOptions = {},
 ): Promise<LoopbackFleet> => {
   const clock = createSystemClock();
   const server = await startPlatformStore(clock);
+  if (storeEra !== undefined) server.store.setEra(storeEra);
   const publish = async (version: number, extraPrefix?: string) => {
     const key = 'op/config';
     const found = (await server.store.get(key))._unsafeUnwrap();
--- a/fleet/_test_store.ts
+++ b/fleet/_test_store.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
-import type { LeasedStore, MemoryLeasedStore } from '../store/mod.ts';
+import type { EraReportingStore, MemoryLeasedStore } from '../store/mod.ts';
 
 /** Numbers of transactions that took effect and that met a conflict. */
 export interface WriteCounts {
@@ -10,21 +10,21 @@
 /** Options of a simulated host's way to the shared store. */
 export interface TestHostStoreOptions {
   readonly clock: Clock;
-  readonly shared: LeasedStore;
-  readonly unavailableStore: LeasedStore;
+  readonly shared: EraReportingStore;
+  readonly unavailableStore: EraReportingStore;
   readonly isUnavailable: () => boolean;
   /** Time in ms that a call takes each way. */
   readonly delayMs: number;
 }
 
 /** Redirects calls to an unavailable store while the shared one is out of reach. */
-export const createTestHostStore = (options: TestHostStoreOptions): LeasedStore => {
+export const createTestHostStore = (options: TestHostStoreOptions): EraReportingStore => {
   const { clock, delayMs } = options;
   const travel = async () => {
     if (delayMs > 0) await clock.sleep(delayMs);
   };
   return new Proxy(options.shared, {
-    get: (target, name: keyof LeasedStore) => (
+    get: (target, name: keyof EraReportingStore) => (
       async (...args: readonly never[]) => {
         await travel();
         const chosen = options.isUnavailable() ? options.unavailableStore : target;
@@ -41,7 +41,7 @@
 export const countWrites = (store: MemoryLeasedStore) => {
   let done = 0;
   let conflicts = 0;
-  const counted: LeasedStore = {
+  const counted: EraReportingStore = {
     ...store,
     transact: async (transaction) => {
       const result = await store.transact(transaction);
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 import { KEY_PREFIX, type StoreView, type ViewHistory } from '../directory/mod.ts';
-import type { EntryChanges } from '../store/mod.ts';
+import { type EntryChanges, eraOfRevision } from '../store/mod.ts';
 import { fetchFromPeer } from './_peer_messages.ts';
 
 /** Path of the control request for the changes that a peer has seen in the store. */
@@ -105,9 +105,10 @@
   { isCatchingUp = false }: FetchOptions = {},
 ): Promise<PeerChanges | 'compacted' | undefined> => {
   const waitMs = isCatchingUp ? 0 : MAX_WAIT_MS;
+  const era = eraOfRevision(after);
   const { status, text } = await fetchFromPeer(
     address,
-    `${CHANGES_PATH}?after=${after}&wait=${waitMs}`,
+    `${CHANGES_PATH}?after=${after}&wait=${waitMs}${era === 0 ? '' : `&era=${era}`}`,
     waitMs + ROUND_TRIP_ALLOWANCE_MS,
     { isOnNewConnection: isCatchingUp },
   );
@@ -124,7 +125,10 @@
   readonly evacuated?: () => readonly string[];
 }
 
-/** Encodes the response to a peer's request for changes; undefined if the request is malformed. */
+/**
+ * Encodes the response to a peer's request for changes; undefined if the request is malformed. A
+ * peer that names an earlier era of the store only gets the revision of this node's view.
+ */
 export const serveChanges = async (
   {
     history, view, contractRevision, evacuated,
@@ -136,8 +140,15 @@
   const after = Number(query.get('after') ?? Number.NaN);
   const waitMs = Number(query.get('wait') ?? Number.NaN);
   if (!Number.isFinite(after) || !Number.isFinite(waitMs)) return undefined;
+  const isOutdated = () => (
+    query.has('era') && eraOfRevision(after) < eraOfRevision(view.revision())
+  );
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
-  if (changes === undefined) return COMPACTED_TEXT;
+  if (changes === undefined) {
+    return isOutdated()
+      ? encodeChanges({ at: view.revision(), events: [], contractRevision: contractRevision() })
+      : COMPACTED_TEXT;
+  }
   // The view may have taken in further changes since these were chosen.
   const isComplete = changes.at >= view.revision();
   return encodeChanges({
--- a/fleet/random_faults_test.ts
+++ b/fleet/random_faults_test.ts
@@ -3,12 +3,19 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { nodeKey } from '../directory/mod.ts';
+import type { StoreCopy } from '../store/mod.ts';
 import { createTestCluster, type TestCluster, type TestClusterOptions } from './_test_cluster.ts';
 
 const test = suite('range controller under random faults');
 
-const FIRST_SEED = 1;
-const SEEDS = 12;
+/** More seeds are run by hand: FIRST_SEED=1 SEEDS=200. */
+const FIRST_SEED = Number(process.env.FIRST_SEED ?? 1);
+const SEEDS = Number(process.env.SEEDS ?? 12);
+/**
+ * Two instances held a key in these runs: nodes did not notice that the store was restored, or a
+ * row had the bounds of one that was released before its move was cancelled.
+ */
+const FOUND_SEEDS = [47, 933];
 const HOSTS = 4;
 const STEPS = 24;
 const LONG_STEP_ODDS = 6;
@@ -24,7 +31,23 @@
   return (limit) => uniformInt(generator, 0, limit - 1);
 };
 
-type Fault = (cluster: TestCluster, host: number) => unknown;
+/** Greatest age in ms of the copy from which the store is restored. */
+const MAX_COPY_AGE_MS = 30_000;
+
+interface AgedCopy {
+  readonly copy: StoreCopy;
+  readonly at: number;
+}
+
+type Fault = (
+  cluster: TestCluster, host: number, copies: readonly AgedCopy[], random: Random,
+) => unknown;
+
+const restoreStore: Fault = ({ clock, store }, _, copies, random) => {
+  const recent = copies.filter(({ at }) => clock.now() - at <= MAX_COPY_AGE_MS);
+  const chosen = recent[random(recent.length)];
+  if (chosen !== undefined) store.restore(chosen.copy);
+};
 
 /** Faults and recoveries, picked at random; hosts may also be restarted while partitioned. */
 const faults: readonly Fault[] = [
@@ -50,6 +73,8 @@
   ({ store }) => store.expireAllLeases(),
   ({ store, hosts }, host) => store.removeEntry(nodeKey(hosts[host]!.node)),
   ({ store }) => store.compact(),
+  restoreStore,
+  restoreStore,
 ];
 
 /** Evacuations that begin, end and overlap; d2 has a single host. */
@@ -72,13 +97,17 @@
 };
 
 const runSeeds = async (kinds: readonly Fault[], options: TestClusterOptions = {}) => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+  const seeds = Array.from({ length: SEEDS }, (_, index) => FIRST_SEED + index);
+  for (const seed of [...seeds, ...FOUND_SEEDS]) {
     const random = createRandom(seed);
-    const cluster = createTestCluster(HOSTS, options);
+    // Eras may be counted from 0 or 1.
+    const cluster = createTestCluster(HOSTS, { era: seed % 2, ...options });
+    const copies: AgedCopy[] = [];
     try {
       await cluster.run(START_MS);
       for (let step = 0; step < STEPS; step += 1) {
-        kinds[random(kinds.length)]!(cluster, random(HOSTS));
+        copies.push({ copy: cluster.store.copy(), at: cluster.clock.now() });
+        kinds[random(kinds.length)]!(cluster, random(HOSTS), copies, random);
         // A long step leaves enough time for a takeover because of a missing entry.
         const isLong = random(LONG_STEP_ODDS) === 0;
         await cluster.run(isLong ? LONG_STEP_MS : 100 + random(25) * 100);
--- a/fleet/range_controller.ts
+++ b/fleet/range_controller.ts
@@ -9,8 +9,11 @@
   encodeRecord,
   type RangeRecord,
   type RightToGrant,
+  suspendMoves,
 } from '../ranges/mod.ts';
 import type { LeasedStore } from '../store/mod.ts';
+import { rankOf } from './_owners.ts';
+import type { EraRecovery } from './era_recovery.ts';
 import { createRangePlanner, type RangePlannerOptions, rowKey } from './_range_planner.ts';
 
 /** Reconciles the range records of this host's services and answers announcements. */
@@ -32,6 +35,7 @@
   readonly grantableMs: () => number;
   readonly isKeyed: (service: string) => boolean;
   readonly keyedServices: () => readonly string[];
+  readonly recovery: EraRecovery;
   /** Called after a record change with the number of changed rows and its reason. */
   readonly onRowsChanged?: (rows: number, reason: string) => void;
 }
@@ -77,27 +81,47 @@
  */
 export const createRangeController = (options: RangeControllerOptions): RangeController => {
   const {
-    node, view, registry, grantTracker,
+    node, view, registry, grantTracker, recovery,
   } = options;
   const logger = options.logger.forComponent('ranges');
   const {
-    plan, stateOf, isReleasedLocally, ownersOf,
+    plan, observe, stateOf, isReleasedLocally, ownersOf,
   } = createRangePlanner({ ...options, logger });
   const decoded = new Map<string, { revision: number; record: RangeRecord | undefined }>();
   let isReconciling = false;
   let isRerunNeeded = false;
 
-  const recordOf: RangeController['recordOf'] = (service) => {
+  /**
+   * Forgets released rows that a newer record lacks. The writes that released them were on
+   * condition of an earlier revision, and a row of the same bounds may be granted and held later.
+   */
+  const forgetReleased = (record: RangeRecord, service: string) => {
+    const { released } = stateOf(service);
+    if (released.size === 0) return;
+    const ownRows = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
+    for (const row of released) if (!ownRows.has(row)) released.delete(row);
+  };
+
+  const storedOf: RangeController['recordOf'] = (service) => {
     const entry = view.get(rangesKey(service));
     if (entry === undefined) return undefined;
     let known = decoded.get(service);
     if (known?.revision !== entry.revision) {
-      known = { revision: entry.revision, record: decodeRecord(entry.value) };
+      const record = decodeRecord(entry.value);
+      known = { revision: entry.revision, record };
       decoded.set(service, known);
+      if (record !== undefined && recovery.isConfirmed(record)) {
+        recovery.note(service, { record, version: entry.revision });
+        forgetReleased(record, service);
+      }
     }
     return known.record && { record: known.record, version: known.revision };
   };
 
+  const recordOf: RangeController['recordOf'] = (service) => (
+    recovery.newestOf(service, storedOf(service))
+  );
+
   /** Keyed services of which this host has an instance, or owns keys through a former one. */
   const servicesOfHost = () => options.keyedServices().filter((service) => (
     registry.local()?.service === service
@@ -112,18 +136,24 @@
   /** Brings the record closer to the plan; resolves to true after a conflict. */
   const updateRecord = async (service: string): Promise<boolean> => {
     const key = rangesKey(service);
-    const known = recordOf(service);
+    const known = storedOf(service);
     const entry = view.get(key);
     if (entry !== undefined && known === undefined) {
       logger.error({ service, revision: entry.revision }, 'failed to decode the range record');
       return false;
     }
+    if (!recovery.isConfirmed(known?.record)) {
+      if (!recovery.isViewCurrent()) return false;
+      observe(recordOf(service)?.record ?? emptyRecord, service);
+      await recovery.confirm(service, rankOf(ownersOf(service), node));
+      return false;
+    }
     const before = known?.record ?? emptyRecord;
     const state = stateOf(service);
     let planned = plan(before, service);
     if (planned.lost.size > 0) {
       // The view may be stale on a silent connection, and the lost nodes may have returned since.
-      if (!await view.refresh() || recordOf(service)?.version !== known?.version) return false;
+      if (!await view.refresh() || storedOf(service)?.version !== known?.version) return false;
       planned = plan(before, service);
     }
     const { record, lost, reason } = planned;
@@ -132,7 +162,7 @@
     for (const row of before.rows) {
       if (isReleasedLocally(row, state)) state.released.add(rowKey(row));
     }
-    const value = encodeRecord(record);
+    const value = encodeRecord(recovery.stamp(record, before));
     const result = await options.store.transact({
       expect: [
         { key, revision: entry?.revision ?? 0 },
@@ -153,8 +183,7 @@
       }, 'changed the range record');
       options.onRowsChanged?.(changed, reason);
       view.apply({ key, revision: result.value, value });
-      const ownRows = new Set(record.rows.filter(({ owner }) => owner?.node === node).map(rowKey));
-      for (const row of state.released) if (!ownRows.has(row)) state.released.delete(row);
+      forgetReleased(record, service);
       return false;
     }
     logger.warn({ service, reason: result.error.message }, 'failed to change the range record');
@@ -187,6 +216,7 @@
     try {
       do {
         isRerunNeeded = false;
+        await recovery.contribute();
         for (const service of servicesOfHost()) {
           if (isContended(service)) await updateContended(service);
           else if (await updateRecord(service)) await readNewest(service);
@@ -199,15 +229,18 @@
 
   const answer: RangeController['answer'] = (announcement) => {
     if (!options.isKeyed(announcement.service)) return { grants: undefined };
-    const record = view.isLoaded() ? recordOf(announcement.service)?.record : undefined;
+    const { service } = announcement;
+    const isConfirmed = recovery.isConfirmed(storedOf(service)?.record);
+    const mayGrant = view.isLoaded() && (isConfirmed || recovery.isTrusted(service));
+    const newest = mayGrant ? recordOf(service)?.record : undefined;
     const hasOthers = ownersOf(announcement.service).some((owner) => owner.node !== node);
     const { released } = stateOf(announcement.service);
     const outcome = grantTracker.answer(announcement, {
-      record,
+      record: newest === undefined || isConfirmed ? newest : suspendMoves(newest),
       rightMs: options.grantableMs(),
       isWithdrawn: (row) => released.has(rowKey(row))
         || ((announcement.isDraining || options.rules.mustRelease())
-          && hasOthers && view.isConnected()),
+          && hasOthers && view.isConnected() && isConfirmed),
     });
     for (const row of outcome.released) released.add(rowKey(row));
     logger.debug({
