Keep relays in use that cannot answer for a moment

A relay that answers that it cannot is asked again next time, and counts as failed only after the second such answer in a row. The fixture of the tests now throws where nobody answers, as a request to such a host does; before, it stood for both cases. The first new test fails on the code before (ten direct watches in place of one).

--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -130,6 +130,8 @@
   const failures = new Map<string, RelayFailure>();
   /** The relay whose history did not reach back far enough at the last request. */
   let compactedBy: string | undefined;
+  /** Relays that could not answer at the last request, as the store did not answer them. */
+  const unable = new Set<string>();
 
   const recordFailure = (address: string) => {
     const before = failures.get(address)?.backoffMs ?? MIN_RELAY_BACKOFF_MS / 2;
@@ -191,6 +193,12 @@
           }));
         }
         compactedBy = undefined;
+        if (changes === undefined && !unable.has(relay.peerAddress)) {
+          // Its watch was cut a moment ago, as that of the other relays; it lists the store again.
+          unable.add(relay.peerAddress);
+          continue;
+        }
+        unable.delete(relay.peerAddress);
         if (changes !== undefined && changes !== 'compacted') {
           failures.delete(relay.peerAddress);
           const relayEra = eraOfRevision(changes.at);
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -25,7 +25,7 @@
   const entries = Array.from({ length: nodes }, (_, index) => entryOf(index));
   const asked: string[] = [];
   let direct = 0;
-  const answers = new Map<string, PeerChanges | 'compacted'>();
+  const answers = new Map<string, PeerChanges | 'compacted' | 'unable'>();
   const activity = createRelayActivity(clock);
   const heard: unknown[] = [];
   let losses = 0;
@@ -40,7 +40,9 @@
     },
     fetchChanges: async (address, _, { isCatchingUp = false } = {}) => {
       asked.push(isCatchingUp ? `${address} at once` : address);
-      return answers.get(address);
+      const answer = answers.get(address);
+      if (answer === undefined) throw new Error('no answer');
+      return answer === 'unable' ? undefined : answer;
     },
     isAsked: activity.isAsked,
     onNoRelay: () => {
@@ -129,6 +131,29 @@
   assert.is(directCalls(), 0);
 });
 
+// The store cut the watches of all relays at once. For a moment they could not answer, and each of
+// their followers watched the store for five seconds or more.
+test('relays that cannot answer for a moment stay in use', async () => {
+  const { watchOf, answers, directCalls } = setUp(30);
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, 'unable');
+  const watch = watchOf('host-10');
+  assert.is((await watch('p/', 0, { waitMs: 0 })).isOk(), true);
+  assert.is(directCalls(), 1);
+  for (const index of [0, 1]) answers.set(`10.0.0.${index}:1`, NO_CHANGES);
+  for (let poll = 0; poll < 10; poll += 1) await watch('p/', 9, { waitMs: 0 });
+  assert.is(directCalls(), 1);
+});
+
+// A relay that is cut off from the store for long would make its followers ask it in vain.
+test('a relay that cannot answer twice in a row counts as failed', async () => {
+  const { watchOf, answers, asked } = setUp(30);
+  answers.set('10.0.0.0:1', 'unable');
+  answers.set('10.0.0.1:1', NO_CHANGES);
+  const watch = watchOf('host-10');
+  for (let poll = 0; poll < 5; poll += 1) await watch('p/', 9, { waitMs: 0 });
+  assert.is(asked.filter((address) => address.startsWith('10.0.0.0:1')).length, 2);
+});
+
 // A relay whose revisions are ahead of those of the store would make a node list it without end.
 test('a relay whose history stays too short counts as failed', async () => {
   const { watchOf, answers, asked } = setUp(30);
