Name the operator's newest revision after what it is

Since evacuations are followed too, the field contractRevision of the changes message held the newest change of any key of the operator, removals included. It and its listener are now operatorRevision and onOperatorRevision; the wire is unchanged.

--- a/fleet/_control_messages.ts
+++ b/fleet/_control_messages.ts
@@ -54,7 +54,7 @@
     if (!path.startsWith(`${CHANGES_PATH}?`) || !mayRelay(view, right)) return undefined;
     activity.record();
     return serveChanges({
-      history, view, contractRevision: contracts.storedRevision, evacuated,
+      history, view, operatorRevision: contracts.storedRevision, evacuated,
     }, path);
   };
 };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -114,7 +114,7 @@
           find<RelayAnswers>('relay-answers').clear();
           if (kernel.isRunning('contracts')) find<ContractSource>('contracts').restartWatch();
         },
-        onContractRevision: (revision, evacuated) => {
+        onOperatorRevision: (revision, evacuated) => {
           find<RelayAnswers>('relay-answers').record();
           // The contracts start later than this view.
           if (!kernel.isRunning('contracts')) return;
--- a/fleet/changes_message.ts
+++ b/fleet/changes_message.ts
@@ -20,7 +20,7 @@
 /** The changes that a peer has seen, and the revision of the operator's newest change it knows. */
 export interface PeerChanges extends EntryChanges {
   /** Store revision of the newest change by the operator, removals included; 0 if none is known. */
-  readonly contractRevision: number;
+  readonly operatorRevision: number;
   /** Failure domains that are evacuated since then; undefined if the peer does not tell. */
   readonly evacuated?: readonly string[] | undefined;
 }
@@ -53,7 +53,7 @@
     [event.key, event.revision, 'removed' in event ? null : event.value]
   )),
   current: changes.isCurrent === true,
-  contract: changes.contractRevision,
+  contract: changes.operatorRevision,
   // An answer that the follower rejects would end its use of the relay.
   evacuated: (changes.evacuated?.length ?? 0) > MAX_EVACUATED ? undefined : changes.evacuated,
 });
@@ -73,7 +73,7 @@
   return {
     at,
     isCurrent: current,
-    contractRevision: contract,
+    operatorRevision: contract,
     ...(evacuated === undefined ? {} : { evacuated }),
     events: events.map(([key, revision, value]) => (
       value === null ? { key, revision, removed: true } : { key, revision, value }
@@ -120,7 +120,7 @@
   readonly history: ViewHistory;
   readonly view: Pick<StoreView, 'revision' | 'startCurrencyCheck'>;
   /** Store revision of the newest known change by the operator, removals included. */
-  readonly contractRevision: () => number;
+  readonly operatorRevision: () => number;
   /** Evacuated failure domains in this node's view of the store. */
   readonly evacuated?: () => readonly string[];
 }
@@ -131,7 +131,7 @@
  */
 export const serveChanges = async (
   {
-    history, view, contractRevision, evacuated,
+    history, view, operatorRevision, evacuated,
   }: ChangesSource,
   path: string,
 ): Promise<string | undefined> => {
@@ -146,7 +146,7 @@
   const changes = await history.changesAfter(after, Math.min(waitMs, MAX_WAIT_MS));
   if (changes === undefined) {
     return isOutdated()
-      ? encodeChanges({ at: view.revision(), events: [], contractRevision: contractRevision() })
+      ? encodeChanges({ at: view.revision(), events: [], operatorRevision: operatorRevision() })
       : COMPACTED_TEXT;
   }
   // The view may have taken in further changes since these were chosen.
@@ -154,7 +154,7 @@
   return encodeChanges({
     ...changes,
     isCurrent: isComplete && isCurrent(),
-    contractRevision: contractRevision(),
+    operatorRevision: operatorRevision(),
     evacuated: evacuated?.(),
   });
 };
--- a/fleet/changes_message_test.ts
+++ b/fleet/changes_message_test.ts
@@ -15,7 +15,7 @@
 const sourceOf = (history: ViewHistory) => ({
   history,
   view: { startCurrencyCheck: () => () => false, revision: () => 0 },
-  contractRevision: () => 3,
+  operatorRevision: () => 3,
 });
 
 test('a peer that follows a view receives every change and removal', async () => {
@@ -37,7 +37,7 @@
   const text = await serveChanges(sourceOf(history), `changes?after=${revision - 1}&wait=0`);
   const expected: PeerChanges = {
     at: view.revision(),
-    contractRevision: 3,
+    operatorRevision: 3,
     events: [{ key, revision, value: 'x' }, { key, revision: revision + 1, removed: true }],
   };
   assert.is(text, encodeChanges(expected));
@@ -68,7 +68,7 @@
   const serve = async (viewRevision: number) => JSON.parse((await serveChanges({
     history,
     view: { startCurrencyCheck: () => () => true, revision: () => viewRevision },
-    contractRevision: () => 0,
+    operatorRevision: () => 0,
   }, 'changes?after=10&wait=0'))!) as { readonly current: boolean };
   assert.is((await serve(11)).current, false);
   assert.is((await serve(10)).current, true);
@@ -84,7 +84,7 @@
   assert.is(await answer(), 'compacted');
   assert.is(
     await serveChanges(sourceOf(history), 'changes?after=10&wait=0'),
-    encodeChanges({ at: 10, events: [], contractRevision: 3 }),
+    encodeChanges({ at: 10, events: [], operatorRevision: 3 }),
   );
   assert.is(await serveChanges(sourceOf(history), 'changes?after=x&wait=0'), undefined);
 });
@@ -111,7 +111,7 @@
   history.reset(10);
   let contract = 3;
   let text: string | undefined;
-  const source = { ...sourceOf(history), contractRevision: () => contract };
+  const source = { ...sourceOf(history), operatorRevision: () => contract };
   serveChanges(source, 'changes?after=10&wait=2000').then((served) => {
     text = served;
   });
--- a/fleet/peer_evacuations.ts
+++ b/fleet/peer_evacuations.ts
@@ -56,7 +56,7 @@
       if (changes === undefined || changes === 'compacted') return;
       if (changes.evacuated === undefined) return;
       // The failed watch has taken its time, so an evacuation that is new here has begun before.
-      options.noteRelayed(changes.contractRevision, changes.evacuated, true);
+      options.noteRelayed(changes.operatorRevision, changes.evacuated, true);
     } catch (error) {
       logger.debug({ peer: address, reason: String(error) }, 'failed to ask a peer');
     }
--- a/fleet/relayed_changes.ts
+++ b/fleet/relayed_changes.ts
@@ -28,7 +28,7 @@
    * Called with the revision of the newest change by the operator that a relay knows, and the
    * failure domains that are evacuated since then, if it tells them.
    */
-  readonly onContractRevision?: (revision: number, evacuated?: readonly string[]) => void;
+  readonly onOperatorRevision?: (revision: number, evacuated?: readonly string[]) => void;
   readonly logger: Logger;
 }
 
@@ -211,7 +211,7 @@
             isBehind = true;
             continue;
           }
-          options.onContractRevision?.(changes.contractRevision, changes.evacuated);
+          options.onOperatorRevision?.(changes.operatorRevision, changes.evacuated);
           return ok(changes);
         }
       } catch (error) {
--- a/fleet/relayed_changes_test.ts
+++ b/fleet/relayed_changes_test.ts
@@ -48,7 +48,7 @@
     onNoRelay: () => {
       losses += 1;
     },
-    onContractRevision: (...values) => {
+    onOperatorRevision: (...values) => {
       heard.push(values);
     },
     logger: noopLogger,
@@ -66,7 +66,7 @@
   };
 };
 
-const NO_CHANGES: PeerChanges = { events: [], at: 9, contractRevision: 0 };
+const NO_CHANGES: PeerChanges = { events: [], at: 9, operatorRevision: 0 };
 
 test('in a small failure domain each node watches the store directly', async () => {
   const { watchOf, asked, directCalls } = setUp(8);
@@ -216,7 +216,7 @@
   const source = {
     history,
     view: { startCurrencyCheck: () => () => false, revision: () => 0 },
-    contractRevision: () => 3,
+    operatorRevision: () => 3,
   };
   assert.not('evacuated' in await ask(source));
   assert.equal((await ask({ ...source, evacuated: () => [] })).evacuated, []);
--- a/fleet/relayed_eras_test.ts
+++ b/fleet/relayed_eras_test.ts
@@ -23,7 +23,7 @@
   instance: undefined,
 }));
 
-const changesAt = (at: number): PeerChanges => ({ at, events: [], contractRevision: 3 });
+const changesAt = (at: number): PeerChanges => ({ at, events: [], operatorRevision: 3 });
 
 /** Returns a revision of an era, as the views number them. */
 const revisionIn = async (era: number, revision: number) => {
@@ -84,7 +84,7 @@
   const source = {
     history,
     view: { startCurrencyCheck: () => () => false, revision: () => later },
-    contractRevision: () => 3,
+    operatorRevision: () => 3,
   };
   assert.is(
     await serveChanges(source, `changes?after=${earlier}&wait=0&era=2`),
