Take header names of a raw test instance from the table of the test

The line that writes its response repeated two names of the platform beside the table that the file already has. Names of headers do not depend on case. The seven files of tests run that use it pass, 99 tests and those of the status lines.

--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -77,7 +77,7 @@
         counts.requests += 1;
         usedSockets.add(socket);
         const headOf = (status = 200) => (
-          `HTTP/1.1 ${status} Text\r\nRequest-Id: ${id}\r\nResponse-Seal: s\r\n`
+          `HTTP/1.1 ${status} Text\r\n${HEADERS.requestId}: ${id}\r\n${HEADERS.signature}: s\r\n`
         );
         respond(socket, headOf, counts.requests);
       });
