--- a/review/6/run.ts
+++ b/review/6/run.ts
@@ -21,7 +21,7 @@
  */
 const HEARTBEAT_AFTER_MS = 3200;
 const WARM_UP_MS = 14_000;
-/** The keys of an instance that has left are given to another one within this time at the latest. */
+/** Time within which the keys of an instance that has left are given to another one. */
 const GIVEN_LIMIT_MS = 15_000;
 
 const run = async ({ deployment, recorder, hasTrouble }: CaseContext) => {
