--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -1,8 +1,8 @@
-import type { Clock } from '../clock/mod.ts';
 import type { DepartureLog, DirectoryInstance } from '../directory/mod.ts';
 import type { InstanceClient, LocalInstance } from '../gateway/mod.ts';
 import type { Announcement, Owner } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { type AnnouncementCheckOptions, createAnnouncementCheck } from './_announcement_check.ts';
 import { createLocalDepartures, isSameProcess } from './_local_departures.ts';
 
 /** Tracks the instance of this host by its announcements and by probes of its address. */
@@ -38,15 +38,11 @@
 }
 
 /** Options for {@link createInstanceRegistry}. */
-export interface InstanceRegistryOptions {
-  readonly clock: Clock;
+export interface InstanceRegistryOptions extends AnnouncementCheckOptions {
   readonly node: string;
   readonly logger: Logger;
   /** Configured address of the instance; empty if none is configured. */
   readonly instanceAddress: string;
-  readonly announceIntervalMs: number;
-  /** Reports whether this host or the contract names a service; others have no instance. */
-  readonly isKnownService: (service: string) => boolean;
   /** Time in ms after an acknowledged departure by which no new request may reach the instance. */
   readonly drainMs: number;
   /** Keeps acknowledged departures beyond this process. */
@@ -72,10 +68,6 @@
 
 /** Announce intervals without an announcement before the instance counts as silent. */
 const MISSED_ANNOUNCEMENTS = 2.5;
-/** Announce intervals after which another process may have replaced one that isn't announced. */
-const SUCCESSION_ANNOUNCEMENTS = 1.5;
-/** Largest time in ms by which the clock that stamped an announcement may be ahead of this one. */
-const MAX_CLOCK_LEAD_MS = 3_600_000;
 /** Fraction of the drain time during which requests already in transit are still accepted. */
 const DRAIN_ACCEPT_FRACTION = 0.5;
 /** Delay before a refusal is confirmed, since a starting process may refuse one connection. */
@@ -99,8 +91,7 @@
   let isProbing = false;
   /** No instance has announced itself, and the configured address refuses connections. */
   let isAddressUnused = false;
-  /** The last announcement of a process that may have replaced the tracked one. */
-  let contender: Announcement | undefined;
+  const check = createAnnouncementCheck(options);
   const departures = createLocalDepartures(clock, options.departureLog);
 
   const notify = () => {
@@ -183,44 +174,8 @@
     Object.assign(current, { closesAt: Math.min(current.closesAt, closesAt) });
   };
 
-  const isStale = (
-    { announcement: known }: TrackedInstance,
-    { startedAt, sequence }: Announcement,
-  ) => (
-    startedAt < known.startedAt
-    || (startedAt === known.startedAt && sequence <= known.sequence)
-  );
-
-  /**
-   * A single announcement may come from another writer, so it doesn't show that the process that
-   * is in use has ended.
-   */
-  const mayReplace = (current: TrackedInstance, announcement: Announcement) => {
-    if (current.state === 'down' || current.state === 'draining') return true;
-    const isRepeated = contender !== undefined && isSameProcess(contender, announcement)
-      && announcement.sequence > contender.sequence;
-    contender = announcement;
-    const quietMs = clock.now() - current.announcedAt;
-    return isRepeated && quietMs > options.announceIntervalMs * SUCCESSION_ANNOUNCEMENTS;
-  };
-
-  /** Returns why an announcement must not be used, or undefined if it may be. */
-  const findObjection = (announcement: Announcement): string | undefined => {
-    const { service, startedAt } = announcement;
-    if (startedAt > clock.wallTime() + MAX_CLOCK_LEAD_MS) return 'its start lies in the future';
-    if (tracked === undefined) {
-      return options.isKnownService(service) ? undefined : 'nothing names its service';
-    }
-    if (isStale(tracked, announcement)) return 'it is stale';
-    if (isSameProcess(tracked.announcement, announcement)) {
-      return tracked.announcement.service === service ? undefined : 'its service has changed';
-    }
-    if (!options.isKnownService(service)) return 'nothing names its service';
-    return mayReplace(tracked, announcement) ? undefined : 'another process is in use';
-  };
-
   const announce: InstanceRegistry['announce'] = (announcement) => {
-    const objection = findObjection(announcement);
+    const objection = check.findObjection(announcement, tracked);
     if (objection !== undefined) {
       const { instance, startedAt, service } = announcement;
       logger.warn({
@@ -228,7 +183,7 @@
       }, 'ignored an announcement');
       return false;
     }
-    contender = undefined;
+    check.reset();
     if (tracked === undefined || !isSameProcess(tracked.announcement, announcement)) {
       tracked = startTracking(announcement);
       notify();
