Keep the keys of an instance that finishes its requests without a listener

An instance that leaves closes its listener and finishes a request of 2.9 s; its keys were given to another one 2.29 s after the departure, 5.5 s before its hold ran out, and that one began a request for the same key.

Cause: two refused connections counted as proof that the process, and so its holds, had ended. The log shows the release 3 ms after the node found the address closed, while its own request was in flight.

Change: a process is gone only if nobody listens and it has no unfinished work. The client of the process knows what may be unfinished, as all of its requests come from this node: those in flight, and those that were given up until the deadline that the instance was told, unless it closed the connection of a request and showed no sign of life since.

--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -192,7 +192,7 @@
         eras: find<StoreEras>('eras'),
         onRewrite: () => find<NodeMetrics>('metrics').recordRewrite('departures'),
       });
-      const { namesService } = find<ContractSource>('contracts');
+      const { namesService, longestTimeoutMs } = find<ContractSource>('contracts');
       const registry = trackColdStarts(clock, createInstanceRegistry({
         clock,
         node: settings.node,
@@ -203,6 +203,7 @@
         drainMs: settings.bounds.drainMs,
         isKnownService: (service) => service === callerService() || namesService(service),
         isConnectionRefused,
+        longestWorkMs: longestTimeoutMs,
         openPort: createPortOpener(clock, cold, silence),
       }), cold);
       return {
--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -30,6 +30,7 @@
 
 export const MAX_HOLD_MS = 10_000;
 const ANNOUNCE_INTERVAL_MS = 870;
+const LONGEST_WORK_MS = 1500;
 const STEP_MS = 50;
 const RECONCILE_STEPS = 4;
 const TOTAL_KEYS = 65_536;
@@ -88,9 +89,12 @@
       drainMs: 2000,
       isKnownService: (service) => service === 'ledger',
       openPort: () => ({
-        send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
+        send: async () => ({ kind: 'failed', status: 500 }),
+        hasUnfinishedWork: () => false,
+        close: () => undefined,
       }),
       isConnectionRefused: async () => refusesConnections,
+      longestWorkMs: () => LONGEST_WORK_MS,
     });
     const startedAt = clock.wallTime();
     let recovery: EraRecovery | undefined;
--- a/fleet/_test_registry.ts
+++ b/fleet/_test_registry.ts
@@ -2,7 +2,7 @@
 import type { DepartureLog } from '../directory/mod.ts';
 import type { Announcement } from '../ranges/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { createInstanceRegistry } from './instance_registry.ts';
+import { createInstanceRegistry, type InstanceRegistryOptions } from './instance_registry.ts';
 
 export const TEST_DRAIN_MS = 2000;
 
@@ -21,7 +21,11 @@
 };
 
 /** Creates the registry of `host-1`, whose instance accepts connections and fails each request. */
-export const createTestRegistry = (clock: Clock, departureLog: DepartureLog) => (
+export const createTestRegistry = (
+  clock: Clock,
+  departureLog: DepartureLog,
+  overrides: Partial<InstanceRegistryOptions> = {},
+) => (
   createInstanceRegistry({
     clock,
     node: 'host-1',
@@ -32,8 +36,12 @@
     drainMs: TEST_DRAIN_MS,
     isKnownService: (service) => service === 'ledger',
     openPort: () => ({
-      send: async () => ({ kind: 'failed', status: 500 }), close: () => undefined,
+      send: async () => ({ kind: 'failed', status: 500 }),
+      hasUnfinishedWork: () => false,
+      close: () => undefined,
     }),
     isConnectionRefused: async () => false,
+    longestWorkMs: () => 1000,
+    ...overrides,
   })
 );
--- a/fleet/contract_source.ts
+++ b/fleet/contract_source.ts
@@ -13,6 +13,8 @@
   readonly serviceOf: (service: string) => PublishedService | undefined;
   /** Reports whether the contract lists a service, or a route leads to it. */
   readonly namesService: (service: string) => boolean;
+  /** Longest timeout in ms of all routes; Infinity before the first contract. */
+  readonly longestTimeoutMs: () => number;
   /** Names of the services whose requests are partitioned by key. */
   readonly keyedServices: () => readonly string[];
   /**
@@ -42,6 +44,7 @@
   let table: RouteTable | undefined;
   let keyedServices: readonly string[] = [];
   let namedServices: ReadonlySet<string> = new Set();
+  let longestTimeoutMs = Infinity;
   let isRefreshing = false;
 
   view.onChange(({ keys }) => {
@@ -63,6 +66,7 @@
       ...services.keys(),
       ...routes.flatMap(({ targets }) => targets.map(({ service }) => service)),
     ]);
+    longestTimeoutMs = routes.reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
     log.info({
       revision, former, stored: entry.revision, routes: routes.length, services: services.size,
     }, 'accepted a contract revision');
@@ -74,6 +78,7 @@
     isKeyed: (service) => table?.contract.services.get(service)?.keyed === true,
     namesService: (service) => namedServices.has(service),
     keyedServices: () => keyedServices,
+    longestTimeoutMs: () => longestTimeoutMs,
     storedRevision: view.changedRevision,
     restartWatch: view.restartWatch,
     noteStoredRevision: (revision) => {
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../telemetry/mod.ts';
 import { type AnnouncementCheckOptions, createAnnouncementCheck } from './_announcement_check.ts';
 import { createLocalDepartures, isSameProcess } from './_local_departures.ts';
+import { createProcessProbe, type ProcessProbeOptions } from './_process_probe.ts';
 
 /** Tracks the instance of this host by its announcements and by probes of its address. */
 export interface InstanceRegistry {
@@ -22,11 +23,14 @@
   readonly owner: () => Owner | undefined;
   readonly slots: () => number;
   /**
-   * Reports whether it is proven that earlier processes of the instance have ended: no process
-   * listened at their address, or the current one has announced itself twice.
+   * Reports whether it is proven that earlier processes of the instance have ended: they were gone,
+   * or the current one has announced itself twice; and no request of theirs is unfinished.
    */
   readonly hasSucceeded: () => boolean;
-  /** Reports whether no process listens at the instance's address, so that none holds keys. */
+  /**
+   * Reports whether the instance neither accepts connections nor is at work, so that none holds
+   * keys. A process that leaves may close its listener before it has finished its requests.
+   */
   readonly isProcessGone: () => boolean;
   /** Time in ms since the last announcement; Infinity before the first one. */
   readonly silentMs: () => number;
@@ -38,7 +42,7 @@
 }
 
 /** Options for {@link createInstanceRegistry}. */
-export interface InstanceRegistryOptions extends AnnouncementCheckOptions {
+export interface InstanceRegistryOptions extends AnnouncementCheckOptions, ProcessProbeOptions {
   readonly node: string;
   readonly logger: Logger;
   /** Configured address of the instance; empty if none is configured. */
@@ -48,8 +52,6 @@
   /** Keeps acknowledged departures beyond this process. */
   readonly departureLog: Pick<DepartureLog, 'add' | 'departures' | 'isSettled'>;
   readonly openPort: (announcement: Announcement, onRefused: () => void) => InstanceClient;
-  /** Reports whether the address refuses connections. */
-  readonly isConnectionRefused: (address: string) => Promise<boolean>;
 }
 
 interface TrackedInstance {
@@ -63,15 +65,17 @@
   coldUntil: number;
   /** Whether the earlier process had ended, or this one has announced itself again. */
   hasSucceeded: boolean;
+  /** Whether the process accepts no connections and is not at work. */
+  isGone: boolean;
   readonly port: InstanceClient;
 }
 
 /** Announce intervals without an announcement before the instance counts as silent. */
 const MISSED_ANNOUNCEMENTS = 2.5;
+/** Announce intervals after which one that leaves has announced the last of its keys. */
+const QUIET_ANNOUNCEMENTS = 1.5;
 /** Fraction of the drain time during which requests already in transit are still accepted. */
 const DRAIN_ACCEPT_FRACTION = 0.5;
-/** Delay before a refusal is confirmed, since a starting process may refuse one connection. */
-const CONFIRM_DELAY_MS = 60;
 
 /**
  * Creates a registry without an instance.
@@ -88,20 +92,22 @@
   const logger = options.logger.forComponent('instance');
   const listeners: (() => void)[] = [];
   let tracked: TrackedInstance | undefined;
-  let isProbing = false;
   /** No instance has announced itself, and the configured address refuses connections. */
   let isAddressUnused = false;
   const check = createAnnouncementCheck(options);
+  const probe = createProcessProbe(options);
   const departures = createLocalDepartures(clock, options.departureLog);
 
   const notify = () => {
     for (const listener of listeners) listener();
   };
 
-  const isSilent = ({ announcedAt }: TrackedInstance) => (
-    clock.now() - announcedAt > options.announceIntervalMs * MISSED_ANNOUNCEMENTS
+  const quietIntervals = ({ announcedAt }: TrackedInstance) => (
+    (clock.now() - announcedAt) / options.announceIntervalMs
   );
 
+  const isSilent = (current: TrackedInstance) => quietIntervals(current) > MISSED_ANNOUNCEMENTS;
+
   const setState = (current: TrackedInstance, state: TrackedInstance['state'], reason: string) => {
     if (current.state === state) return;
     const { instance, startedAt, sequence } = current.announcement;
@@ -112,37 +118,44 @@
     notify();
   };
 
-  /** Two refused connections prove that the process, and thus its holds, have ended. */
-  const isRefusedTwice = async (address: string): Promise<boolean> => {
-    isProbing = true;
-    try {
-      const first = await options.isConnectionRefused(address);
-      if (first) await clock.sleep(CONFIRM_DELAY_MS);
-      return first && await options.isConnectionRefused(address);
-    } finally {
-      isProbing = false;
-    }
+  /** Reports whether a process that accepts no connections holds no keys either. */
+  const hasEnded = (current: TrackedInstance) => {
+    const { announcement, port: client } = current;
+    if (probe.mayBeAtWork({ client, startedAt: announcement.startedAt })) return false;
+    // One that leaves in order may announce the keys that it holds after it closed its listener.
+    const isLeaving = departures.leftAt(announcement) !== undefined;
+    return !isLeaving || quietIntervals(current) > QUIET_ANNOUNCEMENTS;
   };
 
   const probeInstance = async (current: TrackedInstance) => {
-    if (isProbing || current.state === 'down') return;
-    const isEnded = await isRefusedTwice(current.announcement.address);
-    if (current !== tracked) return;
-    if (isEnded) setState(current, 'down', 'its address refuses connections');
-    else if (current.state === 'ready' && isSilent(current)) {
+    if (current.isGone) return;
+    const isRefused = await probe.isRefused(current.announcement.address);
+    if (isRefused === undefined || current !== tracked) return;
+    if (isRefused) {
+      setState(current, 'down', 'its address refuses connections');
+      if (!hasEnded(current)) return;
+      const { instance, startedAt } = current.announcement;
+      logger.info({ instance, startedAt }, 'the process of the instance has ended');
+      Object.assign(current, { isGone: true });
+      notify();
+    } else if (current.state === 'ready' && isSilent(current)) {
       setState(current, 'silent', 'its announcements stopped arriving');
     }
   };
 
   const startTracking = (announcement: Announcement): TrackedInstance => {
-    tracked?.port.close();
+    if (tracked !== undefined) {
+      tracked.port.close();
+      probe.addFormer(tracked.port);
+    }
     const opened: TrackedInstance = {
       announcement,
       state: 'ready',
       closesAt: Infinity,
       announcedAt: clock.now(),
       coldUntil: clock.wallTime() + announcement.coldMs,
-      hasSucceeded: tracked?.state === 'down' || (tracked === undefined && isAddressUnused),
+      hasSucceeded: tracked?.isGone ?? isAddressUnused,
+      isGone: false,
       port: options.openPort(announcement, () => {
         if (tracked === opened) probeInstance(opened).catch(() => undefined);
       }),
@@ -188,7 +201,7 @@
       tracked = startTracking(announcement);
       notify();
     } else tracked.hasSucceeded = true;
-    Object.assign(tracked, { announcement, announcedAt: clock.now() });
+    Object.assign(tracked, { announcement, announcedAt: clock.now(), isGone: false });
     if (announcement.isDraining) {
       departures.record(announcement.instance, announcement.startedAt);
       drainDeparted(tracked, 'it announced that it is draining');
@@ -223,9 +236,9 @@
     owner: () => tracked && {
       node, instance: tracked.announcement.instance, startedAt: tracked.announcement.startedAt,
     },
-    hasSucceeded: () => tracked?.hasSucceeded === true,
+    hasSucceeded: () => tracked?.hasSucceeded === true && !probe.mayFormerBeAtWork(),
     slots: () => tracked?.announcement.slots ?? 1,
-    isProcessGone: () => (tracked === undefined ? isAddressUnused : tracked.state === 'down'),
+    isProcessGone: () => (tracked === undefined ? isAddressUnused : tracked.isGone),
     silentMs: () => (tracked === undefined ? Infinity : clock.now() - tracked.announcedAt),
     describe: () => tracked && {
       instance: tracked.announcement.instance,
@@ -240,16 +253,16 @@
     },
     probe: async () => {
       if (tracked === undefined) {
-        if (options.instanceAddress === '' || isProbing || isAddressUnused) return;
-        isAddressUnused = await isRefusedTwice(options.instanceAddress) && tracked === undefined;
-        if (isAddressUnused) {
-          logger.info({ address: options.instanceAddress }, 'no instance listens on this host');
-          notify();
-        }
+        const { instanceAddress } = options;
+        if (instanceAddress === '' || isAddressUnused || probe.mayBeAtWork()) return;
+        isAddressUnused = await probe.isRefused(instanceAddress) === true && tracked === undefined;
+        if (!isAddressUnused) return;
+        logger.info({ address: instanceAddress }, 'no instance runs on this host');
+        notify();
         return;
       }
-      if (tracked.state === 'down') return;
-      if (isSilent(tracked) || tracked.state === 'draining') await probeInstance(tracked);
+      const isExpectedToEnd = tracked.state === 'draining' || tracked.state === 'down';
+      if (isExpectedToEnd || isSilent(tracked)) await probeInstance(tracked);
     },
   };
 };
--- a/gateway/_connection_losses.ts
+++ b/gateway/_connection_losses.ts
@@ -5,8 +5,11 @@
 export interface ConnectionLosses {
   /** Counts a new connection until it is closed. */
   readonly watch: (socket: Pick<Socket, 'once'>) => void;
-  /** Records that a request got no answer because its connection was closed. */
-  readonly recordFailure: () => void;
+  /**
+   * Records that a request got no answer because its connection failed; returns whether the other
+   * side closed a connection at that moment.
+   */
+  readonly recordFailure: () => boolean;
 }
 
 /** Connections of an ended process are closed within one turn of the event loop, or a few. */
@@ -55,7 +58,9 @@
       });
     },
     recordFailure: () => {
-      if (open === 0 && clock.now() - closedAt < TOGETHER_MS) onLost();
+      const isClosedByPeer = clock.now() - closedAt < TOGETHER_MS;
+      if (open === 0 && isClosedByPeer) onLost();
+      return isClosedByPeer;
     },
   };
 };
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -140,7 +140,7 @@
       service: host.service,
       state: 'ready',
       acceptsUntil: Infinity,
-      client: { send: runAtInstance, close: () => undefined },
+      client: { send: runAtInstance, hasUnfinishedWork: () => false, close: () => undefined },
     }),
     keys: { mayServe: () => true, retryAfterMs: () => 100, record: () => undefined },
     queue: createSlotQueue({ clock, slots: () => host.slots, instance: () => `i-${name}` }),
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -6,6 +6,7 @@
 import { SILENT_STEP } from './_attempt_outcomes.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { createConnectionLosses } from './_connection_losses.ts';
+import { createUnfinishedWork, type WorkEnd } from './_unfinished_work.ts';
 import type { AttemptOutcome, GatewayRequest } from './request.ts';
 import type { ResponseSilence } from './response_silence.ts';
 
@@ -33,6 +34,8 @@
     sink: ResponseSink,
     onSent?: () => void,
   ) => Promise<AttemptOutcome>;
+  /** Returns whether the process may be at work on a request, also on one that was given up. */
+  readonly hasUnfinishedWork: () => boolean;
   /** Sends no further requests and closes each connection once its request has ended. */
   readonly close: () => void;
 }
@@ -87,21 +90,24 @@
 export const createInstanceClient = (options: InstanceClientOptions): InstanceClient => {
   const { clock, address, headers: headerNames } = options;
   const losses = createConnectionLosses(clock, options.onConnectionsLost ?? (() => undefined));
+  const work = createUnfinishedWork(clock);
   const { pool, checkEnd } = createTruncationAwarePool(address, {
     connections: options.connections,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveMs: KEEP_ALIVE_MS,
-    onConnect: losses.watch,
+    onConnect: (socket) => {
+      work.recordLife();
+      losses.watch(socket);
+    },
   });
   const replacedHeaders = new Set([headerNames.remainingMs, headerNames.expectedInstance]);
 
-  const headersOf = (request: GatewayRequest) => {
+  const headersOf = (request: GatewayRequest, remainingMs: number) => {
     const headers: string[] = [];
     for (let index = 0; index + 1 < request.headers.length; index += 2) {
       const name = request.headers[index]!;
       if (!replacedHeaders.has(name.toLowerCase())) headers.push(name, request.headers[index + 1]!);
     }
-    const remainingMs = Math.max(1, Math.floor(request.deadlineAt - clock.now()));
     headers.push(
       headerNames.remainingMs,
       String(remainingMs),
@@ -117,6 +123,11 @@
     return responseId === request.requestId ? undefined : 'the answer belongs to another request';
   };
 
+  const workEndOf = (end: ExchangeResult): WorkEnd => {
+    if (end.kind === 'complete') return 'answered';
+    return end.cause === 'connection' && losses.recordFailure() ? 'lost' : 'abandoned';
+  };
+
   const toOutcome = (
     end: ExchangeResult,
     request: GatewayRequest,
@@ -148,10 +159,12 @@
     let failedStatus: number | undefined;
     let fault: string | undefined;
     const watch = options.silence?.watch(request.workClass, request.deadlineAt);
+    const remainingMs = Math.max(1, Math.floor(request.deadlineAt - clock.now()));
+    let endWork: ((end: WorkEnd) => void) | undefined;
     const end = await exchange(pool, {
       method: request.method,
       path: request.path,
-      headers: headersOf(request),
+      headers: headersOf(request, remainingMs),
       body: request.body,
     }, {
       ...sink,
@@ -182,7 +195,9 @@
       headProgressTimeoutMs: watch?.timeoutMs ?? Number.POSITIVE_INFINITY,
       onSilent: () => watch?.isSilent(),
       bodyProgressTimeoutMs: BODY_STALL_MS,
+      onReceive: work.recordLife,
       beforeWrite: () => {
+        endWork = work.begin(remainingMs);
         watch?.start();
         onSent?.();
         return undefined;
@@ -191,7 +206,7 @@
       checkEnd,
     });
     watch?.end();
-    if (end.kind === 'failed' && end.cause === 'connection' && end.written) losses.recordFailure();
+    endWork?.(workEndOf(end));
     if (fault !== undefined) {
       const context = { step: 'instance.send', peer: options.instance };
       return refuseUnknown(`the answer ${fault}`, context);
@@ -202,6 +217,7 @@
 
   return {
     send,
+    hasUnfinishedWork: work.exists,
     close: () => {
       // The process may still answer what it runs; requests in flight report their own errors.
       pool.close().catch(() => undefined);
--- a/gateway/instance_client_test.ts
+++ b/gateway/instance_client_test.ts
@@ -35,14 +35,19 @@
 
 /** Sends one request to a server that responds with raw bytes. */
 const runAgainst = async (
-  respond: (socket: Socket, requestHead: string, client: InstanceClient) => void,
+  respond: (
+    socket: Socket, requestHead: string, client: InstanceClient, leave: () => void,
+  ) => void,
   receiver: 'quick' | 'slow' = 'quick',
 ) => {
   let client: InstanceClient;
+  const caller = new AbortController();
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       socket.on('error', () => undefined);
-      socket.once('data', (data) => respond(socket, data.toString(), client));
+      socket.once('data', (data) => {
+        respond(socket, data.toString(), client, () => caller.abort());
+      });
     });
     started.listen(0, '127.0.0.1', () => resolve(started));
   });
@@ -70,10 +75,11 @@
     },
     onConnectionRefused: () => undefined,
   });
-  const outcome = await client.send(requestOf(), sink);
+  const outcome = await client.send(requestOf(caller.signal), sink);
+  const isUnfinished = client.hasUnfinishedWork();
   client.close();
   server.close();
-  return { outcome, body: Buffer.concat(body).toString() };
+  return { outcome, body: Buffer.concat(body).toString(), isUnfinished };
 };
 
 test('a complete response is delivered', async () => {
@@ -237,4 +243,30 @@
   assert.ok(remainingMs > 500 && remainingMs <= 1000, `${remainingMs} ms`);
 });
 
+const REFUSAL = 'HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nnot-executed: 1\r\n';
+const finished: Readonly<Record<string, (socket: Socket) => void>> = {
+  'is answered': (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
+  'is refused as not run': (socket) => socket.write(`${REFUSAL}content-length: 0\r\n\r\n`),
+  'is cut by the end of the process': (socket) => socket.end(),
+  'is reset by the end of the process': (socket) => socket.resetAndDestroy(),
+};
+const unfinished: Readonly<Record<string, (socket: Socket, leave: () => void) => void>> = {
+  'is left by its caller': (_, leave) => leave(),
+  'gets bytes of no meaning': (socket) => socket.write('no answer\r\n\r\n'),
+  'gets the answer to another one': (socket) => socket.write(
+    `${HEAD.replace('r1', 'r0')}content-length: 0\r\n\r\n`,
+  ),
+};
+
+// Guards against keys that are given away while their instance works on a request.
+for (const [name, react] of Object.entries({ ...finished, ...unfinished })) {
+  test(`a request that ${name} is ${name in finished ? 'finished' : 'unfinished'}`, async () => {
+    const { isUnfinished } = await runAgainst((socket, _, client, leave) => {
+      assert.ok(client.hasUnfinishedWork());
+      react(socket, leave);
+    });
+    assert.is(isUnfinished, name in unfinished);
+  });
+}
+
 test.run();
--- a/gateway/local_forwarder_test.ts
+++ b/gateway/local_forwarder_test.ts
@@ -39,7 +39,7 @@
       service: 'maps',
       state: 'ready',
       acceptsUntil: Number.POSITIVE_INFINITY,
-      client: { send, close: () => undefined },
+      client: { send, hasUnfinishedWork: () => false, close: () => undefined },
     }),
     keys: {
       mayServe: () => true,
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -14,6 +14,12 @@
   readonly executionCounts: ReadonlyMap<string, number>;
   readonly heldRanges: () => readonly HeldRange[];
   readonly drain: () => void;
+  /** Deregisters and announces itself no more, but goes on to serve. */
+  readonly leave: () => Promise<void>;
+  /** Accepts no more connections, and closes each one once its request has been answered. */
+  readonly closeListener: () => void;
+  /** Number of requests that it runs. */
+  readonly running: () => number;
   /** Stops as a crash does: open connections are closed and new ones are refused. */
   readonly kill: () => void;
   /** Sets the fault that affects all later responses; `none` restores normal operation. */
@@ -88,7 +94,8 @@
   const timers = new Set<NodeJS.Timeout>();
   let fault: InstanceFault = 'none';
   let isDraining = false;
-  let isKilled = false;
+  let isSilent = false;
+  let running = 0;
   let sequence = 0;
 
   const refuse = (id: string, response: ServerResponse, status: number) => {
@@ -126,7 +133,11 @@
     } else if (fault === 'shed') refuse(id, response, UNAVAILABLE);
     else {
       runs.set(id, (runs.get(id) ?? 0) + 1);
-      setTimeout(() => respond(id, response), options.workMs ?? DEFAULT_WORK_MS);
+      running += 1;
+      setTimeout(() => {
+        running -= 1;
+        respond(id, response);
+      }, options.workMs ?? DEFAULT_WORK_MS);
     }
   };
 
@@ -174,7 +185,7 @@
       timers.delete(timer);
       const next = (released: boolean) => {
         const pauseMs = options.announceIntervalMs ?? DEFAULT_ANNOUNCE_INTERVAL_MS;
-        if (!isKilled) scheduleAnnouncement(released ? RELEASE_ANNOUNCE_DELAY_MS : pauseMs);
+        if (!isSilent) scheduleAnnouncement(released ? RELEASE_ANNOUNCE_DELAY_MS : pauseMs);
       };
       announce().then(next, () => next(false));
     }, delayMs);
@@ -182,6 +193,11 @@
   };
   scheduleAnnouncement(0);
 
+  const stopAnnouncing = () => {
+    isSilent = true;
+    for (const timer of timers) clearTimeout(timer);
+  };
+
   return {
     instance,
     address,
@@ -190,9 +206,21 @@
     drain: () => {
       isDraining = true;
     },
+    leave: async () => {
+      stopAnnouncing();
+      const { body } = await request(
+        `http://${options.announceAddress}${nodePaths.leave.replace(':id', instance)}`,
+        { method: 'POST', body: JSON.stringify({ born: startedAt }) },
+      );
+      await body.dump();
+    },
+    closeListener: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    running: () => running,
     kill: () => {
-      isKilled = true;
-      for (const timer of timers) clearTimeout(timer);
+      stopAnnouncing();
       server.close();
       server.closeAllConnections();
     },
