Apply the departure of a process to earlier ones of its identifier

It had crashed, started again under its identifier, and left within a heartbeat.

Cause: a departure was kept for one process by its start time, and its node still had the process that crashed in use. Requests name only the identifier, so the process that had left ran them. The log shows the departure recorded and stored, without a change of state.

Change: a departure covers all processes of its identifier that started no later; one whose start lies after the departure covers that start only, so that it takes no other out of use. A draining announcement of a possible successor, which is set aside, is recorded and stored before it is confirmed.

An acknowledgement makes the same calls as before; no figure of it was measured.

--- a/fleet/_announcement_check.ts
+++ b/fleet/_announcement_check.ts
@@ -10,13 +10,20 @@
   readonly announcedAt: number;
 }
 
+/** Why an announcement must not be used. */
+export interface Objection {
+  readonly reason: string;
+  /** Whether it may be that of a process which runs, although another one is in use. */
+  readonly mayRun: boolean;
+}
+
 /** Decides which announcements are used. */
 export interface AnnouncementCheck {
   /** Returns why an announcement must not be used, or undefined if it may be. */
   readonly findObjection: (
     announcement: Announcement,
     inUse: ProcessInUse | undefined,
-  ) => string | undefined;
+  ) => Objection | undefined;
   /** Forgets what other processes announced, as an announcement was used. */
   readonly reset: () => void;
 }
@@ -69,19 +76,24 @@
     return isRepeated && quietMs > options.announceIntervalMs * SUCCESSION_ANNOUNCEMENTS;
   };
 
+  const findFault = (announcement: Announcement, inUse: ProcessInUse | undefined) => {
+    const { service, startedAt } = announcement;
+    if (startedAt > clock.wallTime() + MAX_CLOCK_LEAD_MS) return 'its start lies in the future';
+    if (inUse !== undefined && isStale(inUse, announcement)) return 'it is stale';
+    if (inUse !== undefined && isSameProcess(inUse.announcement, announcement)) {
+      return inUse.announcement.service === service ? undefined : 'its service has changed';
+    }
+    return options.isKnownService(service) ? undefined : 'nothing names its service';
+  };
+
   return {
     findObjection: (announcement, inUse) => {
-      const { service, startedAt } = announcement;
-      if (startedAt > clock.wallTime() + MAX_CLOCK_LEAD_MS) return 'its start lies in the future';
-      if (inUse === undefined) {
-        return options.isKnownService(service) ? undefined : 'nothing names its service';
-      }
-      if (isStale(inUse, announcement)) return 'it is stale';
-      if (isSameProcess(inUse.announcement, announcement)) {
-        return inUse.announcement.service === service ? undefined : 'its service has changed';
-      }
-      if (!options.isKnownService(service)) return 'nothing names its service';
-      return mayReplace(inUse, announcement) ? undefined : 'another process is in use';
+      const reason = findFault(announcement, inUse);
+      if (reason !== undefined) return { reason, mayRun: false };
+      if (inUse === undefined || isSameProcess(inUse.announcement, announcement)) return undefined;
+      return mayReplace(inUse, announcement)
+        ? undefined
+        : { reason: 'another process is in use', mayRun: true };
     },
     reset: () => {
       contender = undefined;
--- a/fleet/_local_departures.ts
+++ b/fleet/_local_departures.ts
@@ -10,13 +10,14 @@
 
 /** The instances that have left this host, as far as its node has acknowledged it. */
 export interface LocalDepartures {
-  /** Records an acknowledged departure; without a start time, that of any process so far. */
-  readonly record: (instance: string, startedAt?: number) => void;
+  /** Records an acknowledged departure. */
+  readonly record: (instance: string, startedAt: number) => void;
   /** Applies the directory entry that an earlier process of this node left. */
   readonly restore: (former: DirectoryInstance) => void;
   /**
-   * Returns the monotonic time in ms at which the departure of a process was acknowledged, or
-   * `-Infinity` if an earlier process of this node did; undefined if it has not left.
+   * Returns the monotonic time in ms at which the departure of a process, or of a later one of its
+   * identifier, was acknowledged, or `-Infinity` if an earlier process of this node did; undefined
+   * if it has not left.
    */
   readonly leftAt: (process: InstanceProcess) => number | undefined;
   /** Returns whether the departures that earlier processes acknowledged are known. */
@@ -30,10 +31,17 @@
   left.instance === right.instance && left.startedAt === right.startedAt
 );
 
-const isDepartureOf = ({ instance, startedAt, leftAt }: Departure, process: InstanceProcess) => (
-  instance === process.instance
-  && (startedAt === undefined ? process.startedAt <= leftAt : process.startedAt === startedAt)
-);
+/**
+ * Returns whether a process has left. The processes of an identifier run one after the other, and
+ * requests name only the identifier: those for an earlier process reach the one that has left. A
+ * start after the departure cannot be right, and tells nothing of other processes.
+ */
+const isDepartureOf = ({ instance, startedAt, leftAt }: Departure, process: InstanceProcess) => {
+  if (instance !== process.instance) return false;
+  const startsUntil = startedAt ?? leftAt;
+  if (startsUntil > leftAt) return process.startedAt === startedAt;
+  return process.startedAt <= startsUntil;
+};
 
 /** Creates the departures of a host from the log that outlasts the process of its node. */
 export const createLocalDepartures = (
@@ -52,8 +60,7 @@
   return {
     record: (instance, startedAt) => {
       const departure = { instance, startedAt, leftAt: clock.wallTime() };
-      const isKnown = startedAt !== undefined && find({ instance, startedAt }) !== undefined;
-      if (isKnown) return;
+      if (find(departure) !== undefined) return;
       acknowledgedAt.set(departure, clock.now());
       stored = Promise.all([stored, log.add(departure)]);
       const kept = new Set(log.departures());
@@ -65,7 +72,8 @@
     leftAt: (process) => {
       const departure = find(process);
       if (departure !== undefined) return acknowledgedAt.get(departure) ?? -Infinity;
-      const isFormer = formerEntry !== undefined && isSameProcess(formerEntry, process);
+      const isFormer = formerEntry?.instance === process.instance
+        && process.startedAt <= formerEntry.startedAt;
       return isFormer ? -Infinity : undefined;
     },
     isSettled: log.isSettled,
--- a/fleet/departures_test.ts
+++ b/fleet/departures_test.ts
@@ -4,6 +4,7 @@
 import { createDepartureLog, departuresKey } from '../directory/mod.ts';
 import { createMemoryLeasedStore } from '../store/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import type { InstanceRegistry } from './instance_registry.ts';
 import { runUntilStop } from './run_until_stop.ts';
 import { createTestRegistry, TEST_DRAIN_MS, testAnnouncement } from './_test_registry.ts';
 
@@ -114,6 +115,92 @@
   await node.kill();
 });
 
+interface SuccessorDeparture {
+  readonly name: string;
+  /** Makes the later process, with the given start, leave. */
+  readonly leave: (registry: InstanceRegistry, startedAt: number) => void;
+}
+
+const successorDepartures: readonly SuccessorDeparture[] = [
+  {
+    name: 'deregisters before its first announcement',
+    leave: (registry, startedAt) => registry.leave('i-1', startedAt),
+  },
+  {
+    name: 'deregisters after its first announcement',
+    leave: (registry, startedAt) => {
+      registry.announce({ ...announcement, startedAt, sequence: 1 });
+      registry.leave('i-1', startedAt);
+    },
+  },
+  {
+    name: 'first announces that it is draining',
+    leave: (registry, startedAt) => {
+      registry.announce({
+        ...announcement, startedAt, sequence: 1, isDraining: true,
+      });
+    },
+  },
+];
+
+for (const { name, leave } of successorDepartures) {
+  // An instance that had started again under its identifier left before its node noticed that the
+  // earlier process had ended. Requests reached it long after its departure had been confirmed.
+  test(`a process that ${name} gets no more requests for the one before it`, async () => {
+    const { clock, startNode, acknowledge } = setUp();
+    const node = startNode();
+    await clock.advance(100);
+    node.registry.announce(announcement);
+    await clock.advance(100);
+    const leftAt = clock.now();
+    const startedAt = clock.wallTime();
+    leave(node.registry, startedAt);
+    assert.is(node.registry.local()?.state, 'draining');
+    assert.ok(node.registry.local()!.acceptsUntil <= leftAt + TEST_DRAIN_MS / 2);
+    assert.ok(await acknowledge(node) < 1000);
+    // Late announcements of either process change nothing.
+    node.registry.announce({ ...announcement, sequence: 8 });
+    assert.is(node.registry.local()?.state, 'draining');
+    node.registry.announce({ ...announcement, startedAt, sequence: 2 });
+    assert.is(node.registry.local()?.state, 'draining');
+    assert.ok(node.registry.local()!.acceptsUntil <= leftAt + TEST_DRAIN_MS / 2);
+    await node.kill();
+  });
+
+  test(`an earlier process is not in use after a restart if one ${name}`, async () => {
+    const { clock, startNode, acknowledge } = setUp();
+    const before = startNode();
+    await clock.advance(100);
+    before.registry.announce(announcement);
+    leave(before.registry, clock.wallTime());
+    await acknowledge(before);
+    before.kill();
+    await clock.advance(LONG_RESTART_MS);
+    const after = startNode();
+    await clock.advance(100);
+    after.registry.announce({ ...announcement, sequence: 8 });
+    assert.is(after.registry.local()?.state, 'draining');
+    assert.ok(after.registry.local()!.acceptsUntil <= clock.now());
+    // The process that starts next is in use.
+    after.registry.announce({ ...announcement, startedAt: clock.wallTime(), sequence: 1 });
+    assert.is(after.registry.local()?.state, 'ready');
+    after.kill();
+  });
+}
+
+// Guards against another writer that takes an instance out of use.
+test('the departure of a process that starts in the future leaves others in use', async () => {
+  const { clock, startNode } = setUp();
+  const node = startNode();
+  await clock.advance(100);
+  node.registry.announce(announcement);
+  for (const startedAt of [9e15, clock.wallTime() + 1]) {
+    node.registry.leave('i-1', startedAt);
+    assert.is(node.registry.local()?.state, 'ready');
+  }
+  await node.kill();
+});
+
 test('a departure is confirmed once it is stored, or after a limit', async () => {
   const {
     clock, store, startNode, acknowledge,
--- a/fleet/instance_registry.ts
+++ b/fleet/instance_registry.ts
@@ -3,12 +3,15 @@
 import type { Announcement, Owner } from '../ranges/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import { type AnnouncementCheckOptions, createAnnouncementCheck } from './_announcement_check.ts';
-import { createLocalDepartures, isSameProcess } from './_local_departures.ts';
+import { createLocalDepartures, type InstanceProcess, isSameProcess } from './_local_departures.ts';
 import { createProcessProbe, type ProcessProbeOptions } from './_process_probe.ts';
 
 /** Tracks the instance of this host by its announcements and by probes of its address. */
 export interface InstanceRegistry {
-  /** Applies an announcement; returns false if a newer one has already been applied. */
+  /**
+   * Applies an announcement; returns false if it is not used. A departure that a later process of
+   * the instance announces is remembered also then.
+   */
   readonly announce: (announcement: Announcement) => boolean;
   /**
    * Starts draining an instance that deregisters itself, and remembers its departure also if it is
@@ -187,13 +190,26 @@
     Object.assign(current, { closesAt: Math.min(current.closesAt, closesAt) });
   };
 
+  const recordDeparture = ({ instance, startedAt }: InstanceProcess, reason: string) => {
+    departures.record(instance, startedAt);
+    if (tracked !== undefined) drainDeparted(tracked, reason);
+  };
+
   const announce: InstanceRegistry['announce'] = (announcement) => {
     const objection = check.findObjection(announcement, tracked);
     if (objection !== undefined) {
       const { instance, startedAt, service } = announcement;
       logger.warn({
-        instance, startedAt, service, tracked: tracked?.announcement.instance, reason: objection,
+        instance,
+        startedAt,
+        service,
+        tracked: tracked?.announcement.instance,
+        reason: objection.reason,
+        isDraining: announcement.isDraining,
       }, 'ignored an announcement');
+      if (objection.mayRun && announcement.isDraining) {
+        recordDeparture(announcement, 'a later process announced that it is draining');
+      }
       return false;
     }
     check.reset();
@@ -203,8 +219,7 @@
     } else tracked.hasSucceeded = true;
     Object.assign(tracked, { announcement, announcedAt: clock.now(), isGone: false });
     if (announcement.isDraining) {
-      departures.record(announcement.instance, announcement.startedAt);
-      drainDeparted(tracked, 'it announced that it is draining');
+      recordDeparture(announcement, 'it announced that it is draining');
     } else if (departures.leftAt(announcement) !== undefined) {
       drainDeparted(tracked, 'it had left');
     } else if (tracked.state === 'down' || tracked.state === 'silent') {
@@ -217,8 +232,8 @@
     announce,
     leave: (instance, startedAt) => {
       const known = tracked?.announcement.instance === instance ? tracked.announcement : undefined;
-      departures.record(instance, startedAt ?? known?.startedAt);
-      if (tracked !== undefined) drainDeparted(tracked, 'it deregistered');
+      const latestStart = startedAt ?? known?.startedAt ?? clock.wallTime();
+      recordDeparture({ instance, startedAt: latestStart }, 'it deregistered');
     },
     departuresStored: departures.stored,
     restore: (former) => {
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -209,9 +209,9 @@
   registerGauges(kernel);
 
   const announce = async (announcement: Announcement) => {
-    if (!registry.announce(announcement)) return undefined;
-    const answer = ranges.answer(announcement);
-    tasks.reconcile();
+    const isUsed = registry.announce(announcement);
+    const answer = isUsed ? ranges.answer(announcement) : undefined;
+    if (isUsed) tasks.reconcile();
     await registry.departuresStored();
     return answer;
   };
