Simulate instances that leave and finish a request without a listener

Hosts now have a fault in which an instance deregisters, closes its listener and holds its keys until a request of its node is finished, with or without announcements and with or without a successor at the address; two holders are looked for among all processes, also those of one host.

--- a/fleet/_test_cluster.ts
+++ b/fleet/_test_cluster.ts
@@ -23,14 +23,15 @@
 import { lostAfterMs } from './_range_planner.ts';
 import { createEvacuator, createTestRules } from './_test_evacuation.ts';
 import type { TestCluster, TestClusterOptions, TestHost } from './_test_cluster_types.ts';
-import { createTestInstance, type TestInstance } from './_test_instance.ts';
+import { createHostInstances } from './_test_host_instances.ts';
 import { countWrites, createTestHostStore } from './_test_store.ts';
 
 export type { TestCluster, TestClusterOptions, TestHost } from './_test_cluster_types.ts';
 
 export const MAX_HOLD_MS = 10_000;
 const ANNOUNCE_INTERVAL_MS = 870;
-const LONGEST_WORK_MS = 1500;
+/** Longest time in ms for which an instance works on a request. */
+export const LONGEST_WORK_MS = 1500;
 const STEP_MS = 50;
 const RECONCILE_STEPS = 4;
 const TOTAL_KEYS = 65_536;
@@ -40,6 +41,7 @@
   readonly reconcile: () => void;
   readonly probe: () => void;
   readonly announce: (announcement: Announcement) => AnnouncementAnswer | undefined;
+  readonly leave: (instance: string, startedAt: number) => void;
 }
 
 const createHost = (
@@ -54,12 +56,13 @@
   let peerAddress = `${node}:2`;
   let isStorePartitioned = false;
   let areAnnouncementsDropped = false;
-  let starts = 0;
-  let refusesConnections = false;
   let running: RunningNode | undefined;
-  let instance: TestInstance | undefined;
+  const instances = createHostInstances(clock, index, (announcement) => (
+    areAnnouncementsDropped ? undefined : running?.announce(announcement)
+  ));
 
   const startNode = () => {
+    let self: RunningNode | undefined;
     const stopping = new AbortController();
     const eras = createStoreEras(clock);
     const store = followEras(createTestHostStore({
@@ -88,12 +91,12 @@
       announceIntervalMs: ANNOUNCE_INTERVAL_MS,
       drainMs: 2000,
       isKnownService: (service) => service === 'ledger',
-      openPort: () => ({
+      openPort: ({ startedAt: born }) => ({
         send: async () => ({ kind: 'failed', status: 500 }),
-        hasUnfinishedWork: () => false,
+        hasUnfinishedWork: () => instances.isAtWork(born, self),
         close: () => undefined,
       }),
-      isConnectionRefused: async () => refusesConnections,
+      isConnectionRefused: async () => instances.current() === undefined,
       longestWorkMs: () => LONGEST_WORK_MS,
     });
     const startedAt = clock.wallTime();
@@ -162,7 +165,8 @@
     operatorView.follow(stopping.signal);
     own.run(stopping.signal);
     departureLog.run(stopping.signal);
-    running = {
+    self = {
+      leave: registry.leave,
       stop: () => stopping.abort(),
       reconcile: () => {
         controller.reconcile();
@@ -174,38 +178,31 @@
         registry.probe();
       },
     };
-  };
-
-  const startInstance = () => {
-    starts += 1;
-    refusesConnections = false;
-    instance = createTestInstance({
-      clock,
-      name: `i-${index}-${starts}`,
-      startedAt: clock.wallTime(),
-      clockRate: 0.98,
-      send: (announcement) => (
-        areAnnouncementsDropped ? undefined : running?.announce(announcement)
-      ),
-    });
+    running = self;
   };
 
   startNode();
-  startInstance();
+  instances.start();
   const host: TestHost = {
     node,
-    instance: () => instance!,
+    instance: () => instances.current()!,
     killNode: () => {
       running?.stop();
       running = undefined;
     },
     startNode,
-    killInstance: () => {
-      instance = undefined;
-      refusesConnections = true;
+    killInstance: instances.kill,
+    startInstance: instances.start,
+    drain: () => instances.current()?.drain(),
+    stopInOrder: (workMs, isSilent) => {
+      const instance = instances.current();
+      if (instance === undefined) return;
+      running?.leave(instance.name, instance.startedAt);
+      // Without a node, nobody has sent it a request.
+      instances.finish({
+        workMs: running === undefined ? 0 : workMs, isSilent, sender: running,
+      });
     },
-    startInstance,
-    drain: () => instance?.drain(),
     setStorePartitioned: (isPartitioned) => {
       isStorePartitioned = isPartitioned;
     },
@@ -219,12 +216,13 @@
   };
   const step = (count: number) => {
     const isDue = (count * STEP_MS + index * 130) % ANNOUNCE_INTERVAL_MS < STEP_MS;
-    if (isDue) instance?.announce();
+    instances.endFinished();
+    if (isDue) instances.announce();
     // A node also reconciles after each announcement, whose releases it writes.
     if (isDue || count % RECONCILE_STEPS === 0) running?.reconcile();
     if (count % RECONCILE_STEPS === 1) running?.probe();
   };
-  return { host, step, held: () => instance?.held() ?? [] };
+  return { host, step, holders: instances.all };
 };
 
 /** Starts hosts with one node and one instance each. */
@@ -244,14 +242,14 @@
   let steps = 0;
 
   const checkHolders = () => {
-    const all = hosts.flatMap(({ host, held }) => (
-      held().map((range) => ({ range, node: host.node }))
+    const all = hosts.flatMap(({ holders }) => holders()).flatMap(({ name, held }) => (
+      held().map((range) => ({ range, name }))
     ));
     for (const [index, left] of all.entries()) {
       for (const right of all.slice(index + 1)) {
-        if (left.node !== right.node && overlaps(left.range, right.range)) {
+        if (left.name !== right.name && overlaps(left.range, right.range)) {
           const keys = `${left.range.from}-${left.range.to}`;
-          throw new Error(`${left.node} and ${right.node} hold ${keys} at ${clock.now()} ms`);
+          throw new Error(`${left.name} and ${right.name} hold ${keys} at ${clock.now()} ms`);
         }
       }
     }
@@ -274,6 +272,7 @@
       for (const { host } of hosts) host.killNode();
     },
     heldFraction: () => hosts
+      .flatMap(({ holders }) => holders())
       .flatMap(({ held }) => held())
       .reduce((sum, { from, to }) => sum + to - from + 1, 0) / TOTAL_KEYS,
     setEvacuated: createEvacuator(store),
--- a/fleet/_test_cluster_types.ts
+++ b/fleet/_test_cluster_types.ts
@@ -16,6 +16,11 @@
   readonly killInstance: () => void;
   readonly startInstance: () => void;
   readonly drain: () => void;
+  /**
+   * Makes the instance deregister and close its listener; its process ends once it has finished a
+   * request of its node, which takes `workMs`. It may go on to announce itself until then.
+   */
+  readonly stopInOrder: (workMs: number, isSilent: boolean) => void;
   /** Partitions the node from the store, or ends the partition. */
   readonly setStorePartitioned: (isPartitioned: boolean) => void;
   /** Changes the host's address from the next start of its node on. */
--- a/fleet/random_faults_test.ts
+++ b/fleet/random_faults_test.ts
@@ -4,7 +4,9 @@
 import * as assert from 'uvu/assert';
 import { nodeKey } from '../directory/mod.ts';
 import type { StoreCopy } from '../store/mod.ts';
-import { createTestCluster, type TestCluster, type TestClusterOptions } from './_test_cluster.ts';
+import {
+  createTestCluster, LONGEST_WORK_MS, type TestCluster, type TestClusterOptions,
+} from './_test_cluster.ts';
 
 const test = suite('range controller under random faults');
 
@@ -83,6 +85,17 @@
   ({ setEvacuated }) => setEvacuated(domain, false),
 ]);
 
+/** Instances that leave and finish a request without a listener, with or without a successor. */
+const orderlyStops = [true, false].flatMap((isSilent): readonly Fault[] => [
+  ({ hosts }, host, _, random) => {
+    hosts[host]!.stopInOrder(random(LONGEST_WORK_MS), isSilent);
+  },
+  ({ hosts }, host, _, random) => {
+    hosts[host]!.stopInOrder(random(LONGEST_WORK_MS), isSilent);
+    hosts[host]!.startInstance();
+  },
+]);
+
 const endAllFaults = ({ hosts, store, setEvacuated }: TestCluster) => {
   Object.assign(store.faults, { failWith: undefined, loseReplies: false });
   setEvacuated(['d0', 'd1', 'd2'], false);
@@ -130,4 +143,9 @@
   runSeeds([...faults, ...evacuations], { failureDomains: 3 })
 ));
 
+// Guards against two holders of a key: a closed listener was taken for the end of a process.
+test('the same holds while instances leave and finish requests', () => (
+  runSeeds([...faults, ...orderlyStops, ...orderlyStops])
+));
+
 test.run();
