Forget the clients of former processes that have no work left

A client of each former process was kept until the planner of keys asked for it, and no planner asks on a host whose service has no keys: one client for each restart of the instance. They are now pruned when another one is added. Found on reading the change; the tests of three files pass (process end, closed listener, random faults: 12 of 12).

--- a/fleet/_process_probe.ts
+++ b/fleet/_process_probe.ts
@@ -53,6 +53,8 @@
   let isProbing = false;
   let formers: readonly InstanceClient[] = [];
 
+  const unfinishedFormers = () => formers.filter((client) => client.hasUnfinishedWork());
+
   return {
     isRefused: async (address) => {
       if (isProbing) return undefined;
@@ -71,10 +73,10 @@
       return clock.now() - createdAt < options.longestWorkMs();
     },
     addFormer: (client) => {
-      formers = [...formers, client];
+      formers = [...unfinishedFormers(), client];
     },
     mayFormerBeAtWork: () => {
-      formers = formers.filter((client) => client.hasUnfinishedWork());
+      formers = unfinishedFormers();
       return formers.length > 0;
     },
   };
