--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -10,6 +10,7 @@
   createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
   createRequestSender, createResponseSilence, createRouteTable, createServiceRetryBudget,
   createShutdownTracker, createSlotQueue, MAX_BUFFERED_BYTES, type PeerClientOptions,
+  type ShutdownTracker,
 } from './mod.ts';
 
 const clock = createSystemClock();
@@ -133,6 +134,8 @@
   /** Returns the address through which the peer listener at an address is reached. */
   readonly reachThrough?: (address: string) => Promise<string>;
   readonly peerListeners?: Pick<PeerClientOptions, 'onRoundTrip' | 'onTransfer'>;
+  /** Trackers of the caller listener and of all peer listeners; by default, no node stops. */
+  readonly shutdown?: { readonly caller: ShutdownTracker; readonly peer: ShutdownTracker };
 }
 
 /** Starts the destination of one raw instance, with a peer listener in front of it. */
@@ -171,7 +174,7 @@
     requestIdHeader: HEADERS.requestId,
     local: forwarder,
     ...(options.peerBodies === undefined ? {} : { bodies: options.peerBodies }),
-    shutdown: createShutdownTracker(clock),
+    shutdown: options.shutdown?.peer ?? createShutdownTracker(clock),
     logger: noopLogger,
     handleControlMessage: async () => undefined,
   });
@@ -247,7 +250,7 @@
     sender,
     link: createLink(),
     ...(bodies === undefined ? {} : { bodies }),
-    shutdown: createShutdownTracker(clock),
+    shutdown: options.shutdown?.caller ?? createShutdownTracker(clock),
     logger: noopLogger,
     random: () => 0,
     onRequestEnd: ({ outcome }) => outcomes.push(outcome),
