Go on with requests whose instance is slow to answer

Callers got 502 for requests at which their instance was at work: the node beside the instance took a run of more than twice the longest of a minute for a silent connection and broke it off. Around a planned stop an instance's silence is no reason to end an answer sooner, and neither node knows whether the other one is stopping.

A silent connection now ends nothing. The node tells the entrance with an interim response, and the entrance asks another instance as well, if the request may run twice and a retry is allowed; the first head wins. All other requests wait for their response until the deadline. The slot stays taken meanwhile, as before, and a late response takes back what was learned of the accepted slots.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -37,6 +37,8 @@
   readonly onSilent?: (since: number) => boolean | undefined;
   /** Called when a head, interim or final, or a part of the body arrives. */
   readonly onReceive?: () => void;
+  /** Called with the raw headers of an interim response. */
+  readonly onInterim?: (rawHeaders: readonly string[]) => void;
   /** Timeout in ms without progress of the response body. */
   readonly bodyProgressTimeoutMs: number;
   /**
@@ -227,7 +229,7 @@
         interimCount += 1;
         if (interimCount > MAX_INTERIM_RESPONSES) {
           fail('connection', new Error('too many interim responses'));
-        }
+        } else options.onInterim?.(toStrings(current.rawHeaders));
         return;
       }
       const raw = toStrings(current.rawHeaders);
--- a/forward/headers.ts
+++ b/forward/headers.ts
@@ -19,6 +19,8 @@
   /** Time in ms from the arrival of a request at the node to the head of its response. */
   spentMs: 'mh-spent-ms',
   reached: 'mh-reached',
+  /** In an interim response: the instance seems not to answer the request, which goes on. */
+  silent: 'mh-silent',
   /** In a refusal of a node that accepts no further requests. */
   stopping: 'mh-stopping',
   outcome: 'mh-outcome',
--- a/gateway/_attempt_outcomes.ts
+++ b/gateway/_attempt_outcomes.ts
@@ -22,14 +22,6 @@
   return outcome.refusal.status === STATUS_GATEWAY_TIMEOUT ? 'timeout' : 'failure';
 };
 
-/** Step of the refusal of a request whose connection to the instance has gone silent. */
-export const SILENT_STEP = 'instance.silence';
-
-/** Returns whether the instance may still be at work on a request that was given up. */
-export const isAbandoned = (outcome: AttemptOutcome) => (
-  outcome.kind === 'refused' && outcome.refusal.step === SILENT_STEP
-);
-
 /** Returns whether an attempt ended without an answer after the instance had got the request. */
 export const mayHaveRun = (outcome: AttemptOutcome) => (
   outcome.kind === 'refused' && outcome.refusal.outcome === 'unknown'
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -3,7 +3,6 @@
 import {
   type ResponseSink, createTruncationAwarePool, exchange, type ExchangeResult, findHeader,
 } from '../forward/mod.ts';
-import { SILENT_STEP } from './_attempt_outcomes.ts';
 import { refuseNotRun, refuseUnknown } from './_refusals.ts';
 import { createConnectionLosses } from './_connection_losses.ts';
 import { createUnfinishedWork, type WorkEnd } from './_unfinished_work.ts';
@@ -23,16 +22,21 @@
   readonly notRun: string;
 }
 
+/** Listeners to the progress of a request at the instance. */
+export interface InstanceSendListeners {
+  /** Called in the turn of the event loop in which the request is written to a connection. */
+  readonly onSent?: (() => void) | undefined;
+  /** Called once if the connection seems to have gone silent; the request goes on. */
+  readonly onSilent?: (() => void) | undefined;
+}
+
 /** HTTP client for one incarnation of the instance on this host. */
 export interface InstanceClient {
-  /**
-   * Sends a request to the instance and streams the response into `sink`. `onSent` is called in the
-   * turn of the event loop in which the request is written to a connection.
-   */
+  /** Sends a request to the instance and streams the response into `sink`. */
   readonly send: (
     request: GatewayRequest,
     sink: ResponseSink,
-    onSent?: () => void,
+    listeners?: InstanceSendListeners,
   ) => Promise<AttemptOutcome>;
   /** Returns whether the process may be at work on a request, also on one that was given up. */
   readonly hasUnfinishedWork: () => boolean;
@@ -144,17 +148,12 @@
     if (end.begun) return { kind: 'truncated', error: new StepError(end.error.message, context) };
     if (errorCodeOf(end.error) === 'ECONNREFUSED') options.onConnectionRefused();
     if (!end.written) return refuseNotRun(end.error.message, REFUSED_RETRY_AFTER_MS, context);
-    if (end.cause === 'silent') {
-      return refuseUnknown('the instance does not answer on this connection', {
-        ...context, step: SILENT_STEP,
-      });
-    }
     const isTimeout = end.cause === 'deadline' || clock.now() >= request.deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
     return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
   };
 
-  const send: InstanceClient['send'] = async (request, sink, onSent) => {
+  const send: InstanceClient['send'] = async (request, sink, listeners) => {
     let notRunStatus: number | undefined;
     let failedStatus: number | undefined;
     let fault: string | undefined;
@@ -193,13 +192,16 @@
       deadlineAt: request.deadlineAt + DEADLINE_SLACK_MS,
       endDeadlineAt: request.deadlineAt + BODY_SLACK_MS,
       headProgressTimeoutMs: watch?.timeoutMs ?? Number.POSITIVE_INFINITY,
-      onSilent: () => watch?.isSilent(),
+      onSilent: () => {
+        if (watch?.isSilent() === true) listeners?.onSilent?.();
+        return false;
+      },
       bodyProgressTimeoutMs: BODY_STALL_MS,
       onReceive: work.recordLife,
       beforeWrite: () => {
         endWork = work.begin(remainingMs);
         watch?.start();
-        onSent?.();
+        listeners?.onSent?.();
         return undefined;
       },
       checkHead: checkHead(request),
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -4,9 +4,7 @@
 import type { EgressLink } from '../http/mod.ts';
 import { refuseNotRun } from './_refusals.ts';
 import type { InstanceClient } from './instance_client.ts';
-import {
-  hasEnded, isAbandoned, isRefusedByInstance, mayHaveRun,
-} from './_attempt_outcomes.ts';
+import { hasEnded, isRefusedByInstance, mayHaveRun } from './_attempt_outcomes.ts';
 import type { DemandMeter, DemandRequest } from './demand_meter.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { SlotQueue } from './slot_queue.ts';
@@ -33,7 +31,12 @@
 
 /** Forwards requests to the instance on this host. */
 export interface LocalForwarder {
-  readonly forward: (request: GatewayRequest, sink: ResponseSink) => Promise<AttemptOutcome>;
+  /** `onSilent` is called once if the instance seems never to answer; the request goes on. */
+  readonly forward: (
+    request: GatewayRequest,
+    sink: ResponseSink,
+    onSilent?: () => void,
+  ) => Promise<AttemptOutcome>;
   /** Counts a request that this node refused for want of processor time. */
   readonly recordRefusal: (request: DemandRequest) => void;
   /** Returns the current load of the instance. */
@@ -130,6 +133,7 @@
     request: GatewayRequest,
     sendMs: number | undefined,
     sink: ResponseSink,
+    onSilent: () => void,
   ): Promise<AttemptOutcome> => {
     const refusedBefore = checkServable(request, options.instance());
     if (refusedBefore !== undefined) return refusedBefore;
@@ -184,16 +188,24 @@
     let isSample = false;
     let freeSlotAfterMs = 0;
     let isComplete = false;
+    let isSilent = false;
     let outcome: AttemptOutcome;
     try {
-      outcome = await current.client.send(request, sink, place?.markSent);
+      outcome = await current.client.send(request, sink, {
+        onSent: place?.markSent,
+        onSilent: () => {
+          isSilent = true;
+          onSilent();
+        },
+      });
       isSample = outcome.kind === 'answered' && outcome.status < 500;
       isComplete = hasEnded(outcome);
       // The instance may be at work until the deadline, which the request has told it.
       const untilDeadlineMs = request.deadlineAt - clock.now();
-      if (isAbandoned(outcome)) freeSlotAfterMs = untilDeadlineMs;
-      else if (request.signal.aborted && mayHaveRun(outcome)) {
-        const leftMs = options.leftWorkMs?.(request.workClass, clock.now() - startedAt) ?? 0;
+      if (request.signal.aborted && mayHaveRun(outcome)) {
+        const leftMs = isSilent
+          ? untilDeadlineMs
+          : options.leftWorkMs?.(request.workClass, clock.now() - startedAt) ?? 0;
         freeSlotAfterMs = Math.min(leftMs, untilDeadlineMs);
       }
     } finally {
@@ -210,12 +222,16 @@
     return outcome.kind === 'answered' ? { ...outcome, timing: { queuedMs, runMs } } : outcome;
   };
 
-  const forward: LocalForwarder['forward'] = async (request, sink) => {
-    if (!isBulk(request.kind)) return runInSlot(request, undefined, sink);
+  const forward: LocalForwarder['forward'] = async (
+    request,
+    sink,
+    onSilent = () => undefined,
+  ) => {
+    if (!isBulk(request.kind)) return runInSlot(request, undefined, sink, onSilent);
     const sendMs = link.bulkDelayMs();
     const endExpectation = link.expectBulk();
     try {
-      return await runInSlot(request, sendMs, sink);
+      return await runInSlot(request, sendMs, sink, onSilent);
     } finally {
       endExpectation();
     }
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -25,17 +25,21 @@
   readonly load: AdmissionLoad | undefined;
 }
 
+/** What seems not to answer a request: the node that was asked, or the instance on its host. */
+export type SilentPart = 'peer' | 'instance';
+
 /** HTTP client for the nodes on other hosts. */
 export interface PeerClient {
   /**
    * Sends a request to the peer at `address` and streams the response into `sink`. `onSilent` is
-   * called when nothing arrives for some time; the request goes on until its deadline.
+   * called when nothing arrives for some time, and when the peer says that its instance seems not
+   * to answer; the request goes on until its deadline.
    */
   readonly send: (
     address: string,
     request: GatewayRequest,
     sink: ResponseSink,
-    onSilent?: () => void,
+    onSilent?: (part: SilentPart) => void,
   ) => Promise<PeerSendResult>;
   /** Returns whether the peer is suspected of having failed. */
   readonly isSuspect: (address: string) => boolean;
@@ -198,9 +202,12 @@
       onReceive: () => detector.recordContact(address),
       onSilent: (since) => {
         if (detector.recordSilence(address, since)) onSuspect(address, 'no progress in time');
-        onSilent?.();
+        onSilent?.('peer');
         return false;
       },
+      onInterim: (raw) => {
+        if (findHeader(raw, hopHeaders.silent) !== undefined) onSilent?.('instance');
+      },
       bodyProgressTimeoutMs: BODY_STALL_MS,
       checkHead,
       checkEnd,
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -16,6 +16,7 @@
 import {
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
 } from './_limits.ts';
+import { startInterimResponses } from './_interim_responses.ts';
 import { readBody } from './_read_body.ts';
 import {
   refuseBody, refuseNotRun, refuseSaturated, refuseUnknown,
@@ -24,7 +25,6 @@
 import type { DispatchQueue } from './dispatch_queue.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
-import { MAX_PEER_SILENCE_MS } from './peer_client.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
 import type { ShutdownTracker } from './shutdown_tracker.ts';
 
@@ -55,8 +55,6 @@
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
-/** Three interim responses within the silence that a peer tolerates. */
-const INTERIM_INTERVAL_MS = MAX_PEER_SILENCE_MS / 3;
 /** Path prefix of control messages; forwarded requests always carry a hop header. */
 const CONTROL_PREFIX = '/marjoramhollow/';
 /** Approximate time until a restarted node accepts requests. */
@@ -133,23 +131,12 @@
     };
   };
 
-  /** Sends 102 Processing at intervals until the final response begins; returns a canceller. */
-  const startInterimResponses = (response: ServerResponse) => {
-    let cancel = () => undefined as void;
-    const sendInterim = () => {
-      if (response.headersSent || response.destroyed) return;
-      response.writeProcessing();
-      cancel = clock.schedule(INTERIM_INTERVAL_MS, sendInterim);
-    };
-    cancel = clock.schedule(INTERIM_INTERVAL_MS, sendInterim);
-    return () => cancel();
-  };
-
   const forwardOrRefuse = async (
     request: GatewayRequest,
     sink: ResponseSink,
+    onSilent: () => void,
   ): Promise<AttemptOutcome> => (
-    isAccepting() ? local.forward(request, sink) : refuseWhileStopping()
+    isAccepting() ? local.forward(request, sink, onSilent) : refuseWhileStopping()
   );
 
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
@@ -203,7 +190,7 @@
     options.eventLoop?.record(clock.now() - bodyReadAt, decision === 'gone', isFirst);
     if (decision === 'gone') return;
     if (decision === 'expired') local.recordRefusal(request);
-    const stopInterimResponses = startInterimResponses(response);
+    const interim = startInterimResponses(clock, response);
     const addLoad = (headers: string[]) => {
       headers.push(...loadHeaders(local.load(), clock.now() - arrivedAt));
     };
@@ -211,9 +198,9 @@
       ? createBulkSink(response, addLoad, link)
       : createCountedSink(createResponseSink(response, addLoad, responseBuffer), link);
     const outcome = decision === 'forward'
-      ? await forwardOrRefuse({ ...request, body }, flushErrorHeads(sink))
+      ? await forwardOrRefuse({ ...request, body }, flushErrorHeads(sink), interim.reportSilence)
       : refuseSaturated();
-    stopInterimResponses();
+    interim.stop();
     const fields = {
       request: request.requestId,
       service: request.service,
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -10,11 +10,9 @@
 import { createTargetGate, refuseNoTarget, refuseThrottled } from './_target_gate.ts';
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
-import type { PeerClient } from './peer_client.ts';
+import type { PeerClient, SilentPart } from './peer_client.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
-import {
-  type AttemptOutcome, type GatewayRequest, isIdempotent,
-} from './request.ts';
+import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import { createTargetThrottle } from './target_throttle.ts';
 
@@ -93,16 +91,16 @@
     target: Target,
     request: GatewayRequest,
     sink: ResponseSink,
-    onSilent: () => void,
+    onSilent: (part: SilentPart) => void,
   ) => {
     if (target.kind === 'local') {
-      const outcome = await options.local.forward(request, sink);
+      const outcome = await options.local.forward(request, sink, () => onSilent('instance'));
       return { outcome, load: options.local.load() };
     }
     return options.peers.send(target.address, request, sink, onSilent);
   };
 
-  /** Makes attempts one after the other; those at silent peers go on in `silentAttempts`. */
+  /** Makes attempts one after the other; those that go silent go on in `silentAttempts`. */
   const sendInTurn = async (
     request: GatewayRequest,
     maxSends: number,
@@ -130,7 +128,7 @@
       let isSilent = false;
       let headAt: number | undefined;
       let errorHead: Omit<ErrorResponse, 'body'> | undefined;
-      let reportSilence = () => undefined as void;
+      let reportSilence = (_part: SilentPart) => undefined as void;
       const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
         ...sink,
         start: (status, headers) => {
@@ -149,8 +147,8 @@
           if (errorHead !== undefined) heldError.hold({ ...errorHead, body });
         },
       });
-      const silence = new Promise<undefined>((resolve) => {
-        reportSilence = () => resolve(undefined);
+      const silence = new Promise<SilentPart>((resolve) => {
+        reportSilence = resolve;
       });
       const ended = sendTo(
         target,
@@ -158,9 +156,9 @@
           ...request, instance: target.instance, signal: attemptSignal, withheld,
         },
         attemptSink,
-        () => {
+        (part) => {
           isSilent = true;
-          reportSilence();
+          reportSilence(part);
         },
       );
       return {
@@ -210,7 +208,7 @@
         view: target.view,
         durationMs: Math.round(durationMs),
       };
-      if (result === undefined) {
+      if (typeof result === 'string') {
         mayHaveRun = true;
         if (sends === sendsBefore) sends += 1;
         const silentOutcome = attempt.ended.then(({ outcome }) => {
@@ -220,11 +218,12 @@
         silentOutcome.catch(() => undefined);
         silentAttempts.push(silentOutcome);
         chooser.report(request, target, { durationMs, outcome: 'failure', load: undefined });
-        logger.info(fields, 'waiting for a silent peer');
-        // A key has one owner, which would run the request twice.
-        if (request.key !== undefined || !mayRetry()) return lastOutcome;
+        logger.info(fields, `waiting for a silent ${result}`);
+        // A key has one owner, and its node may be about to read the request.
+        const mayAsk = idempotent && (request.key === undefined || result === 'instance');
+        if (!mayAsk || !mayRetry()) return lastOutcome;
         options.onRetry?.(service, 'silence');
-        excluded.add(target.instance);
+        if (request.key === undefined) excluded.add(target.instance);
         continue;
       }
       const { outcome, load } = result;
--- a/gateway/response_silence.ts
+++ b/gateway/response_silence.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { createResponseTimes, type ResponseTimes, WINDOW_MS } from './_response_times.ts';
 
 /** Watches one request at the instance. */
 export interface ResponseWatch {
@@ -9,7 +10,10 @@
   readonly start: () => void;
   /** Called with the status when the head of the final response arrives. */
   readonly recordHead: (status: number) => void;
-  /** Returns whether the connection has gone silent, and learns from it if so. */
+  /**
+   * Returns whether the connection has gone silent, and learns from it if so. A response may still
+   * arrive, as one run can be far longer than the others; it proves the verdict wrong.
+   */
   readonly isSilent: () => boolean;
   /** Called once the request has ended in any way. */
   readonly end: () => void;
@@ -38,29 +42,8 @@
   readonly logger: Logger;
 }
 
-interface Window {
-  /** Longest time in ms to a head. */
-  longestMs: number;
-  samples: number;
-}
-
-interface ClassTimes {
-  current: Window;
-  previous: Window;
-  rotatedAt: number;
-  /** Heads of all time. */
-  heads: number;
-  running: number;
-}
-
-/** Work changes its pace within a second, so this covers many slow and fast phases. */
-const WINDOW_MS = 30_000;
-/** With fewer samples, the longest one is too close to the usual ones. */
-const MIN_SAMPLES = 100;
 /** A run of this many times the longest of a minute is far beyond the processing times. */
 const LONGEST_FACTOR = 2;
-/** Shorter times are within the pauses of a process. */
-const MIN_LONGEST_MS = 125;
 /** Requests of the class that were sent later and answered; an instance that stalls ends none. */
 const MIN_LATER_HEADS = 10;
 /** Far above the work classes of a contract. */
@@ -72,8 +55,6 @@
 const MIN_RAISE_MS = 15_000;
 const MAX_RAISE_MS = 240_000;
 
-const createWindow = (): Window => ({ longestMs: 0, samples: 0 });
-
 const UNWATCHED: ResponseWatch = {
   timeoutMs: Infinity,
   start: () => undefined,
@@ -90,7 +71,8 @@
  *
  * Two silent connections within seconds show that the instance accepts fewer requests than it
  * announces: no more than it may have been at work on when the one that met the larger number was
- * sent. A silence beside fewer requests than were answered side by side lately has another cause.
+ * sent. A silence beside fewer requests than were answered side by side lately has another cause. A
+ * response on a silent connection takes back what was learned.
  *
  * @param options Clock and logger.
  * @returns The detector.
@@ -103,12 +85,12 @@
 export const createResponseSilence = (options: ResponseSilenceOptions): ResponseSilence => {
   const { clock } = options;
   const logger = options.logger.forComponent('instance');
-  let classes = new Map<string, ClassTimes>();
+  let classes = new Map<string, ResponseTimes>();
   let generation = 0;
   /** Times at which the requests that are running were sent, the earliest first. */
   const running = new Set<{ readonly sentAt: number }>();
-  /** Deadlines of requests that were given up, until which the instance may be at work on them. */
-  let abandoned: readonly number[] = [];
+  /** Requests on silent connections, on which the instance may be at work until their deadlines. */
+  const silent = new Set<{ readonly endsAt: number }>();
   let silentCount = 0;
   let hasBeenSilent = false;
   let accepted = Infinity;
@@ -126,37 +108,15 @@
   const classOf = (workClass: string) => {
     const known = classes.get(workClass);
     if (known !== undefined || classes.size >= MAX_CLASSES) return known;
-    const created: ClassTimes = {
-      current: createWindow(),
-      previous: createWindow(),
-      rotatedAt: clock.now(),
-      heads: 0,
-      running: 0,
-    };
+    const created = createResponseTimes(clock);
     classes.set(workClass, created);
     return created;
   };
 
-  const rotate = (times: ClassTimes) => {
-    const ageMs = clock.now() - times.rotatedAt;
-    if (ageMs < WINDOW_MS) return;
-    const previous = ageMs < 2 * WINDOW_MS ? times.current : createWindow();
-    Object.assign(times, { previous, current: createWindow(), rotatedAt: clock.now() });
-  };
-
-  const longestMsOf = (times: ClassTimes) => {
-    rotate(times);
-    const { current, previous } = times;
-    if (current.samples + previous.samples < MIN_SAMPLES) return Infinity;
-    return Math.max(MIN_LONGEST_MS, current.longestMs, previous.longestMs);
-  };
-
-  const countAbandoned = () => {
+  const countSilent = () => {
     const now = clock.now();
-    if (abandoned.some((endsAt) => endsAt <= now)) {
-      abandoned = abandoned.filter((endsAt) => endsAt > now);
-    }
-    return abandoned.length;
+    for (const request of silent) if (request.endsAt <= now) silent.delete(request);
+    return silent.size;
   };
 
   const setAccepted = (to: number, reason: string) => {
@@ -202,21 +162,30 @@
     let headsAtStart = 0;
     let runningBefore = 0;
     let takenBefore = 0;
-    let isFound = false;
+    let found: { readonly endsAt: number } | undefined;
 
     const isUnanswered = (sentAt: number, minMs: number) => (
       times.heads - headsAtStart >= MIN_LATER_HEADS && clock.now() - sentAt >= minMs
     );
 
+    const remove = (request: { readonly sentAt: number }) => {
+      times.running -= 1;
+      running.delete(request);
+      if (isAnswered) return;
+      // The instance may never have accepted it, so that others ran beside fewer than it seems.
+      cleanSince = clock.now();
+      proofs = proofs.filter((proof) => proof.sentAt < request.sentAt);
+    };
+
     return {
-      timeoutMs: LONGEST_FACTOR * longestMsOf(times),
+      timeoutMs: LONGEST_FACTOR * times.longestMs(),
       start: () => {
         if (own !== undefined || ownGeneration !== generation) return;
         own = { sentAt: clock.now() };
         // The requests that run now may be answered later, but were not sent later.
         headsAtStart = times.heads + times.running;
         runningBefore = running.size;
-        takenBefore = runningBefore + countAbandoned();
+        takenBefore = runningBefore + countSilent();
         times.running += 1;
         running.add(own);
       },
@@ -224,36 +193,34 @@
         if (own === undefined || ownGeneration !== generation) return;
         isAnswered = true;
         times.heads += 1;
+        if (found !== undefined) {
+          silent.delete(found);
+          if (accepted !== Infinity) setAccepted(Infinity, 'a silent connection has answered');
+          lastSilence = { at: -Infinity, accepted: 0 };
+        }
         if (status >= FIRST_SERVER_ERROR) return;
-        rotate(times);
-        const { current } = times;
-        current.longestMs = Math.max(current.longestMs, clock.now() - own.sentAt);
-        current.samples += 1;
+        times.record(clock.now() - own.sentAt);
         recordAccepted(own.sentAt, runningBefore + 1);
       },
       isSilent: () => {
-        if (own === undefined || ownGeneration !== generation) return false;
-        if (!isUnanswered(own.sentAt, LONGEST_FACTOR * longestMsOf(times))) return false;
-        isFound = true;
+        if (own === undefined || found !== undefined || ownGeneration !== generation) return false;
+        if (!isUnanswered(own.sentAt, LONGEST_FACTOR * times.longestMs())) return false;
         silentCount += 1;
         hasBeenSilent = true;
-        abandoned = [...abandoned, deadlineAt];
+        learn(takenBefore);
+        found = { endsAt: deadlineAt };
+        silent.add(found);
+        remove(own);
         return true;
       },
       end: () => {
         if (own === undefined || ownGeneration !== generation) return;
-        const { sentAt } = own;
-        // At its deadline, a request is given up anyway, so that less shows that it was silent.
-        if (isFound || (!isAnswered && isUnanswered(sentAt, longestMsOf(times)))) {
-          learn(takenBefore);
-        }
-        running.delete(own);
+        const ended = own;
         own = undefined;
-        times.running -= 1;
-        if (isAnswered) return;
-        // The instance may never have accepted it, so that others ran beside fewer than it seems.
-        cleanSince = clock.now();
-        proofs = proofs.filter((proof) => proof.sentAt < sentAt);
+        if (found !== undefined) return;
+        // At its deadline, a request is given up anyway, so that less shows that it was silent.
+        if (!isAnswered && isUnanswered(ended.sentAt, times.longestMs())) learn(takenBefore);
+        remove(ended);
       },
     };
   };
@@ -271,7 +238,7 @@
     },
     leftWorkMs: (workClass, ranMs) => {
       const times = hasBeenSilent ? classes.get(workClass) : undefined;
-      return times === undefined ? 0 : Math.max(0, longestMsOf(times) - ranMs);
+      return times === undefined ? 0 : Math.max(0, times.longestMs() - ranMs);
     },
     silentCount: () => silentCount,
     reset: () => {
@@ -279,7 +246,7 @@
       hasBeenSilent = false;
       classes = new Map();
       running.clear();
-      abandoned = [];
+      silent.clear();
       raiseMs = MIN_RAISE_MS;
       lastSilence = { at: -Infinity, accepted: 0 };
       proofs = [];
