Let a response win over other attempts with its body, not its head

A caller got 502 for a request at which an instance was at work: its node had waited for a silent peer and asked another one, got the head of a response from there, and cancelled the first attempt; then that response failed before its body. Nodes send the head of an error at once, so the two can be far apart.

The heads of several attempts now only wait. The attempt whose body begins first, or that ends without one, delivers its response and ends the others. Its head replaces that of another attempt, which the sink holds until the first part of a body.

Whether this is what the users met is not shown: their record names no second instance.

--- a/gateway/_attempt_race.ts
+++ b/gateway/_attempt_race.ts
@@ -5,67 +5,89 @@
   /** Aborts when the caller has gone or another attempt delivers its response. */
   readonly signal: AbortSignal;
   readonly sink: ResponseSink;
-  /** Lets another attempt deliver its response after this one failed before it sent anything. */
+  /** Records that this attempt failed before a part of its body had arrived. */
   readonly forfeit: () => void;
 }
 
-/** Delivers the response of that attempt of a request which begins one first. */
+/** Delivers the response of that attempt of a request whose body begins first. */
 export interface AttemptRace {
-  /** Adds an attempt that writes to `sink` once its response is to be delivered. */
-  readonly enter: (sink: ResponseSink) => RacingAttempt;
-  /** Returns whether a response has begun. */
+  /** Adds an attempt; `start` decides what to do with the head of its response. */
+  readonly enter: (handlers: Pick<ResponseSink, 'start' | 'drained'>) => RacingAttempt;
+  /** Returns whether a response is expected to be delivered. */
   readonly isWon: () => boolean;
   /** Ends the race once all attempts have ended or been aborted. */
   readonly close: () => void;
 }
 
+interface Head {
+  readonly status: number;
+  readonly headers: string[];
+}
+
 /**
- * Creates the race of the attempts of one request.
+ * Creates the race of the attempts of one request. A head alone decides nothing, since its response
+ * can still fail while another attempt is at work.
  *
  * @param signal Aborts when the caller has gone.
+ * @param sink Receives the response.
  * @returns The race, without attempts.
  *
  * @example
- * const attempt = createAttemptRace(request.signal).enter(sink);
+ * const attempt = createAttemptRace(request.signal, sink).enter(sink);
  */
-export const createAttemptRace = (signal: AbortSignal): AttemptRace => {
-  const entered: AbortController[] = [];
+export const createAttemptRace = (signal: AbortSignal, sink: ResponseSink): AttemptRace => {
+  const entered = new Set<AbortController>();
+  const heads = new Map<AbortController, Head>();
+  /** Attempt whose head the sink has got last. */
+  let shown: AbortController | undefined;
   let winner: AbortController | undefined;
 
-  const abortLosers = () => {
-    for (const attempt of entered) if (attempt !== winner) attempt.abort();
-  };
-  const abortAll = () => {
-    winner = undefined;
-    abortLosers();
+  const abortAllBut = (kept?: AbortController) => {
+    for (const attempt of entered) if (attempt !== kept) attempt.abort();
   };
+  const abortAll = () => abortAllBut();
   signal.addEventListener('abort', abortAll);
 
+  /** Returns whether the attempt delivers its response. */
+  const win = (attempt: AbortController) => {
+    if (winner !== undefined) return winner === attempt;
+    winner = attempt;
+    const head = heads.get(attempt);
+    if (head !== undefined && shown !== attempt) sink.start(head.status, head.headers);
+    abortAllBut(attempt);
+    return true;
+  };
+
   return {
-    enter: (sink) => {
+    enter: ({ start, drained }) => {
       const attempt = new AbortController();
       if (signal.aborted) attempt.abort();
-      entered.push(attempt);
+      entered.add(attempt);
       return {
         signal: attempt.signal,
         sink: {
           ...sink,
+          ...(drained && { drained }),
           start: (status, headers) => {
             if (winner !== undefined) return 'cancel';
-            const action = sink.start(status, headers);
+            const action = start(status, headers);
             if (action === 'deliver') {
-              winner = attempt;
-              abortLosers();
+              heads.set(attempt, { status, headers });
+              shown = attempt;
             }
             return action;
           },
+          write: (chunk) => !win(attempt) || sink.write(chunk),
+          end: () => {
+            if (win(attempt)) sink.end();
+          },
         },
         forfeit: () => {
-          if (winner === attempt) winner = undefined;
+          heads.delete(attempt);
         },
       };
     },
-    isWon: () => winner !== undefined,
+    isWon: () => winner !== undefined || heads.size > 0,
     close: () => signal.removeEventListener('abort', abortAll),
   };
 };
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -130,7 +130,6 @@
       let errorHead: Omit<ErrorResponse, 'body'> | undefined;
       let reportSilence = (_part: SilentPart) => undefined as void;
       const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
-        ...sink,
         start: (status, headers) => {
           const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
           headAt = clock.now();
@@ -212,6 +211,7 @@
         mayHaveRun = true;
         if (sends === sendsBefore) sends += 1;
         const silentOutcome = attempt.ended.then(({ outcome }) => {
+          attempt.forfeit();
           recordEnd(outcome);
           return outcome;
         });
@@ -279,7 +279,7 @@
 
   const send: RequestSender['send'] = async (request, maxSends, sink) => {
     const silentAttempts: Promise<AttemptOutcome>[] = [];
-    const race = createAttemptRace(request.signal);
+    const race = createAttemptRace(request.signal, sink);
     const heldError = openHeldError();
     try {
       let lastOutcome = await sendInTurn(request, maxSends, sink, race, silentAttempts, heldError);
--- a/gateway/silent_peer_test.ts
+++ b/gateway/silent_peer_test.ts
@@ -43,6 +43,8 @@
   const started = await Promise.all(listeners.map(startPeer));
   const peers = createPeerClient({ clock, requestIdHeader: 'request-id' });
   let received = '';
+  let startedStatus: number | undefined;
+  let deliveredStatus: number | undefined;
   let retriesLeft = retries;
   const sender = createRequestSender({
     clock,
@@ -96,8 +98,12 @@
     signal: new AbortController().signal,
   };
   const outcome = await sender.send(request, 2, {
-    start: () => 'deliver',
+    start: (status) => {
+      startedStatus = status;
+      return 'deliver';
+    },
     write: (chunk) => {
+      deliveredStatus ??= startedStatus;
       received += chunk.toString();
       return true;
     },
@@ -109,7 +115,9 @@
     server.closeAllConnections();
     server.close();
   }
-  return { kind: outcome.kind, received, outcome };
+  return {
+    kind: outcome.kind, received, outcome, deliveredStatus,
+  };
 };
 
 // A full link delayed all answers of a peer; runs were broken off and answered with 502.
@@ -139,6 +147,43 @@
   assert.is(received, 'next');
 });
 
+/** Sends the head of an error, and resets the connection in place of its body. */
+const breakOff: RequestListener = (_, response) => {
+  response.writeHead(500, { 'content-length': 5 });
+  response.flushHeaders();
+  setTimeout(() => response.socket?.resetAndDestroy(), 50);
+};
+
+// Guards against a run that is broken off for a response that never comes, and answered with 502.
+test('a request to a silent peer goes on when another response ends after its head', async () => {
+  const { kind, received } = await sendThrough([answer('late', 1.5 * SILENCE_MS), breakOff], {
+    retries: 1,
+  });
+  assert.is(kind, 'answered');
+  assert.is(received, 'late');
+});
+
+// Guards against the head of one response before the body of another.
+test('a request gets the head of the response whose body comes first', async () => {
+  const { received, deliveredStatus } = await sendThrough([
+    (_, response) => {
+      setTimeout(() => {
+        response.writeHead(203, { 'content-length': 4 });
+        response.flushHeaders();
+      }, SILENCE_MS);
+      setTimeout(() => response.end('late'), SILENCE_MS + 500);
+    },
+    (_, response) => {
+      setTimeout(() => {
+        response.writeHead(500, { 'content-length': 5 });
+        response.flushHeaders();
+      }, 500);
+    },
+  ], { retries: 1 });
+  assert.is(received, 'late');
+  assert.is(deliveredStatus, 203);
+});
+
 test('of two answers only the first is delivered', async () => {
   const { kind, received } = await sendThrough(
     [answer('late', SILENCE_MS), answer('later', SILENCE_MS)],
