Count requests of unknown outcome by step, status and cause

What distinguishes the hypotheses of a 502 in place of a response is its cause: another attempt, a closed connection, a mismatch. Logs name it, but keep the last second of a node in the users' evidence, and drop lines under load; the metrics, which are collected every 5 s, had the step only.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -277,11 +277,13 @@
         logger: find<Logger>('logger'),
         random: Math.random,
         onRequestEnd: ({
-          kind, outcome, reason, durationMs, origin = 'unsure',
+          kind, outcome, reason, unknown, durationMs, origin = 'unsure',
         }) => {
           metrics.recordOrigin(origin);
           metrics.recordRequest(kind, outcome, durationMs);
-          if (outcome === 'refused') metrics.recordRefusal(reason);
+          if (outcome !== 'refused') return;
+          metrics.recordRefusal(reason);
+          if (unknown) metrics.recordUnknown(reason, unknown.status, unknown.cause);
         },
       });
       await service.listen();
--- a/gateway/_log_fields.ts
+++ b/gateway/_log_fields.ts
@@ -1,3 +1,4 @@
+import type { RefusalError } from '../errors/mod.ts';
 import type { AttemptOutcome } from './request.ts';
 
 /** Log fields of a refusal: the step that refused and the figures that it went by. */
@@ -7,6 +8,16 @@
     : {}
 );
 
+/** Status and cause of a refusal whose request may have run; a peer does not tell the cause. */
+export const describeUnknown = (refusal: RefusalError | undefined) => (
+  refusal?.outcome === 'unknown'
+    ? {
+      status: refusal.status,
+      cause: typeof refusal.cause === 'string' ? refusal.cause : 'told by a peer',
+    }
+    : undefined
+);
+
 /** Log fields of the time that an attempt spent at the node of the instance, in ms. */
 export const timingFields = (outcome: AttemptOutcome) => {
   if (outcome.kind !== 'answered' || outcome.timing === undefined) return {};
--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -5,6 +5,7 @@
 import { createEgressLink } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { type CallOptions, sendAsCaller } from './_test_caller.ts';
+import type { RequestSummary } from './caller_listener_options.ts';
 import {
   type BodyBudget, createCallerListener, createDemandMeter, createDispatchQueue,
   createInstanceClient, createLocalForwarder, createPeerClient, createPeerListener,
@@ -240,6 +241,7 @@
     logger: noopLogger,
   });
   const outcomes: string[] = [];
+  const unknowns: RequestSummary['unknown'][] = [];
   const listener = createCallerListener({
     clock,
     dispatch: createDispatchQueue({ clock }),
@@ -253,13 +255,18 @@
     shutdown: options.shutdown?.caller ?? createShutdownTracker(clock),
     logger: noopLogger,
     random: () => 0,
-    onRequestEnd: ({ outcome }) => outcomes.push(outcome),
+    onRequestEnd: ({ outcome, unknown }) => {
+      outcomes.push(outcome);
+      unknowns.push(unknown);
+    },
   });
   const address = await listener.listen();
   return {
     instances: destinations.map(({ instance }) => instance),
     /** Outcomes of the requests, as the caller listener reports them. */
     outcomes,
+    /** Status and cause of each request that may have run, undefined for the others. */
+    unknowns,
     slotsInUse: () => destinations.reduce((sum, { queue }) => sum + queue.load().inFlight, 0),
     callerAddress: address,
     call: (call: CallOptions = {}) => sendAsCaller(address, call),
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -3,15 +3,8 @@
 import type { PublishedRoute } from '../contract/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
 import {
-  createBulkSink,
-  createCountedSink,
-  createResponseBuffer,
-  createHttpServer,
-  createResponseSink,
-  type Expectation,
-  type HttpListener,
-  renderMalformed,
-  resetConnection,
+  createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
+  type Expectation, type HttpListener, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
@@ -22,6 +15,7 @@
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
 } from './_limits.ts';
 import { readBody } from './_read_body.ts';
+import { describeUnknown } from './_log_fields.ts';
 import { refuseBody, refuseSaturated } from './_refusals.ts';
 import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
@@ -195,6 +189,7 @@
       kind: route.kind,
       outcome: isDisconnected ? 'gone' : outcome.kind,
       reason: refusal?.step ?? '',
+      unknown: describeUnknown(refusal),
       durationMs,
       origin,
     });
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -19,6 +19,8 @@
   readonly outcome: AttemptOutcome['kind'] | 'no route' | 'gone';
   /** Step that refused the request; empty for other outcomes. */
   readonly reason: string;
+  /** Status and cause of a refusal of a request that may have run. */
+  readonly unknown?: { readonly status: number; readonly cause: string } | undefined;
   readonly durationMs: number;
   /** Whether the sender was known to be an instance, known to be a caller, or not known. */
   readonly origin?: RequestOrigin;
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -150,7 +150,9 @@
     if (!end.written) return refuseNotRun(end.error.message, REFUSED_RETRY_AFTER_MS, context);
     const isTimeout = end.cause === 'deadline' || clock.now() >= request.deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
-    return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
+    return refuseUnknown(`${end.cause}: ${end.error.message}`, {
+      ...context, cause: end.cause,
+    }, status);
   };
 
   const send: InstanceClient['send'] = async (request, sink, listeners) => {
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -138,7 +138,9 @@
     if (!end.written) return refuseNotRun(end.error.message, RETRY_AFTER_MS, context);
     const isTimeout = end.cause === 'deadline' || clock.now() >= deadlineAt;
     const status = isTimeout ? STATUS_GATEWAY_TIMEOUT : undefined;
-    return refuseUnknown(`${end.cause}: ${end.error.message}`, context, status);
+    return refuseUnknown(`${end.cause}: ${end.error.message}`, {
+      ...context, cause: end.cause,
+    }, status);
   };
 
   const send: PeerClient['send'] = async (address, request, sink, onSilent) => {
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -6,6 +6,8 @@
 export interface NodeMetrics {
   readonly recordRequest: (kind: string, outcome: string, durationMs: number) => void;
   readonly recordRefusal: (step: string) => void;
+  /** Counts a request that was answered with an error of this node, and may have run. */
+  readonly recordUnknown: (step: string, status: number, cause: string) => void;
   /** Counts a request by its sender: `call` of the local instance, `caller` or `unsure`. */
   readonly recordOrigin: (origin: string) => void;
   /** Counts a refusal of a request that a node in a failure domain had forwarded to this one. */
@@ -59,6 +61,12 @@
     buckets: DURATION_BUCKETS_MS,
     registers,
   });
+  const unknowns = new Counter({
+    name: `${PREFIX}unknown_total`,
+    help: 'Requests that may have run and got an error of this node, by step, status and cause',
+    labelNames: ['step', 'status', 'cause'],
+    registers,
+  });
   const refusals = new Counter({
     name: `${PREFIX}refusals_total`,
     help: 'Refused requests by the step that refused',
@@ -146,6 +154,7 @@
     },
     recordOrigin: (origin) => origins.inc({ origin }),
     recordRefusal: (step) => refusals.inc({ step }),
+    recordUnknown: (step, status, cause) => unknowns.inc({ step, status, cause }),
     recordPeerRefusal: (step, domain) => peerRefusals.inc({ step, domain }),
     recordSlotRefusal: (cause) => slotRefusals.inc({ cause }),
     recordRun: (kind, durationMs) => runs.observe({ kind }, durationMs),
