Let no error take the place of a response that has begun

Since the body of a response decides the race of several attempts, an error with a short body could overtake a response whose head had come first: the caller got 500 in place of the 200 that was on its way, and that attempt was cancelled.

An error is now held while another attempt has brought a head, as it is before a retry, and delivered only if that attempt fails too.

--- a/gateway/_log_fields.ts
+++ b/gateway/_log_fields.ts
@@ -1,5 +1,19 @@
 import type { RefusalError } from '../errors/mod.ts';
-import type { AttemptOutcome } from './request.ts';
+import type { AttemptOutcome, GatewayRequest } from './request.ts';
+import type { Target } from './target_chooser.ts';
+
+/** Log fields of an attempt: the request, the target and why it was chosen. */
+export const attemptFields = (request: GatewayRequest, target: Target, durationMs: number) => ({
+  request: request.requestId,
+  service: request.service,
+  key: request.key,
+  target: target.node,
+  instance: target.instance,
+  version: target.version,
+  reason: target.reason,
+  view: target.view,
+  durationMs: Math.round(durationMs),
+});
 
 /** Log fields of a refusal: the step that refused and the figures that it went by. */
 export const refusalFields = (outcome: AttemptOutcome) => (
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -11,7 +11,7 @@
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
 import type { PeerClient, SilentPart } from './peer_client.ts';
-import { refusalFields, timingFields } from './_log_fields.ts';
+import { attemptFields, refusalFields, timingFields } from './_log_fields.ts';
 import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import { createTargetThrottle } from './target_throttle.ts';
@@ -109,7 +109,7 @@
     silentAttempts: Promise<AttemptOutcome>[],
     heldError: HeldError,
   ): Promise<AttemptOutcome | undefined> => {
-    const { requestId, service, signal } = request;
+    const { service, signal } = request;
     const idempotent = isIdempotent(request.kind);
     const excluded = new Set<string>();
     /** Instances that refused the request, which must not receive its identifier again. */
@@ -128,6 +128,7 @@
       let isSilent = false;
       let headAt: number | undefined;
       let errorHead: Omit<ErrorResponse, 'body'> | undefined;
+      let isRetryGranted = false;
       let reportSilence = (_part: SilentPart) => undefined as void;
       const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
         start: (status, headers) => {
@@ -135,10 +136,12 @@
           headAt = clock.now();
           if (!isSilent) {
             sends += 1;
-            if (isServerError && idempotent && mayRetry()) {
-              errorHead = { status, headers };
-              return 'drain';
-            }
+            isRetryGranted = isServerError && idempotent && mayRetry();
+          }
+          // An error does not take the place of a response that another attempt has begun.
+          if (isServerError && (isRetryGranted || race.isWon())) {
+            errorHead = { status, headers };
+            return 'drain';
           }
           return sink.start(status, headers);
         },
@@ -161,7 +164,12 @@
         },
       );
       return {
-        ended, silence, signal: attemptSignal, forfeit, headAt: () => headAt,
+        ended,
+        silence,
+        signal: attemptSignal,
+        forfeit,
+        headAt: () => headAt,
+        isRetryGranted: () => isRetryGranted,
       };
     };
 
@@ -196,17 +204,7 @@
       const attempt = startAttempt(target, withheld);
       const result = await Promise.race([attempt.ended, attempt.silence]);
       const durationMs = clock.now() - startedAt;
-      const fields = {
-        request: requestId,
-        service,
-        key: request.key,
-        target: target.node,
-        instance: target.instance,
-        version: target.version,
-        reason: target.reason,
-        view: target.view,
-        durationMs: Math.round(durationMs),
-      };
+      const fields = attemptFields(request, target, durationMs);
       if (typeof result === 'string') {
         mayHaveRun = true;
         if (sends === sendsBefore) sends += 1;
@@ -250,9 +248,10 @@
       attempt.forfeit();
       if (outcome.kind === 'failed') {
         mayHaveRun = true;
+        lastOutcome = outcome;
+        if (!attempt.isRetryGranted()) return lastOutcome;
         options.onRetry?.(service, 'failure');
         if (request.key === undefined) excluded.add(target.instance);
-        lastOutcome = outcome;
         continue;
       }
       const { refusal, reachedInstance } = outcome;
--- a/gateway/silent_peer_test.ts
+++ b/gateway/silent_peer_test.ts
@@ -184,6 +184,27 @@
   assert.is(deliveredStatus, 203);
 });
 
+// Guards against an error that takes the place of a success whose head has come.
+test('a request gets a response that has begun before the error of another peer', async () => {
+  const { received, deliveredStatus } = await sendThrough([
+    (_, response) => {
+      setTimeout(() => {
+        response.writeHead(200, { 'content-length': 4 });
+        response.flushHeaders();
+      }, SILENCE_MS);
+      setTimeout(() => response.end('late'), SILENCE_MS + 500);
+    },
+    (_, response) => {
+      setTimeout(() => {
+        response.writeHead(500);
+        response.end('error');
+      }, SILENCE_MS - 700);
+    },
+  ], { retries: 1 });
+  assert.is(received, 'late');
+  assert.is(deliveredStatus, 200);
+});
+
 test('of two answers only the first is delivered', async () => {
   const { kind, received } = await sendThrough(
     [answer('late', SILENCE_MS), answer('later', SILENCE_MS)],
