Deliver a response whose body pauses for more than ten seconds

A run on a route with a long timeout was broken off, and its caller got 502, because its body paused for 10 s, on both hops. The deadlines of the request bound its body already, so the limit on pauses is gone here.

The new test failed before ('stall: no progress in time' after 10 s) and passes.

--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -60,7 +60,10 @@
   socket.write(`${headOf()}content-length: 5\r\n\r\nsound`);
 };
 
-const startRawInstance = async (respond: Respond): Promise<RawInstance> => {
+const startRawInstance = async (
+  respond: Respond,
+  onConnection: (socket: Socket) => void = () => undefined,
+): Promise<RawInstance> => {
   const sockets = new Set<Socket>();
   const usedSockets = new Set<Socket>();
   const received: Buffer[][] = [];
@@ -68,6 +71,7 @@
   const server = await new Promise<Server>((resolve) => {
     const started = createServer((socket) => {
       counts.connections += 1;
+      onConnection(socket);
       sockets.add(socket);
       const chunks: Buffer[] = [];
       received.push(chunks);
@@ -129,6 +133,8 @@
   /** Slots of each instance. */
   readonly slots?: number;
   readonly onConnectionsLost?: () => void;
+  /** Called with each connection to an instance. */
+  readonly onInstanceConnection?: (socket: Socket) => void;
   /** Memory for request bodies of the caller listener, and of each peer listener. */
   readonly bodies?: BodyBudget;
   readonly peerBodies?: BodyBudget;
@@ -141,7 +147,7 @@
 
 /** Starts the destination of one raw instance, with a peer listener in front of it. */
 const startDestination = async (name: string, respond: Respond, options: PathOptions) => {
-  const instance = await startRawInstance(respond);
+  const instance = await startRawInstance(respond, options.onInstanceConnection);
   const link = createLink();
   const silence = createResponseSilence({ clock, logger: noopLogger });
   const queue = createSlotQueue({
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -67,7 +67,6 @@
 const DEADLINE_SLACK_MS = 40;
 /** Time after the deadline in which a response that has begun may end. */
 const BODY_SLACK_MS = 150;
-const BODY_STALL_MS = 10_000;
 const STATUS_MISDIRECTED = 421;
 const STATUS_GATEWAY_TIMEOUT = 504;
 const REFUSED_RETRY_AFTER_MS = 100;
@@ -198,7 +197,8 @@
         if (watch?.isSilent() === true) listeners?.onSilent?.();
         return false;
       },
-      bodyProgressTimeoutMs: BODY_STALL_MS,
+      // A pause within the deadlines is no reason to break a run off.
+      bodyProgressTimeoutMs: Number.POSITIVE_INFINITY,
       onReceive: work.recordLife,
       beforeWrite: () => {
         endWork = work.begin(remainingMs);
--- a/gateway/long_run_test.ts
+++ b/gateway/long_run_test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
@@ -16,6 +17,8 @@
 const USUAL_CALLS = 40;
 const CALLERS = 3;
 const GRACE_MS = 6000;
+/** Longer than any pause that was once taken for a lost connection. */
+const PAUSE_MS = 10_500;
 
 type Stopped = 'no node' | 'caller' | 'peer' | 'both';
 
@@ -80,4 +83,50 @@
   });
 }
 
+// Guards against a run that is broken off because its body pauses, long before its deadline.
+test('a response whose body comes long after its head is delivered', async () => {
+  await Promise.all(hops.flatMap((hop) => (['safe', 'unsafe'] as const).map(async (kind) => {
+    const path = await startPath({ hop, timeoutMs: PAUSE_MS + TIMEOUT_MS }, (socket, headOf) => {
+      socket.write(`${headOf()}content-length: 5\r\n\r\n`);
+      setTimeout(() => socket.write('sound'), PAUSE_MS);
+    }, refuse);
+    const { status, text } = await path.call({ kind, deadlineMs: PAUSE_MS + TIMEOUT_MS });
+    await path.stop();
+    assert.equal([status, text], [200, 'sound'], `${hop}, ${kind}`);
+  })));
+});
+
+// Guards against a request that is broken off before a busy host has accepted its connection.
+test('a request on a connection that is read late is answered', async () => {
+  await Promise.all(hops.map(async (hop) => {
+    let lateSocket: Socket | undefined;
+    let isNextLate = false;
+    const path = await startPath({
+      hop,
+      timeoutMs: TIMEOUT_MS,
+      onInstanceConnection: (socket) => {
+        if (!isNextLate) return;
+        isNextLate = false;
+        lateSocket = socket;
+        socket.pause();
+        setTimeout(() => socket.resume(), LONG_WORK_MS);
+      },
+    }, (...args) => {
+      setTimeout(() => answerSoundly(...args), WORK_MS);
+    }, refuse);
+    const callMany = async () => {
+      for (let index = 0; index < USUAL_CALLS; index += 1) await path.call({ kind: 'unsafe' });
+    };
+    await Promise.all([callMany(), callMany(), callMany()]);
+    isNextLate = true;
+    // One more call than there are connections opens another one.
+    const calls = Array.from({ length: CALLERS + 1 }, () => path.call({ kind: 'unsafe' }));
+    await callMany();
+    const answers = await Promise.all(calls);
+    await path.stop();
+    assert.ok(lateSocket !== undefined, 'no connection was opened');
+    for (const { status, text } of answers) assert.equal([status, text], [200, 'sound'], hop);
+  }));
+});
+
 test.run();
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -82,7 +82,6 @@
 const DEADLINE_SLACK_MS = 80;
 /** Time after the deadline in which a response that has begun may end. */
 const BODY_SLACK_MS = 180;
-const BODY_STALL_MS = 10_000;
 const RETRY_AFTER_MS = 150;
 /** Assumed bytes of the heads of a request and its response. */
 const HEADS_BYTES = 800;
@@ -210,7 +209,8 @@
       onInterim: (raw) => {
         if (findHeader(raw, hopHeaders.silent) !== undefined) onSilent?.('instance');
       },
-      bodyProgressTimeoutMs: BODY_STALL_MS,
+      // A pause within the deadlines is no reason to break a run off.
+      bodyProgressTimeoutMs: Number.POSITIVE_INFINITY,
       checkHead,
       checkEnd,
     });
