--- a/gateway/response_silence_test.ts
+++ b/gateway/response_silence_test.ts
@@ -112,4 +112,33 @@
   assert.is(silence.silentCount(), 1);
 });
 
+// Guards against slots that stay unused after long runs were taken for silent connections.
+test('a response on a silent connection takes back what was learned from it', async () => {
+  const clock = createFakeClock();
+  const silence = createResponseSilence({ clock, logger: noopLogger });
+  const open = () => {
+    const watch = silence.watch('a', clock.now() + 60_000);
+    watch.start();
+    return watch;
+  };
+  const answer = (count: number) => {
+    for (let index = 0; index < count; index += 1) {
+      const watch = open();
+      clock.jump(50);
+      watch.recordHead(200);
+      watch.end();
+    }
+  };
+  answer(120);
+  const long = [open(), open(), open()];
+  answer(14);
+  assert.equal(long.map((watch) => watch.isSilent()), [true, true, true]);
+  assert.is(silence.acceptedSlots(ANNOUNCED), 2);
+  assert.not.ok(long[2]!.isSilent(), 'a connection is found silent once');
+  long[2]!.recordHead(200);
+  long[2]!.end();
+  assert.is(silence.acceptedSlots(ANNOUNCED), ANNOUNCED);
+  assert.is(open().timeoutMs, 2 * 14 * 50, 'the long run counts as one of its class');
+});
+
 test.run();
