Handle the requests of a connection one after the other

Cause: Node.js hands all requests that it has parsed to the listener at once. Each response of a stopping node had `Connection: close`, the first one ended the connection, and Node.js reports no close for a response that waits for its turn. The class is work that is begun before the way back for its result is certain.

Change: a listener handles a request once the response before it has been sent (http/_request_turns.ts), for callers, peers and control, in proxy/ too. A planned end of the connection moves to the response to the last request that was read.

Why it works: a request that was passed on is always the one whose response is next on its connection, so no other response can end the connection before it.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -24,6 +24,19 @@
   JSON.stringify({ error: message, outcome })
 );
 
+/** Maximum jitter added to Retry-After, as a fraction of it; prevents simultaneous retries. */
+const RETRY_AFTER_JITTER = 0.2;
+
+/** Formats the header that tells a caller when to return; empty if the refusal names no time. */
+export const formatRetryAfter = (
+  { retryAfterSeconds }: RefusalError,
+  random: () => number,
+): readonly string[] => {
+  if (retryAfterSeconds === undefined) return [];
+  const jittered = retryAfterSeconds * (1 + random() * RETRY_AFTER_JITTER);
+  return ['retry-after', jittered.toFixed(3)];
+};
+
 const writeHead = (
   response: ServerResponse,
   status: number,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -8,7 +8,7 @@
 } from '../http/mod.ts';
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
-  abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal,
+  abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal, formatRetryAfter,
   respondBeforeBody, respondToError, respondWithJson, sendContinueIfExpected,
 } from './_http_messages.ts';
 import {
@@ -28,8 +28,6 @@
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
 /** Approximate time until a restarted node accepts requests. */
 const STOPPING_RETRY_AFTER_S = '0.6';
-/** Maximum jitter added to Retry-After, as a fraction of it; prevents simultaneous retries. */
-const RETRY_AFTER_JITTER = 0.2;
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
@@ -55,11 +53,7 @@
 
   const toRequest = createCallerRequestReader(options);
 
-  const retryAfterHeader = ({ retryAfterSeconds }: RefusalError) => {
-    if (retryAfterSeconds === undefined) return [];
-    const jittered = retryAfterSeconds * (1 + options.random() * RETRY_AFTER_JITTER);
-    return ['retry-after', jittered.toFixed(3)];
-  };
+  const retryAfterHeader = (refusal: RefusalError) => formatRetryAfter(refusal, options.random);
 
   const respondWithOutcome = (
     request: Omit<GatewayRequest, 'body'>,
@@ -220,16 +214,17 @@
       : 'not answered');
   };
 
-  const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
-    const arrivedAt = clock.now();
-    const phase = options.shutdown.phase();
-    if (phase !== 'running') response.shouldKeepAlive = false;
+  const handle = (
+    message: IncomingMessage,
+    response: ServerResponse,
+    expect: Expectation,
+    arrivedAt: number,
+  ) => {
     const table = options.routes();
     const requestId = firstHeaderValue(message, headerNames.requestId);
     if (table === undefined) {
-      logger.warn({
-        request: requestId, notRun: true,
-      }, 'request refused: no contract is known yet');
+      const fields = { request: requestId, notRun: true };
+      logger.warn(fields, 'request refused: no contract is known yet');
       const text = '{"error":"no contract is known yet","outcome":"not run"}';
       const retryAfter = ['retry-after', NO_CONTRACT_RETRY_AFTER_S];
       respondBeforeBody(clock, response, STATUS_UNAVAILABLE, retryAfter, text);
@@ -290,6 +285,11 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
+    mayEndAfter: () => options.shutdown.phase() !== 'running',
+    onDiscard: (messages) => {
+      const requests = messages.map((message) => firstHeaderValue(message, headerNames.requestId));
+      logger.info({ requests, notRun: true }, 'requests discarded: their connection has ended');
+    },
     renderMalformed,
   });
 };
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -5,7 +5,8 @@
 } from '../forward/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
-  type EgressLink, hasBody, type HttpListener, renderMalformed, resetConnection,
+  type EgressLink, hasBody, type HttpListener, type HttpServerOptions, renderMalformed,
+  resetConnection,
 } from '../http/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
@@ -79,6 +80,10 @@
   return [...lines, 'content-length: 0', 'connection: close', '\r\n'].join('\r\n');
 };
 
+const isControl = ({ url, headers }: IncomingMessage) => (
+  url?.startsWith(CONTROL_PREFIX) === true && headers[HOP_HEADER] === undefined
+);
+
 /** Sends the head of an error at once, which is all that the peer needs to try again. */
 const flushErrorHeads = (sink: ResponseSink): ResponseSink => ({
   ...sink,
@@ -113,20 +118,20 @@
 
   const toRequest = (
     message: IncomingMessage,
+    arrivedAt: number,
     signal: AbortSignal,
   ): Omit<GatewayRequest, 'body'> | undefined => {
     const hop = parseHop(firstHeaderValue(message, HOP_HEADER));
     if (hop === undefined) return undefined;
     const { remainingMs, latencyTargetMs, ...fields } = hop;
-    const now = clock.now();
     return {
       ...fields,
       requestId: firstHeaderValue(message, options.requestIdHeader) ?? '',
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       headers: endToEndHeaders(message.rawHeaders),
-      deadlineAt: Math.min(now + remainingMs, options.shutdown.answerBy()),
-      latencyTargetAt: now + latencyTargetMs,
+      deadlineAt: Math.min(arrivedAt + remainingMs, options.shutdown.answerBy()),
+      latencyTargetAt: arrivedAt + latencyTargetMs,
       signal,
     };
   };
@@ -139,9 +144,12 @@
     isAccepting() ? local.forward(request, sink, onSilent) : refuseWhileStopping()
   );
 
-  const serve = async (message: IncomingMessage, response: ServerResponse) => {
-    const arrivedAt = clock.now();
-    const request = toRequest(message, abortOnClose(response));
+  const serve = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: number,
+  ) => {
+    const request = toRequest(message, arrivedAt, abortOnClose(response));
     const nameRequest = [
       options.requestIdHeader, firstHeaderValue(message, options.requestIdHeader) ?? '',
     ];
@@ -244,10 +252,8 @@
     resetConnection(response);
   };
 
-  const handle = (message: IncomingMessage, response: ServerResponse) => {
-    const isControl = message.url?.startsWith(CONTROL_PREFIX)
-      && message.headers[HOP_HEADER] === undefined;
-    if (isControl) {
+  const handle: HttpServerOptions['handle'] = (message, response, _, arrivedAt) => {
+    if (isControl(message)) {
       // Control messages have no body, and the end of one that has may never come.
       if (hasBody(message)) response.shouldKeepAlive = false;
       else message.resume();
@@ -262,9 +268,7 @@
       });
       return;
     }
-    // A new connection for each request would wait to be accepted, one in each turn.
-    if (!isAccepting()) response.shouldKeepAlive = false;
-    serve(message, response).catch((error: unknown) => {
+    serve(message, response, arrivedAt).catch((error: unknown) => {
       logger.error({
         request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
       }, 'failed to handle request from peer');
@@ -280,6 +284,8 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
+    // A new connection for each request would wait to be accepted, one in each turn.
+    mayEndAfter: (message) => !isAccepting() && !isControl(message),
     renderMalformed,
     renderFinal: renderStopRefusal,
   });
--- a/gateway/pipelined_requests_test.ts
+++ b/gateway/pipelined_requests_test.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
@@ -49,7 +48,9 @@
   socket.on('data', (chunk: Buffer) => {
     received += chunk.toString('latin1');
   });
-  const closed = once(socket, 'close');
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
   return {
     path,
     shutdown,
@@ -68,7 +69,9 @@
 
 type SetUp = Awaited<ReturnType<typeof setUp>>;
 
-const statusOf = (answer = '') => Number(/^HTTP\/1\.1 (?<status>\d+)/u.exec(answer)?.groups?.status);
+const statusOf = (answer = '') => (
+  Number(/^HTTP\/1\.1 (?<status>\d+)/u.exec(answer)?.groups?.status)
+);
 
 /** Checks that each request has an answer of its own, in order, that tells whether it was run. */
 const checkAnswers = ({ answers, wasPassedOn }: SetUp, ids: readonly string[]) => {
@@ -84,7 +87,9 @@
   }
 };
 
-const stops = { none: [], caller: ['caller'], peer: ['peer'], both: ['caller', 'peer'] } as const;
+const stops = {
+  none: [], caller: ['caller'], peer: ['peer'], both: ['caller', 'peer'],
+} as const;
 
 // All requests behind the first one were run, and its `Connection: close` ended their connection.
 for (const [stopping, nodes] of Object.entries(stops)) {
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -2,56 +2,16 @@
 import { createServer as createTlsServer } from 'node:https';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import type { CancelTask, Clock } from '../clock/mod.ts';
-import type { TlsMaterial } from '../peer/mod.ts';
+import type { CancelTask } from '../clock/mod.ts';
 import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
+import {
+  createRequestTurns, type Expectation, type ReadRequest, type RequestTurns,
+} from './_request_turns.ts';
+import type { HttpListener, HttpServerOptions } from './http_server_options.ts';
 import { splitAddress } from './split_address.ts';
 
-/** A listener for HTTP requests. */
-export interface HttpListener {
-  /** Starts listening; resolves to the bound host and port. */
-  readonly listen: () => Promise<string>;
-  /**
-   * Stops accepting connections and resolves once requests in flight are answered and idle
-   * connections are closed.
-   */
-  readonly stop: () => Promise<void>;
-  /** Destroys all connections at once, as a crash of the process does. */
-  readonly kill: () => void;
-}
-
-/** Options of `createHttpServer`. */
-export interface HttpServerOptions {
-  readonly clock: Clock;
-  /** Host and port to bind; port 0 selects a free port. */
-  readonly address: string;
-  readonly maxHeaderBytes: number;
-  /** Time in ms after `stop` during which requests on open connections are still served. */
-  readonly idleGraceMs: number;
-  /** Enables mutual TLS: clients must present a certificate signed by the authority. */
-  readonly tls?: TlsMaterial;
-  readonly handle: (
-    request: IncomingMessage,
-    response: ServerResponse,
-    expect: Expectation,
-  ) => void;
-  /**
-   * Renders the response to input that is not valid HTTP as a complete HTTP message; `dispatched`
-   * is true when the connection has a request in flight.
-   */
-  readonly renderMalformed: (status: number, dispatched: boolean) => string;
-  /**
-   * Renders a complete response for a request that is in transit on an idle connection when the
-   * server stops; the request is not handled. The response is sent on all idle connections, so the
-   * clients must accept one without a request. Without it, the request is reset.
-   */
-  readonly renderFinal?: () => string;
-}
-
-/** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
-export type Expectation = 'none' | 'continue' | 'other';
-
 interface ConnectionState extends ConnectionInput {
+  readonly turns: RequestTurns;
   requestCount: number;
   unreadRequest?: IncomingMessage | undefined;
   /** Responses that have not been handed to the operating system to their end. */
@@ -159,27 +119,36 @@
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     const state = connections.get(socket);
-    if (state?.isFinished) {
+    if (state === undefined || state.isFinished) {
       request.resume();
       return;
     }
-    if (state !== undefined) {
-      state.responses.add(response);
-      state.requestCount += 1;
-      state.unreadRequest = request;
-    }
-    if (isStopping) response.shouldKeepAlive = false;
+    state.responses.add(response);
+    state.requestCount += 1;
+    state.unreadRequest = request;
     const markEnd = () => {
-      if (state !== undefined) state.requestsEndAt = socket.bytesRead;
+      state.requestsEndAt = socket.bytesRead;
       if (isGraceOver) setImmediate(closeIdleConnections);
     };
     request.once('close', markEnd);
     response.once('close', () => {
-      state?.responses.delete(response);
-      if (state?.lastResponse === response) socket.end(() => socket.destroy());
+      state.responses.delete(response);
+      if (state.lastResponse === response) socket.end(() => socket.destroy());
       markEnd();
     });
-    options.handle(request, response, expect);
+    state.turns.add({
+      request, response, expect, readAt: clock.now(),
+    });
+  };
+
+  const turnsOptions = {
+    handle: ({
+      request, response, expect, readAt,
+    }: ReadRequest) => options.handle(request, response, expect, readAt),
+    mayEndAfter: (request: IncomingMessage) => (
+      isStopping || options.mayEndAfter?.(request) === true
+    ),
+    onDiscard: (requests: readonly IncomingMessage[]) => options.onDiscard?.(requests),
   };
 
   server.on('connection', (socket: Socket) => {
@@ -189,7 +158,11 @@
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
     connections.set(socket, {
-      responses: new Set(), requestsEndAt: 0, requestCount: 0, isFinished: false,
+      turns: createRequestTurns(socket, turnsOptions),
+      responses: new Set(),
+      requestsEndAt: 0,
+      requestCount: 0,
+      isFinished: false,
     });
     socket.once('close', () => connections.delete(socket));
   });
@@ -264,11 +237,7 @@
   const stop = async () => {
     if (isStopping || !server.listening) return;
     isStopping = true;
-    for (const { responses } of connections.values()) {
-      for (const response of responses) {
-        if (!response.headersSent) response.shouldKeepAlive = false;
-      }
-    }
+    for (const { turns } of connections.values()) turns.endAfterLast();
     await acceptEstablished();
     // `http.Server.close` would drop requests that are in transit on idle connections.
     const closed = new Promise<void>((resolve) => {
--- /dev/null
+++ b/http/http_server_options.ts
@@ -0,0 +1,54 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '../clock/mod.ts';
+import type { TlsMaterial } from '../peer/mod.ts';
+import type { Expectation } from './_request_turns.ts';
+
+/** A listener for HTTP requests. */
+export interface HttpListener {
+  /** Starts listening; resolves to the bound host and port. */
+  readonly listen: () => Promise<string>;
+  /**
+   * Stops accepting connections and resolves once requests in flight are answered and idle
+   * connections are closed.
+   */
+  readonly stop: () => Promise<void>;
+  /** Destroys all connections at once, as a crash of the process does. */
+  readonly kill: () => void;
+}
+
+/** Options of `createHttpServer`. */
+export interface HttpServerOptions {
+  readonly clock: Clock;
+  /** Host and port to bind; port 0 selects a free port. */
+  readonly address: string;
+  readonly maxHeaderBytes: number;
+  /** Time in ms after `stop` during which requests on open connections are still served. */
+  readonly idleGraceMs: number;
+  /** Enables mutual TLS: clients must present a certificate signed by the authority. */
+  readonly tls?: TlsMaterial;
+  /**
+   * Handles a request once those before it on its connection have been answered; `readAt` is the
+   * time in ms at which its head was read.
+   */
+  readonly handle: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    expect: Expectation,
+    readAt: number,
+  ) => void;
+  /** Returns whether the connection may end after this request, if no other one was read. */
+  readonly mayEndAfter?: (request: IncomingMessage) => boolean;
+  /** Called with requests that are not handled, since their connection has ended. */
+  readonly onDiscard?: (requests: readonly IncomingMessage[]) => void;
+  /**
+   * Renders the response to input that is not valid HTTP as a complete HTTP message; `dispatched`
+   * is true when the connection has a request in flight.
+   */
+  readonly renderMalformed: (status: number, dispatched: boolean) => string;
+  /**
+   * Renders a complete response for a request that is in transit on an idle connection when the
+   * server stops; the request is not handled. The response is sent on all idle connections, so the
+   * clients must accept one without a request. Without it, the request is reset.
+   */
+  readonly renderFinal?: () => string;
+}
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -148,7 +148,12 @@
     } else sendRefusal(response, end.refusal, requestId);
   };
 
-  const handle = (message: IncomingMessage, response: ServerResponse, expect: Expectation) => {
+  const handle = (
+    message: IncomingMessage,
+    response: ServerResponse,
+    expect: Expectation,
+    arrivedAt: number,
+  ) => {
     const requestId = createRequestId();
     const checked = checkRequest(message, expect);
     if (checked instanceof RefusalError) {
@@ -179,7 +184,7 @@
       requestClass: match.route.class,
       service: match.service.name,
       key,
-      deadlineAt: clock.now() + match.route.deadlineMs,
+      deadlineAt: arrivedAt + match.route.deadlineMs,
       method: message.method ?? '',
       path: message.url ?? '',
       headers: endToEndHeaders(message.rawHeaders, REMOVED_HEADERS),
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -9,7 +9,9 @@
 } from '../forward/mod.ts';
 import { createSecretCheck, type TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
-import { createHttpServer, hasBody, type HttpListener } from '../http/mod.ts';
+import {
+  createHttpServer, hasBody, type HttpListener, type HttpServerOptions,
+} from '../http/mod.ts';
 import { createRequestBody } from './_request_body.ts';
 import { createResponseSink, resetConnection } from '../http/mod.ts';
 import type { LocalDispatch, LocalUpstream } from './local_dispatch.ts';
@@ -160,7 +162,7 @@
     }
   };
 
-  const handle = (message: IncomingMessage, response: ServerResponse) => {
+  const handle: HttpServerOptions['handle'] = (message, response, _, arrivedAt) => {
     if (!isAuthorized(message)) {
       sendJson(response, 401, '{"reply":"unauthorized"}');
       return;
@@ -174,7 +176,7 @@
     const body = hasBody(message)
       ? createRequestBody(message, Number.POSITIVE_INFINITY).stream
       : null;
-    const request = parseHop(message, clock.now(), body, abort.signal);
+    const request = parseHop(message, arrivedAt, body, abort.signal);
     if (request === undefined) {
       sendRefusal(response, requestId ?? '', new RefusalError('malformed request between nodes', {
         step: STEP, status: 400, outcome: 'not run',
