--- a/gateway/pipelined_requests_test.ts
+++ b/gateway/pipelined_requests_test.ts
@@ -26,11 +26,11 @@
   setTimeout(() => answerSoundly(socket, headOf, count), WORK_MS);
 };
 
-const formatRequest = (kind: RouteKind, id: string) => [
+const formatRequest = (kind: RouteKind, id: string, deadlineMs = 2500) => [
   `${kind === 'unsafe' ? 'POST' : 'GET'} /${kind}/a HTTP/1.1`,
   'host: shop.example',
   `request-id: ${id}`,
-  'deadline-ms: 2500',
+  `deadline-ms: ${deadlineMs}`,
   ...(kind === 'unsafe' ? ['content-length: 5', '', 'order'] : ['', '']),
 ].join('\r\n');
 
@@ -139,6 +139,22 @@
   }
 }
 
+// Guards against a run for a caller that has stopped waiting.
+for (const hop of hops) {
+  test(`${hop}: a request whose deadline passes before its turn is not run`, async () => {
+    const setting = await setUp(hop, (socket, headOf, count) => {
+      setTimeout(() => answerSoundly(socket, headOf, count), 5 * WORK_MS);
+    });
+    const { socket, answers } = setting;
+    socket.write(formatRequest('safe', 'first') + formatRequest('safe', 'late', WORK_MS));
+    await isMet(() => answers().length === 2, TIMEOUT_MS);
+    await sleep(SETTLE_MS);
+    checkAnswers(setting, ['first', 'late']);
+    assert.match(answers()[1]!, /^HTTP\/1\.1 503 .*not run/su);
+    await setting.stop();
+  });
+}
+
 const breakOff: Respond = (socket, headOf) => {
   setTimeout(() => {
     socket.write(`${headOf()}content-length: 100\r\n\r\nhalf`, () => socket.destroy());
