Survive a client that resets its connection after CONNECT

A CONNECT behind other requests was answered in their place.

Cause: Node.js takes all its listeners off the socket when it hands it over with CONNECT, so an error of the socket has none; and the refusal was written at once, whatever was in flight on the connection.

Change: the server handles errors of such a socket, and refuses CONNECT after the response to the last request before it.

Evidence: 5 of 9 tests of http/connect_request_test.ts failed before (uncaught ECONNRESET, and a 501 in place of two responses), all pass now. It is the only event with which the server hands a socket over: there is no listener for upgrades, which Node.js then takes for plain requests.

--- /dev/null
+++ b/http/connect_request_test.ts
@@ -0,0 +1,98 @@
+import { connect, type Socket } from 'node:net';
+import process from 'node:process';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { createHttpServer, renderMalformed, splitAddress } from './mod.ts';
+
+const test = suite('CONNECT requests');
+
+const WORK_MS = 60;
+const SETTLE_MS = 60;
+const ATTEMPTS = 10;
+
+const REQUEST = 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n';
+const CONNECT = 'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n';
+
+const startServer = async () => {
+  const server = createHttpServer({
+    clock: createSystemClock(),
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: WORK_MS,
+    handle: ({ url }, response) => {
+      setTimeout(() => response.end(`done${url}`), WORK_MS);
+    },
+    renderMalformed,
+  });
+  const { host, port } = splitAddress(await server.listen());
+  const open = () => {
+    const socket = connect(port, host).on('error', () => undefined);
+    let received = '';
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString('latin1');
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    return { socket, closed, received: () => received };
+  };
+  return { server, open };
+};
+
+type Leave = (socket: Socket) => unknown;
+
+const ways: Readonly<Record<string, Leave>> = {
+  end: (socket) => socket.end(),
+  destroy: (socket) => socket.destroy(),
+  reset: (socket) => socket.resetAndDestroy(),
+  'more bytes and reset': (socket) => socket.write('more', () => socket.resetAndDestroy()),
+};
+
+/** Runs a task and returns the exceptions that nothing has handled meanwhile. */
+const collectExceptions = async (task: () => Promise<void>) => {
+  const exceptions: unknown[] = [];
+  const onException = (error: unknown) => {
+    exceptions.push(error);
+  };
+  process.on('uncaughtException', onException);
+  await task();
+  process.off('uncaughtException', onException);
+  return exceptions;
+};
+
+// The reset of a connection after CONNECT ended the whole process.
+for (const [way, leave] of Object.entries(ways)) {
+  for (const [before, bytes] of Object.entries({ 'no request': '', 'a request': REQUEST })) {
+    test(`CONNECT behind ${before} and a client that leaves (${way}) harm no other`, async () => {
+      const { server, open } = await startServer();
+      const other = open();
+      const exceptions = await collectExceptions(async () => {
+        other.socket.write(REQUEST);
+        for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+          const { socket } = open();
+          socket.write(bytes + CONNECT);
+          setTimeout(() => leave(socket), attempt);
+        }
+        await sleep(WORK_MS + SETTLE_MS);
+      });
+      assert.equal(exceptions, []);
+      assert.match(other.received(), /done\/a$/u);
+      other.socket.destroy();
+      await server.stop();
+    });
+  }
+}
+
+// The refusal of CONNECT took the place of the response to the request before it.
+test('a request before CONNECT is answered first', async () => {
+  const { server, open } = await startServer();
+  const { socket, closed, received } = open();
+  socket.write(REQUEST + REQUEST + CONNECT);
+  await closed;
+  assert.match(received(), /^HTTP\/1\.1 200 .*done\/aHTTP\/1\.1 200 .*done\/aHTTP\/1\.1 501 /su);
+  await server.stop();
+});
+
+test.run();
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -170,10 +170,13 @@
   server.on('checkContinue', accept('continue'));
   server.on('checkExpectation', accept('other'));
   server.on('connect', (_, socket) => {
-    // Node.js detaches the socket from its HTTP parser, so without a reader the close of the
-    // client goes unnoticed.
+    // Node.js detaches the socket from its HTTP parser, with all listeners to its errors and to its
+    // end; without a reader the close of the client goes unnoticed.
+    socket.on('error', () => socket.destroy());
     socket.resume();
-    socket.end(options.renderMalformed(501, false), () => socket.destroy());
+    connections.get(socket as Socket)?.turns.runAfterLast(() => {
+      if (socket.writable) socket.end(options.renderMalformed(501, false), () => socket.destroy());
+    });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const state = connections.get(socket as Socket);
