Read the error of an instance on while its request is tried again

Callers got a 502 of the node, without a signature, in place of the signed error of an instance, when the body of the error came more than 100 ms after its head or was larger than 64 KiB and the retry was refused. The connection to the instance was closed within the body.

Cause: the error was drained before its retry began, for 100 ms and 64 KiB at most, so that the retry would not wait. What was cut off then could not be delivered any more.

The attempt of the error now goes on beside the retry. The retry begins when the error has ended, or 100 ms after its head. The body is read into the store of held errors until the deadline: 256 KiB for one error and 1 MiB for all, and what finds no room there is drained as before. If the retry succeeds, the attempt of the error is aborted. If it is refused, the sender waits for the error, whose slot is held meanwhile, until the deadline at most.

New tests there, which guard the bounds: bodies without end, in all slots at once, with a retry that succeeds or is refused. In held_error_test.ts, new tests of the store.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -1,57 +1,12 @@
-import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
-import type { CancelTask, Clock } from '../clock/mod.ts';
+import type { CancelTask } from '../clock/mod.ts';
+import type { ExchangeOptions, ExchangeRequest } from './_exchange_options.ts';
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
 import { findStatusFault, isInterimStatus } from './_status_check.ts';
 import { toStrings } from './_to_strings.ts';
 import { unsentResponsesOfProcess } from './_unsent_responses.ts';
 
-/** An HTTP request to send over a connection pool. */
-export interface ExchangeRequest {
-  readonly method: string;
-  /** Path and query. */
-  readonly path: string;
-  /** Names and values in turn. */
-  readonly headers: string[];
-  readonly body: Readable | Buffer | null;
-}
-
-/** Timeouts, cancellation and checks of an exchange. */
-export interface ExchangeOptions {
-  readonly clock: Clock;
-  /** Cancels the request. */
-  readonly signal: AbortSignal;
-  /** Deadline, in ms of the monotonic clock, for the head of the final response. */
-  readonly deadlineAt: number;
-  /** Deadline for the end of the response; without it, a body may take any time. */
-  readonly endDeadlineAt?: number;
-  /** Aborts when the lease under which the request runs expires. */
-  readonly leaseExpiry?: AbortSignal;
-  /** Timeout in ms without progress before the final head; interim responses count as progress. */
-  readonly headProgressTimeoutMs: number;
-  /**
-   * Called at each timeout before the final head with the time of the last progress. Without it,
-   * or if it returns true, the timeout fails the exchange.
-   */
-  readonly onSilent?: (since: number) => boolean | undefined;
-  /** Called when a head, interim or final, or a part of the body arrives. */
-  readonly onReceive?: () => void;
-  /** Called with the raw headers of an interim response. */
-  readonly onInterim?: (rawHeaders: readonly string[]) => void;
-  /** Timeout in ms without progress of the response body. */
-  readonly bodyProgressTimeoutMs: number;
-  /**
-   * Runs directly before the request is written, in the same event-loop turn; a returned error
-   * prevents the write.
-   */
-  readonly beforeWrite?: () => Error | undefined;
-  /** Returns why a response that seems complete is truncated, or undefined if it is complete. */
-  readonly checkEnd?: (rawHeaders: readonly string[]) => string | undefined;
-  /** Checks the raw headers of the final response; a returned reason rejects the response. */
-  readonly checkHead?: (rawHeaders: readonly string[]) => string | undefined;
-}
-
 /** Why an exchange failed. */
 export type FailureCause = 'connection' | 'silent' | 'deadline' | 'cancelled' | 'lapsed'
   | 'mismatch' | 'stall' | 'denied';
@@ -112,7 +67,6 @@
   let closesConnection = false;
   let interimCount = 0;
   let discardedBytes = 0;
-  const drainedChunks: Buffer[] = [];
   /** Body bytes that are still to come; infinite if the response states no length. */
   let missingBytes = Number.POSITIVE_INFINITY;
   let drainEndsAt = Infinity;
@@ -139,7 +93,6 @@
     });
     controller?.abort(error);
   };
-  const onAbort = () => fail('cancelled', new Error('the request was cancelled'));
   const onLeaseExpired = () => fail('lapsed', new Error('the lease of the key lapsed'));
   const progressTimeoutMs = () => {
     if (responseAction === undefined) return options.headProgressTimeoutMs;
@@ -149,16 +102,20 @@
     if (responseAction === undefined) return options.deadlineAt;
     return responseAction === 'drain' ? drainEndsAt : options.endDeadlineAt ?? Infinity;
   };
-  const stopDrain = () => {
+  const stopReading = () => {
     settle({ kind: 'complete', status });
     controller?.abort(new Error('the rest of the response is not needed'));
   };
+  const onAbort = () => {
+    if (responseAction === 'hold') stopReading();
+    else fail('cancelled', new Error('the request was cancelled'));
+  };
   const checkProgress = () => {
     const now = clock.now();
     // If the check runs late, this process was paused, and received bytes may still be unread.
     if (now - checkAt > LATE_CHECK_MS) lastProgressAt = now;
-    if (responseAction === 'drain' && now >= drainEndsAt) {
-      stopDrain();
+    if ((responseAction === 'drain' || responseAction === 'hold') && now >= limitAt()) {
+      stopReading();
       return;
     }
     let timeoutAt = lastProgressAt + progressTimeoutMs();
@@ -179,6 +136,14 @@
     checkAt = Math.min(timeoutAt, limitAt());
     cancelCheck = clock.schedule(Math.ceil(checkAt - now), checkProgress);
   };
+  const setAction = (action: ResponseAction) => {
+    responseAction = action;
+    drainEndsAt = lastProgressAt + MAX_DRAIN_MS;
+    if (checkAt > Math.min(lastProgressAt + options.bodyProgressTimeoutMs, limitAt())) {
+      cancelCheck();
+      checkProgress();
+    }
+  };
   const resumeBody = () => {
     lastProgressAt = clock.now();
     controller?.resume();
@@ -249,23 +214,19 @@
       const headers = endToEndHeaders(raw, REMOVED_RESPONSE_HEADERS);
       const action = sink.start(statusCode, headers);
       if (action === 'cancel') fail('cancelled', new Error('the answer was not wanted'));
-      else {
-        responseAction = action;
-        drainEndsAt = lastProgressAt + MAX_DRAIN_MS;
-        if (checkAt > Math.min(lastProgressAt + options.bodyProgressTimeoutMs, limitAt())) {
-          cancelCheck();
-          checkProgress();
-        }
-      }
+      else setAction(action);
     },
     onResponseData: (current, chunk) => {
       options.onReceive?.();
       if (isSettled) return;
       lastProgressAt = clock.now();
+      if (responseAction === 'hold') {
+        if (sink.hold?.(chunk) === true) return;
+        setAction('drain');
+      }
       if (responseAction === 'drain') {
         discardedBytes += chunk.length;
-        if (discardedBytes > MAX_DISCARDED_BYTES) stopDrain();
-        else if (sink.drained !== undefined) drainedChunks.push(chunk);
+        if (discardedBytes > MAX_DISCARDED_BYTES) stopReading();
         return;
       }
       missingBytes -= chunk.length;
@@ -289,11 +250,12 @@
       }
       settle({ kind: 'complete', status });
       if (responseAction === 'deliver') sink.end();
-      else if (truncation === undefined) sink.drained?.(Buffer.concat(drainedChunks));
+      else if (responseAction === 'hold' && truncation === undefined) sink.held?.();
     },
     onResponseError: (_, error) => {
-      if (responseAction === 'drain') settle({ kind: 'complete', status });
-      else fail(cause, error);
+      if (responseAction === 'drain' || responseAction === 'hold') {
+        settle({ kind: 'complete', status });
+      } else fail(cause, error);
     },
   });
 });
--- a/forward/hop.ts
+++ b/forward/hop.ts
@@ -3,8 +3,11 @@
 import type { RequestClass } from '../contract/mod.ts';
 import type { RefusalError, StepError } from '../errors/mod.ts';
 
-/** What to do with a response after its head: `drain` reads the body and discards it. */
-export type ResponseAction = 'deliver' | 'drain' | 'cancel';
+/**
+ * What to do with a response after its head: `drain` reads the body for a short time and discards
+ * it, `hold` reads it until the deadline, for a later delivery.
+ */
+export type ResponseAction = 'deliver' | 'hold' | 'drain' | 'cancel';
 
 /** Receives a response while it arrives. */
 export interface ResponseSink {
@@ -24,10 +27,12 @@
   /** Called when the response is complete. */
   readonly end: () => void;
   /**
-   * Called with the whole body of a response for which `start` returned `drain`, unless it is too
-   * large, too slow or truncated.
+   * Called with each part of the body of a response for which `start` returned `hold`; returns
+   * false if there is no room for it, so that the rest is discarded.
    */
-  readonly drained?: (body: Buffer) => void;
+  readonly hold?: (chunk: Buffer) => boolean;
+  /** Called when a response for which `start` returned `hold` is complete. */
+  readonly held?: () => void;
 }
 
 /** One attempt to send a request to an instance. */
--- a/forward/mod.ts
+++ b/forward/mod.ts
@@ -1,5 +1,6 @@
 /** Sends requests over one hop, to the local instance or to a peer, and tracks received ones. */
-export { exchange, type ExchangeOptions, type ExchangeRequest } from './_exchange.ts';
+export { exchange } from './_exchange.ts';
+export type { ExchangeOptions, ExchangeRequest } from './_exchange_options.ts';
 export {
   createTruncationAwarePool, type TruncationAwarePool, type TruncationAwarePoolOptions,
 } from './truncation_aware_pool.ts';
--- a/gateway/_attempt_race.ts
+++ b/gateway/_attempt_race.ts
@@ -12,10 +12,10 @@
 /** Delivers the response of that attempt of a request whose body begins first. */
 export interface AttemptRace {
   /** Adds an attempt; `start` decides what to do with the head of its response. */
-  readonly enter: (handlers: Pick<ResponseSink, 'start' | 'drained'>) => RacingAttempt;
+  readonly enter: (handlers: Pick<ResponseSink, 'start' | 'hold' | 'held'>) => RacingAttempt;
   /** Returns whether a response is expected to be delivered. */
   readonly isWon: () => boolean;
-  /** Ends the race once all attempts have ended or been aborted. */
+  /** Ends the race and aborts the attempts whose response is still being held. */
   readonly close: () => void;
 }
 
@@ -38,6 +38,8 @@
 export const createAttemptRace = (signal: AbortSignal, sink: ResponseSink): AttemptRace => {
   const entered = new Set<AbortController>();
   const heads = new Map<AbortController, Head>();
+  /** Attempts whose response is held for a later delivery. */
+  const holding = new Set<AbortController>();
   /** Attempt whose head the sink has got last. */
   let shown: AbortController | undefined;
   let winner: AbortController | undefined;
@@ -59,7 +61,7 @@
   };
 
   return {
-    enter: ({ start, drained }) => {
+    enter: ({ start, hold, held }) => {
       const attempt = new AbortController();
       if (signal.aborted) attempt.abort();
       entered.add(attempt);
@@ -67,7 +69,8 @@
         signal: attempt.signal,
         sink: {
           ...sink,
-          ...(drained && { drained }),
+          ...(hold && { hold }),
+          ...(held && { held }),
           start: (status, headers) => {
             if (winner !== undefined) return 'cancel';
             const action = start(status, headers);
@@ -75,6 +78,7 @@
               heads.set(attempt, { status, headers });
               shown = attempt;
             }
+            if (action === 'hold') holding.add(attempt);
             return action;
           },
           write: (chunk) => !win(attempt) || sink.write(chunk),
@@ -88,6 +92,9 @@
       };
     },
     isWon: () => winner !== undefined || heads.size > 0,
-    close: () => signal.removeEventListener('abort', abortAll),
+    close: () => {
+      signal.removeEventListener('abort', abortAll);
+      for (const attempt of holding) attempt.abort();
+    },
   };
 };
--- a/gateway/_log_fields.ts
+++ b/gateway/_log_fields.ts
@@ -38,3 +38,13 @@
   const { queuedMs, runMs } = outcome.timing;
   return { queuedMs: Math.round(queuedMs), runMs: Math.round(runMs) };
 };
+
+/** Log fields of how an attempt ended. */
+export const outcomeFields = (outcome: AttemptOutcome) => ({
+  outcome: outcome.kind,
+  ...(outcome.kind === 'refused' ? {
+    refusal: outcome.refusal.message, mayHaveRun: outcome.refusal.outcome === 'unknown',
+  } : {}),
+  ...refusalFields(outcome),
+  ...timingFields(outcome),
+});
--- a/gateway/_simulated_node.ts
+++ b/gateway/_simulated_node.ts
@@ -129,7 +129,7 @@
       bytes -= CHUNK_BYTES;
     }
     sink.end();
-    return action === 'drain' ? { kind: 'failed', status } : { kind: 'answered', status };
+    return action === 'hold' ? { kind: 'failed', status } : { kind: 'answered', status };
   };
   const callFailures = createCallFailures(clock);
   const gate = createEntranceGate({ clock });
@@ -207,7 +207,7 @@
     if (outcome.kind !== 'answered') return { outcome, load };
     const action = sink.start(status, []);
     return {
-      outcome: action === 'drain' ? { kind: 'failed' as const, status } : outcome, load,
+      outcome: action === 'hold' ? { kind: 'failed' as const, status } : outcome, load,
     };
   };
   const budgetOf = (ratio: number, extraRetries: number, nodeCount: number) => (
--- a/gateway/held_error_test.ts
+++ b/gateway/held_error_test.ts
@@ -84,12 +84,13 @@
   });
 }
 
+const sink: ResponseSink = {
+  start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
+};
+
 // Guards against errors of many requests that together take any amount of memory.
 test('the errors of all requests together are limited', () => {
   const openHeldError = createHeldErrors(1000);
-  const sink: ResponseSink = {
-    start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
-  };
   const holdOne = (bytes: number) => {
     const held = openHeldError();
     held.hold({
@@ -106,4 +107,48 @@
   assert.is(holdOne(600).deliver(sink), undefined);
 });
 
+// Guards against one error without end that leaves no room for the errors of other requests.
+test('an error takes only its part of the room, which is free once it is exceeded', () => {
+  const openHeldError = createHeldErrors(1000, 400);
+  const large = openHeldError();
+  const reader = large.read({ status: 500, headers: [] });
+  assert.ok(reader.write(Buffer.alloc(400)));
+  assert.not.ok(reader.write(Buffer.alloc(1)));
+  assert.not.ok(reader.write(Buffer.alloc(1)));
+  reader.end();
+  assert.is(large.deliver(sink), undefined);
+  const others = Array.from({ length: 3 }, () => openHeldError());
+  const areHeld = others.map((held) => {
+    held.hold({ status: 500, headers: [], body: Buffer.alloc(400) });
+    return held.deliver(sink) !== undefined;
+  });
+  assert.equal(areHeld, [true, true, false]);
+});
+
+// Guards against the memory of errors whose request ended while they were read.
+test('a released error gives its room back and takes no more', () => {
+  const openHeldError = createHeldErrors(1000);
+  const held = openHeldError();
+  const reader = held.read({ status: 500, headers: [] });
+  assert.ok(reader.write(Buffer.alloc(900)));
+  held.release();
+  assert.not.ok(reader.write(Buffer.alloc(1)));
+  const other = openHeldError();
+  other.hold({ status: 500, headers: [], body: Buffer.alloc(1000) });
+  assert.ok(other.deliver(sink) !== undefined);
+});
+
+test('a body that comes in parts is delivered whole', async () => {
+  const held = createHeldErrors(1000)();
+  const reader = held.read({ status: 500, headers: [] });
+  for (const part of ['in', '', ' many', ' parts']) assert.ok(reader.write(Buffer.from(part)));
+  assert.is(held.deliver(sink), undefined);
+  reader.end();
+  await held.isHeld;
+  const written: string[] = [];
+  const outcome = held.deliver({ ...sink, write: (part) => written.push(part.toString()) > 0 });
+  assert.equal(outcome, { kind: 'answered', status: 500 });
+  assert.is(written.join(''), 'in many parts');
+});
+
 test.run();
--- a/gateway/instance_client.ts
+++ b/gateway/instance_client.ts
@@ -181,12 +181,9 @@
           if (fault !== undefined) return 'cancel';
         }
         const use = sink.start(status, headers);
-        if (use === 'drain') failedStatus = status;
+        if (use === 'hold') failedStatus = status;
         return use;
       },
-      drained: (body) => {
-        if (failedStatus !== undefined) sink.drained?.(body);
-      },
     }, {
       clock,
       signal: request.signal,
--- a/gateway/peer_client.ts
+++ b/gateway/peer_client.ts
@@ -182,16 +182,13 @@
           return 'drain';
         }
         const use = sink.start(status, headers);
-        if (use === 'drain') failedStatus = status;
+        if (use === 'hold') failedStatus = status;
         return use;
       },
       write: (chunk) => {
         bytes += chunk.length;
         return sink.write(chunk);
       },
-      drained: (body) => {
-        if (failedStatus !== undefined) sink.drained?.(body);
-      },
     }, {
       clock,
       signal: request.signal,
--- a/gateway/request_sender.ts
+++ b/gateway/request_sender.ts
@@ -2,16 +2,17 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { startAttempt } from './_attempt.ts';
 import { type AttemptRace, createAttemptRace } from './_attempt_race.ts';
-import { createHeldErrors, type ErrorResponse, type HeldError } from './_held_errors.ts';
+import { createHeldErrors, type HeldError } from './_held_errors.ts';
 import {
   isOverloaded, mergeOutcomes, reportedOutcome, UNSENT,
 } from './_attempt_outcomes.ts';
 import { createTargetGate, refuseNoTarget, refuseThrottled } from './_target_gate.ts';
 import type { Target, TargetChooser } from './target_chooser.ts';
 import type { LocalForwarder } from './local_forwarder.ts';
-import type { PeerClient, SilentPart } from './peer_client.ts';
-import { attemptFields, refusalFields, timingFields } from './_log_fields.ts';
+import type { PeerClient } from './peer_client.ts';
+import { attemptFields, outcomeFields } from './_log_fields.ts';
 import { type AttemptOutcome, type GatewayRequest, isIdempotent } from './request.ts';
 import type { ServiceRetryBudget } from './service_retry_budget.ts';
 import { createTargetThrottle } from './target_throttle.ts';
@@ -62,11 +63,10 @@
 const MAX_NODE_REFUSALS = 3;
 /** An attempt that starts with less time to the deadline cannot succeed. */
 const MIN_ATTEMPT_MS = 60;
-const FIRST_SERVER_ERROR = 500;
 /** Bytes of error responses that are held while their requests are tried again. */
 const MAX_HELD_BYTES = 1_048_576;
-/** Not retried: the instance ran out of time, so another run would too. */
-const STATUS_GATEWAY_TIMEOUT = 504;
+/** Leaves room for the errors of other requests beside one whose body has no end. */
+const MAX_ERROR_BYTES = 262_144;
 
 /**
  * Creates the sender of a node. A request that is not idempotent is retried only while no instance
@@ -81,26 +81,16 @@
 export const createRequestSender = (options: RequestSenderOptions): RequestSender => {
   const { clock, chooser, retryBudget } = options;
   const logger = options.logger.forComponent('routing');
-  const openHeldError = createHeldErrors(MAX_HELD_BYTES);
+  const openHeldError = createHeldErrors(MAX_HELD_BYTES, MAX_ERROR_BYTES);
   const throttle = createTargetThrottle({ clock, random: options.random ?? Math.random });
   const { isCounted: isThrottled, refuseEarly } = createTargetGate({
     clock, chooser, throttle, retryBudget,
   });
 
-  const sendTo = async (
-    target: Target,
-    request: GatewayRequest,
-    sink: ResponseSink,
-    onSilent: (part: SilentPart) => void,
-  ) => {
-    if (target.kind === 'local') {
-      const outcome = await options.local.forward(request, sink, () => onSilent('instance'));
-      return { outcome, load: options.local.load() };
-    }
-    return options.peers.send(target.address, request, sink, onSilent);
-  };
-
-  /** Makes attempts one after the other; those that go silent go on in `silentAttempts`. */
+  /**
+   * Makes attempts one after the other. Those that go silent go on in `silentAttempts`, and errors
+   * whose retry has begun are read on in `errorBodies`.
+   */
   const sendInTurn = async (
     request: GatewayRequest,
     maxSends: number,
@@ -108,6 +98,7 @@
     race: AttemptRace,
     silentAttempts: Promise<AttemptOutcome>[],
     heldError: HeldError,
+    errorBodies: Promise<void>[],
   ): Promise<AttemptOutcome | undefined> => {
     const { service, signal } = request;
     const idempotent = isIdempotent(request.kind);
@@ -124,53 +115,15 @@
     );
     const mayRetry = () => sends < maxSends && hasTime() && retryBudget.withdraw(service);
 
-    const startAttempt = (target: Target, withheld: number) => {
-      let isSilent = false;
-      let headAt: number | undefined;
-      let errorHead: Omit<ErrorResponse, 'body'> | undefined;
-      let isRetryGranted = false;
-      let reportSilence = (_part: SilentPart) => undefined as void;
-      const { signal: attemptSignal, sink: attemptSink, forfeit } = race.enter({
-        start: (status, headers) => {
-          const isServerError = status >= FIRST_SERVER_ERROR && status !== STATUS_GATEWAY_TIMEOUT;
-          headAt = clock.now();
-          if (!isSilent) {
-            sends += 1;
-            isRetryGranted = isServerError && idempotent && mayRetry();
-          }
-          // An error does not take the place of a response that another attempt has begun.
-          if (isServerError && (isRetryGranted || race.isWon())) {
-            errorHead = { status, headers };
-            return 'drain';
-          }
-          return sink.start(status, headers);
-        },
-        drained: (body) => {
-          if (errorHead !== undefined) heldError.hold({ ...errorHead, body });
-        },
-      });
-      const silence = new Promise<SilentPart>((resolve) => {
-        reportSilence = resolve;
-      });
-      const ended = sendTo(
-        target,
-        {
-          ...request, instance: target.instance, signal: attemptSignal, withheld,
-        },
-        attemptSink,
-        (part) => {
-          isSilent = true;
-          reportSilence(part);
-        },
-      );
-      return {
-        ended,
-        silence,
-        signal: attemptSignal,
-        forfeit,
-        headAt: () => headAt,
-        isRetryGranted: () => isRetryGranted,
-      };
+    const recordLoad = (target: Target, load: AdmissionLoad | undefined) => {
+      if (load === undefined) return;
+      options.onLoad?.(service, load);
+      if (target.kind === 'peer') throttle.recordExcess(target.instance, load.excess);
+    };
+
+    const recordHead = (isServerError: boolean) => {
+      sends += 1;
+      return isServerError && idempotent && mayRetry();
     };
 
     retryBudget.deposit(service);
@@ -201,8 +154,11 @@
       };
       const sendsBefore = sends;
       const withheld = isCounted ? throttle.takeWithheld(target.instance, isLate) : 0;
-      const attempt = startAttempt(target, withheld);
-      const result = await Promise.race([attempt.ended, attempt.silence]);
+      const attempt = startAttempt(options, target, { ...request, withheld }, {
+        race, heldError, sink, recordHead,
+      });
+      const result = await Promise.race([attempt.ended, attempt.silence, attempt.slowError]);
+      attempt.cancelSlowError();
       const durationMs = clock.now() - startedAt;
       const fields = attemptFields(request, target, durationMs);
       if (typeof result === 'string') {
@@ -228,19 +184,11 @@
       const headAt = attempt.headAt();
       const reported = reportedOutcome(outcome, attempt.signal.aborted);
       recordEnd(outcome);
-      if (load !== undefined) {
-        options.onLoad?.(service, load);
-        if (target.kind === 'peer') throttle.recordExcess(target.instance, load.excess);
-      }
+      recordLoad(target, load);
       chooser.report(request, target, { durationMs, outcome: reported, load });
       logger.info({
         ...fields,
-        outcome: outcome.kind,
-        ...(outcome.kind === 'refused' ? {
-          refusal: outcome.refusal.message, mayHaveRun: outcome.refusal.outcome === 'unknown',
-        } : {}),
-        ...refusalFields(outcome),
-        ...timingFields(outcome),
+        ...outcomeFields(outcome),
         headMs: headAt === undefined ? undefined : Math.round(headAt - startedAt),
       }, 'attempt finished');
       options.onAttempt?.(target, reported, durationMs);
@@ -250,6 +198,9 @@
         mayHaveRun = true;
         lastOutcome = outcome;
         if (!attempt.isRetryGranted()) return lastOutcome;
+        errorBodies.push(attempt.ended.then((end) => {
+          if (end !== result) recordLoad(target, end.load);
+        }).catch((error: unknown) => logger.warn({ ...fields, error }, 'error body not read')));
         options.onRetry?.(service, 'failure');
         if (request.key === undefined) excluded.add(target.instance);
         continue;
@@ -280,13 +231,23 @@
     const silentAttempts: Promise<AttemptOutcome>[] = [];
     const race = createAttemptRace(request.signal, sink);
     const heldError = openHeldError();
+    const errorBodies: Promise<void>[] = [];
     try {
-      let lastOutcome = await sendInTurn(request, maxSends, sink, race, silentAttempts, heldError);
+      let lastOutcome = await sendInTurn(
+        request,
+        maxSends,
+        sink,
+        race,
+        silentAttempts,
+        heldError,
+        errorBodies,
+      );
       for (const silentAttempt of silentAttempts) {
         if (lastOutcome?.kind === 'answered' || lastOutcome?.kind === 'truncated') break;
         lastOutcome = mergeOutcomes(lastOutcome, await silentAttempt);
       }
       if (lastOutcome?.kind === 'answered' || lastOutcome?.kind === 'truncated') return lastOutcome;
+      await Promise.race([heldError.isHeld, Promise.all(errorBodies)]);
       return heldError.deliver(sink) ?? lastOutcome!;
     } finally {
       heldError.release();
--- a/gateway/slow_error_test.ts
+++ b/gateway/slow_error_test.ts
@@ -1,12 +1,23 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { type Respond, startPath } from './_test_path.ts';
-import { hops } from './_test_sick_call.ts';
+import { isMet, watchBuffers } from './_test_caller.ts';
+import {
+  answerSoundly, type Respond, startPath, writeEndlessly,
+} from './_test_path.ts';
+import { hops, MAX_OVERRUN_MS, writeSlowly } from './_test_sick_call.ts';
 
 const test = suite('an error whose body comes after its head');
 
 const TIMEOUT_MS = 2500;
 const REFUSAL_DELAY_MS = 200;
+/** Far below the timeout of the route, and above the time that a busy machine takes. */
+const MAX_RETRY_MS = 1200;
+/** Beyond what is held for one response. */
+const LARGE_ERROR_BYTES = 300_000;
+/** The instances of some hosts have as many slots. */
+const MANY_SLOTS = 9;
+/** The smallest hosts have 250 MB; a node needs 100 MB, and up to 84 MB for request bodies. */
+const MAX_NODE_GROWTH = 66_000_000;
 
 const cases = [
   { name: 'a body 150 ms later', bytes: 6, delayMs: 150 },
@@ -45,4 +56,77 @@
   }
 }
 
+const endlessBodies: Readonly<Record<string, Respond>> = {
+  'no body in time': (socket, headOf) => {
+    socket.write(`${headOf(500)}content-length: 6\r\n\r\n`);
+  },
+  'slow chunks': (socket, headOf) => {
+    socket.write(`${headOf(500)}transfer-encoding: chunked\r\n\r\n`);
+    writeSlowly(socket, '1\r\nx\r\n');
+  },
+  'chunks at full speed': (socket, headOf) => {
+    socket.write(`${headOf(500)}transfer-encoding: chunked\r\n\r\n`);
+    writeEndlessly(socket, `8000\r\n${'x'.repeat(32_768)}\r\n`);
+  },
+  'tiny chunks at full speed': (socket, headOf) => {
+    socket.write(`${headOf(500)}transfer-encoding: chunked\r\n\r\n`);
+    writeEndlessly(socket, '1\r\nx\r\n');
+  },
+};
+
+for (const hop of hops) {
+  for (const [name, respond] of Object.entries(endlessBodies)) {
+    // Guards against a caller whose retry waits for the body of the error.
+    test(`${hop}, ${name}: a retry that succeeds does not wait for the error`, async () => {
+      const path = await startPath({ hop, timeoutMs: TIMEOUT_MS }, respond, answerSoundly);
+      const { status, text, durationMs } = await path.call({ kind: 'safe' });
+      const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+      const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
+      await path.stop();
+      assert.is(status, 200);
+      assert.is(text, 'sound');
+      assert.ok(durationMs < MAX_RETRY_MS, `the answer took ${durationMs} ms`);
+      assert.ok(areSlotsFree, 'the slot was not released');
+      assert.ok(isClosed, 'the connection to the instance stays open');
+    });
+
+    // Guards against errors without end that keep their callers, their slots or memory.
+    test(`${hop}, ${name}: callers are answered by the deadline`, async () => {
+      const path = await startPath({
+        hop, timeoutMs: TIMEOUT_MS, slots: MANY_SLOTS,
+      }, respond, refuse);
+      const stopWatching = watchBuffers();
+      const answers = await Promise.all(Array.from({ length: MANY_SLOTS }, () => (
+        path.call({ kind: 'safe' })
+      )));
+      const growth = stopWatching();
+      const areSlotsFree = await isMet(() => path.slotsInUse() === 0);
+      const isClosed = await isMet(() => path.instances[0]!.usedConnections() === 0);
+      await path.stop();
+      for (const { status, durationMs, isComplete } of answers) {
+        assert.is(status, 502);
+        assert.ok(isComplete);
+        assert.ok(durationMs < TIMEOUT_MS + MAX_OVERRUN_MS, `the answer took ${durationMs} ms`);
+      }
+      const nodes = hop === 'local' ? 1 : 2;
+      assert.ok(growth < nodes * MAX_NODE_GROWTH, `buffers grew by ${growth} bytes`);
+      assert.ok(areSlotsFree, 'the slot was not released');
+      assert.ok(isClosed, 'the connection to the instance stays open');
+    });
+  }
+
+  // Guards against an error that is delivered in part as if it were whole.
+  test(`${hop}: an error that is too large to be held is not delivered`, async () => {
+    const path = await startPath({ hop, timeoutMs: TIMEOUT_MS }, (socket, headOf) => {
+      const body = 'x'.repeat(LARGE_ERROR_BYTES);
+      socket.write(`${headOf(500)}content-length: ${LARGE_ERROR_BYTES}\r\n\r\n${body}`);
+    }, refuse);
+    const { status, headers, isComplete } = await path.call({ kind: 'safe' });
+    await path.stop();
+    assert.is(status, 502);
+    assert.is(headers['response-seal'], undefined);
+    assert.ok(isComplete);
+  });
+}
+
 test.run();
