Release the memory of a body as soon as it is given up

What callers saw: after a body was refused with 503 for lack of memory, ordinary requests with a body were refused as well, until the caller of the refused one had sent its rest or left.

Cause: a body that is given up is dropped at once, but its reservation lasted until its response closed, and that waits for the rest of the request.

Evidence: body_budget_test, 'a refused body counts no longer, also while its caller sends on': 7,995,392 bytes stayed reserved before, none now.

Why it works: the bytes are dropped and released in the same place; a released reservation takes nothing more. The timer of the deadline is cancelled at the end of the body, so that it can't release a body that is in use.

--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -77,6 +77,7 @@
   let receivedBytes = 0;
   const giveUp = (reason: BodyRejection) => {
     collector = undefined;
+    reservation.release();
     resolve(reason);
   };
   const remainingMs = Math.max(0, Math.ceil(deadlineAt - clock.now()));
@@ -89,6 +90,7 @@
     else collector.add(chunk);
   });
   message.once('end', () => {
+    cancel();
     if (collector !== undefined) resolve(collector.finish());
   });
   message.once('close', () => {
--- a/gateway/body_budget_test.ts
+++ b/gateway/body_budget_test.ts
@@ -78,6 +78,18 @@
   });
 }
 
+// Guards against ordinary requests that are refused for lack of memory that nothing uses: a refused
+// body stayed in the count until its caller had sent the rest or left.
+test('a refused body counts no longer, also while its caller sends on', async () => {
+  const bodies = createBodyBudget(MAX_BYTES);
+  const path = await startPath({ hop: 'local', timeoutMs: 5000, bodies }, answerSoundly);
+  const upload = await sendPart(path.callerAddress, framings['in chunks'](), 9_000_000);
+  assert.ok(await isMet(() => upload.received() !== '', 2000), 'no answer');
+  assert.is(bodies.reservedBytes(), 0);
+  upload.socket.destroy();
+  await path.stop();
+});
+
 test('the node next to the instance refuses a body that finds no room as not run', async () => {
   const path = await startPath({
     hop: 'peer', timeoutMs: 5000, peerBodies: createBodyBudget(MAX_BYTES),
