Count a chunk of a bulk body alike when it comes and when it is sent

What callers saw: nothing yet; the limit on bulk bodies that wait for the link grew by up to 2 KiB with each chunk that is slightly longer than a multiple of a burst, so that in time a node would have kept downloads without bound.

Cause: the memory of a chunk was added as a whole and taken off in parts, each of them with the least size of a chunk.

Evidence: egress_link_test, 'bodies that were sent leave the limit as it was': after 100 bodies of 16,385 bytes, 80,000 bytes found room in a limit of 50,000; the test failed before and passes now.

Why it works: each part is added with the memory that it is taken off with.

--- a/http/egress_link.ts
+++ b/http/egress_link.ts
@@ -195,11 +195,12 @@
     return {
       write: (chunk) => {
         for (let from = 0; from < chunk.length; from += burstBytes) {
-          body.chunks.push(chunk.subarray(from, from + burstBytes));
+          const part = chunk.subarray(from, from + burstBytes);
+          body.chunks.push(part);
+          addWaiting(body, memoryOf(part));
         }
         body.bytes += chunk.length;
         backlogBytes += chunk.length;
-        addWaiting(body, memoryOf(chunk));
         if (cancelTimer === undefined) pumpInParser();
         body.isWaitingForRoom = !hasRoomFor(body);
       },
--- a/http/egress_link_test.ts
+++ b/http/egress_link_test.ts
@@ -104,6 +104,22 @@
   assert.is(link.backlogBytes(), 0);
 });
 
+// Guards against a limit that grows with each body: a chunk just above the size of a burst was
+// counted once when it came, and in two parts, one of them rounded up, when it was sent.
+test('bodies that were sent leave the limit as it was', async () => {
+  const { clock, link, open } = setUp(50_000);
+  for (let count = 0; count < 100; count += 1) {
+    const body = open('sent');
+    body.write(Buffer.alloc(16_385));
+    body.end();
+    await clock.advance(100);
+  }
+  assert.is(link.backlogBytes(), 0);
+  const waiting = open('waiting', () => false);
+  for (let count = 0; count < 8; count += 1) waiting.write(Buffer.alloc(10_000));
+  assert.is(link.hasRoom(), false);
+});
+
 test('reading continues once the buffer has room', async () => {
   const { clock, open, sent } = setUp(20_000);
   const body = open('a');
