Join the chunks of a body as they arrive

Cause: each chunk was kept as an object of its own, which takes about 100 bytes beside its content, while only the content was counted: in request bodies, in errors that are drained, in control requests, in answers of the store and of peers, in kept answers and streamed bodies of the product's own stack, and in unsent responses over all of a listener.

Why it works: one collector copies each chunk into a buffer that grows, and reserves what it allocates. From 1 MiB on it takes the largest size at once, of which only what is filled is backed by memory, so that no second copy is made; the memory of a body that is given up is freed at once. The limit on unsent responses counts their writes over all.

--- a/fleet/_control_router.ts
+++ b/fleet/_control_router.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createChunkCollector } from '../bytes/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { endAfterRequest } from '../http/mod.ts';
 
@@ -71,23 +72,18 @@
 /** Reads a body; resolves to undefined if it is too long, and never if the connection closes. */
 const readText = (message: IncomingMessage, maxBytes: number) => (
   new Promise<string | undefined>((resolve) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
+    const collector = createChunkCollector({ maxBytes });
     if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
       resolve(undefined);
       return;
     }
     const onData = (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
+      if (collector.add(chunk)) return;
       message.off('data', onData);
       resolve(undefined);
     };
     message.on('data', onData);
-    message.once('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    message.once('end', () => resolve(collector.finish().toString('utf8')));
   })
 );
 
--- a/fleet/_peer_messages.ts
+++ b/fleet/_peer_messages.ts
@@ -1,4 +1,5 @@
 import { Agent, type Dispatcher } from 'undici';
+import { readStreamText } from '../bytes/mod.ts';
 import { createBoundedPool } from '../http/mod.ts';
 
 /** The answer of a peer to a control message. */
@@ -49,7 +50,7 @@
       method: 'GET',
       signal: AbortSignal.timeout(timeoutMs),
     });
-    return { status: statusCode, text: await body.text() };
+    return { status: statusCode, text: await readStreamText(body, MAX_RESPONSE_BYTES) };
   } finally {
     if (isOnNewConnection) await dispatcher.destroy();
   }
--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
+import { createChunkCollector } from '../bytes/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
@@ -112,7 +113,7 @@
   let closesConnection = false;
   let interimCount = 0;
   let discardedBytes = 0;
-  const drainedChunks: Buffer[] = [];
+  const drained = createChunkCollector({ maxBytes: MAX_DISCARDED_BYTES });
   /** Body bytes that are still to come; infinite if the response states no length. */
   let missingBytes = Number.POSITIVE_INFINITY;
   let drainEndsAt = Infinity;
@@ -265,7 +266,7 @@
       if (responseAction === 'drain') {
         discardedBytes += chunk.length;
         if (discardedBytes > MAX_DISCARDED_BYTES) stopDrain();
-        else if (sink.drained !== undefined) drainedChunks.push(chunk);
+        else if (sink.drained !== undefined) drained.add(chunk);
         return;
       }
       missingBytes -= chunk.length;
@@ -289,7 +290,7 @@
       }
       settle({ kind: 'complete', status });
       if (responseAction === 'deliver') sink.end();
-      else if (truncation === undefined) sink.drained?.(Buffer.concat(drainedChunks));
+      else if (truncation === undefined) sink.drained?.(drained.finish());
     },
     onResponseError: (_, error) => {
       if (responseAction === 'drain') settle({ kind: 'complete', status });
--- a/gateway/_read_body.ts
+++ b/gateway/_read_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { type ChunkCollector, createChunkCollector } from '../bytes/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { hasBody } from '../http/mod.ts';
 import type { BodyReservation } from './body_budget.ts';
@@ -17,27 +18,6 @@
   readonly reservation: BodyReservation;
 }
 
-/** Collects the parts of a body, without a second copy if its length is known. */
-const createCollector = (declaredBytes: number | undefined) => {
-  if (declaredBytes === undefined) {
-    const chunks: Buffer[] = [];
-    return {
-      add: (chunk: Buffer) => {
-        chunks.push(chunk);
-      },
-      finish: () => Buffer.concat(chunks),
-    };
-  }
-  const body = Buffer.allocUnsafeSlow(declaredBytes);
-  let filled = 0;
-  return {
-    add: (chunk: Buffer) => {
-      filled += chunk.copy(body, filled);
-    },
-    finish: () => body.subarray(0, filled),
-  };
-};
-
 const declaredLength = ({ headers }: IncomingMessage): number | undefined => {
   const text = headers['content-length'];
   return text === undefined ? undefined : Number(text);
@@ -73,9 +53,12 @@
     resolve('no room');
     return;
   }
-  let collector: ReturnType<typeof createCollector> | undefined = createCollector(declaredBytes);
+  let collector: ChunkCollector | undefined = createChunkCollector({
+    maxBytes, initialBytes: declaredBytes, reserve: reservation.reserve,
+  });
   let receivedBytes = 0;
   const giveUp = (reason: BodyRejection) => {
+    collector?.discard();
     collector = undefined;
     reservation.release();
     resolve(reason);
@@ -86,8 +69,7 @@
     if (collector === undefined) return;
     receivedBytes += chunk.length;
     if (receivedBytes > maxBytes) giveUp('too large');
-    else if (declaredBytes === undefined && !reservation.reserve(chunk.length)) giveUp('no room');
-    else collector.add(chunk);
+    else if (!collector.add(chunk)) giveUp('no room');
   });
   message.once('end', () => {
     cancel();
@@ -95,6 +77,7 @@
   });
   message.once('close', () => {
     cancel();
+    if (!message.complete) collector?.discard();
     resolve(undefined);
   });
 });
--- a/http/response_buffer.ts
+++ b/http/response_buffer.ts
@@ -2,8 +2,8 @@
 
 /** Limit on response bytes buffered for slow clients. */
 export interface ResponseBuffer {
-  /** Counts the unsent bytes of a response against the limit until the response closes. */
-  readonly track: (response: ServerResponse) => void;
+  /** Counts the memory of unsent writes against the limit until the response closes. */
+  readonly track: (response: ServerResponse, memoryBytes: () => number) => void;
   /** Returns whether more bytes may be buffered while sockets apply backpressure. */
   readonly hasRoom: () => boolean;
   /** Returns the bytes of all open responses that are buffered here. */
@@ -16,25 +16,30 @@
  * short requests wait for, as with large downloads. Beyond the limit, responses are read no faster
  * than they are sent.
  *
- * @param maxBytes Largest number of bytes buffered over all responses.
+ * @param maxBytes Largest memory in bytes of what is buffered over all responses.
  * @returns The buffer.
  *
  * @example
  * const sink = createResponseSink(response, addHeaders, createResponseBuffer(2_097_152));
  */
 export const createResponseBuffer = (maxBytes: number): ResponseBuffer => {
-  const responses = new Set<ServerResponse>();
+  const responses = new Map<ServerResponse, () => number>();
   const unsentBytes = () => {
     let bufferedBytes = 0;
-    for (const { writableLength } of responses) bufferedBytes += writableLength;
+    for (const { writableLength } of responses.keys()) bufferedBytes += writableLength;
     return bufferedBytes;
   };
+  const hasRoom = () => {
+    let memoryBytes = 0;
+    for (const countMemory of responses.values()) memoryBytes += countMemory();
+    return memoryBytes < maxBytes;
+  };
   return {
     unsentBytes,
-    track: (response) => {
-      responses.add(response);
+    track: (response, memoryBytes) => {
+      responses.set(response, memoryBytes);
       response.once('close', () => responses.delete(response));
     },
-    hasRoom: () => unsentBytes() < maxBytes,
+    hasRoom,
   };
 };
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -1,11 +1,10 @@
 import { type ServerResponse, validateHeaderName, validateHeaderValue } from 'node:http';
+import { chunkMemoryBytes } from '../bytes/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { ResponseBuffer } from './response_buffer.ts';
 
 /** Largest number of unsent writes; each takes far more memory than a few bytes of body. */
 const MAX_PENDING_WRITES = 1024;
-/** Approximate memory of an unsent write in addition to its bytes. */
-const WRITE_OVERHEAD_BYTES = 512;
 
 const MAX_STATUS = 999;
 
@@ -43,6 +42,7 @@
   /** Writes since the response last had no unsent bytes. */
   let pendingWrites = 0;
   let pendingHead: PendingHead | undefined;
+  const memoryBytes = () => chunkMemoryBytes(response.writableLength, pendingWrites);
 
   const writePendingHead = () => {
     if (pendingHead === undefined) return;
@@ -51,7 +51,7 @@
     // A body without a declared length is sent in chunks. If it ended with its connection, it would
     // look complete when this process is killed, as the system then closes the connection.
     response.writeHead(status, headers);
-    buffer?.track(response);
+    buffer?.track(response, memoryBytes);
   };
 
   return {
@@ -82,9 +82,7 @@
         resume();
       });
     },
-    unsentBytes: () => (
-      response.destroyed ? 0 : response.writableLength + pendingWrites * WRITE_OVERHEAD_BYTES
-    ),
+    unsentBytes: () => (response.destroyed ? 0 : memoryBytes()),
     flushHead: () => {
       writePendingHead();
       response.flushHeaders();
--- a/proxy/_idempotency.ts
+++ b/proxy/_idempotency.ts
@@ -1,3 +1,4 @@
+import { type ChunkCollector, createChunkCollector } from '../bytes/mod.ts';
 import { RefusalError } from '../errors/mod.ts';
 import {
   type ResponseSink, type AttemptResult, findHeader, type FirstAttempt, type FirstAttemptResult,
@@ -23,8 +24,7 @@
 /** Forwards a response and copies it as long as it fits into `maxBytes`. */
 const createRecordingSink = (sink: ResponseSink, maxBytes: number) => {
   let head: Omit<CachedResponse, 'body'> | undefined;
-  let chunks: Buffer[] | undefined = [];
-  let bytes = 0;
+  let collector: ChunkCollector | undefined = createChunkCollector({ maxBytes });
   const recordingSink: ResponseSink = {
     ...sink,
     start: (status, headers) => {
@@ -32,15 +32,13 @@
       return sink.start(status, headers);
     },
     write: (chunk) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) chunks = undefined;
-      chunks?.push(chunk);
+      if (collector?.add(chunk) === false) collector = undefined;
       return sink.write(chunk);
     },
   };
   const cached = (): CachedResponse | undefined => {
-    if (head === undefined || chunks === undefined) return undefined;
-    return { ...head, body: Buffer.concat(chunks) };
+    if (head === undefined || collector === undefined) return undefined;
+    return { ...head, body: collector.finish() };
   };
   return { sink: recordingSink, cached };
 };
--- a/proxy/_request_body.ts
+++ b/proxy/_request_body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
+import { createChunkJoiner } from '../bytes/mod.ts';
 import type { CancelTask, Clock } from '../clock/mod.ts';
 
 /** The body of a request as a separate stream, so that a failed hop leaves the connection open. */
@@ -44,12 +45,18 @@
   let isAttached = false;
   let stream: Readable;
 
+  const joiner = createChunkJoiner((chunk) => {
+    if (!stream.destroyed && !stream.push(chunk)) message.pause();
+  });
   const onData = (chunk: Buffer) => {
     bytes += chunk.length;
     if (bytes > maxBytes) stream.destroy(new Error('the body is larger than the route allows'));
-    else if (!stream.push(chunk)) message.pause();
+    else joiner.add(chunk);
+  };
+  const onEnd = () => {
+    joiner.flush();
+    stream.push(null);
   };
-  const onEnd = () => stream.push(null);
   const onClose = () => {
     if (!message.complete) stream.destroy(new Error('the caller sent an incomplete body'));
   };
--- a/store/create_http_store.ts
+++ b/store/create_http_store.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, errors, request } from 'undici';
 import * as z from 'zod';
+import { readStreamText } from '../bytes/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { StoreError, type StoreErrorKind } from '../errors/mod.ts';
 import type { Store } from './store.ts';
@@ -122,7 +123,8 @@
       bodyTimeout: 0,
       dispatcher: call.path === '/v1/watch' ? watchDispatcher : dispatcher,
     });
-    return { status: response.statusCode, text: await response.body.text() };
+    const text = await readStreamText(response.body, MAX_RESPONSE_BYTES);
+    return { status: response.statusCode, text };
   };
 
   const performCall = async <T>(
