Count input after an error from the error on

What callers saw: a running request was cut, and its run too, when requests of more than 64 KiB waited behind it and invalid bytes followed in parts.

Cause: the input that is discarded after an error was counted from the end of the last request that had been consumed, and the requests that wait are not consumed yet.

--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -20,6 +20,8 @@
   requestsEndAt: number;
   /** Last response before invalid input, after which the connection ends. */
   lastResponse?: ServerResponse;
+  /** Bytes read when the invalid input was found. */
+  errorAt: number;
   /** The final response is sent, and further requests are discarded. */
   isFinished: boolean;
 }
@@ -162,6 +164,7 @@
       responses: new Set(),
       requestsEndAt: 0,
       requestCount: 0,
+      errorAt: 0,
       isFinished: false,
     });
     socket.once('close', () => connections.delete(socket));
@@ -186,13 +189,14 @@
       return;
     }
     if (state.lastResponse !== undefined && isInputError(error.code)) {
-      const discardedBytes = (socket as Socket).bytesRead - state.requestsEndAt;
+      const discardedBytes = (socket as Socket).bytesRead - state.errorAt;
       if (discardedBytes > MAX_BYTES_AFTER_ERROR) socket.destroy();
       return;
     }
     const lastComplete = findLastComplete(state.responses);
     if (socket.writable && lastComplete !== undefined && isInputError(error.code)) {
       state.lastResponse = lastComplete;
+      state.errorAt = (socket as Socket).bytesRead;
       if (!lastComplete.headersSent) lastComplete.shouldKeepAlive = false;
       return;
     }
--- a/http/create_http_server_test.ts
+++ b/http/create_http_server_test.ts
@@ -111,7 +111,12 @@
 const WORK_MS = 150;
 
 /** Sends bytes on a connection and resolves to all that is received until it closes. */
-const sendBytes = async (bytes: string, workMs: number, isHeadSentFirst = false) => {
+const sendBytes = async (
+  bytes: string,
+  workMs: number,
+  isHeadSentFirst = false,
+  laterBytes = '',
+) => {
   let isClosed = false;
   const server = createHttpServer({
     clock: createSystemClock(),
@@ -134,6 +139,7 @@
     received += chunk.toString('latin1');
   });
   socket.write(bytes);
+  if (laterBytes !== '') setTimeout(() => socket.write(laterBytes), WORK_MS / 2);
   await new Promise((resolve) => {
     socket.once('close', resolve);
   });
@@ -168,6 +174,15 @@
   assert.match(received, /^HTTP\/1\.1 200 .*done\/aHTTP\/1\.1 200 .*done\/b$/isu);
 });
 
+// The bytes of valid requests that waited counted as input after an error, beyond its limit.
+test('many requests are answered although invalid bytes follow in parts', async () => {
+  const requests = 12;
+  const request = `GET /b HTTP/1.1\r\nhost: h\r\nx: ${'y'.repeat(8000)}\r\n\r\n`;
+  const input = `${request.repeat(requests)}\0invalid\r\n`;
+  const { received } = await sendBytes(input, WORK_MS, false, '\0more\r\n');
+  assert.is(received.match(/done\/b/gu)?.length, requests);
+});
+
 test('a request is answered although the next head arrives too slowly', async () => {
   const { received } = await sendWithInput('GET /b HTTP/1.1\r\n', 12_000);
   assert.match(received, /^HTTP\/1\.1 200 .*connection: close.*done\/a$/isu);
