Send a large response before CONNECT to its end

What callers saw: a response with CONNECT behind it stopped after 64 KiB and was cut at its deadline.

Cause: with CONNECT, Node.js takes its listener to the drain of the socket off, so a response that waits for it never goes on.

Change: the server passes the drain on.

--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -31,8 +31,11 @@
   readonly runAfterLast: (task: () => void) => void;
 }
 
-/** Requests of a connection that are read ahead; more of them wait in the socket. */
-const MAX_WAITING_REQUESTS = 32;
+/**
+ * Requests of a connection that are read ahead. More of them wait in the socket, behind which the
+ * leave of the client goes unnoticed.
+ */
+const MAX_WAITING_REQUESTS = 100;
 
 /**
  * Creates the turns of a connection. A request is handled once the response before it has been
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -173,11 +173,20 @@
   server.on('checkContinue', accept('continue'));
   server.on('checkExpectation', accept('other'));
   server.on('connect', (_, socket) => {
-    // Node.js detaches the socket from its HTTP parser, with all listeners to its errors and to its
-    // end; without a reader the close of the client goes unnoticed.
+    const state = connections.get(socket as Socket);
+    if (state === undefined) {
+      socket.destroy();
+      return;
+    }
+    // Node.js detaches the socket from its HTTP parser, with all listeners to its errors, its end
+    // and its drain; without a reader the close of the client goes unnoticed.
     socket.on('error', () => socket.destroy());
+    socket.on('drain', () => {
+      const [current] = state.responses;
+      current?.emit('drain');
+    });
     socket.resume();
-    connections.get(socket as Socket)?.turns.runAfterLast(() => {
+    state.turns.runAfterLast(() => {
       if (socket.writable) socket.end(options.renderMalformed(501, false), () => socket.destroy());
     });
   });
