--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -4,7 +4,7 @@
 import type { RefusalError } from '../errors/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
-  type Expectation, type HttpListener, renderMalformed, resetConnection,
+  type HttpListener, type HttpServerOptions, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
@@ -214,12 +214,7 @@
       : 'not answered');
   };
 
-  const handle = (
-    message: IncomingMessage,
-    response: ServerResponse,
-    expect: Expectation,
-    arrivedAt: number,
-  ) => {
+  const handle: HttpServerOptions['handle'] = (message, response, expect, arrivedAt) => {
     const table = options.routes();
     const requestId = firstHeaderValue(message, headerNames.requestId);
     if (table === undefined) {
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -9,7 +9,7 @@
 import { type Logger, metricNames, type Metrics } from '../telemetry/mod.ts';
 import { type CallerRequest, createAttemptRunner } from './_attempt_runner.ts';
 import {
-  createHttpServer, hasBody, type Expectation, type HttpListener,
+  createHttpServer, hasBody, type Expectation, type HttpListener, type HttpServerOptions,
 } from '../http/mod.ts';
 import { renderProblem, sendProblem } from './_problem.ts';
 import {
@@ -148,12 +148,7 @@
     } else sendRefusal(response, end.refusal, requestId);
   };
 
-  const handle = (
-    message: IncomingMessage,
-    response: ServerResponse,
-    expect: Expectation,
-    arrivedAt: number,
-  ) => {
+  const handle: HttpServerOptions['handle'] = (message, response, expect, arrivedAt) => {
     const requestId = createRequestId();
     const checked = checkRequest(message, expect);
     if (checked instanceof RefusalError) {
