Join the body of a held error by the chunk collector

Its method hold() was used by tests only and is gone; the tests read an error through the reader, with the same assertions.

--- a/gateway/_held_errors.ts
+++ b/gateway/_held_errors.ts
@@ -1,3 +1,4 @@
+import { createChunkCollector } from '../bytes/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { AttemptOutcome } from './request.ts';
 
@@ -7,11 +8,6 @@
   readonly headers: string[];
 }
 
-/** A complete error response of an instance. */
-export interface ErrorResponse extends ErrorHead {
-  readonly body: Buffer;
-}
-
 /** An error response whose body is still being read. */
 export interface ErrorReader {
   /** Adds a part of the body; returns false, and keeps nothing, once there is no room for it. */
@@ -26,8 +22,6 @@
   readonly isHeld: Promise<void>;
   /** Starts to read a response. */
   readonly read: (head: ErrorHead) => ErrorReader;
-  /** Holds a response in place of an earlier one; does nothing when there is no room for it. */
-  readonly hold: (response: ErrorResponse) => void;
   /** Delivers the response; returns undefined if none is held or the caller has gone. */
   readonly deliver: (sink: ResponseSink) => AttemptOutcome | undefined;
   /** Frees the room of all responses, also of those that are still being read. */
@@ -76,17 +70,16 @@
     });
 
     const read: HeldError['read'] = (head) => {
-      let buffer = Buffer.alloc(0);
-      let bodyBytes = 0;
+      const collector = createChunkCollector({ maxBytes: maxErrorBytes });
       let reservedBytes = 0;
 
       const error: StoredError = {
         head,
-        body: () => buffer.subarray(0, bodyBytes),
+        body: collector.finish,
         drop: () => {
           if (!stored.delete(error)) return;
           totalBytes -= reservedBytes;
-          buffer = Buffer.alloc(0);
+          collector.discard();
         },
       };
       const reserve = (bytes: number) => {
@@ -99,26 +92,11 @@
         totalBytes += bytes;
         return true;
       };
-      /** Copies a part of the body, since a small one may belong to a large buffer of a socket. */
-      const append = (chunk: Buffer) => {
-        const neededBytes = bodyBytes + chunk.length;
-        if (neededBytes > buffer.length) {
-          const grown = Buffer.allocUnsafeSlow(Math.max(neededBytes, 2 * bodyBytes));
-          buffer.copy(grown, 0, 0, bodyBytes);
-          buffer = grown;
-        }
-        chunk.copy(buffer, bodyBytes);
-        bodyBytes = neededBytes;
-      };
 
       stored.add(error);
       reserve(headBytes(head));
       return {
-        write: (chunk) => {
-          if (!reserve(chunk.length)) return false;
-          append(chunk);
-          return true;
-        },
+        write: (chunk) => reserve(chunk.length) && collector.add(chunk),
         end: () => {
           if (!stored.has(error)) return;
           held?.drop();
@@ -131,10 +109,6 @@
     return {
       isHeld,
       read,
-      hold: (response) => {
-        const reader = read(response);
-        if (reader.write(response.body)) reader.end();
-      },
       deliver: (sink) => {
         if (held === undefined) return undefined;
         const { status, headers } = held.head;
--- a/gateway/held_error_test.ts
+++ b/gateway/held_error_test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { ResponseSink } from '../forward/mod.ts';
-import { createHeldErrors } from './_held_errors.ts';
+import { createHeldErrors, type HeldError } from './_held_errors.ts';
 import { answerSoundly, type Respond, startPath } from './_test_path.ts';
 
 const test = suite('held error');
@@ -88,14 +88,18 @@
   start: () => 'deliver', write: () => true, onDrain: () => undefined, end: () => undefined,
 };
 
+/** Reads a whole error, which is held if there is room for it. */
+const hold = (held: HeldError, body: Buffer) => {
+  const reader = held.read({ status: 500, headers: [] });
+  if (reader.write(body)) reader.end();
+};
+
 // Guards against errors of many requests that together take any amount of memory.
 test('the errors of all requests together are limited', () => {
   const openHeldError = createHeldErrors(1000);
   const holdOne = (bytes: number) => {
     const held = openHeldError();
-    held.hold({
-      status: 500, headers: [], body: Buffer.alloc(bytes),
-    });
+    hold(held, Buffer.alloc(bytes));
     return held;
   };
   const first = holdOne(600);
@@ -119,7 +123,7 @@
   assert.is(large.deliver(sink), undefined);
   const others = Array.from({ length: 3 }, () => openHeldError());
   const areHeld = others.map((held) => {
-    held.hold({ status: 500, headers: [], body: Buffer.alloc(400) });
+    hold(held, Buffer.alloc(400));
     return held.deliver(sink) !== undefined;
   });
   assert.equal(areHeld, [true, true, false]);
@@ -134,7 +138,7 @@
   held.release();
   assert.not.ok(reader.write(Buffer.alloc(1)));
   const other = openHeldError();
-  other.hold({ status: 500, headers: [], body: Buffer.alloc(1000) });
+  hold(other, Buffer.alloc(1000));
   assert.ok(other.deliver(sink) !== undefined);
 });
 
