Give the turns of a connection the handler of the server itself

The server unpacked each request for a handler that takes the same four values; the turns call options.handle now. The type Expectation stands with the options again. chunkMemoryBytes loses a default that no caller used.

--- a/bytes/chunk_memory.ts
+++ b/bytes/chunk_memory.ts
@@ -15,6 +15,6 @@
  * @example
  * const memory = chunkMemoryBytes(response.writableLength, pendingWrites);
  */
-export const chunkMemoryBytes = (bytes: number, chunks = 1): number => (
+export const chunkMemoryBytes = (bytes: number, chunks: number): number => (
   bytes + chunks * CHUNK_OVERHEAD_BYTES
 );
--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -1,8 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-
-/** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
-export type Expectation = 'none' | 'continue' | 'other';
+import type { Expectation, HttpServerOptions } from './http_server_options.ts';
 
 /** A request whose head was read. */
 export interface ReadRequest {
@@ -15,7 +13,7 @@
 
 /** Options of the turns of a connection. */
 export interface RequestTurnsOptions {
-  readonly handle: (read: ReadRequest) => void;
+  readonly handle: HttpServerOptions['handle'];
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter: (request: IncomingMessage) => boolean;
   /** Called with requests that are not handled, since their connection has ended. */
@@ -82,13 +80,15 @@
       return;
     }
     if (wasFull && !isFull()) socket.resume();
-    const { request, response } = current;
+    const {
+      request, response, expect, readAt,
+    } = current;
     if (waiting.length === 0 && mayEndAfter(request)) response.shouldKeepAlive = false;
     response.once('close', () => {
       current = undefined;
       runNext();
     });
-    handle(current);
+    handle(request, response, expect, readAt);
   };
 
   // Node.js resumes a paused socket at the end of each request.
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -4,10 +4,8 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { CancelTask } from '../clock/mod.ts';
 import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
-import {
-  createRequestTurns, type Expectation, type ReadRequest, type RequestTurns,
-} from './_request_turns.ts';
-import type { HttpListener, HttpServerOptions } from './http_server_options.ts';
+import { createRequestTurns, type RequestTurns } from './_request_turns.ts';
+import type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 import { splitAddress } from './split_address.ts';
 
 interface ConnectionState extends ConnectionInput {
@@ -144,9 +142,7 @@
   };
 
   const turnsOptions = {
-    handle: ({
-      request, response, expect, readAt,
-    }: ReadRequest) => options.handle(request, response, expect, readAt),
+    handle: options.handle,
     mayEndAfter: (request: IncomingMessage) => (
       isStopping || options.mayEndAfter?.(request) === true
     ),
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
-import type { Expectation } from './_request_turns.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
@@ -16,6 +15,9 @@
   readonly kill: () => void;
 }
 
+/** Meaning of a request's `Expect` header: absent, `100-continue` or unsupported. */
+export type Expectation = 'none' | 'continue' | 'other';
+
 /** Options of `createHttpServer`. */
 export interface HttpServerOptions {
   readonly clock: Clock;
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,7 +1,6 @@
 /** HTTP/1.1 listeners with graceful shutdown, bounded pools, and helpers that write responses. */
 export { createHttpServer } from './create_http_server.ts';
-export type { HttpListener, HttpServerOptions } from './http_server_options.ts';
-export type { Expectation } from './_request_turns.ts';
+export type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 export { isAddress, splitAddress } from './split_address.ts';
 export { type BoundedPoolOptions, createBoundedPool } from './create_bounded_pool.ts';
 export { createRenewablePool, type RenewablePool } from './create_renewable_pool.ts';
