--- a/gateway/pipelined_requests_test.ts
+++ b/gateway/pipelined_requests_test.ts
@@ -1,10 +1,9 @@
-import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
 import type { RouteKind } from '../contract/mod.ts';
-import { splitAddress } from '../http/mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
 import { isMet } from './_test_caller.ts';
 import { answerSoundly, type Respond, startPath } from './_test_path.ts';
 import { hops } from './_test_sick_call.ts';
@@ -41,22 +40,13 @@
 const setUp = async (hop: typeof hops[number], respond: Respond) => {
   const shutdown = { caller: createShutdownTracker(clock), peer: createShutdownTracker(clock) };
   const path = await startPath({ hop, timeoutMs: TIMEOUT_MS, shutdown }, respond, answerSoundly);
-  const { host, port } = splitAddress(path.callerAddress);
-  const socket = connect({ host, port });
-  let received = '';
-  socket.on('error', () => undefined);
-  socket.on('data', (chunk: Buffer) => {
-    received += chunk.toString('latin1');
-  });
-  const closed = new Promise((resolve) => {
-    socket.once('close', resolve);
-  });
+  const { socket, closed, received } = openConnection(path.callerAddress);
   return {
     path,
     shutdown,
     socket,
     closed,
-    answers: () => received.split(/(?=HTTP\/1\.1 )/u).filter((text) => text !== ''),
+    answers: () => received().split(/(?=HTTP\/1\.1 )/u).filter((text) => text !== ''),
     wasPassedOn: (id: string) => path.instances.some((instance) => (
       instance.received().some((text) => text.includes(`request-id: ${id}\r\n`))
     )),
--- a/http/connect_request_test.ts
+++ b/http/connect_request_test.ts
@@ -1,11 +1,12 @@
 import type { ServerResponse } from 'node:http';
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
-import { createHttpServer, renderMalformed, splitAddress } from './mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
+import { createHttpServer, renderMalformed } from './mod.ts';
 
 const test = suite('CONNECT requests');
 
@@ -50,19 +51,8 @@
     },
     renderMalformed,
   });
-  const { host, port } = splitAddress(await server.listen());
-  const open = () => {
-    const socket = connect(port, host).on('error', () => undefined);
-    let received = '';
-    socket.on('data', (chunk: Buffer) => {
-      received += chunk.toString('latin1');
-    });
-    const closed = new Promise((resolve) => {
-      socket.once('close', resolve);
-    });
-    return { socket, closed, received: () => received };
-  };
-  return { server, open };
+  const address = await server.listen();
+  return { server, open: () => openConnection(address) };
 };
 
 type Leave = (socket: Socket) => unknown;
--- a/http/request_turns_test.ts
+++ b/http/request_turns_test.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
-import { createHttpServer, renderMalformed, splitAddress } from './mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
+import { createHttpServer, renderMalformed } from './mod.ts';
 
 const test = suite('turns of pipelined requests');
 
@@ -45,23 +45,9 @@
     onDiscard: (requests) => discarded.push(...requests.map(({ url }) => url ?? '')),
     renderMalformed,
   });
-  const { host, port } = splitAddress(await server.listen());
-  const socket = connect(port, host).on('error', () => undefined);
-  let received = '';
-  socket.on('data', (chunk: Buffer) => {
-    received += chunk.toString('latin1');
-  });
-  const closed = new Promise((resolve) => {
-    socket.once('close', resolve);
-  });
+  const connection = openConnection(await server.listen());
   return {
-    server,
-    socket,
-    closed,
-    handled,
-    discarded,
-    received: () => received,
-    maxRunning: () => maxRunning,
+    ...connection, server, handled, discarded, maxRunning: () => maxRunning,
   };
 };
 
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -1,10 +1,10 @@
 import { once } from 'node:events';
-import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
-import { createHttpServer, renderMalformed, splitAddress } from './mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
+import { createHttpServer, renderMalformed } from './mod.ts';
 
 const test = suite('stop of the http server');
 
@@ -29,25 +29,8 @@
     renderMalformed,
     ...(renderFinal === undefined ? {} : { renderFinal }),
   });
-  const { host, port } = splitAddress(await server.listen());
-  const open = () => {
-    const socket = connect(port, host);
-    let received = '';
-    let error = '';
-    socket.on('error', ({ message }) => {
-      error = message;
-    });
-    socket.on('data', (chunk: Buffer) => {
-      received += chunk.toString('latin1');
-    });
-    const closed = new Promise<unknown>((resolve) => {
-      socket.once('close', resolve);
-    });
-    return {
-      socket, closed, received: () => received, error: () => error,
-    };
-  };
-  return { server, paths, open };
+  const address = await server.listen();
+  return { server, paths, open: () => openConnection(address) };
 };
 
 // Node.js accepts one connection a turn; the stop reset all others, whose requests were in transit.
