Record each end of a connection with a request open, and ask one owner for it

lifecycle/ has one table of the reasons for which a node ends a connection and whether requests may be open then.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -14,6 +14,7 @@
 import {
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
 } from './_limits.ts';
+import { createListenerEnds } from './_listener_ends.ts';
 import { readBody } from './_read_body.ts';
 import { describeUnknown } from './_log_fields.ts';
 import { refuseBody, refuseSaturated } from './_refusals.ts';
@@ -275,6 +276,9 @@
   };
 
   return createHttpServer({
+    ...createListenerEnds('caller', {
+      ends: options.ends, logger, requestIdHeader: headerNames.requestId,
+    }),
     clock,
     address: options.address,
     maxHeaderBytes: MAX_HEADER_BYTES,
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -1,6 +1,7 @@
 import type { CallDetector, RequestOrigin } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { EgressLink } from '../http/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import type { CallerHeaders } from './_caller_request.ts';
 import type { BodyBudget } from './body_budget.ts';
@@ -43,6 +44,8 @@
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
   readonly shutdown: ShutdownTracker;
+  /** Decides on and records the ends of connections; by default, they are not recorded. */
+  readonly ends?: Pick<EndOwner, 'forListener'>;
   /** Tells nested calls of the instance of this host from callers' requests. */
   readonly callDetector?: Pick<CallDetector, 'classify'>;
   /** Records how long requests wait for the event loop. */
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -8,6 +8,7 @@
   type EgressLink, hasBody, type HttpListener, type HttpServerOptions, renderMalformed,
   resetConnection,
 } from '../http/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
   abortOnClose, createFirstRequestCheck, firstHeaderValue, respondBeforeBody,
@@ -18,6 +19,7 @@
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
 } from './_limits.ts';
 import { startInterimResponses } from './_interim_responses.ts';
+import { createListenerEnds } from './_listener_ends.ts';
 import { readBody } from './_read_body.ts';
 import {
   refuseBody, refuseNotRun, refuseSaturated, refuseUnknown,
@@ -43,6 +45,8 @@
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
   readonly shutdown: ShutdownTracker;
+  /** Decides on and records the ends of connections; by default, they are not recorded. */
+  readonly ends?: Pick<EndOwner, 'forListener'>;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
@@ -279,6 +283,9 @@
   };
 
   return createHttpServer({
+    ...createListenerEnds('peer', {
+      ends: options.ends, logger, requestIdHeader: options.requestIdHeader,
+    }),
     clock,
     address: options.address,
     maxHeaderBytes: MAX_HEADER_BYTES,
--- a/http/_idle_input.ts
+++ b/http/_idle_input.ts
@@ -26,7 +26,7 @@
 }
 
 /**
- * Creates a check, to be made at intervals, that closes connections which send bytes but begin no
+ * Creates a check, to be made at intervals, that finds connections which send bytes but begin no
  * request. Node.js skips line breaks before a request and restarts its idle timeout at each.
  *
  * @param clock Clock of the time limit.
@@ -35,23 +35,23 @@
  *
  * @example
  * const check = createIdleInputCheck(clock, { maxBytes: 131_072, maxMs: 85_000 });
- * for (const [socket, input] of connections) check(socket, input);
+ * if (check(socket, input)) socket.destroy();
  */
 export const createIdleInputCheck = (clock: Clock, limits: IdleInputLimits) => {
   const spans = new WeakMap<Socket, IdleSpan>();
-  return (socket: Socket, input: ConnectionInput): void => {
+  return (socket: Socket, input: ConnectionInput): boolean => {
     if (input.responses.size > 0 || input.unreadRequest?.complete === false) {
       spans.delete(socket);
-      return;
+      return false;
     }
     const span = spans.get(socket);
     if (span === undefined || span.requestCount !== input.requestCount) {
       const { requestCount } = input;
       spans.set(socket, { requestCount, startedAt: clock.now(), startBytes: socket.bytesRead });
-      return;
+      return false;
     }
     const bytes = socket.bytesRead - span.startBytes;
     const isLate = bytes > 0 && clock.now() - span.startedAt > limits.maxMs;
-    if (isLate || bytes > limits.maxBytes) socket.destroy();
+    return isLate || bytes > limits.maxBytes;
   };
 };
--- /dev/null
+++ b/http/connection_ends_test.ts
@@ -0,0 +1,165 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { mayEndConnection, type OpenConnectionEnd } from '../lifecycle/mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
+import { createHttpServer, renderMalformed, resetConnection } from './mod.ts';
+
+const test = suite('ends of connections');
+
+const REQUEST = 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n';
+
+const setUp = async (handle: (request: IncomingMessage, response: ServerResponse) => void) => {
+  const recorded: OpenConnectionEnd[] = [];
+  let open = 0;
+  const server = createHttpServer({
+    clock: createSystemClock(),
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: 20,
+    handle,
+    ends: {
+      openRequest: () => {
+        open += 1;
+        return () => {
+          open -= 1;
+        };
+      },
+      mayEnd: mayEndConnection,
+      recordEnd: (end) => recorded.push(end),
+    },
+    renderMalformed,
+  });
+  const address = await server.listen();
+  const describe = () => recorded.map(({ by, why, requests }) => (
+    [by, why, requests.map(({ url }) => url).join(' ')].join('; ')
+  ));
+  return {
+    server, describe, open: () => open, connect: () => openConnection(address),
+  };
+};
+
+const until = async (condition: () => boolean) => {
+  for (let turn = 0; turn < 1000 && !condition(); turn += 1) await sleep(2);
+};
+
+test('a connection that ends after its response leaves no record', async () => {
+  const {
+    server, describe, open, connect,
+  } = await setUp((_, response) => {
+    response.shouldKeepAlive = false;
+    response.end('done');
+  });
+  const { socket, closed } = connect();
+  socket.write(REQUEST);
+  await closed;
+  await server.stop();
+  assert.equal(describe(), []);
+  assert.is(open(), 0);
+});
+
+test('the leave of a client is recorded with the requests that were open', async () => {
+  for (const leave of ['end', 'resetAndDestroy'] as const) {
+    const {
+      server, describe, open, connect,
+    } = await setUp(() => undefined);
+    const { socket, closed } = connect();
+    socket.write(REQUEST);
+    await until(() => open() === 1);
+    socket[leave]();
+    await closed;
+    await until(() => describe().length > 0);
+    const [end] = describe();
+    assert.match(end!, /^client; .+; \/a$/u);
+    assert.is(open(), 0);
+    await server.stop();
+  }
+});
+
+test('a response that is cut is recorded as an end by the node', async () => {
+  const {
+    server, describe, open, connect,
+  } = await setUp((_, response) => {
+    response.writeHead(200, { 'content-length': 10 });
+    response.write('part');
+    setTimeout(() => resetConnection(response), 5);
+  });
+  const { socket, closed } = connect();
+  socket.write(REQUEST);
+  await closed;
+  await until(() => describe().length > 0);
+  assert.equal(describe(), ['node; response cut; /a']);
+  assert.is(open(), 0);
+  await server.stop();
+});
+
+test('a killed listener records its open requests', async () => {
+  const {
+    server, describe, open, connect,
+  } = await setUp(() => undefined);
+  const { socket, closed } = connect();
+  socket.write(REQUEST);
+  await until(() => open() === 1);
+  server.kill();
+  await closed;
+  await until(() => describe().length > 0);
+  assert.equal(describe(), ['node; killed; /a']);
+  assert.is(open(), 0);
+});
+
+// Guards against requests that wait behind another one and stay open for good, so that a stop waits
+// for them until the end of its grace time.
+test('requests that wait for their turn are open until their connection ends', async () => {
+  const {
+    server, describe, open, connect,
+  } = await setUp(() => undefined);
+  const { socket, closed } = connect();
+  socket.write(REQUEST + REQUEST + REQUEST);
+  await until(() => open() === 3);
+  assert.is(open(), 3);
+  socket.resetAndDestroy();
+  await closed;
+  await until(() => open() === 0);
+  assert.is(open(), 0);
+  assert.match(describe()[0]!, /^client; .+; \/a \/a \/a$/u);
+  await server.stop();
+});
+
+// Guards against an idle connection's end that takes a request with it which was read meanwhile.
+test('the end of the idle time of a stop spares a connection with a request open', async () => {
+  let finish = () => undefined as void;
+  const {
+    server, describe, open, connect,
+  } = await setUp((_, response) => {
+    finish = () => response.end('done');
+  });
+  const { socket, received } = connect();
+  socket.write(REQUEST);
+  await until(() => open() === 1);
+  const stopped = server.stop();
+  await sleep(100);
+  assert.is(open(), 1);
+  finish();
+  await stopped;
+  await until(() => received().includes('done'));
+  assert.match(received(), /^HTTP\/1\.1 200 .*done$/su);
+  assert.equal(describe(), []);
+});
+
+test('a listener that was stopped does not begin to listen', async () => {
+  const server = createHttpServer({
+    clock: createSystemClock(),
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: 20,
+    handle: () => undefined,
+    renderMalformed,
+  });
+  await server.stop();
+  await server.listen().then(() => assert.unreachable('it listens'), () => undefined);
+  assert.not(server.isListening());
+});
+
+test.run();
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -3,27 +3,18 @@
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { CancelTask } from '../clock/mod.ts';
-import { type ConnectionInput, createIdleInputCheck } from './_idle_input.ts';
-import { createRequestTurns, type RequestTurns } from './_request_turns.ts';
+import { type NodeEndReason, unrecordedEnds } from '../lifecycle/mod.ts';
+import {
+  type ConnectionState, createConnectionState, findLastComplete,
+} from './_connection_state.ts';
+import {
+  findEndCause, isInputError, noteEndCause, noteEndReason,
+} from './_end_causes.ts';
+import { createIdleInputCheck } from './_idle_input.ts';
+import { createRequestTurns } from './_request_turns.ts';
 import type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 import { splitAddress } from './split_address.ts';
 
-interface ConnectionState extends ConnectionInput {
-  readonly turns: RequestTurns;
-  requestCount: number;
-  unreadRequest?: IncomingMessage | undefined;
-  /** Responses that have not been handed to the operating system to their end. */
-  readonly responses: Set<ServerResponse>;
-  /** Bytes read until the end of the last request; more have been read of an incomplete one. */
-  requestsEndAt: number;
-  /** Last response before invalid input, after which the connection ends. */
-  lastResponse?: ServerResponse;
-  /** Bytes read when the invalid input was found. */
-  errorAt: number;
-  /** The final response is sent, and further requests are discarded. */
-  isFinished: boolean;
-}
-
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Also limits how long `stop` waits for a connection that never completes its handshake. */
 const HANDSHAKE_TIMEOUT_MS = 2000;
@@ -43,19 +34,6 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
-/** Returns whether the client sent invalid input, or input too slowly, and is still there. */
-const isInputError = (code = '') => (
-  code === 'ERR_HTTP_REQUEST_TIMEOUT'
-  || (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE')
-);
-
-/** Returns the last response to a request that was read to its end. */
-const findLastComplete = (responses: ReadonlySet<ServerResponse>) => {
-  let last: ServerResponse | undefined;
-  for (const response of responses) if (response.req.complete) last = response;
-  return last;
-};
-
 /**
  * Creates an HTTP/1.1 server with graceful shutdown.
  *
@@ -67,7 +45,7 @@
  * const address = await listener.listen();
  */
 export const createHttpServer = (options: HttpServerOptions): HttpListener => {
-  const { clock } = options;
+  const { clock, ends = unrecordedEnds } = options;
   const connections = new Map<Socket, ConnectionState>();
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
@@ -101,18 +79,33 @@
   // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
   server.maxHeadersCount = 0;
 
+  /** Ends a connection if its open requests allow it; returns whether it ends. */
+  const endConnection = (
+    socket: Socket,
+    state: ConnectionState,
+    reason: NodeEndReason,
+    end: () => void = () => socket.destroy(),
+  ) => {
+    if (!ends.mayEnd(reason, state.responses.size)) return false;
+    noteEndReason(socket, reason);
+    end();
+    return true;
+  };
+
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
   const closeIdleConnections = () => {
     for (const [socket, state] of connections) {
-      if (state.responses.size > 0 || socket.bytesRead !== state.requestsEndAt) continue;
-      if (options.renderFinal === undefined) socket.destroy();
-      else if (!state.isFinished) {
+      if (socket.bytesRead !== state.requestsEndAt) continue;
+      const { renderFinal } = options;
+      const end = renderFinal && (() => {
+        if (state.isFinished) return;
         // The other direction stays open, since closing it would reset a request in transit.
         state.isFinished = true;
-        socket.end(options.renderFinal());
+        socket.end(renderFinal());
         const cancel = clock.schedule(FINAL_RESPONSE_LIMIT_MS, () => socket.destroy());
         socket.once('close', cancel);
-      }
+      });
+      endConnection(socket, state, 'idle after the stop', end);
     }
   };
 
@@ -123,7 +116,7 @@
       request.resume();
       return;
     }
-    state.responses.add(response);
+    state.responses.set(response, ends.openRequest());
     state.requestCount += 1;
     state.unreadRequest = request;
     const markEnd = () => {
@@ -132,8 +125,13 @@
     };
     request.once('close', markEnd);
     response.once('close', () => {
+      state.responses.get(response)?.();
       state.responses.delete(response);
-      if (state.lastResponse === response) socket.end(() => socket.destroy());
+      if (state.lastResponse === response) {
+        endConnection(socket, state, 'after the last response', () => {
+          socket.end(() => socket.destroy());
+        });
+      }
       markEnd();
     });
     state.turns.add({
@@ -155,15 +153,20 @@
     socket.once('close', () => sockets.delete(socket));
   });
   server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-    connections.set(socket, {
-      turns: createRequestTurns(socket, turnsOptions),
-      responses: new Set(),
-      requestsEndAt: 0,
-      requestCount: 0,
-      errorAt: 0,
-      isFinished: false,
+    const state = createConnectionState(createRequestTurns(socket, turnsOptions));
+    connections.set(socket, state);
+    socket.on('error', (error) => noteEndCause(socket, error));
+    // Before the close of the response, which takes it out of the responses of the connection.
+    socket.once('close', () => {
+      connections.delete(socket);
+      const open = [...state.responses].filter(([response]) => !response.writableFinished);
+      for (const close of state.responses.values()) close();
+      state.responses.clear();
+      if (open.length === 0) return;
+      ends.recordEnd({
+        ...findEndCause(socket), requests: open.map(([{ req }]) => req),
+      });
     });
-    socket.once('close', () => connections.delete(socket));
   });
   server.on('request', accept('none'));
   server.on('checkContinue', accept('continue'));
@@ -178,7 +181,7 @@
     // and its drain; without a reader the close of the client goes unnoticed.
     socket.on('error', () => socket.destroy());
     socket.on('drain', () => {
-      const [current] = state.responses;
+      const [current] = state.responses.keys();
       current?.emit('drain');
     });
     socket.resume();
@@ -195,7 +198,9 @@
     }
     if (state.lastResponse !== undefined && isInputError(error.code)) {
       const discardedBytes = (socket as Socket).bytesRead - state.errorAt;
-      if (discardedBytes > MAX_BYTES_AFTER_ERROR) socket.destroy();
+      if (discardedBytes > MAX_BYTES_AFTER_ERROR) {
+        endConnection(socket as Socket, state, 'too much invalid input');
+      }
       return;
     }
     const lastComplete = findLastComplete(state.responses);
@@ -207,25 +212,30 @@
     }
     let dispatched = false;
     let isResponseStarted = false;
-    for (const response of state.responses) {
+    for (const response of state.responses.keys()) {
       dispatched = true;
       isResponseStarted ||= response.headersSent;
     }
+    // Any other error tells that the client has left.
+    if (!isInputError(error.code)) noteEndCause(socket as Socket, error);
     if (socket.writable && !isResponseStarted && error.code !== 'ECONNRESET') {
       const status = statusByErrorCode[error.code ?? ''] ?? 400;
-      socket.end(options.renderMalformed(status, dispatched), () => socket.destroy());
-    } else socket.destroy();
+      endConnection(socket as Socket, state, 'invalid input', () => {
+        socket.end(options.renderMalformed(status, dispatched), () => socket.destroy());
+      });
+    } else endConnection(socket as Socket, state, 'invalid input');
   });
 
   const checkInput = () => {
     for (const [socket, state] of connections) {
       if (state.unreadRequest?.complete === true) state.unreadRequest = undefined;
-      checkIdleInput(socket, state);
+      if (checkIdleInput(socket, state)) endConnection(socket, state, 'input without a request');
     }
     cancelInputCheck = clock.schedule(CONNECTION_CHECK_INTERVAL_MS, checkInput);
   };
 
   const listen = () => new Promise<string>((resolve, reject) => {
+    if (isStopping) throw new Error('the listener has been stopped');
     const { host, port } = splitAddress(options.address);
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -247,8 +257,9 @@
   };
 
   const stop = async () => {
-    if (isStopping || !server.listening) return;
+    if (isStopping) return;
     isStopping = true;
+    if (!server.listening) return;
     for (const { turns } of connections.values()) turns.endAfterLast();
     await acceptEstablished();
     // `http.Server.close` would drop requests that are in transit on idle connections.
@@ -270,9 +281,13 @@
     isStopping = true;
     cancelInputCheck();
     server.close(() => undefined);
-    server.closeAllConnections();
-    for (const socket of sockets) socket.destroy();
+    for (const socket of sockets) {
+      noteEndReason(socket, 'killed');
+      socket.destroy();
+    }
   };
 
-  return { listen, stop, kill };
+  return {
+    listen, isListening: () => server.listening && !isStopping, stop, kill,
+  };
 };
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
+import type { ConnectionEnds } from '../lifecycle/mod.ts';
 import type { TlsMaterial } from '../peer/mod.ts';
 
 /** A listener for HTTP requests. */
 export interface HttpListener {
   /** Starts listening; resolves to the bound host and port. */
   readonly listen: () => Promise<string>;
+  /** Returns whether connections are accepted. */
+  readonly isListening: () => boolean;
   /**
    * Stops accepting connections and resolves once requests in flight are answered and idle
    * connections are closed.
@@ -38,6 +41,8 @@
     expect: Expectation,
     readAt: number,
   ) => void;
+  /** Decides on and records the ends of connections; by default, they are not recorded. */
+  readonly ends?: ConnectionEnds;
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter?: (request: IncomingMessage) => boolean;
   /** Called with requests that are not handled, since their connection has ended. */
--- a/http/response_sink.ts
+++ b/http/response_sink.ts
@@ -1,6 +1,7 @@
 import { type ServerResponse, validateHeaderName, validateHeaderValue } from 'node:http';
 import { chunkMemoryBytes } from '../bytes/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
+import { noteEndReason } from './_end_causes.ts';
 import type { ResponseBuffer } from './response_buffer.ts';
 
 /** Largest number of unsent writes; each takes far more memory than a few bytes of body. */
@@ -104,6 +105,7 @@
  * if (end.kind === 'truncated') resetConnection(response);
  */
 export const resetConnection = (response: ServerResponse): void => {
+  if (response.socket) noteEndReason(response.socket, 'response cut');
   response.socket?.resetAndDestroy();
   response.destroy();
 };
--- /dev/null
+++ b/lifecycle/mod.ts
@@ -0,0 +1,9 @@
+/** The owner of the ends of connections and of the process. */
+export {
+  type ConnectionEnds, type EndedBy, mayEndConnection, type NodeEndReason, type OpenConnectionEnd,
+  unrecordedEnds,
+} from './connection_ends.ts';
+export {
+  createEndOwner, type EndOwner, type EndOwnerOptions, type OpenEnd, type ProcessEnd,
+  type ProcessEndReason, type StopNode, type StopRequest,
+} from './end_owner.ts';
--- a/telemetry/node_metrics.ts
+++ b/telemetry/node_metrics.ts
@@ -21,6 +21,10 @@
   readonly recordLoadAge: (ageMs: number) => void;
   /** Sets the fraction of the requests for a service that is sent to another failure domain. */
   readonly setSpilloverShare: (service: string, domain: string, share: number) => void;
+  /** Counts an end of a connection or of the process with requests open: by whom, and why. */
+  readonly recordOpenEnd: (
+    end: Readonly<Record<'what' | 'listener' | 'by' | 'why', string>>,
+  ) => void;
   readonly recordRetry: (service: string, reason: string) => void;
   readonly recordStoreCall: (call: string, outcome: string) => void;
   /** Counts what was written again after the store had been restored from an older copy. */
@@ -129,6 +133,12 @@
     labelNames: ['service', 'reason'],
     registers,
   });
+  const openEnds = new Counter({
+    name: `${PREFIX}open_ends_total`,
+    help: 'Ends of connections and of the process with requests open, by whom and why',
+    labelNames: ['what', 'listener', 'by', 'why'],
+    registers,
+  });
   const storeCalls = new Counter({
     name: `${PREFIX}store_calls_total`,
     help: 'Calls to the store by kind and result',
@@ -167,6 +177,11 @@
       spilloverShares.set({ service, domain }, share)
     ),
     recordQueueTime: (durationMs) => queueTimes.observe(durationMs),
+    recordOpenEnd: ({
+      what, listener, by, why,
+    }) => openEnds.inc({
+      what, listener, by, why,
+    }),
     recordRetry: (service, reason) => retries.inc({ service, reason }),
     recordStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
     recordRewrite: (what) => rewrites.inc({ what }),
