Let an exception end a node only after its requests in flight

Callers saw connections that closed without a byte while an instance ran their requests: an exception ended the process at once, with all that was in flight.

The signal, an exception and a failed start now ask the owner of the ends, which stops the node gracefully and then exits. A stop after an exception refuses new requests at once instead of 2.8 s later, and hurries a stop that has begun. The stop waits for every request whose head was read, not only for accepted ones. The exit itself is recorded, also one that nobody asked the owner for.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ShutdownTracker } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
+import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
 /** Options of {@link createGracefulStop}. */
@@ -8,6 +9,8 @@
   readonly clock: Clock;
   readonly graceMs: number;
   readonly shutdown: ShutdownTracker;
+  /** Tells which requests are open, accepted or not. */
+  readonly ends: Pick<EndOwner, 'openRequests' | 'untilAnswered'>;
   /** Listeners whose requests must be answered before the node ends. */
   readonly listeners: readonly HttpListener[];
   /** Announces that the node is stopping. */
@@ -30,35 +33,36 @@
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
  * node is not ready, then only those that end with the running ones, and none once no request is in
  * flight. It ends when every response has been handed to the operating system, at the latest
- * shortly before the end of the grace time.
+ * shortly before the end of the grace time. A stop that is not planned, as after an exception,
+ * does not wait until callers have learned of it, and ends that wait of an earlier stop.
  *
- * @param options Clock, grace time, shutdown tracker, listeners and logger.
- * @returns A function that stops the node, `sinceSignalMs` after the signal to stop; further
- * calls return the promise of the first one.
+ * @param options Clock, grace time, shutdown tracker, owner of the ends, listeners and logger.
+ * @returns A function that stops the node; further calls return the promise of the first one.
  *
  * @example
  * const stop = createGracefulStop(options);
- * process.on('SIGTERM', () => stop().then(() => process.exit(0)));
+ * await stop({ sinceMs: 0, isPlanned: true });
  */
-export const createGracefulStop = (
-  options: GracefulStopOptions,
-): (sinceSignalMs?: number) => Promise<void> => {
-  const { clock, shutdown, logger } = options;
+export const createGracefulStop = (options: GracefulStopOptions): StopNode => {
+  const {
+    clock, shutdown, ends, logger,
+  } = options;
   let stopped: Promise<void> | undefined;
+  const unplanned = new AbortController();
 
-  const run = async (sinceSignalMs: number) => {
-    const signalledAt = clock.now() - sinceSignalMs;
+  const run = async ({ sinceMs, isPlanned }: StopRequest) => {
+    const signalledAt = clock.now() - sinceMs;
     const endsBy = signalledAt + options.graceMs - STOP_RESERVE_MS;
     shutdown.leave(endsBy - FLUSH_RESERVE_MS);
     options.announceStop();
-    logger.info({ graceMs: options.graceMs }, 'stopping');
-    await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceSignalMs));
+    logger.info({ graceMs: options.graceMs, isPlanned }, 'stopping');
+    if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
     const closed = shutdown.close();
     logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
     await clock.sleep(LISTENER_CLOSE_DELAY_MS);
     const leftMs = endsBy - clock.now();
-    const limitMs = shutdown.activeRequests() === 0
+    const limitMs = ends.openRequests() === 0
       ? Math.min(leftMs, UNUSED_CONNECTION_LIMIT_MS)
       : leftMs;
     const timeout = new AbortController();
@@ -67,13 +71,17 @@
       clock.sleep(limitMs, timeout.signal),
     ]);
     timeout.abort();
+    await ends.untilAnswered(endsBy);
     logger.info({
-      active: shutdown.activeRequests(), leftMs: Math.round(endsBy - clock.now()),
+      active: shutdown.activeRequests(),
+      open: ends.openRequests(),
+      leftMs: Math.round(endsBy - clock.now()),
     }, 'stopped');
   };
 
-  return (sinceSignalMs = 0) => {
-    stopped ??= run(sinceSignalMs);
+  return (request) => {
+    if (!request.isPlanned) unplanned.abort();
+    stopped ??= run(request);
     return stopped;
   };
 };
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -12,6 +12,7 @@
 } from '../gateway/mod.ts';
 import type { EgressLink, HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
@@ -230,7 +231,7 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic',
+      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic', 'ends',
     ],
     start: async (find) => {
       const service = createPeerListener({
@@ -242,6 +243,7 @@
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        ends: find<EndOwner>('ends'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         failureDomainOf: createFailureDomainLookup(find<FleetView>('fleet')),
@@ -257,7 +259,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch', 'bodies', 'call-detector',
+      'dispatch', 'bodies', 'call-detector', 'ends',
     ],
     start: async (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -272,6 +274,7 @@
         sender: find<RequestSender>('entrance'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        ends: find<EndOwner>('ends'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         callDetector: find<CallDetector>('call-detector'),
         logger: find<Logger>('logger'),
--- /dev/null
+++ b/fleet/_test_node_process.ts
@@ -0,0 +1,89 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+/** A node that runs in a process of its own. */
+export interface NodeProcess {
+  readonly child: ChildProcess;
+  /** Returns the lines of its log. */
+  readonly log: () => string;
+  /** Resolves once the log contains a text. */
+  readonly logged: (text: string) => Promise<void>;
+  /** Resolves to the exit status, or the name of the signal that ended the process. */
+  readonly ended: Promise<number | string>;
+}
+
+/** Options of {@link startNodeProcess}. */
+export interface NodeProcessOptions {
+  /** First loopback address of the process; its ports are fixed. */
+  readonly host: string;
+  readonly storeAddress: string;
+  readonly node?: string;
+  readonly failureDomain?: string;
+}
+
+const MAX_RUN_MS = 60_000;
+
+/** Throws an exception that nothing handles at SIGUSR2. */
+const throwOnSignal = `data:text/javascript,${encodeURIComponent(`
+process.on('SIGUSR2', () => { throw new Error('injected exception'); });
+`)}`;
+
+/** Addresses of the listeners of a node process. */
+export const listenersOf = (host: string) => ({
+  caller: `${host}:7001`,
+  peer: `${host}:7002`,
+  readiness: `${host}:7003`,
+  announcements: `${host}:7004`,
+});
+
+/** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
+export const startNodeProcess = ({
+  host, storeAddress, node = 'host-1', failureDomain = 'd0',
+}: NodeProcessOptions): NodeProcess => {
+  const directory = mkdtempSync(join(tmpdir(), 'node-process-'));
+  const path = join(directory, 'settings.json');
+  writeFileSync(path, JSON.stringify({
+    node,
+    region: 'r',
+    failureDomain,
+    service: 'orders',
+    announceInterval: '200ms',
+    bounds: { drain: '2s', grace: '6s' },
+    listen: listenersOf(host),
+    store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
+  }));
+  const args = ['--import', 'tsx', '--import', throwOnSignal, 'fleet/main.ts'];
+  const child = spawn(process.execPath, args, {
+    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'ignore'],
+  });
+  const limit = setTimeout(() => child.kill('SIGKILL'), MAX_RUN_MS);
+  let log = '';
+  const checks = new Set<() => void>();
+  child.stdout.on('data', (chunk: Buffer) => {
+    log += chunk.toString();
+    for (const check of checks) check();
+  });
+  const ended = once(child, 'close').then(([code, signal]) => {
+    clearTimeout(limit);
+    rmSync(directory, { recursive: true });
+    return (code ?? signal) as number | string;
+  });
+  return {
+    child,
+    log: () => log,
+    logged: (text) => new Promise((resolve, reject) => {
+      const check = () => {
+        if (!log.includes(text)) return;
+        checks.delete(check);
+        resolve();
+      };
+      checks.add(check);
+      check();
+      ended.then((status) => reject(new Error(`ended with ${status} before '${text}'`)), reject);
+    }),
+    ended,
+  };
+};
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -3,6 +3,7 @@
 import { createFakeClock } from '../clock/mod.ts';
 import { createShutdownTracker } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
+import { createEndOwner } from '../lifecycle/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 
@@ -14,12 +15,15 @@
 const setUp = () => {
   const clock = createFakeClock();
   const shutdown = createShutdownTracker(clock);
+  const ends = createEndOwner({ clock, logger: noopLogger, exit: () => undefined });
+  const listenerEnds = ends.forListener('caller', () => undefined);
   let endListener = () => undefined as void;
   let listenerStops = 0;
   let announcedStops = 0;
   let isStopped = false;
   const listener: HttpListener = {
     listen: async () => '',
+    isListening: () => true,
     stop: () => {
       listenerStops += 1;
       return new Promise((resolve) => {
@@ -32,6 +36,7 @@
     clock,
     graceMs: GRACE_MS,
     shutdown,
+    ends,
     listeners: [listener],
     announceStop: () => {
       announcedStops += 1;
@@ -41,8 +46,18 @@
   return {
     clock,
     shutdown,
-    stop: (sinceSignalMs?: number) => {
-      stop(sinceSignalMs).then(() => {
+    /** Accepts a request, as a listener does once it has read its head. */
+    accept: (deadlineAt: number) => {
+      const close = listenerEnds.openRequest();
+      const end = shutdown.trackRequest(deadlineAt);
+      return () => {
+        end();
+        close();
+      };
+    },
+    openRequest: listenerEnds.openRequest,
+    stop: (sinceMs = 0, isPlanned = true) => {
+      stop({ sinceMs, isPlanned }).then(() => {
         isStopped = true;
       });
     },
@@ -69,7 +84,7 @@
 
 test('nested calls are accepted until the requests in flight have ended', async () => {
   const node = setUp();
-  const end = node.shutdown.trackRequest(GRACE_MS);
+  const end = node.accept(GRACE_MS);
   node.stop();
   await node.clock.advance(2000);
   assert.is(node.shutdown.phase(), 'leaving');
@@ -81,7 +96,7 @@
 
 test('a request that does not end delays the stop to the end of the grace time', async () => {
   const node = setUp();
-  node.shutdown.trackRequest(GRACE_MS);
+  node.accept(GRACE_MS);
   node.stop();
   await node.clock.advance(5300);
   assert.is(node.shutdown.phase(), 'closed');
@@ -94,7 +109,7 @@
 // stop ended when the signal came during the start.
 test('the grace time counts from the signal to stop', async () => {
   const node = setUp();
-  node.shutdown.trackRequest(GRACE_MS);
+  node.accept(GRACE_MS);
   node.stop(2000);
   await node.clock.advance(800);
   assert.is(node.shutdown.phase(), 'closing');
@@ -126,4 +141,48 @@
   assert.ok(node.isStopped());
 });
 
+// Guards against an end of the process in which an exception takes the requests in flight with it.
+test('an unplanned stop refuses new requests at once and waits for those in flight', async () => {
+  const node = setUp();
+  const end = node.accept(GRACE_MS);
+  node.stop(0, false);
+  await node.clock.advance(0);
+  assert.is(node.shutdown.phase(), 'closing');
+  await node.clock.advance(1000);
+  assert.not(node.isStopped());
+  end();
+  assert.is(node.shutdown.phase(), 'closed');
+  await node.clock.advance(60);
+  node.endListener();
+  await node.clock.advance(0);
+  assert.ok(node.isStopped());
+});
+
+// Guards against a process in an unknown state that goes on to accept requests for seconds.
+test('an unplanned stop ends the wait of a planned one for its callers', async () => {
+  const node = setUp();
+  node.stop();
+  await node.clock.advance(1000);
+  assert.is(node.shutdown.phase(), 'leaving');
+  node.stop(0, false);
+  await node.clock.advance(0);
+  assert.is(node.shutdown.phase(), 'closed');
+  assert.is(node.announcedStops(), 1);
+});
+
+// Guards against an end of the process with a response that is not handed over, although nothing
+// that the tracker counts is in flight.
+test('the node ends only when every request whose head was read has its response', async () => {
+  const node = setUp();
+  const close = node.openRequest();
+  node.stop();
+  await node.clock.advance(2860);
+  node.endListener();
+  await node.clock.advance(1500);
+  assert.not(node.isStopped());
+  close();
+  await node.clock.advance(0);
+  assert.ok(node.isStopped());
+});
+
 test.run();
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -2,6 +2,7 @@
 import { setImmediate } from 'node:timers/promises';
 import { processSignals } from './_process_signals.ts';
 import { createSystemClock } from '../clock/mod.ts';
+import { createEndOwner } from '../lifecycle/mod.ts';
 import { parsePlatformSettings } from '../platform/mod.ts';
 import {
   createRateLimitedLogger, createLogger, handleProcessFailures, type Logger, openLogOutput,
@@ -61,26 +62,27 @@
   await setImmediate();
   if (processSignals.isStopRequested()) return;
   const clock = createSystemClock();
-  const logger = createRateLimitedLogger(
-    createLogger('node', { node: settings.value.node, stream: openLogOutput(clock) }),
-    { clock },
-  );
-  handleProcessFailures(process, logger);
-  const node = await startFleetNode(settings.value, { clock, logger, metricsPort: METRICS_PORT });
-  watchSettings(path, text, node, logger);
-  processSignals.onStop((sinceSignalMs) => {
-    node.stop(sinceSignalMs).then(
-      () => process.exit(0),
-      (error: unknown) => {
-        logger.error({ reason: String(error) }, 'failed to stop the node');
-        process.exit(EXIT_FAILED);
-      },
-    );
+  const lines = createLogger('node', { node: settings.value.node, stream: openLogOutput(clock) });
+  const logger = createRateLimitedLogger(lines, { clock });
+  const ends = createEndOwner({
+    clock, logger: lines.forComponent('ends'), exit: (status) => process.exit(status),
   });
+  // Before the output of the log, which writes its last lines at the exit.
+  process.prependOnceListener('exit', ends.recordExit);
+  handleProcessFailures(process, logger, () => {
+    ends.endProcess({ reason: 'exception', status: EXIT_FAILED });
+  });
+  try {
+    const node = await startFleetNode(settings.value, {
+      clock, logger, ends, metricsPort: METRICS_PORT,
+    });
+    watchSettings(path, text, node, logger);
+  } catch (error) {
+    process.stderr.write(`marjoramhollow: ${String(error)}\n`);
+    logger.error({ reason: String(error) }, 'failed to start the node');
+    ends.endProcess({ reason: 'failed start', status: EXIT_FAILED });
+  }
+  processSignals.onStop((sinceMs) => ends.endProcess({ reason: 'signal', status: 0, sinceMs }));
 };
 
-main().catch((error: unknown) => {
-  fail(EXIT_FAILED, String(error));
-  // Listeners and timers of a start that has failed half-way would keep the process alive.
-  process.exit();
-});
+main().catch((error: unknown) => fail(EXIT_FAILED, String(error)));
--- /dev/null
+++ b/fleet/node_end_test.ts
@@ -0,0 +1,99 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Agent, request } from 'undici';
+import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
+import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
+
+const test = suite('end of a node');
+
+/** A loopback address of this process alone, as the ports of a node process are fixed. */
+const host = `127.2.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const listeners = listenersOf(host);
+const WORK_MS = 400;
+const REQUESTS = 5;
+const DEADLINE_MS = 3000;
+const POLL_MS = 20;
+
+let fleet: LoopbackFleet;
+let node: NodeProcess | undefined;
+let instance: PlatformInstance | undefined;
+
+test.before.each(async () => {
+  fleet = await startLoopbackFleet([]);
+});
+
+test.after.each(async () => {
+  instance?.kill();
+  instance = undefined;
+  node?.child.kill('SIGKILL');
+  await node?.ended;
+  node = undefined;
+  await fleet.stop();
+});
+
+const send = async (id: string) => {
+  try {
+    const { statusCode, body } = await request(`http://${listeners.caller}/reads/${id}`, {
+      dispatcher: new Agent({ connections: 1, pipelining: 1 }),
+      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': String(DEADLINE_MS) },
+    });
+    await body.text();
+    return String(statusCode);
+  } catch (error) {
+    return String(error);
+  }
+};
+
+/** Starts a node and an instance that serves. */
+const startServing = async () => {
+  node = startNodeProcess({ host, storeAddress: fleet.server.address });
+  await node.logged('"node: started"');
+  instance = await startPlatformInstance({
+    service: 'orders', announceAddress: listeners.announcements, workMs: WORK_MS,
+  });
+  for (let attempt = 0; await send(`warm-${attempt}`) !== '200'; attempt += 1) {
+    assert.ok(attempt < 100, 'the instance is not reached');
+    await sleep(POLL_MS);
+  }
+  return { node, instance };
+};
+
+/** Sends requests and resolves once the instance runs them, to their later results. */
+const sendUntilRunning = async (running: () => number) => {
+  const results = Array.from({ length: REQUESTS }, (_, index) => send(`request-${index}`));
+  for (let waitedMs = 0; running() < REQUESTS; waitedMs += 1) {
+    if (waitedMs === DEADLINE_MS) {
+      assert.unreachable(`not run: ${(await Promise.all(results)).join()}\n${node?.log()}`);
+    }
+    await sleep(1);
+  }
+  return results;
+};
+
+const answered = Array.from({ length: REQUESTS }, () => '200');
+
+// Guards against an exception that closes all connections at once, without a byte of an answer to
+// requests that the instance runs.
+test('an exception ends the node only after the requests in flight were answered', async () => {
+  const started = await startServing();
+  const results = await sendUntilRunning(started.instance.running);
+  started.node.child.kill('SIGUSR2');
+  assert.equal(await Promise.all(results), answered);
+  assert.is(await started.node.ended, 1);
+  assert.match(started.node.log(), /injected exception/u);
+});
+
+// Guards against the same end while the node stops.
+test('an exception during a stop leaves the requests in flight their answers', async () => {
+  const started = await startServing();
+  const results = await sendUntilRunning(started.instance.running);
+  started.node.child.kill('SIGTERM');
+  await started.node.logged('node: stopping');
+  started.node.child.kill('SIGUSR2');
+  assert.equal(await Promise.all(results), answered);
+  assert.is(await started.node.ended, 1);
+});
+
+test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -5,6 +5,7 @@
 import type { LocalForwarder, ResponseSilence, ShutdownTracker } from '../gateway/mod.ts';
 import { type HttpListener, splitAddress } from '../http/mod.ts';
 import { createKernel, type Kernel } from '../kernel/mod.ts';
+import { createEndOwner, type EndOwner, type StopRequest } from '../lifecycle/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import type { Announcement, RightToGrant } from '../ranges/mod.ts';
 import type { StoreEras } from '../store/mod.ts';
@@ -35,10 +36,10 @@
   /** Applies changed settings: the service of the callers changes, the addresses do not. */
   readonly reload: (settings: PlatformSettings) => void;
   /**
-   * Stops gracefully: finishes the requests in flight within the grace time, which began
-   * `sinceSignalMs` ago.
+   * Stops gracefully: finishes the requests in flight within the grace time, which began at the
+   * cause of the stop. By default, the stop is planned and its cause is now.
    */
-  readonly stop: (sinceSignalMs?: number) => Promise<void>;
+  readonly stop: (request?: StopRequest) => Promise<void>;
   /** Stops immediately, as a crash of the process would. */
   readonly kill: () => Promise<void>;
 }
@@ -47,6 +48,8 @@
 export interface FleetNodeOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Owner of the ends of connections and of the process; by default, one that ends no process. */
+  readonly ends?: EndOwner;
   /** Port of the metrics endpoint, on the host of the readiness address. */
   readonly metricsPort: number;
 }
@@ -175,10 +178,12 @@
   options: FleetNodeOptions,
 ): Promise<FleetNode> => {
   const { clock, logger } = options;
+  const ends = options.ends ?? createEndOwner({ clock, logger, exit: () => undefined });
   let { service: callerService } = settings;
   const kernel = createKernel();
   kernel.register<Clock>({ name: 'clock', needs: [], start: () => ({ service: clock }) });
   kernel.register<Logger>({ name: 'logger', needs: [], start: () => ({ service: logger }) });
+  kernel.register<EndOwner>({ name: 'ends', needs: [], start: () => ({ service: ends }) });
   kernel.register<NodeMetrics>({
     name: 'metrics', needs: [], start: () => ({ service: createNodeMetrics() }),
   });
@@ -205,6 +210,9 @@
   const ranges = kernel.find<RangeController>('ranges');
   const contracts = kernel.find<ContractSource>('contracts');
   const view = kernel.find<StoreView>('view');
+  const callers = kernel.find<HttpListener>('caller-listener');
+  const peers = kernel.find<HttpListener>('peer-listener');
+  ends.onOpenEnd(kernel.find<NodeMetrics>('metrics').recordOpenEnd);
   const tasks = startPeriodicTasks(kernel, logger);
   registerGauges(kernel);
 
@@ -234,22 +242,22 @@
     leave,
     metricsText: kernel.find<NodeMetrics>('metrics').text,
   });
-  for (const listener of controlListeners) await listener.listen();
-  logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
-
-  const requestListeners = ['caller-listener', 'peer-listener']
-    .map((name) => kernel.find<HttpListener>(name));
   const stop = createGracefulStop({
     clock,
     graceMs: settings.bounds.graceMs,
     shutdown: kernel.find<ShutdownTracker>('progress'),
-    listeners: requestListeners,
+    ends,
+    listeners: [callers, peers],
     announceStop: () => {
       localNode.setStopping();
       kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
     },
     logger,
   });
+  const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
+  ends.setStop(stopNode);
+  for (const listener of controlListeners) await listener.listen();
+  logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
 
   return {
     reload: (changed) => {
@@ -259,10 +267,10 @@
       callerService = changed.service;
       logger.info({ service: callerService }, 'reloaded the settings');
     },
-    stop: (sinceSignalMs) => stop(sinceSignalMs).finally(tasks.stop),
+    stop: (request = { sinceMs: 0, isPlanned: true }) => stopNode(request),
     kill: async () => {
       tasks.stop();
-      for (const listener of [...controlListeners, ...requestListeners]) listener.kill();
+      for (const listener of [...controlListeners, callers, peers]) listener.kill();
       await kernel.stop();
     },
   };
--- a/telemetry/process_failures.ts
+++ b/telemetry/process_failures.ts
@@ -6,11 +6,8 @@
     event: 'uncaughtException' | 'unhandledRejection',
     listener: (error: unknown) => void,
   ) => unknown;
-  readonly exit: (status: number) => unknown;
 }
 
-const EXIT_FAILED = 1;
-
 const describe = (error: unknown) => ({
   reason: String(error),
   stack: error instanceof Error ? error.stack : undefined,
@@ -19,15 +16,21 @@
 /**
  * Handles failures that no part of the process has handled. A rejected promise ends the work that
  * it stood for, and the process goes on. After an exception the state of the process is unknown:
- * it ends, with the reason in its log, and the platform starts it again.
+ * it is to end, with the reason in its log, and the platform starts it again.
  *
  * @param source The process.
  * @param logger Logger.
+ * @param end Ends the process once its requests in flight have been answered.
  *
  * @example
- * handleProcessFailures(process, logger);
+ * const end = () => ends.endProcess({ reason: 'exception', status: 1 });
+ * handleProcessFailures(process, logger, end);
  */
-export const handleProcessFailures = (source: FailureSource, logger: Logger): void => {
+export const handleProcessFailures = (
+  source: FailureSource,
+  logger: Logger,
+  end: () => void,
+): void => {
   const log = logger.forComponent('process');
   source.on('unhandledRejection', (error) => {
     log.error(describe(error), 'a failure was not handled');
@@ -36,7 +39,7 @@
     try {
       log.error(describe(error), 'the process ends after an exception that was not handled');
     } finally {
-      source.exit(EXIT_FAILED);
+      end();
     }
   });
 };
