Bind all ports of a node before it accepts a caller

Callers saw connections that closed without an answer when a node could not start: the listeners for requests were opened before those for control, so a port that was taken ended a process that had accepted callers.

The listeners for control are bound first, then the one for peers, and the one for callers last; the node reports ready only once it listens to callers.

--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -40,7 +40,10 @@
 /** Additional attempts per window beyond the ratio, for services with few requests. */
 const SEARCH_EXTRA = 40;
 
-/** Registers the services that requests pass through: slots, routing, peers and listeners. */
+/**
+ * Registers the services that requests pass through: slots, routing, peers and listeners, which do
+ * not listen yet.
+ */
 export const registerRequestServices = (
   kernel: Kernel,
   settings: PlatformSettings,
@@ -233,7 +236,7 @@
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
       'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic', 'ends',
     ],
-    start: async (find) => {
+    start: (find) => {
       const service = createPeerListener({
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
@@ -250,7 +253,6 @@
         onRefusal: find<NodeMetrics>('metrics').recordPeerRefusal,
         handleControlMessage: createControlMessageHandler(find, settings.node),
       });
-      await service.listen();
       return { service, stop: service.stop };
     },
   });
@@ -261,7 +263,7 @@
       'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
       'dispatch', 'bodies', 'call-detector', 'ends',
     ],
-    start: async (find) => {
+    start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
         clock: find<Clock>('clock'),
@@ -289,7 +291,6 @@
           if (unknown) metrics.recordUnknown(reason, unknown.status, unknown.cause);
         },
       });
-      await service.listen();
       return { service, stop: service.stop };
     },
   });
--- a/fleet/node_end_test.ts
+++ b/fleet/node_end_test.ts
@@ -1,7 +1,10 @@
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Agent, request } from 'undici';
+import { splitAddress } from '../http/mod.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
@@ -11,6 +14,7 @@
 /** A loopback address of this process alone, as the ports of a node process are fixed. */
 const host = `127.2.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
 const listeners = listenersOf(host);
+const METRICS_PORT = 9464;
 const WORK_MS = 400;
 const REQUESTS = 5;
 const DEADLINE_MS = 3000;
@@ -96,4 +100,31 @@
   assert.is(await started.node.ended, 1);
 });
 
+// Guards against a start that accepts callers and then fails, which closes their connections.
+test('a start that fails since a port is taken has accepted no caller', async () => {
+  const taken = createServer().listen(METRICS_PORT, host);
+  await once(taken, 'listening');
+  let acceptedCount = 0;
+  const countAccepted = () => {
+    acceptedCount += 1;
+  };
+  let isOver = false;
+  const knock = async () => {
+    const address = splitAddress(listeners.caller);
+    while (!isOver) {
+      const socket = connect(address.port, address.host);
+      socket.on('error', () => undefined).once('connect', countAccepted);
+      await sleep(1);
+      if (socket.connecting) socket.destroy();
+    }
+  };
+  const knocking = knock();
+  node = startNodeProcess({ host, storeAddress: fleet.server.address });
+  assert.is(await node.ended, 1);
+  isOver = true;
+  await knocking;
+  taken.close();
+  assert.is(acceptedCount, 0);
+});
+
 test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -237,7 +237,10 @@
       metrics: `${host}:${options.metricsPort}`,
     },
     logger,
-    isReady: () => contracts.routes() !== undefined && view.isLoaded() && !localNode.isStopping(),
+    isReady: () => (
+      callers.isListening() && contracts.routes() !== undefined && view.isLoaded()
+      && !localNode.isStopping()
+    ),
     announce,
     leave,
     metricsText: kernel.find<NodeMetrics>('metrics').text,
@@ -256,7 +259,8 @@
   });
   const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
   ends.setStop(stopNode);
-  for (const listener of controlListeners) await listener.listen();
+  // Callers come last: a port that cannot be bound ends the start before one of them is accepted.
+  for (const listener of [...controlListeners, peers, callers]) await listener.listen();
   logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
 
   return {
