Go on after a connection that cannot be accepted

An error of accept, such as too many open files, was an exception, since a listener had no handler for errors after its bind: the process ended, and all connections with it.

The error is logged by each listener, and the listener goes on.

--- a/fleet/control_listeners.ts
+++ b/fleet/control_listeners.ts
@@ -105,6 +105,9 @@
           else response.writeHead(500, { 'content-length': 0 }).end();
         });
       },
+      onAcceptError: (error) => {
+        logger.error({ address, reason: String(error) }, 'failed to accept a connection');
+      },
       renderMalformed,
     });
   };
--- a/gateway/_listener_ends.ts
+++ b/gateway/_listener_ends.ts
@@ -15,8 +15,11 @@
 /** Creates the part of a listener's options that concerns the ends of its connections. */
 export const createListenerEnds = (
   listener: string,
-  { ends, requestIdHeader }: ListenerEndsOptions,
-): Required<Pick<HttpServerOptions, 'ends'>> => ({
+  { ends, logger, requestIdHeader }: ListenerEndsOptions,
+): Required<Pick<HttpServerOptions, 'ends' | 'onAcceptError'>> => ({
   ends: ends?.forListener(listener, (message) => firstHeaderValue(message, requestIdHeader))
     ?? unrecordedEnds,
+  onAcceptError: (error) => {
+    logger.error({ listener, reason: String(error) }, 'failed to accept a connection');
+  },
 });
--- a/http/connection_ends_test.ts
+++ b/http/connection_ends_test.ts
@@ -1,3 +1,5 @@
+import { AsyncResource, createHook } from 'node:async_hooks';
+import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
@@ -13,6 +15,7 @@
 
 const setUp = async (handle: (request: IncomingMessage, response: ServerResponse) => void) => {
   const recorded: OpenConnectionEnd[] = [];
+  const acceptErrors: Error[] = [];
   let open = 0;
   const server = createHttpServer({
     clock: createSystemClock(),
@@ -30,6 +33,7 @@
       mayEnd: mayEndConnection,
       recordEnd: (end) => recorded.push(end),
     },
+    onAcceptError: (error) => acceptErrors.push(error),
     renderMalformed,
   });
   const address = await server.listen();
@@ -37,7 +41,7 @@
     [by, why, requests.map(({ url }) => url).join(' ')].join('; ')
   ));
   return {
-    server, describe, open: () => open, connect: () => openConnection(address),
+    server, acceptErrors, describe, open: () => open, connect: () => openConnection(address),
   };
 };
 
@@ -162,4 +166,29 @@
   assert.not(server.isListening());
 });
 
+// Guards against an error of `accept`, such as too many open files, that ends the process as an
+// exception, with all requests in flight.
+test('an error of accept is reported and the listener goes on', async () => {
+  const created: object[] = [];
+  const hook = createHook({
+    init: (_, type, __, resource) => {
+      if (type === 'TCPSERVERWRAP') created.push(resource);
+    },
+  }).enable();
+  const { server, acceptErrors, connect } = await setUp((_, response) => response.end('done'));
+  hook.disable();
+  const handle = created.at(-1) as { onconnection: (status: number) => void };
+  const EMFILE = -24;
+  new AsyncResource('test').runInAsyncScope(() => handle.onconnection(EMFILE));
+  assert.is(acceptErrors.length, 1);
+  assert.match(String(acceptErrors[0]), 'EMFILE');
+  const { socket, received } = connect();
+  await once(socket, 'connect');
+  socket.write(REQUEST);
+  await until(() => received().includes('done'));
+  assert.match(received(), /done/u);
+  socket.destroy();
+  await server.stop();
+});
+
 test.run();
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -51,6 +51,7 @@
   const sockets = new Set<Socket>();
   let acceptedCount = 0;
   let isStopping = false;
+  let isBound = false;
   let isGraceOver = false;
   let cancelInputCheck: CancelTask = () => undefined;
   const checkIdleInput = createIdleInputCheck(clock, {
@@ -237,9 +238,13 @@
   const listen = () => new Promise<string>((resolve, reject) => {
     if (isStopping) throw new Error('the listener has been stopped');
     const { host, port } = splitAddress(options.address);
-    server.once('error', reject);
+    // Without a handler, the error of a connection that cannot be accepted would end the process.
+    server.on('error', (error) => {
+      if (isBound) options.onAcceptError?.(error);
+      else reject(error);
+    });
     server.listen(port, host, () => {
-      server.off('error', reject);
+      isBound = true;
       checkInput();
       const bound = server.address() as AddressInfo;
       resolve(`${bound.family === 'IPv6' ? `[${bound.address}]` : bound.address}:${bound.port}`);
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -198,6 +198,7 @@
     maxHeaderBytes: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
+    onAcceptError: (error) => logger.error({ err: error }, 'failed to accept a connection'),
     renderMalformed: (status, dispatched) => renderProblem(
       createRefusal(status, 'the request is not valid HTTP', dispatched ? 'unknown' : 'not run'),
       createRequestId(),
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -207,6 +207,7 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
+    onAcceptError: (error) => logger.error({ err: error }, 'failed to accept a connection'),
     renderMalformed: (status) => (
       `HTTP/1.1 ${status} Malformed\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
     ),
