--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -12,6 +12,7 @@
 } from '../gateway/mod.ts';
 import type { EgressLink, HttpListener } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
@@ -39,7 +40,10 @@
 /** Additional attempts per window beyond the ratio, for services with few requests. */
 const SEARCH_EXTRA = 40;
 
-/** Registers the services that requests pass through: slots, routing, peers and listeners. */
+/**
+ * Registers the services that requests pass through: slots, routing, peers and listeners, which do
+ * not listen yet.
+ */
 export const registerRequestServices = (
   kernel: Kernel,
   settings: PlatformSettings,
@@ -230,9 +234,9 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic',
+      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic', 'ends',
     ],
-    start: async (find) => {
+    start: (find) => {
       const service = createPeerListener({
         clock: find<Clock>('clock'),
         address: settings.listen.peer,
@@ -242,13 +246,13 @@
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        ends: find<EndOwner>('ends'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         logger: find<Logger>('logger'),
         failureDomainOf: createFailureDomainLookup(find<FleetView>('fleet')),
         onRefusal: find<NodeMetrics>('metrics').recordPeerRefusal,
         handleControlMessage: createControlMessageHandler(find, settings.node),
       });
-      await service.listen();
       return { service, stop: service.stop };
     },
   });
@@ -257,9 +261,9 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch', 'bodies', 'call-detector',
+      'dispatch', 'bodies', 'call-detector', 'ends',
     ],
-    start: async (find) => {
+    start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
       const service = createCallerListener({
         clock: find<Clock>('clock'),
@@ -272,6 +276,7 @@
         sender: find<RequestSender>('entrance'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
+        ends: find<EndOwner>('ends'),
         eventLoop: find<EventLoopMonitor>('event-loop'),
         callDetector: find<CallDetector>('call-detector'),
         logger: find<Logger>('logger'),
@@ -286,7 +291,6 @@
           if (unknown) metrics.recordUnknown(reason, unknown.status, unknown.cause);
         },
       });
-      await service.listen();
       return { service, stop: service.stop };
     },
   });
