Keep a node of the command line alive at a second signal

Callers of a node that 'marjoramhollow node' runs lost their responses at a second SIGTERM: the handler of the signal was removed after the first one, and the default action ended the process. An exception did the same.

The command ends through the owner of the ends, like the platform's process.

--- a/command/_run_node.ts
+++ b/command/_run_node.ts
@@ -1,16 +1,29 @@
+import process from 'node:process';
 import { createSystemClock } from '../clock/mod.ts';
 import { type Settings, startNode } from '../daemon/mod.ts';
+import { createEndOwner } from '../lifecycle/mod.ts';
+import { createLogger, handleProcessFailures } from '../telemetry/mod.ts';
 import { exitStatuses } from './_output.ts';
 
-const waitForStopSignal = () => new Promise<void>((resolve) => {
-  process.once('SIGTERM', () => resolve());
-  process.once('SIGINT', () => resolve());
+/**
+ * Runs a node until a signal to stop or an exception, then drains and stops it. Further signals
+ * join the first one, whose default action would end the process with requests in flight.
+ */
+export const runNode = (settings: Settings): Promise<number> => new Promise((resolve, reject) => {
+  const clock = createSystemClock();
+  const logger = createLogger('node', { level: settings.log.level, node: settings.node });
+  const ends = createEndOwner({ clock, logger: logger.forComponent('ends'), exit: resolve });
+  const started = startNode(settings, { clock });
+  let stopped: Promise<void> | undefined;
+  ends.setStop(() => {
+    stopped ??= started.then((node) => node.stop());
+    return stopped;
+  });
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () => ends.endProcess({ reason: 'signal', status: exitStatuses.ok }));
+  }
+  handleProcessFailures(process, logger, () => {
+    ends.endProcess({ reason: 'exception', status: exitStatuses.failed });
+  });
+  started.catch(reject);
 });
-
-/** Runs a node until SIGTERM or SIGINT, then drains and stops it. */
-export const runNode = async (settings: Settings): Promise<number> => {
-  const node = await startNode(settings, { clock: createSystemClock() });
-  await waitForStopSignal();
-  await node.stop();
-  return exitStatuses.ok;
-};
