Never pause the last response of a connection, as undici sees it

Callers saw connections that closed without a byte: a node ended by an exception while it ran their requests. undici asserts that a response is not paused when its connection ends, if the parser takes it for the last one there. A node avoided that pause by its own reading of the head, which differs for HTTP/1.0, Proxy-Connection: close, a second Connection header, and a transfer coding that is not chunked. A slow receiver and an instance that breaks off were enough; the assertion fails in an event of the socket, which nothing can catch.

A node now asks the parser of undici. If it cannot be asked, no response is paused, and the limit of unsent bytes holds.

Found by the reviewer of the fix.

--- a/forward/_exchange.ts
+++ b/forward/_exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CancelTask } from '../clock/mod.ts';
+import { isLastResponse } from '../http/mod.ts';
 import type { ExchangeOptions, ExchangeRequest } from './_exchange_options.ts';
 import { endToEndHeaders, findHeader, REQUEST_ID_HEADER } from './headers.ts';
 import type { ResponseSink, ResponseAction } from './hop.ts';
@@ -209,7 +210,7 @@
       if (contentLength !== undefined) missingBytes = Number(contentLength);
       const isUnframed = contentLength === undefined
         && findHeader(raw, 'transfer-encoding') === undefined;
-      closesConnection = isUnframed
+      closesConnection = isUnframed || isLastResponse(current)
         || findHeader(raw, 'connection')?.toLowerCase().includes('close') === true;
       const headers = endToEndHeaders(raw, REMOVED_RESPONSE_HEADERS);
       const action = sink.start(statusCode, headers);
--- a/http/create_bounded_pool.ts
+++ b/http/create_bounded_pool.ts
@@ -2,6 +2,7 @@
 import {
   buildConnector, Client, type Dispatcher, Pool,
 } from 'undici';
+import { noteResponse } from './last_responses.ts';
 
 /** Options of a bounded pool. */
 export interface BoundedPoolOptions {
@@ -20,6 +21,7 @@
 const MIN_FINAL_STATUS = 200;
 
 interface ConnectionProgress {
+  readonly socket: Socket;
   /** Whether a final head, a part of a body or the end of a response came since the last read. */
   hasProgress: boolean;
 }
@@ -37,7 +39,10 @@
     ),
     onResponseStart: (controller, status, headers, text) => {
       progress ??= reading();
-      if (progress !== undefined && status >= MIN_FINAL_STATUS) progress.hasProgress = true;
+      if (progress !== undefined && status >= MIN_FINAL_STATUS) {
+        progress.hasProgress = true;
+        noteResponse(controller, progress.socket);
+      }
       return handler.onResponseStart?.(controller, status, headers, text);
     },
     onResponseData: (controller, chunk) => {
@@ -75,7 +80,7 @@
   let reading: ConnectionProgress | undefined;
 
   const watch = (socket: Socket, client: Client) => {
-    const progress: ConnectionProgress = { hasProgress: false };
+    const progress: ConnectionProgress = { socket, hasProgress: false };
     /** Bytes that undici has parsed, and those of them up to the last part of an answer. */
     let parsedBytes = 0;
     let answerBytes = 0;
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -3,6 +3,7 @@
 export type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 export { isAddress, splitAddress } from './split_address.ts';
 export { type BoundedPoolOptions, createBoundedPool } from './create_bounded_pool.ts';
+export { isLastResponse } from './last_responses.ts';
 export { createRenewablePool, type RenewablePool } from './create_renewable_pool.ts';
 export { createBulkSink, createCountedSink } from './bulk_sink.ts';
 export {
