Limit the wait of a stop for requests that it only refuses

A host was without a node for the whole grace time if a client did not complete a request that the stopping node had not accepted: the stop waited for every request whose head was read, as long as for accepted ones. It waits a second for them again, and for accepted ones until shortly before the end of the grace time.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -62,16 +62,17 @@
     await closed;
     await clock.sleep(LISTENER_CLOSE_DELAY_MS);
     const leftMs = endsBy - clock.now();
-    const limitMs = ends.openRequests() === 0
+    const limitMs = shutdown.activeRequests() === 0
       ? Math.min(leftMs, UNUSED_CONNECTION_LIMIT_MS)
       : leftMs;
+    const limitAt = clock.now() + limitMs;
     const timeout = new AbortController();
     await Promise.race([
       Promise.all(options.listeners.map((listener) => listener.stop())),
       clock.sleep(limitMs, timeout.signal),
     ]);
     timeout.abort();
-    await ends.untilAnswered(endsBy);
+    await ends.untilAnswered(limitAt);
     logger.info({
       active: shutdown.activeRequests(),
       open: ends.openRequests(),
