Stop a node gracefully although its logger is damaged

A logger that throws made the handler of exceptions throw, which ends a process at once with status 7, with its requests in flight. The lines of an end are now written without a throw, and the stop and the exit follow. The test asks for the end without a throw, in place of the end before one.

--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { LogFields, Logger } from '../telemetry/mod.ts';
 import { type ConnectionEnds, type EndedBy, mayEndConnection } from './connection_ends.ts';
 
 /** Why a process ends. `exit`: by a call that did not ask the owner. */
@@ -70,6 +70,18 @@
 const MAX_NAMED_REQUESTS = 20;
 const EXIT_FAILED = 1;
 
+/** An end must not fail with its log line, and nothing is left to report a damaged logger to. */
+const createSafeLogger = (logger: Logger): Pick<Logger, 'info' | 'warn' | 'error'> => {
+  const writeAt = (level: 'info' | 'warn' | 'error') => (fields: LogFields, message: string) => {
+    try {
+      logger[level](fields, message);
+    } catch {
+      // See above.
+    }
+  };
+  return { info: writeAt('info'), warn: writeAt('warn'), error: writeAt('error') };
+};
+
 /**
  * Creates the owner of the ends: listeners ask it before they end a connection, and each way to end
  * the process leads through it, so that none of them leaves a request without an answer that could
@@ -82,7 +94,8 @@
  * const ends = createEndOwner({ clock, logger, exit: (status) => process.exit(status) });
  * process.on('SIGTERM', () => ends.endProcess({ reason: 'signal', status: 0 }));
  */
-export const createEndOwner = ({ clock, logger, exit }: EndOwnerOptions): EndOwner => {
+export const createEndOwner = ({ clock, exit, ...options }: EndOwnerOptions): EndOwner => {
+  const logger = createSafeLogger(options.logger);
   let openCount = 0;
   let waiting: (() => void)[] = [];
   let stop: StopNode = () => Promise.resolve();
--- a/lifecycle/end_owner_test.ts
+++ b/lifecycle/end_owner_test.ts
@@ -134,6 +134,25 @@
   assert.equal(exits, [1]);
 });
 
+// Guards against a process that ends at once, by the failure of its logger instead of a stop.
+test('a damaged logger keeps neither the stop nor the exit from happening', async () => {
+  const clock = createFakeClock();
+  const exits: number[] = [];
+  const fail = () => {
+    throw new Error('cannot log');
+  };
+  const logger: Logger = {
+    debug: fail, info: fail, warn: fail, error: fail, forComponent: () => logger,
+  };
+  const owner = createEndOwner({ clock, logger, exit: (status) => exits.push(status) });
+  const stop = setStop(owner);
+  owner.endProcess({ reason: 'exception', status: 1 });
+  assert.is(stop.requests.length, 1);
+  stop.end();
+  await clock.advance(0);
+  assert.equal(exits, [1]);
+});
+
 test('an end with requests open is logged and counted with who ended it and why', () => {
   const {
     lines, openEnds, owner, listener,
--- a/telemetry/process_failures.ts
+++ b/telemetry/process_failures.ts
@@ -38,8 +38,9 @@
   source.on('uncaughtException', (error) => {
     try {
       log.error(describe(error), 'the process ends after an exception that was not handled');
-    } finally {
-      end();
+    } catch {
+      // An exception in this handler would end the process at once.
     }
+    end();
   });
 };
