Count the grace time from a signal that comes during the start

A process could outlive its grace time and be killed with requests in flight: a signal during the start reached the owner of the ends only after the start, so a failed start or an exception meanwhile began a grace time of its own. Found by the model of the stop, whose test passes with this change.

The handler of the signal is set before the start. Nothing is accepted before the node can be stopped, so a signal until then ends the process at once.

--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -72,6 +72,8 @@
   handleProcessFailures(process, logger, () => {
     ends.endProcess({ reason: 'exception', status: EXIT_FAILED });
   });
+  // Nothing has been accepted before the node can be stopped, so a signal until then ends at once.
+  processSignals.onStop((sinceMs) => ends.endProcess({ reason: 'signal', status: 0, sinceMs }));
   try {
     const node = await startFleetNode(settings.value, {
       clock, logger, ends, metricsPort: METRICS_PORT,
@@ -82,7 +84,6 @@
     logger.error({ reason: String(error) }, 'failed to start the node');
     ends.endProcess({ reason: 'failed start', status: EXIT_FAILED });
   }
-  processSignals.onStop((sinceMs) => ends.endProcess({ reason: 'signal', status: 0, sinceMs }));
 };
 
 main().catch((error: unknown) => fail(EXIT_FAILED, String(error)));
