Contain an error of a handler, and read all requests before one is refused

Requests that arrived behind a refused one with a body were discarded, as Node.js runs microtasks between a body and the request behind it: the refusal ended the connection before they were read. A request that may end its connection is now handled in the next turn of the event loop.

--- a/gateway/_listener_ends.ts
+++ b/gateway/_listener_ends.ts
@@ -16,9 +16,13 @@
 export const createListenerEnds = (
   listener: string,
   { ends, logger, requestIdHeader }: ListenerEndsOptions,
-): Required<Pick<HttpServerOptions, 'ends' | 'onAcceptError'>> => ({
+): Required<Pick<HttpServerOptions, 'ends' | 'onAcceptError' | 'onHandleError'>> => ({
   ends: ends?.forListener(listener, (message) => firstHeaderValue(message, requestIdHeader))
     ?? unrecordedEnds,
+  onHandleError: (error, message) => {
+    const request = firstHeaderValue(message, requestIdHeader);
+    logger.error({ listener, request, reason: String(error) }, 'failed to handle request');
+  },
   onAcceptError: (error) => {
     logger.error({ listener, reason: String(error) }, 'failed to accept a connection');
   },
--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Expectation, HttpServerOptions } from './http_server_options.ts';
+import { resetConnection } from './response_sink.ts';
 
 /** A request whose head was read. */
 export interface ReadRequest {
@@ -16,6 +17,8 @@
   readonly handle: HttpServerOptions['handle'];
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter: (request: IncomingMessage) => boolean;
+  /** Called when `handle` throws; without it, the error is thrown on. */
+  readonly onHandleError: HttpServerOptions['onHandleError'] | undefined;
   /** Called with requests that are not handled, since their connection has ended. */
   readonly onDiscard: (requests: readonly IncomingMessage[]) => void;
 }
@@ -34,6 +37,14 @@
  * leave of the client goes unnoticed.
  */
 const MAX_WAITING_REQUESTS = 100;
+const STATUS_FAILED = 500;
+
+/** Ends the response to a request whose handler has thrown an error. */
+const endFailed = (request: IncomingMessage, response: ServerResponse) => {
+  request.resume();
+  if (response.headersSent) resetConnection(response);
+  else response.writeHead(STATUS_FAILED, { connection: 'close', 'content-length': 0 }).end();
+};
 
 /**
  * Creates the turns of a connection. A request is handled once the response before it has been
@@ -45,12 +56,14 @@
  * @returns The turns, without requests.
  *
  * @example
- * const turns = createRequestTurns(socket, { handle, mayEndAfter: () => isStopping, onDiscard });
+ * const turns = createRequestTurns(socket, { handle, mayEndAfter, onDiscard, onHandleError });
  * server.on('request', (request, response) => turns.add({ request, response, expect, readAt }));
  */
 export const createRequestTurns = (
   socket: Socket,
-  { handle, mayEndAfter, onDiscard }: RequestTurnsOptions,
+  {
+    handle, mayEndAfter, onDiscard, onHandleError,
+  }: RequestTurnsOptions,
 ): RequestTurns => {
   let waiting: ReadRequest[] = [];
   let current: ReadRequest | undefined;
@@ -88,7 +101,13 @@
       current = undefined;
       runNext();
     });
-    handle(request, response, expect, readAt);
+    try {
+      handle(request, response, expect, readAt);
+    } catch (error) {
+      if (onHandleError === undefined) throw error;
+      onHandleError(error, request);
+      endFailed(request, response);
+    }
   };
 
   // Node.js resumes a paused socket at the end of each request.
@@ -108,8 +127,10 @@
       if (isFull()) socket.pause();
       if (current !== undefined || isScheduled) return;
       isScheduled = true;
-      // All requests that have arrived together are read before the first one is handled.
-      queueMicrotask(runNext);
+      // All requests that have arrived together are read before one is handled that may end their
+      // connection. Node.js runs microtasks between a body and the request behind it.
+      if (mayEndAfter(read.request)) setImmediate(runNext);
+      else queueMicrotask(runNext);
     },
     endAfterLast: () => {
       if (waiting.length > 0 || current?.response.headersSent !== false) return;
--- a/http/connection_ends_test.ts
+++ b/http/connection_ends_test.ts
@@ -13,9 +13,12 @@
 
 const REQUEST = 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n';
 
-const setUp = async (handle: (request: IncomingMessage, response: ServerResponse) => void) => {
+type Handle = (request: IncomingMessage, response: ServerResponse) => void;
+
+const setUp = async (handle: Handle) => {
   const recorded: OpenConnectionEnd[] = [];
   const acceptErrors: Error[] = [];
+  const errors: string[] = [];
   let open = 0;
   const server = createHttpServer({
     clock: createSystemClock(),
@@ -34,6 +37,7 @@
       recordEnd: (end) => recorded.push(end),
     },
     onAcceptError: (error) => acceptErrors.push(error),
+    onHandleError: (error, { url }) => errors.push(`${String(error)} ${url}`),
     renderMalformed,
   });
   const address = await server.listen();
@@ -41,7 +45,12 @@
     [by, why, requests.map(({ url }) => url).join(' ')].join('; ')
   ));
   return {
-    server, acceptErrors, describe, open: () => open, connect: () => openConnection(address),
+    server,
+    acceptErrors,
+    errors,
+    describe,
+    open: () => open,
+    connect: () => openConnection(address),
   };
 };
 
@@ -152,6 +161,23 @@
   assert.equal(describe(), []);
 });
 
+// Guards against one request that takes the process with it, and all others that are in flight.
+test('a handler that throws costs its own request only', async () => {
+  const {
+    server, describe, open, connect, errors,
+  } = await setUp(() => {
+    throw new Error('cannot handle');
+  });
+  const { socket, closed, received } = connect();
+  socket.write(REQUEST);
+  await closed;
+  assert.match(received(), /^HTTP\/1\.1 500 /u);
+  assert.equal(errors, ['Error: cannot handle /a']);
+  assert.equal(describe(), []);
+  assert.is(open(), 0);
+  await server.stop();
+});
+
 test('a listener that was stopped does not begin to listen', async () => {
   const server = createHttpServer({
     clock: createSystemClock(),
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -146,6 +146,7 @@
       isStopping || options.mayEndAfter?.(request) === true
     ),
     onDiscard: (requests: readonly IncomingMessage[]) => options.onDiscard?.(requests),
+    onHandleError: options.onHandleError,
   };
 
   server.on('connection', (socket: Socket) => {
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -43,6 +43,8 @@
   ) => void;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: ConnectionEnds;
+  /** Called when `handle` throws, before status 500 is sent; without it, the error is thrown on. */
+  readonly onHandleError?: (error: unknown, request: IncomingMessage) => void;
   /** Called when the operating system fails to hand over a connection that it has accepted. */
   readonly onAcceptError?: (error: Error) => void;
   /** Returns whether the connection may end after this request, if no other one was read. */
