Check that requests which arrive together are answered together at a stop

A planned end has to move to the last request that was read.

A trial that ends the connection although requests wait fails.

--- a/fleet/stop_connections_test.ts
+++ b/fleet/stop_connections_test.ts
@@ -129,6 +129,11 @@
 /** Plays an order, and returns what was wrong and how many requests the handler began. */
 const play = async ({ connections, ...order }: Order) => {
   const sent = new Map<string, Sent>();
+  /**
+   * Paths of requests that were written at once. Those behind a body are left to the test of
+   * refusals in `http/refused_body_test.ts`.
+   */
+  const arrivedTogether: (readonly string[])[] = [];
   const node = await startServer(sent);
 
   const runClient = async (index: number): Promise<() => string> => {
@@ -136,13 +141,14 @@
     await sleep(openAtMs);
     const { socket, received } = openConnection(node.address);
     for (const [number, { waitMs, firstPart, pipelined }] of writes.entries()) {
-      const texts = pipelined.map((work, place) => {
-        const path = `/${index}-${number}-${place}`;
-        sent.set(path, work);
-        const isLast = hasLast && number === writes.length - 1 && place === pipelined.length - 1;
-        return render(path, work, isLast);
-      });
-      const text = texts.join('');
+      const paths = pipelined.map((_, place) => `/${index}-${number}-${place}`);
+      const isBehindBody = pipelined.slice(0, -1).some(({ bodyBytes }) => bodyBytes > 0);
+      if (firstPart === 1 && !isBehindBody) arrivedTogether.push(paths);
+      const text = pipelined.map((work, place) => {
+        sent.set(paths[place]!, work);
+        const isLast = hasLast && number === writes.length - 1 && place === paths.length - 1;
+        return render(paths[place]!, work, isLast);
+      }).join('');
       const firstBytes = Math.ceil(text.length * firstPart);
       if (socket.writable) socket.write(text.slice(0, firstBytes));
       if (firstBytes < text.length) await sleep(5);
@@ -168,6 +174,11 @@
     const received = receivedBy[Number(path.slice(1, path.indexOf('-')))]!();
     if (!received.includes(text)) wrong.push(`${path} lacks its response`);
   }
+  for (const paths of arrivedTogether) {
+    const begun = paths.filter((path) => node.expected.has(path));
+    const isWhole = begun.length === 0 || begun.length === paths.length;
+    if (!isWhole) wrong.push(`${paths.join()} arrived together, only ${begun.join()} were begun`);
+  }
   for (const { by, why } of node.openEnds) {
     if (by === 'node' && why !== 'killed') wrong.push(`ended with a request open: ${why}`);
   }
