--- a/fleet/stop_model_test.ts
+++ b/fleet/stop_model_test.ts
@@ -158,11 +158,14 @@
   const seed = chooseSeed(STOP_MODEL_SEED);
   const numRuns = Number(STOP_MODEL_RUNS ?? DEFAULT_RUNS);
   if (STOP_MODEL_SEED !== undefined) console.log(`seed ${seed}, ${numRuns} runs`);
+  const path = STOP_MODEL_PATH === undefined ? {} : { path: STOP_MODEL_PATH };
   const commands = fc.array(commandArbitrary, { maxLength: MAX_COMMANDS, size: 'max' });
   await fc.assert(fc.asyncProperty(startArbitrary, commands, async (start, list) => {
     const violations = await play(start, list);
     assert.is(violations.length, 0, violations.join('\n'));
-  }), { seed, numRuns, ...(STOP_MODEL_PATH === undefined ? {} : { path: STOP_MODEL_PATH }) });
+  }), {
+    seed, numRuns, includeErrorInReport: true, ...path,
+  });
 });
 
 test.run();
