Answer a download that breaks off before its first byte was sent

Callers of downloads saw a connection reset without a byte, although the instance had run: while the link was busy, the begin of the response waited for it, and the response was cut as if a part had left.

Such a response is replaced by status 502 with an unknown outcome, and what waits for the link is dropped. A response of which a part was sent is cut as before.

Found by the reviewer of the fix.

--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -120,8 +120,8 @@
   services: new Map(),
 });
 
-const createLink = () => createEgressLink({
-  clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
+const createLink = (megabitsPerSecond = 1000) => createEgressLink({
+  clock, megabitsPerSecond, maxBufferedBytes: MAX_BUFFERED_BYTES,
 });
 
 /** Options of a path. */
@@ -130,6 +130,8 @@
   readonly hop: 'local' | 'peer';
   /** Timeout of the routes in ms. */
   readonly timeoutMs?: number;
+  /** Rate of the link of the caller's host; 1000 by default. */
+  readonly megabitsPerSecond?: number;
   /** Slots of each instance. */
   readonly slots?: number;
   readonly onConnectionsLost?: () => void;
@@ -256,7 +258,7 @@
     callerService: () => 'caller',
     routes: () => table,
     sender,
-    link: createLink(),
+    link: createLink(options.megabitsPerSecond),
     ...(bodies === undefined ? {} : { bodies }),
     shutdown: options.shutdown?.caller ?? createShutdownTracker(clock),
     logger: noopLogger,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -62,12 +62,13 @@
     response: ServerResponse,
   ) => {
     if (outcome.kind === 'answered') return;
-    if (outcome.kind === 'truncated') {
+    if (outcome.kind === 'truncated' && response.headersSent) {
       resetConnection(response);
       return;
     }
     const idHeader = [headerNames.requestId, request.requestId];
-    if (outcome.kind === 'failed') {
+    // The begin of a truncated response may still wait for the link.
+    if (outcome.kind === 'failed' || outcome.kind === 'truncated') {
       const text = '{"error":"the instance failed","outcome":"unknown"}';
       respondWithJson(response, STATUS_BAD_GATEWAY, idHeader, text);
       return;
@@ -175,6 +176,7 @@
         sink,
       )
       : refuseSaturated();
+    const isCut = outcome.kind === 'truncated' && response.headersSent;
     respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
     const isDisconnected = request.signal.aborted;
@@ -210,7 +212,7 @@
       notRun: refusal?.outcome === 'not run',
       retryAfterSeconds: refusal?.retryAfterSeconds,
       reason: failureReason(outcome),
-    }, outcome.kind === 'truncated' && !isDisconnected
+    }, isCut && !isDisconnected
       ? 'ended without an answer'
       : 'not answered');
   };
--- a/http/bulk_sink.ts
+++ b/http/bulk_sink.ts
@@ -35,6 +35,8 @@
       onRoom: () => resumeReading(),
     });
     response.once('close', opened.discard);
+    // Another response may be sent in its place, behind which nothing of the body may follow.
+    response.once('prefinish', opened.discard);
     return opened;
   };
 
