Run stops of starved node processes under load

The stand-in instance can send large responses, and the loopback fleet can publish a download route.

--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import { createSystemClock } from '../clock/mod.ts';
+import type { RouteKind } from '../contract/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import {
   type PlatformInstance, type PlatformStoreServer, startPlatformInstance, startPlatformStore,
@@ -18,8 +19,10 @@
 export interface LoopbackFleet {
   readonly server: PlatformStoreServer;
   readonly hosts: readonly LoopbackHost[];
-  /** Publishes a contract, optionally with a route for one more prefix. */
-  readonly publish: (version: number, extraPrefix?: string) => Promise<void>;
+  /** Publishes a contract, optionally with a route for one more prefix; it is safe by default. */
+  readonly publish: (
+    version: number, extraPrefix?: string, extraKind?: RouteKind,
+  ) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -44,20 +47,27 @@
  * Published routes: `/keyed/` is partitioned by key, `/orders/` must not run twice, `/calls/` has
  * the priority of nested calls.
  */
-const routesOf = (extraPrefix?: string) => [
+const routesOf = (extraPrefix?: string, extraKind: RouteKind = 'safe') => [
   { prefix: '/calls/', kind: 'safe', service: 'orders' },
   { prefix: '/keyed/', kind: 'safe', service: 'ledger' },
   { prefix: '/orders/', kind: 'unsafe', service: 'orders' },
   { prefix: '/reads/', kind: 'safe', service: 'orders' },
-  ...(extraPrefix === undefined ? [] : [{ prefix: extraPrefix, kind: 'safe', service: 'orders' }]),
+  ...(extraPrefix === undefined ? [] : [
+    { prefix: extraPrefix, kind: extraKind, service: 'orders' },
+  ]),
 ];
 
 const DEFAULT_TIMEOUT_MS = 1000;
 
-const contractOf = (version: number, timeoutMs: number, extraPrefix?: string) => JSON.stringify({
+const contractOf = (
+  version: number,
+  timeoutMs: number,
+  extraPrefix?: string,
+  extraKind?: RouteKind,
+) => JSON.stringify({
   version,
   resources: [
-    ...routesOf(extraPrefix).map(({ prefix, kind, service }) => ({
+    ...routesOf(extraPrefix, extraKind).map(({ prefix, kind, service }) => ({
       resource_type: 'routes',
       metadata: { name: `r${prefix}` },
       spec: {
@@ -104,12 +114,12 @@
   const clock = createSystemClock();
   const server = await startPlatformStore(clock);
   if (storeEra !== undefined) server.store.setEra(storeEra);
-  const publish = async (version: number, extraPrefix?: string) => {
+  const publish: LoopbackFleet['publish'] = async (version, extraPrefix, extraKind) => {
     const key = 'op/config';
     const found = (await server.store.get(key))._unsafeUnwrap();
     await server.store.transact({
       expect: [{ key, revision: found?.revision ?? 0 }],
-      puts: [{ key, value: contractOf(version, timeoutMs, extraPrefix) }],
+      puts: [{ key, value: contractOf(version, timeoutMs, extraPrefix, extraKind) }],
     });
   };
   await publish(1);
--- /dev/null
+++ b/soak/_starved_node.ts
@@ -0,0 +1,107 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  listenersOf, type NodeProcess, startNodeProcess,
+} from '../fleet/_test_node_process.ts';
+import type { StopPlan } from './_plan.ts';
+
+/** One process of a node. */
+export interface ProcessRecord {
+  readonly startedAt: number;
+  /** Time of its first SIGTERM, monotonic in ms. */
+  signalledAt?: number;
+  endedAt?: number;
+  status?: number | string;
+  readonly process: NodeProcess;
+}
+
+/** A node whose process can be suspended by turns, and is restarted after each stop. */
+export interface StarvedNode {
+  readonly name: string;
+  readonly listeners: ReturnType<typeof listenersOf>;
+  readonly processes: readonly ProcessRecord[];
+  /** Suspends the process for a time in ms of each 100 ms, beginning after a time in ms. */
+  readonly starve: (afterMs: number, suspendedMs: number) => void;
+  /** Stops the node as the platform does, and resolves once it has been restarted. */
+  readonly restart: (plan: StopPlan) => Promise<void>;
+  readonly kill: () => Promise<void>;
+}
+
+/** Options of {@link startStarvedNode}. */
+export interface StarvedNodeOptions {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly host: string;
+  readonly storeAddress: string;
+}
+
+const PERIOD_MS = 100;
+/** The platform kills a process that is still there after its grace time. */
+const GRACE_MS = 6000;
+
+/**
+ * Starts a node in a process of its own, which is not starved yet.
+ *
+ * @param options Name, failure domain, first address and store.
+ * @returns The node, once it has started.
+ */
+export const startStarvedNode = async ({
+  name, failureDomain, host, storeAddress,
+}: StarvedNodeOptions): Promise<StarvedNode> => {
+  const processes: ProcessRecord[] = [];
+  let timer: NodeJS.Timeout | undefined;
+
+  const start = () => {
+    const process = startNodeProcess({
+      node: name, failureDomain, host, storeAddress,
+    });
+    const record: ProcessRecord = { startedAt: performance.now(), process };
+    processes.push(record);
+    process.child.once('exit', (code, signal) => {
+      Object.assign(record, { endedAt: performance.now(), status: code ?? signal });
+    });
+    return record;
+  };
+
+  const signal = (sent: NodeJS.Signals) => {
+    const last = processes.at(-1);
+    if (last !== undefined && last.endedAt === undefined) last.process.child.kill(sent);
+  };
+
+  const suspend = (suspendedMs: number) => {
+    signal('SIGSTOP');
+    timer = setTimeout(() => {
+      signal('SIGCONT');
+      timer = setTimeout(() => suspend(suspendedMs), PERIOD_MS - suspendedMs);
+    }, suspendedMs);
+  };
+
+  const first = start();
+  await first.process.logged('"node: started"');
+
+  return {
+    name,
+    listeners: listenersOf(host),
+    processes,
+    starve: (afterMs, suspendedMs) => {
+      timer = setTimeout(() => suspend(suspendedMs), afterMs);
+    },
+    restart: async ({ repeatAfterMs, restartAfterMs }) => {
+      const record = processes.at(-1)!;
+      record.signalledAt = performance.now();
+      signal('SIGTERM');
+      const repeat = repeatAfterMs === undefined
+        ? undefined : setTimeout(() => signal('SIGTERM'), repeatAfterMs);
+      const limit = setTimeout(() => record.process.child.kill('SIGKILL'), GRACE_MS);
+      await record.process.ended;
+      clearTimeout(repeat);
+      clearTimeout(limit);
+      await sleep(restartAfterMs);
+      await start().process.logged('"node: started"');
+    },
+    kill: async () => {
+      clearTimeout(timer);
+      signal('SIGKILL');
+      await processes.at(-1)!.process.ended;
+    },
+  };
+};
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -37,6 +37,8 @@
   readonly announceAddress: string;
   readonly slots?: number;
   readonly workMs?: number;
+  /** Least size of the body of a response in bytes. */
+  readonly responseBytes?: number;
   readonly announceIntervalMs?: number;
   /** Time in ms after the start for which the instance announces that it is cold. */
   readonly coldMs?: number;
@@ -110,7 +112,7 @@
       [platformHeaders.requestId]: fault === 'foreign' ? 'other' : id,
       ...(fault === 'unsigned' ? {} : { [platformHeaders.signature]: `${instance}.${id}` }),
     };
-    const body = `${id} ran at ${instance}`;
+    const body = `${id} ran at ${instance}`.padEnd(options.responseBytes ?? 0);
     if (fault === 'truncate') {
       response.writeHead(200, { ...headers, 'content-length': body.length + 10 });
       response.write(body);
