Record connections that a starved stop resets unread

Rounds of soak/main.ts on under heavy load show connections that close without a byte in a stop, with requests that the node has not read and no instance has run. The count of such closes leaves out connections that were not established.

--- a/soak/_check_round.ts
+++ b/soak/_check_round.ts
@@ -140,7 +140,7 @@
       runsOf(round, id).some((runs, index) => runs > 0 && index !== node)
     )),
     closedWithoutByte: count((request) => (
-      !isWhole(request) && request.answerBytes === 0
+      !isWhole(request) && request.answerBytes === 0 && request.isConnected
       && request.failure !== REFUSED && request.failure !== 'left'
     )),
   };
