Warm a node up with as many requests as its test sends at once

node_end_test failed once in 20 runs, four at a time, and once before: a node that had just started refused three of the five requests, as its first ones take long (503, the node is saturated, not run). The warm-up was one request.

--- a/fleet/node_end_test.ts
+++ b/fleet/node_end_test.ts
@@ -17,6 +17,8 @@
 const METRICS_PORT = 9464;
 const WORK_MS = 400;
 const REQUESTS = 5;
+/** Successive batches of requests that must be answered before a test begins. */
+const WARM_BATCHES = 3;
 const DEADLINE_MS = 3000;
 const POLL_MS = 20;
 
@@ -57,8 +59,14 @@
   instance = await startPlatformInstance({
     service: 'orders', announceAddress: listeners.announcements, workMs: WORK_MS,
   });
-  for (let attempt = 0; await send(`warm-${attempt}`) !== '200'; attempt += 1) {
+  // A node that has just started takes long for its first requests, and refuses some of them.
+  let batchesAnswered = 0;
+  for (let attempt = 0; batchesAnswered < WARM_BATCHES; attempt += 1) {
     assert.ok(attempt < 100, 'the instance is not reached');
+    const results = await Promise.all(Array.from({ length: REQUESTS }, (_, index) => (
+      send(`warm-${attempt}-${index}`)
+    )));
+    batchesAnswered = results.every((result) => result === '200') ? batchesAnswered + 1 : 0;
     await sleep(POLL_MS);
   }
   return { node, instance };
