--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -22,9 +22,11 @@
   readonly storeAddress: string;
   readonly node?: string;
   readonly failureDomain?: string;
+  /** Time in ms after which the process is killed. */
+  readonly maxRunMs?: number;
 }
 
-const MAX_RUN_MS = 60_000;
+const DEFAULT_MAX_RUN_MS = 60_000;
 
 /** Throws an exception that nothing handles at SIGUSR2. */
 const throwOnSignal = `data:text/javascript,${encodeURIComponent(`
@@ -41,7 +43,7 @@
 
 /** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
 export const startNodeProcess = ({
-  host, storeAddress, node = 'host-1', failureDomain = 'd0',
+  host, storeAddress, node = 'host-1', failureDomain = 'd0', maxRunMs = DEFAULT_MAX_RUN_MS,
 }: NodeProcessOptions): NodeProcess => {
   const directory = mkdtempSync(join(tmpdir(), 'node-process-'));
   const path = join(directory, 'settings.json');
@@ -59,7 +61,7 @@
   const child = spawn(process.execPath, args, {
     env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'ignore'],
   });
-  const limit = setTimeout(() => child.kill('SIGKILL'), MAX_RUN_MS);
+  const limit = setTimeout(() => child.kill('SIGKILL'), maxRunMs);
   let log = '';
   const checks = new Set<() => void>();
   child.stdout.on('data', (chunk: Buffer) => {
--- a/fleet/main_test.ts
+++ b/fleet/main_test.ts
@@ -9,6 +9,7 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { startNodeProcess } from './_test_node_process.ts';
 
 const test = suite('fleet process');
 
@@ -76,42 +77,26 @@
 test('a start that fails ends the process', async () => {
   const server = createServer().listen(7001, host);
   await once(server, 'listening');
-  const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
-  const path = join(directory, 'settings.json');
-  writeFileSync(path, settings);
-  const child = spawn(process.execPath, ['--import', 'tsx', 'fleet/main.ts'], {
-    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'ignore', 'ignore'],
+  const { ended } = startNodeProcess({
+    host, storeAddress: `${host}:7005`, maxRunMs: START_LIMIT_MS,
   });
-  const limit = setTimeout(() => child.kill('SIGKILL'), START_LIMIT_MS);
-  const [status] = await once(child, 'exit') as [number | null];
-  clearTimeout(limit);
+  const status = await ended;
   server.close();
-  rmSync(directory, { recursive: true });
   assert.is(status, 1);
 });
 
 // The handler of the signal was removed after the first one, so that the next one ended the process
 // with requests in flight.
 test('a second SIGTERM does not end the process before its graceful stop', async () => {
-  const directory = mkdtempSync(join(tmpdir(), 'fleet-process-'));
-  const path = join(directory, 'settings.json');
-  writeFileSync(path, settings);
-  const child = spawn(process.execPath, ['--import', 'tsx', 'fleet/main.ts'], {
-    env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'inherit'],
-  });
-  const exited = once(child, 'exit');
-  let log = '';
-  child.stdout.on('data', (chunk: Buffer) => {
-    const before = log;
-    const isNew = (message: string) => log.includes(message) && !before.includes(message);
-    log += chunk.toString();
-    if (isNew('node: started') || isNew('node: stopping')) child.kill('SIGTERM');
-  });
-  const [status, signal] = await exited as [number | null, string | null];
-  rmSync(directory, { recursive: true });
-  assert.is(signal, null);
-  assert.is(status, 0);
-  assert.match(log, /node: no longer accepting requests/u);
+  const {
+    child, ended, log, logged,
+  } = startNodeProcess({ host, storeAddress: `${host}:7005` });
+  for (const message of ['node: started', 'node: stopping']) {
+    await logged(message);
+    child.kill('SIGTERM');
+  }
+  assert.is(await ended, 0);
+  assert.match(log(), /node: no longer accepting requests/u);
 });
 
 test.run();
--- a/http/connection_ends_test.ts
+++ b/http/connection_ends_test.ts
@@ -50,7 +50,12 @@
     errors,
     describe,
     open: () => open,
-    connect: () => openConnection(address),
+    /** Sends requests on a connection of their own. */
+    send: (text = REQUEST) => {
+      const connection = openConnection(address);
+      connection.socket.write(text);
+      return connection;
+    },
   };
 };
 
@@ -60,13 +65,12 @@
 
 test('a connection that ends after its response leaves no record', async () => {
   const {
-    server, describe, open, connect,
+    server, describe, open, send,
   } = await setUp((_, response) => {
     response.shouldKeepAlive = false;
     response.end('done');
   });
-  const { socket, closed } = connect();
-  socket.write(REQUEST);
+  const { closed } = send();
   await closed;
   await server.stop();
   assert.equal(describe(), []);
@@ -76,10 +80,9 @@
 test('the leave of a client is recorded with the requests that were open', async () => {
   for (const leave of ['end', 'resetAndDestroy'] as const) {
     const {
-      server, describe, open, connect,
+      server, describe, open, send,
     } = await setUp(() => undefined);
-    const { socket, closed } = connect();
-    socket.write(REQUEST);
+    const { socket, closed } = send();
     await until(() => open() === 1);
     socket[leave]();
     await closed;
@@ -93,14 +96,13 @@
 
 test('a response that is cut is recorded as an end by the node', async () => {
   const {
-    server, describe, open, connect,
+    server, describe, open, send,
   } = await setUp((_, response) => {
     response.writeHead(200, { 'content-length': 10 });
     response.write('part');
     setTimeout(() => resetConnection(response), 5);
   });
-  const { socket, closed } = connect();
-  socket.write(REQUEST);
+  const { closed } = send();
   await closed;
   await until(() => describe().length > 0);
   assert.equal(describe(), ['node; response cut; /a']);
@@ -110,10 +112,9 @@
 
 test('a killed listener records its open requests', async () => {
   const {
-    server, describe, open, connect,
+    server, describe, open, send,
   } = await setUp(() => undefined);
-  const { socket, closed } = connect();
-  socket.write(REQUEST);
+  const { closed } = send();
   await until(() => open() === 1);
   server.kill();
   await closed;
@@ -126,10 +127,9 @@
 // for them until the end of its grace time.
 test('requests that wait for their turn are open until their connection ends', async () => {
   const {
-    server, describe, open, connect,
+    server, describe, open, send,
   } = await setUp(() => undefined);
-  const { socket, closed } = connect();
-  socket.write(REQUEST + REQUEST + REQUEST);
+  const { socket, closed } = send(REQUEST + REQUEST + REQUEST);
   await until(() => open() === 3);
   assert.is(open(), 3);
   socket.resetAndDestroy();
@@ -144,12 +144,11 @@
 test('the end of the idle time of a stop spares a connection with a request open', async () => {
   let finish = () => undefined as void;
   const {
-    server, describe, open, connect,
+    server, describe, open, send,
   } = await setUp((_, response) => {
     finish = () => response.end('done');
   });
-  const { socket, received } = connect();
-  socket.write(REQUEST);
+  const { received } = send();
   await until(() => open() === 1);
   const stopped = server.stop();
   await sleep(100);
@@ -164,12 +163,11 @@
 // Guards against one request that takes the process with it, and all others that are in flight.
 test('a handler that throws costs its own request only', async () => {
   const {
-    server, describe, open, connect, errors,
+    server, describe, open, send, errors,
   } = await setUp(() => {
     throw new Error('cannot handle');
   });
-  const { socket, closed, received } = connect();
-  socket.write(REQUEST);
+  const { closed, received } = send();
   await closed;
   assert.match(received(), /^HTTP\/1\.1 500 /u);
   assert.equal(errors, ['Error: cannot handle /a']);
@@ -201,16 +199,15 @@
       if (type === 'TCPSERVERWRAP') created.push(resource);
     },
   }).enable();
-  const { server, acceptErrors, connect } = await setUp((_, response) => response.end('done'));
+  const { server, acceptErrors, send } = await setUp((_, response) => response.end('done'));
   hook.disable();
   const handle = created.at(-1) as { onconnection: (status: number) => void };
   const EMFILE = -24;
   new AsyncResource('test').runInAsyncScope(() => handle.onconnection(EMFILE));
   assert.is(acceptErrors.length, 1);
   assert.match(String(acceptErrors[0]), 'EMFILE');
-  const { socket, received } = connect();
+  const { socket, received } = send();
   await once(socket, 'connect');
-  socket.write(REQUEST);
   await until(() => received().includes('done'));
   assert.match(received(), /done/u);
   socket.destroy();
