Decide once whether a response is cut, and drop a result that nobody reads

The caller listener judged twice whether a response was cut, for its end and for its log line. The end of a connection returned a value that nothing used. Behaviour is unchanged.

--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -62,10 +62,6 @@
     response: ServerResponse,
   ) => {
     if (outcome.kind === 'answered') return;
-    if (outcome.kind === 'truncated' && response.headersSent) {
-      resetConnection(response);
-      return;
-    }
     const idHeader = [headerNames.requestId, request.requestId];
     // The begin of a truncated response may still wait for the link.
     if (outcome.kind === 'failed' || outcome.kind === 'truncated') {
@@ -177,7 +173,8 @@
       )
       : refuseSaturated();
     const isCut = outcome.kind === 'truncated' && response.headersSent;
-    respondWithOutcome(request, outcome, response);
+    if (isCut) resetConnection(response);
+    else respondWithOutcome(request, outcome, response);
     const durationMs = clock.now() - arrivedAt;
     const isDisconnected = request.signal.aborted;
     const refusal = outcome.kind === 'refused' ? outcome.refusal : undefined;
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -80,17 +80,16 @@
   // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
   server.maxHeadersCount = 0;
 
-  /** Ends a connection if its open requests allow it; returns whether it ends. */
+  /** Ends a connection if its open requests allow it. */
   const endConnection = (
     socket: Socket,
     state: ConnectionState,
     reason: NodeEndReason,
     end: () => void = () => socket.destroy(),
   ) => {
-    if (!ends.mayEnd(reason, state.responses.size)) return false;
+    if (!ends.mayEnd(reason, state.responses.size)) return;
     noteEndReason(socket, reason);
     end();
-    return true;
   };
 
   /** `http.Server.closeIdleConnections` would cut responses that are not sent to their end. */
--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -70,13 +70,13 @@
 const MAX_NAMED_REQUESTS = 20;
 const EXIT_FAILED = 1;
 
-/** An end must not fail with its log line, and nothing is left to report a damaged logger to. */
+/** Creates a logger that does not throw, as an end must not fail with its log line. */
 const createSafeLogger = (logger: Logger): Pick<Logger, 'info' | 'warn' | 'error'> => {
   const writeAt = (level: 'info' | 'warn' | 'error') => (fields: LogFields, message: string) => {
     try {
       logger[level](fields, message);
     } catch {
-      // See above.
+      // Nothing is left to report a damaged logger to.
     }
   };
   return { info: writeAt('info'), warn: writeAt('warn'), error: writeAt('error') };
