--- a/gateway/_test_path.ts
+++ b/gateway/_test_path.ts
@@ -3,7 +3,7 @@
 import { createSystemClock } from '../clock/mod.ts';
 import type { PublishedRoute, RouteKind } from '../contract/mod.ts';
 import { createEgressLink } from '../http/mod.ts';
-import { noopLogger } from '../telemetry/mod.ts';
+import { type LogFields, type Logger, noopLogger } from '../telemetry/mod.ts';
 import { type CallOptions, sendAsCaller } from './_test_caller.ts';
 import type { RequestSummary } from './caller_listener_options.ts';
 import {
@@ -120,6 +120,12 @@
   services: new Map(),
 });
 
+const createLogger = (onInfo: (fields: LogFields) => void): Logger => ({
+  ...noopLogger,
+  info: (fields) => onInfo(fields),
+  forComponent: () => createLogger(onInfo),
+});
+
 const createLink = (megabitsPerSecond = 1000) => createEgressLink({
   clock, megabitsPerSecond, maxBufferedBytes: MAX_BUFFERED_BYTES,
 });
@@ -143,6 +149,8 @@
   /** Returns the address through which the peer listener at an address is reached. */
   readonly reachThrough?: (address: string) => Promise<string>;
   readonly peerListeners?: Pick<PeerClientOptions, 'onRoundTrip' | 'onTransfer'>;
+  /** Called with the fields of each line of information that the caller listener logs. */
+  readonly onCallerLog?: (fields: LogFields) => void;
   /** Trackers of the caller listener and of all peer listeners; by default, no node stops. */
   readonly shutdown?: { readonly caller: ShutdownTracker; readonly peer: ShutdownTracker };
 }
@@ -261,7 +269,7 @@
     link: createLink(options.megabitsPerSecond),
     ...(bodies === undefined ? {} : { bodies }),
     shutdown: options.shutdown?.caller ?? createShutdownTracker(clock),
-    logger: noopLogger,
+    logger: options.onCallerLog === undefined ? noopLogger : createLogger(options.onCallerLog),
     random: () => 0,
     onRequestEnd: ({ outcome, unknown }) => {
       outcomes.push(outcome);
@@ -278,6 +286,7 @@
     slotsInUse: () => destinations.reduce((sum, { queue }) => sum + queue.load().inFlight, 0),
     callerAddress: address,
     call: (call: CallOptions = {}) => sendAsCaller(address, call),
+    stopCallers: listener.stop,
     stop: async () => {
       listener.kill();
       await peers.close();
