Keep runs of half-open clients while the node stops

What callers saw: a caller that ended only its side of the connection behind its request got no byte of an answer from a node that was told to stop, though an instance ran the request.

Cause: Node.js ends its own side at a FIN unless httpAllowHalfOpen is set, and abortOnClose took the end of the input for the leave of the client.

Change: the caller listener keeps connections half open from the signal on (option keepsHalfOpen of createHttpServer, read at each FIN). Their requests, also those that wait for their turn or in the dispatch queue, run to their answer or their deadline, and the connection ends behind the last answer. A running node still cancels at a FIN, and so does the peer listener, as a node ends a connection to it only when it has given up on the request. Such requests have the field halfOpen in the log, and the end of a half-open connection is no longer recorded as the client's unless an error says so.

Why it works: one decision at the FIN, in the turn in which Node.js makes its own, says both whether the socket stays writable and whether runs go on.

Not covered: a reset behind a FIN is noticed only when something is sent, as Node.js reads no further; such a run ends at its deadline at the latest.

--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -1,19 +1,28 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
 import type { RefusalError } from '../errors/mod.ts';
-import { endAfterRequest, hasBody, resetConnection } from '../http/mod.ts';
+import {
+  endAfterRequest, hasBody, isHalfOpen, resetConnection,
+} from '../http/mod.ts';
 
-/** Returns a signal that aborts when the client disconnects before the response is complete. */
+/**
+ * Returns a signal that aborts when the client disconnects before the response is complete. A
+ * client that ends its side only has disconnected, unless its connection is kept half open. The
+ * peer listener keeps none so: a node ends a connection to it once it has given up on the request.
+ */
 export const abortOnClose = (response: ServerResponse): AbortSignal => {
   const controller = new AbortController();
   const { socket } = response.req;
   const abort = () => {
     if (!response.writableFinished) controller.abort();
   };
+  const abortAtEnd = () => {
+    if (!isHalfOpen(socket)) abort();
+  };
   // The end of the input comes before the close; Node.js sends no further response after it.
-  socket.once('end', abort);
+  socket.once('end', abortAtEnd);
   response.once('close', () => {
-    socket.off('end', abort);
+    socket.off('end', abortAtEnd);
     abort();
   });
   return controller.signal;
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -4,7 +4,7 @@
 import type { RefusalError } from '../errors/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
-  type HttpListener, type HttpServerOptions, renderMalformed, resetConnection,
+  type HttpListener, type HttpServerOptions, isHalfOpen, renderMalformed, resetConnection,
 } from '../http/mod.ts';
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
@@ -52,6 +52,8 @@
   const bodies = options.bodies ?? createBodyBudget(MAX_KEPT_BODY_BYTES);
   const isFirstRequest = createFirstRequestCheck();
 
+  const isStopping = () => options.shutdown.phase() !== 'running';
+
   const toRequest = createCallerRequestReader(options);
 
   const retryAfterHeader = (refusal: RefusalError) => formatRetryAfter(refusal, options.random);
@@ -198,6 +200,7 @@
       readMs: Math.round(readMs),
       leftMs: firstHeaderValue(message, headerNames.remainingMs),
       toTargetMs: Math.round(request.latencyTargetAt - arrivedAt),
+      ...(isHalfOpen(message.socket) ? { halfOpen: true } : {}),
     };
     if (outcome.kind === 'answered') {
       logger.info({ ...fields, status: outcome.status }, 'answered');
@@ -283,7 +286,9 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
-    mayEndAfter: () => options.shutdown.phase() !== 'running',
+    mayEndAfter: isStopping,
+    // While the node stops, an answer that is made is worth more than the instance's time.
+    keepsHalfOpen: isStopping,
     onDiscard: (messages) => {
       const requests = messages.map((message) => firstHeaderValue(message, headerNames.requestId));
       logger.info({ requests, notRun: true }, 'requests discarded: their connection has ended');
--- a/http/_end_causes.ts
+++ b/http/_end_causes.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import type { EndedBy, NodeEndReason } from '../lifecycle/mod.ts';
+import { isHalfOpen } from './half_open.ts';
 
 /** Who ended a connection, and why. */
 export interface EndCause {
@@ -38,5 +39,8 @@
 export const findEndCause = (socket: Socket): EndCause => {
   const cause = causes.get(socket);
   if (cause !== undefined) return cause;
-  return socket.readableEnded ? { by: 'client', why: 'end' } : { by: 'unknown', why: '' };
+  // A client that has ended its side of a half-open connection still waits for its responses.
+  return socket.readableEnded && !isHalfOpen(socket)
+    ? { by: 'client', why: 'end' }
+    : { by: 'unknown', why: '' };
 };
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,5 +1,4 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { createServer as createTlsServer } from 'node:https';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { CancelTask } from '../clock/mod.ts';
@@ -10,16 +9,15 @@
 import {
   findEndCause, isInputError, noteEndCause, noteEndReason,
 } from './_end_causes.ts';
+import {
+  CONNECTION_CHECK_INTERVAL_MS, createNodeServer, HEADERS_TIMEOUT_MS, KEEP_ALIVE_TIMEOUT_MS,
+} from './_create_node_server.ts';
 import { createIdleInputCheck } from './_idle_input.ts';
 import { createRequestTurns } from './_request_turns.ts';
+import { noteHalfOpen } from './half_open.ts';
 import type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 import { splitAddress } from './split_address.ts';
 
-const HEADERS_TIMEOUT_MS = 10_000;
-/** Also limits how long `stop` waits for a connection that never completes its handshake. */
-const HANDSHAKE_TIMEOUT_MS = 2000;
-const CONNECTION_CHECK_INTERVAL_MS = 1000;
-const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 /** Limits the time in which `stop` accepts the connections that are already established. */
 const MAX_ACCEPT_MS = 200;
 /** Limits the wait for a client to close its connection after the final response. */
@@ -60,25 +58,7 @@
     maxMs: KEEP_ALIVE_TIMEOUT_MS + HEADERS_TIMEOUT_MS,
   });
 
-  const serverOptions = {
-    maxHeaderSize: options.maxHeaderBytes,
-    requireHostHeader: false,
-    insecureHTTPParser: false,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: 0,
-    connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    noDelay: true,
-  };
-  const server = options.tls === undefined ? createServer(serverOptions) : createTlsServer({
-    ...serverOptions,
-    ...options.tls,
-    requestCert: true,
-    rejectUnauthorized: true,
-    handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
-  });
-  // Node.js silently drops headers beyond this count; `maxHeaderSize` already limits them.
-  server.maxHeadersCount = 0;
+  const server = createNodeServer(options);
 
   /** Ends a connection if its open requests allow it. */
   const endConnection = (
@@ -157,6 +137,12 @@
     const state = createConnectionState(createRequestTurns(socket, turnsOptions));
     connections.set(socket, state);
     socket.on('error', (error) => noteEndCause(socket, error));
+    socket.once('end', () => {
+      if (options.keepsHalfOpen?.() !== true || !socket.writable) return;
+      if (state.responses.size === 0) return;
+      noteHalfOpen(socket);
+      state.turns.endAfterLast();
+    });
     // Before the close of the response, which takes it out of the responses of the connection.
     socket.once('close', () => {
       connections.delete(socket);
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -49,6 +49,12 @@
   readonly onAcceptError?: (error: Error) => void;
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter?: (request: IncomingMessage) => boolean;
+  /**
+   * Returns whether a client that ends its side of a connection still gets the responses to its
+   * requests; by default, the connection is ended at once. It cannot be told from a client that has
+   * left, other than by a reset when a response is sent to it.
+   */
+  readonly keepsHalfOpen?: () => boolean;
   /** Called with requests that are not handled, since their connection has ended. */
   readonly onDiscard?: (requests: readonly IncomingMessage[]) => void;
   /**
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -10,6 +10,7 @@
   type BulkBody, type BulkDestination, createEgressLink, type EgressLink, type EgressLinkOptions,
 } from './egress_link.ts';
 export { endAfterRequest } from './end_after_request.ts';
+export { isHalfOpen } from './half_open.ts';
 export { hasBody } from './has_body.ts';
 export { renderMalformed } from './render_malformed.ts';
 export { type ResponseBuffer, createResponseBuffer } from './response_buffer.ts';
