--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -75,6 +75,7 @@
   });
   const idPrefix = randomBytes(8).toString('hex');
   let nextId = 0;
+  let isStopping = false;
 
   const createRequestId = () => {
     nextId += 1;
@@ -192,16 +193,24 @@
     });
   };
 
-  return createHttpServer({
+  const listener = createHttpServer({
     clock,
     address: options.address,
     maxHeaderBytes: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
+    keepsHalfOpen: () => isStopping,
     onAcceptError: (error) => logger.error({ err: error }, 'failed to accept a connection'),
     renderMalformed: (status, dispatched) => renderProblem(
       createRefusal(status, 'the request is not valid HTTP', dispatched ? 'unknown' : 'not run'),
       createRequestId(),
     ),
   });
+  return {
+    ...listener,
+    stop: () => {
+      isStopping = true;
+      return listener.stop();
+    },
+  };
 };
