--- a/fleet/stop_connections_test.ts
+++ b/fleet/stop_connections_test.ts
@@ -101,6 +101,7 @@
     request.once('end', () => setTimeout(() => response.end(answerTo(path, work)), work.workMs));
   };
 
+  const isStopping = () => shutdown.phase() !== 'running';
   const server = createHttpServer({
     clock,
     address: '127.0.0.1:0',
@@ -108,7 +109,8 @@
     idleGraceMs: IDLE_GRACE_MS,
     handle,
     ends: ends.forListener('caller', () => undefined),
-    mayEndAfter: () => shutdown.phase() !== 'running',
+    mayEndAfter: isStopping,
+    keepsHalfOpen: isStopping,
     renderMalformed,
   });
   const stop = createGracefulStop({
@@ -122,7 +124,7 @@
   });
   const address = await server.listen();
   return {
-    address, server, stop, ends, openEnds, expected,
+    address, server, stop, isStopping, ends, openEnds, expected,
   };
 };
 
@@ -132,11 +134,17 @@
   /** Paths of requests that were written at once. */
   const arrivedTogether: (readonly string[])[] = [];
   const node = await startServer(sent);
+  const stopBegun = sleep(order.stopAtMs).then(() => {
+    const stopped = node.stop(order);
+    return { stopped };
+  });
 
   const runClient = async (index: number): Promise<() => string> => {
     const { openAtMs, hasLast, writes } = connections[index]!;
     await sleep(openAtMs);
     const { socket, received } = openConnection(node.address);
+    /** Ends the side of the client once the node stops; before that, its requests are cancelled. */
+    const endsSide = index % 2 === 1;
     for (const [number, { waitMs, firstPart, pipelined }] of writes.entries()) {
       const paths = pipelined.map((_, place) => `/${index}-${number}-${place}`);
       if (firstPart === 1) arrivedTogether.push(paths);
@@ -149,15 +157,18 @@
       if (socket.writable) socket.write(text.slice(0, firstBytes));
       if (firstBytes < text.length) await sleep(5);
       if (firstBytes < text.length && socket.writable) socket.write(text.slice(firstBytes));
+      if (endsSide && number === writes.length - 1 && node.isStopping()) socket.end();
       await sleep(waitMs);
     }
+    if (endsSide) {
+      await stopBegun;
+      if (socket.writable) socket.end();
+    }
     return received;
   };
 
   const runs = connections.map((_, index) => runClient(index));
-  await sleep(order.stopAtMs);
-  const stopped = node.stop(order);
-  await stopped;
+  await (await stopBegun).stopped;
   const wrong: string[] = [];
   const open = node.ends.openRequests();
   if (open > 0) wrong.push(`${open} requests are open at the exit`);
