Test that a stop answers what it has not read

Connections that are established, but not accepted, when a listener closes are reset, and so are those whose requests wait unread at the exit.

--- /dev/null
+++ b/fleet/unread_requests_test.ts
@@ -0,0 +1,98 @@
+import { once } from 'node:events';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { createShutdownTracker } from '../gateway/mod.ts';
+import { createHttpServer, renderMalformed } from '../http/mod.ts';
+import { createEndOwner } from '../lifecycle/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
+import { createGracefulStop } from './_create_graceful_stop.ts';
+
+const test = suite('requests that are unread at the end of the process');
+
+const GRACE_MS = 1200;
+/** Keeps idle connections until the end of the grace time. */
+const IDLE_GRACE_MS = 5000;
+/** Time for which the event loop is late at the end of the stop. */
+const BLOCK_MS = 400;
+const CONNECTIONS = 20;
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+
+const block = (durationMs: number) => {
+  const endsAt = performance.now() + durationMs;
+  while (performance.now() < endsAt);
+};
+
+/** Starts a node with one listener, whose connections are destroyed at the exit. */
+const startNode = async () => {
+  const clock = createSystemClock();
+  const shutdown = createShutdownTracker(clock);
+  const ends = createEndOwner({ clock, logger: noopLogger, exit: () => undefined });
+  const server = createHttpServer({
+    clock,
+    address: '127.0.0.1:0',
+    maxHeaderBytes: 16_384,
+    idleGraceMs: IDLE_GRACE_MS,
+    handle: (request, response) => {
+      request.resume();
+      response.writeHead(shutdown.mayAccept(clock.now()) ? 200 : 503).end();
+    },
+    ends: ends.forListener('caller', () => undefined),
+    mayEndAfter: () => shutdown.phase() !== 'running',
+    renderMalformed,
+  });
+  const stop = createGracefulStop({
+    clock,
+    graceMs: GRACE_MS,
+    shutdown,
+    ends,
+    listeners: [server],
+    announceStop: () => undefined,
+    logger: noopLogger,
+  });
+  const address = await server.listen();
+  return {
+    address,
+    shutdown,
+    stop: async () => {
+      await stop({ sinceMs: 0, isPlanned: false });
+      server.kill();
+    },
+  };
+};
+
+// Guards against connections that are reset at the exit, whose requests had arrived while the last
+// timer of the stop was late.
+test('requests that arrived before the exit are refused', async () => {
+  const node = await startNode();
+  node.shutdown.trackRequest(Infinity);
+  const connections = Array.from({ length: CONNECTIONS }, () => openConnection(node.address));
+  await Promise.all(connections.map(({ socket }) => once(socket, 'connect')));
+  const stopped = node.stop();
+  // The last timer of the stop is due before the event loop reads again.
+  setTimeout(() => {
+    setImmediate(() => {
+      for (const { socket } of connections) socket.write(REQUEST);
+      block(BLOCK_MS);
+    });
+  }, GRACE_MS - 650);
+  await stopped;
+  for (const { closed, received } of connections) {
+    await closed;
+    assert.match(received(), /^HTTP\/1\.1 503 /u);
+  }
+});
+
+// Guards against an exit that waits for clients whose requests are never complete.
+test('a request that is never complete does not delay the exit beyond the grace time', async () => {
+  const node = await startNode();
+  const startedAt = performance.now();
+  const { socket } = openConnection(node.address);
+  await once(socket, 'connect');
+  socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n');
+  await node.stop();
+  assert.ok(performance.now() - startedAt < GRACE_MS);
+});
+
+test.run();
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -15,7 +15,13 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 const FINAL_RESPONSE = 'HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n';
 
-const startServer = async (renderFinal?: () => string) => {
+/** Takes the processor, as a starved process waits for it. */
+const block = (durationMs: number) => {
+  const endsAt = performance.now() + durationMs;
+  while (performance.now() < endsAt);
+};
+
+const startServer = async (renderFinal?: () => string, handlingMs = 0) => {
   const paths: string[] = [];
   const server = createHttpServer({
     clock: createSystemClock(),
@@ -24,6 +30,7 @@
     idleGraceMs: IDLE_GRACE_MS,
     handle: ({ url }, response) => {
       paths.push(url ?? '');
+      block(handlingMs);
       response.end('done');
     },
     renderMalformed,
@@ -47,6 +54,56 @@
   }
 });
 
+// Guards against connections in the backlog that a stop resets, since the node took 200 ms to accept
+// those before them.
+test('connections in the backlog of a slow server are served when it stops', async () => {
+  const { server, open } = await startServer(undefined, 8);
+  const connections = Array.from({ length: 50 }, open);
+  for (const { socket } of connections) socket.write(REQUEST);
+  await new Promise(process.nextTick);
+  await server.stop();
+  const outcomes = await Promise.all(connections.map(async ({ closed, received, error }) => {
+    await closed;
+    return error() || received().split('\r\n')[0];
+  }));
+  assert.equal([...new Set(outcomes)], ['HTTP/1.1 200 OK']);
+});
+
+// Guards against connections that a stop resets, since they were established in a turn of the event
+// loop that had looked for them before.
+test('connections established in the last turn before the close are served', async () => {
+  const { server, open } = await startServer();
+  const opened = new Promise<ReturnType<typeof open>[]>((resolve) => {
+    setImmediate(() => {
+      const connections = [open(), open(), open()];
+      for (const { socket } of connections) socket.write(REQUEST);
+      resolve(connections);
+    });
+  });
+  await server.stop();
+  for (const { closed, received, error } of await opened) {
+    await closed;
+    assert.is(error(), '');
+    assert.match(received(), /^HTTP\/1\.1 200 .*done$/su);
+  }
+});
+
+// Guards against a listener that is kept open for as long as clients connect.
+test('new connections without end do not keep the server from its stop', async () => {
+  const { server, open } = await startServer(undefined, 8);
+  const flood = setInterval(() => {
+    const { socket } = open();
+    socket.write(REQUEST);
+  }, 1);
+  await sleep(20);
+  const startedAt = performance.now();
+  const stopped = server.stop();
+  await Promise.race([stopped, sleep(5000)]);
+  clearInterval(flood);
+  assert.ok(performance.now() - startedAt < 4000);
+  await stopped;
+});
+
 // The stop reset requests that were on their way on idle connections, with an unknown outcome.
 test('a request that crosses the stop gets the final response and is not handled', async () => {
   for (const isUsedBefore of [false, true]) {
