Test that the end of a stop allows for late timers

A node that waits long for the processor is killed at the end of its grace time, since the reserve at its end is fixed, and a step that hangs has no limit. The option that the fix reads is declared.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -15,6 +15,8 @@
   readonly listeners: readonly HttpListener[];
   /** Announces that the node is stopping. */
   readonly announceStop: () => void;
+  /** Longest delay in ms of the event loop before the stop; 0 by default. */
+  readonly recentDelayMs?: () => number;
   readonly logger: Logger;
 }
 
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -12,7 +12,7 @@
 const GRACE_MS = 6000;
 
 /** Creates the stop of a node with one listener, whose stop ends when `endListener` is called. */
-const setUp = () => {
+const setUp = ({ closes = true, recentDelayMs = 0 } = {}) => {
   const clock = createFakeClock();
   const shutdown = createShutdownTracker(clock);
   const ends = createEndOwner({ clock, logger: noopLogger, exit: () => undefined });
@@ -35,8 +35,9 @@
   const stop = createGracefulStop({
     clock,
     graceMs: GRACE_MS,
-    shutdown,
+    shutdown: closes ? shutdown : { ...shutdown, close: () => new Promise(() => undefined) },
     ends,
+    recentDelayMs: () => recentDelayMs,
     listeners: [listener],
     announceStop: () => {
       announcedStops += 1;
@@ -197,4 +198,57 @@
   assert.ok(node.isStopped());
 });
 
+// Guards against a process that is killed at the end of its grace time, with responses that it could
+// still have sent, since each of its last steps was late.
+test('the node ends earlier where its timers are late', async () => {
+  const node = setUp();
+  node.accept(GRACE_MS);
+  node.stop();
+  await node.clock.advance(3000);
+  node.clock.jump(400);
+  await node.clock.advance(0);
+  await node.clock.advance(1550);
+  assert.not(node.isStopped());
+  await node.clock.advance(100);
+  assert.ok(node.isStopped());
+  assert.is(node.clock.pending(), 0);
+});
+
+// Guards against a process that is killed since its signal had waited for the event loop.
+test('the node ends earlier where its event loop was late before the signal', async () => {
+  const node = setUp({ recentDelayMs: 300 });
+  node.accept(GRACE_MS);
+  node.stop();
+  await node.clock.advance(5000);
+  assert.not(node.isStopped());
+  assert.is(node.shutdown.phase(), 'closing');
+  await node.clock.advance(150);
+  assert.ok(node.isStopped());
+});
+
+// Guards against a reserve that breaks off what an instance runs before the last sixth of the grace
+// time.
+test('late timers leave requests in flight five sixths of the grace time', async () => {
+  const node = setUp({ recentDelayMs: 2000 });
+  node.accept(GRACE_MS);
+  node.stop();
+  await node.clock.advance(4990);
+  assert.is(node.shutdown.phase(), 'closing');
+  assert.is(node.shutdown.answerBy(), 5000);
+  await node.clock.advance(50);
+  assert.ok(node.isStopped());
+});
+
+// Guards against a process that is killed at the end of its grace time, since a step of its stop
+// does not end.
+test('a step that hangs does not keep the node beyond its grace time', async () => {
+  const node = setUp({ closes: false });
+  node.stop();
+  await node.clock.advance(5000);
+  assert.not(node.isStopped());
+  await node.clock.advance(900);
+  assert.ok(node.isStopped());
+  assert.is(node.clock.pending(), 0);
+});
+
 test.run();
