Accept and read what has arrived before a listener closes

Callers whose connections were established when a node closed its listening socket were reset, although they had sent their requests: the stop ended its search at the first turn of the event loop that accepted none, and after 200 ms, while Node.js accepts one connection a turn. Requests on idle connections could be reset in the same way.

The stop now looks for connections until several turns with a pause between them found none, for a second at most, and closes the socket in a turn that has looked for them. Idle connections are closed in a turn in which all that has arrived is read. Weighed: a listening socket that stays open until the exit refuses later callers as well, but the same race is left at the exit.

It works because a connection that waits is found by the next turn, so none is left once turns find none.

--- a/fleet/_test_model_listener.ts
+++ b/fleet/_test_model_listener.ts
@@ -262,6 +262,7 @@
       await empty;
       if (slowMs > 0) await sleep(slowMs);
     },
+    readArrived: async () => 0,
     kill: () => undefined,
     wasBound: () => isBound,
     connect: () => {
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -30,6 +30,7 @@
         endListener = resolve;
       });
     },
+    readArrived: async () => 0,
     kill: () => undefined,
   };
   const stop = createGracefulStop({
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { AddressInfo, Socket } from 'node:net';
 import type { CancelTask } from '../clock/mod.ts';
 import { type NodeEndReason, unrecordedEnds } from '../lifecycle/mod.ts';
 import {
@@ -12,6 +11,7 @@
 } from './_end_causes.ts';
 import { createIdleInputCheck } from './_idle_input.ts';
 import { createRequestTurns } from './_request_turns.ts';
+import { createServerStop } from './_server_stop.ts';
 import type { Expectation, HttpListener, HttpServerOptions } from './http_server_options.ts';
 import { splitAddress } from './split_address.ts';
 
@@ -20,8 +20,6 @@
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
-/** Limits the time in which `stop` accepts the connections that are already established. */
-const MAX_ACCEPT_MS = 200;
 /** Limits the wait for a client to close its connection after the final response. */
 const FINAL_RESPONSE_LIMIT_MS = 300;
 /** Limits the input that is read and discarded while requests before it are answered. */
@@ -50,6 +48,7 @@
   /** All TCP connections, including those that have not completed their TLS handshake. */
   const sockets = new Set<Socket>();
   let acceptedCount = 0;
+  let readCount = 0;
   let isStopping = false;
   let isBound = false;
   let isGraceOver = false;
@@ -111,6 +110,7 @@
 
   const accept = (expect: Expectation) => (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
+    readCount += 1;
     const state = connections.get(socket);
     if (state === undefined || state.isFinished) {
       request.resume();
@@ -251,33 +251,25 @@
     });
   });
 
-  /** Node.js accepts one connection in each turn of the event loop. */
-  const acceptEstablished = async () => {
-    const endsAt = clock.now() + MAX_ACCEPT_MS;
-    let countBefore: number;
-    do {
-      countBefore = acceptedCount;
-      await nextTurn();
-    } while (acceptedCount > countBefore && clock.now() < endsAt);
-  };
+  const { close, readArrived } = createServerStop({
+    clock,
+    server,
+    idleGraceMs: options.idleGraceMs,
+    acceptedCount: () => acceptedCount,
+    readCount: () => readCount,
+    openConnections: () => sockets.size,
+    onIdleGraceOver: () => {
+      isGraceOver = true;
+      closeIdleConnections();
+    },
+  });
 
   const stop = async () => {
     if (isStopping) return;
     isStopping = true;
     if (!server.listening) return;
     for (const { turns } of connections.values()) turns.endAfterLast();
-    await acceptEstablished();
-    // `http.Server.close` would drop requests that are in transit on idle connections.
-    const closed = new Promise<void>((resolve) => {
-      NetServer.prototype.close.call(server, () => resolve());
-    });
-    const cancelGraceTimer = clock.schedule(options.idleGraceMs, () => {
-      isGraceOver = true;
-      // In the turn in which all requests that have arrived are read.
-      setImmediate(closeIdleConnections);
-    });
-    await closed;
-    cancelGraceTimer();
+    await close();
     cancelInputCheck();
     server.close(() => undefined);
   };
@@ -293,6 +285,6 @@
   };
 
   return {
-    listen, isListening: () => server.listening && !isStopping, stop, kill,
+    listen, isListening: () => server.listening && !isStopping, stop, readArrived, kill,
   };
 };
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -14,6 +14,11 @@
    * connections are closed.
    */
   readonly stop: () => Promise<void>;
+  /**
+   * Accepts and reads what has arrived, at most until a time, monotonic in ms; resolves to the
+   * number of requests that were read.
+   */
+  readonly readArrived: (endsBy: number) => Promise<number>;
   /** Destroys all connections at once, as a crash of the process does. */
   readonly kill: () => void;
 }
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -54,8 +54,8 @@
   }
 });
 
-// Guards against connections in the backlog that a stop resets, since the node took 200 ms to accept
-// those before them.
+// Guards against connections in the backlog that a stop resets, since the node took 200 ms to
+// accept those before them.
 test('connections in the backlog of a slow server are served when it stops', async () => {
   const { server, open } = await startServer(undefined, 8);
   const connections = Array.from({ length: 50 }, open);
