Size the reserve at the end of a stop by the delay of the timers

A node that lacked processor time was killed at the end of its grace time, with a request at which its instance was at work: it had 500 ms for its last steps, however late its timers were, and no limit for a step that hangs.

The delay is measured before the signal and every 20 ms of the stop. The reserve is three times the longest one (the signal, the last timer and the exit may each be late), at least what it was, at most a sixth of the grace time, so that no answer is broken off earlier than it may be; answers that were due before are still waited for. The stop ends at a time, whatever its steps do.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -3,6 +3,7 @@
 import type { HttpListener } from '../http/mod.ts';
 import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
+import { createStopTimes, type StopTimes } from './_stop_times.ts';
 
 /** Options of {@link createGracefulStop}. */
 export interface GracefulStopOptions {
@@ -22,10 +23,6 @@
 
 /** Readiness is probed once a second, and two failed probes end the flow of new callers. */
 const READINESS_DRAIN_MS = 2800;
-/** Part of the grace time that is reserved for the end of the process. */
-const STOP_RESERVE_MS = 500;
-/** Time before the end in which responses that have begun are still sent. */
-const FLUSH_RESERVE_MS = 300;
 /** Late requests get a refusal with Retry-After in this time instead of a refused connection. */
 const LISTENER_CLOSE_DELAY_MS = 60;
 /** Limits the wait for connections that have only refused or incomplete requests. */
@@ -52,39 +49,49 @@
   let stopped: Promise<void> | undefined;
   const unplanned = new AbortController();
 
-  const run = async ({ sinceMs, isPlanned }: StopRequest) => {
-    const signalledAt = clock.now() - sinceMs;
-    const endsBy = signalledAt + options.graceMs - STOP_RESERVE_MS;
-    shutdown.leave(endsBy - FLUSH_RESERVE_MS);
+  const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
+    shutdown.leave(times.answerBy);
     options.announceStop();
     logger.info({ graceMs: options.graceMs, isPlanned }, 'stopping');
     if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
     const closed = shutdown.close();
     logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
-    await clock.sleep(LISTENER_CLOSE_DELAY_MS);
-    const leftMs = endsBy - clock.now();
-    const limitMs = shutdown.activeRequests() === 0
-      ? Math.min(leftMs, UNUSED_CONNECTION_LIMIT_MS)
-      : leftMs;
-    const limitAt = clock.now() + limitMs;
-    const timeout = new AbortController();
+    await clock.sleep(Math.min(LISTENER_CLOSE_DELAY_MS, Math.max(0, times.endsBy() - clock.now())));
+    const unusedUntil = shutdown.activeRequests() === 0
+      ? clock.now() + UNUSED_CONNECTION_LIMIT_MS
+      : Infinity;
+    const limitAt = () => Math.min(times.endsBy(), unusedUntil);
     await Promise.race([
       Promise.all(options.listeners.map((listener) => listener.stop())),
-      clock.sleep(limitMs, timeout.signal),
+      times.until(limitAt),
     ]);
-    timeout.abort();
-    await ends.untilAnswered(limitAt);
+    await ends.untilAnswered(limitAt());
+  };
+
+  const runInTime = async (request: StopRequest) => {
+    const signalledAt = clock.now() - request.sinceMs;
+    const times = createStopTimes({
+      clock,
+      signalledAt,
+      graceMs: options.graceMs,
+      recentDelayMs: options.recentDelayMs?.() ?? 0,
+    });
+    try {
+      await Promise.race([run(request, times), times.until(times.exitBy)]);
+    } finally {
+      times.end();
+    }
     logger.info({
       active: shutdown.activeRequests(),
       open: ends.openRequests(),
-      leftMs: Math.round(endsBy - clock.now()),
+      leftMs: Math.round(signalledAt + options.graceMs - clock.now()),
     }, 'stopped');
   };
 
   return (request) => {
     if (!request.isPlanned) unplanned.abort();
-    stopped ??= run(request);
+    stopped ??= runInTime(request);
     return stopped;
   };
 };
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -255,6 +255,7 @@
       localNode.setStopping();
       kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
     },
+    recentDelayMs: kernel.find<EventLoopMonitor>('event-loop').maxDelayMs,
     logger,
   });
   const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
