--- /dev/null
+++ b/lifecycle/failed_stop_test.ts
@@ -0,0 +1,80 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createFakeClock } from '../clock/mod.ts';
+import { noopLogger } from '../telemetry/mod.ts';
+import { createEndOwner, type StopNode } from './mod.ts';
+
+const test = suite('owner of the ends and a stop that fails');
+
+const GRACE_MS = 6000;
+/** Part of the grace time before whose begin a node must exit. */
+const RESERVE_MS = 500;
+
+const failingStops: Readonly<Record<string, StopNode>> = {
+  throws: () => {
+    throw new Error('injected failure');
+  },
+  rejects: () => Promise.reject(new Error('injected failure')),
+};
+
+const setUp = (stop: StopNode) => {
+  const clock = createFakeClock();
+  const exits: number[] = [];
+  const refusals: number[] = [];
+  const owner = createEndOwner({
+    clock, logger: noopLogger, exit: (status) => exits.push(status),
+  });
+  owner.setStop(stop, {
+    graceMs: GRACE_MS,
+    refuseRequests: (endsBy) => refusals.push(endsBy),
+  });
+  return {
+    clock, exits, owner, refusals, open: owner.forListener('caller', () => undefined).openRequest,
+  };
+};
+
+// Guards against an exit with requests open since the stop of the node has failed.
+for (const [how, stop] of Object.entries(failingStops)) {
+  test(`a stop that ${how} leaves open requests their answers`, async () => {
+    const {
+      clock, exits, owner, refusals, open,
+    } = setUp(stop);
+    const close = open();
+    owner.endProcess({ reason: 'signal', status: 0 });
+    await clock.advance(1000);
+    assert.equal(exits, []);
+    assert.equal(refusals, [GRACE_MS - RESERVE_MS]);
+    close();
+    await clock.advance(0);
+    assert.equal(exits, [1]);
+  });
+
+  test(`a stop that ${how} ends the process within the grace time`, async () => {
+    const {
+      clock, exits, owner, open,
+    } = setUp(stop);
+    open();
+    owner.endProcess({ reason: 'signal', status: 0, sinceMs: 1000 });
+    await clock.advance(GRACE_MS - RESERVE_MS - 1001);
+    assert.equal(exits, []);
+    await clock.advance(1);
+    assert.equal(exits, [1]);
+  });
+
+  // Guards against an exception in the handler of an exception, which ends the process at once.
+  test(`a stop that ${how} keeps a second cause from throwing`, async () => {
+    const {
+      clock, exits, owner, open,
+    } = setUp(stop);
+    const close = open();
+    owner.endProcess({ reason: 'signal', status: 0 });
+    owner.endProcess({ reason: 'exception', status: 1 });
+    await clock.advance(1000);
+    assert.equal(exits, []);
+    close();
+    await clock.advance(0);
+    assert.equal(exits, [1]);
+  });
+}
+
+test.run();
