Keep requests open when a step of the stop fails

Callers saw: requests in flight got no byte of an answer when a step of the stop of their node threw, such as the announcement, a log line or the stop of a listener. Shown by tests only; no report names such a failure.

Cause: the owner of the ends took a rejected stop for a finished one and exited at once. A stop that threw synchronously also threw out of endProcess at a second cause, in the handler of an exception.

Change: each step of the graceful stop that can throw is contained and logged with its name. If the stop as a whole fails, the owner refuses new requests, waits for the open ones until 500 ms before the end of the grace time, and exits with status 1.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -2,7 +2,7 @@
 import type { ShutdownTracker } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
 import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { LogFields, Logger } from '../telemetry/mod.ts';
 
 /** Options of {@link createGracefulStop}. */
 export interface GracefulStopOptions {
@@ -50,15 +50,41 @@
   let stopped: Promise<void> | undefined;
   const unplanned = new AbortController();
 
+  const reportFailure = (step: string, error: unknown) => {
+    try {
+      logger.error({ step, reason: String(error) }, 'a step of the stop failed');
+    } catch {
+      // Nothing is left to report a damaged logger to.
+    }
+  };
+  /** Runs a step whose failure must not keep the stop from waiting for the open requests. */
+  const runStep = (step: string, runOnce: () => void) => {
+    try {
+      runOnce();
+    } catch (error) {
+      reportFailure(step, error);
+    }
+  };
+  const logInfo = (fields: LogFields, message: string) => (
+    runStep('log', () => logger.info(fields, message))
+  );
+  const stopListener = async (listener: HttpListener) => {
+    try {
+      await listener.stop();
+    } catch (error) {
+      reportFailure('listener', error);
+    }
+  };
+
   const run = async ({ sinceMs, isPlanned }: StopRequest) => {
     const signalledAt = clock.now() - sinceMs;
     const endsBy = signalledAt + options.graceMs - STOP_RESERVE_MS;
     shutdown.leave(endsBy - FLUSH_RESERVE_MS);
-    options.announceStop();
-    logger.info({ graceMs: options.graceMs, isPlanned }, 'stopping');
+    runStep('announce', options.announceStop);
+    logInfo({ graceMs: options.graceMs, isPlanned }, 'stopping');
     if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
     const closed = shutdown.close();
-    logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
+    logInfo({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
     await clock.sleep(LISTENER_CLOSE_DELAY_MS);
     const leftMs = endsBy - clock.now();
@@ -68,12 +94,12 @@
     const limitAt = clock.now() + limitMs;
     const timeout = new AbortController();
     await Promise.race([
-      Promise.all(options.listeners.map((listener) => listener.stop())),
+      Promise.all(options.listeners.map(stopListener)),
       clock.sleep(limitMs, timeout.signal),
     ]);
     timeout.abort();
     await ends.untilAnswered(limitAt);
-    logger.info({
+    logInfo({
       active: shutdown.activeRequests(),
       open: ends.openRequests(),
       leftMs: Math.round(endsBy - clock.now()),
--- a/fleet/failed_stop_test.ts
+++ b/fleet/failed_stop_test.ts
@@ -17,7 +17,7 @@
 
 const failures = {
   announcement: { announceStop: fail },
-  logger: { logger: { ...noopLogger, info: fail, forComponent: () => noopLogger } as Logger },
+  logger: { logger: { ...noopLogger, info: fail, forComponent: () => noopLogger } },
   'listener, at once': { stopListener: fail },
   'listener, later': { stopListener: () => Promise.reject(new Error('injected failure')) },
 } as const satisfies Record<string, {
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -245,10 +245,11 @@
     leave,
     metricsText: kernel.find<NodeMetrics>('metrics').text,
   });
+  const shutdown = kernel.find<ShutdownTracker>('progress');
   const stop = createGracefulStop({
     clock,
     graceMs: settings.bounds.graceMs,
-    shutdown: kernel.find<ShutdownTracker>('progress'),
+    shutdown,
     ends,
     listeners: [callers, peers],
     announceStop: () => {
@@ -258,7 +259,13 @@
     logger,
   });
   const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
-  ends.setStop(stopNode);
+  ends.setStop(stopNode, {
+    graceMs: settings.bounds.graceMs,
+    refuseRequests: (endsBy) => {
+      shutdown.leave(endsBy);
+      shutdown.close();
+    },
+  });
   // Callers come last: a port that cannot be bound ends the start before one of them is accepted.
   for (const listener of [...controlListeners, peers, callers]) await listener.listen();
   logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -22,6 +22,14 @@
   readonly isPlanned: boolean;
 }
 
+/** What is left to an owner whose node fails to stop. */
+export interface StopFallback {
+  /** Time in ms from the cause of the stop within which the process has to end. */
+  readonly graceMs: number;
+  /** Refuses new requests; those open are answered by `endsBy`, monotonic in ms. */
+  readonly refuseRequests: (endsBy: number) => void;
+}
+
 /** Stops the node gracefully; further calls join the first one. */
 export type StopNode = (request: StopRequest) => Promise<void>;
 
@@ -45,8 +53,11 @@
   readonly openRequests: () => number;
   /** Resolves once no request is open, or at a time, monotonic in ms. */
   readonly untilAnswered: (endsBy: number) => Promise<void>;
-  /** Sets how the node is stopped; until then, an end of the process needs no stop. */
-  readonly setStop: (stop: StopNode) => void;
+  /**
+   * Sets how the node is stopped; until then, an end of the process needs no stop. When the stop
+   * fails, the owner refuses new requests by the fallback and waits for the open ones.
+   */
+  readonly setStop: (stop: StopNode, fallback?: StopFallback) => void;
   /**
    * Ends the process once the node has stopped, with the status of the first request to end it
    * unless a later one reports a failure.
@@ -69,6 +80,8 @@
 /** Limits the request ids in one line. */
 const MAX_NAMED_REQUESTS = 20;
 const EXIT_FAILED = 1;
+/** Part of the grace time that is reserved for the end of the process after a failed stop. */
+const EXIT_RESERVE_MS = 500;
 
 /** Creates a logger that does not throw, as an end must not fail with its log line. */
 const createSafeLogger = (logger: Logger): Pick<Logger, 'info' | 'warn' | 'error'> => {
@@ -99,6 +112,7 @@
   let openCount = 0;
   let waiting: (() => void)[] = [];
   let stop: StopNode = () => Promise.resolve();
+  let fallback: StopFallback | undefined;
   let first: ProcessEnd | undefined;
   let status = 0;
   let isRecorded = false;
@@ -135,12 +149,40 @@
     });
   };
 
+  const untilAnswered = async (endsBy: number) => {
+    if (openCount === 0) return;
+    const timeout = new AbortController();
+    const answered = new Promise<void>((resolve) => {
+      waiting.push(resolve);
+    });
+    const leftMs = Math.max(0, endsBy - clock.now());
+    await Promise.race([answered, clock.sleep(leftMs, timeout.signal)]);
+    timeout.abort();
+  };
+
+  const endWithoutStop = async ({ graceMs, refuseRequests }: StopFallback, causeAt: number) => {
+    const endsBy = causeAt + graceMs - EXIT_RESERVE_MS;
+    try {
+      refuseRequests(endsBy);
+    } catch (error) {
+      logger.error({ reason: String(error) }, 'failed to refuse requests');
+    }
+    await untilAnswered(endsBy);
+  };
+
+  /** Stops the node; a stop that throws rejects, like one that fails later. */
+  const stopNode: StopNode = async (request) => stop(request);
+
   const stopAndExit = async ({ reason, sinceMs = 0 }: ProcessEnd) => {
+    const causeAt = clock.now() - sinceMs;
     try {
-      await stop({ sinceMs, isPlanned: reason === 'signal' });
+      await stopNode({ sinceMs, isPlanned: reason === 'signal' });
     } catch (error) {
       status = EXIT_FAILED;
-      logger.error({ why: reason, reason: String(error) }, 'failed to stop the node');
+      logger.error({
+        why: reason, open: openCount, reason: String(error),
+      }, 'failed to stop the node');
+      if (fallback !== undefined) await endWithoutStop(fallback, causeAt);
     }
     recordExit();
     exit(status);
@@ -164,18 +206,10 @@
       },
     }),
     openRequests: () => openCount,
-    untilAnswered: async (endsBy) => {
-      if (openCount === 0) return;
-      const timeout = new AbortController();
-      const answered = new Promise<void>((resolve) => {
-        waiting.push(resolve);
-      });
-      const leftMs = Math.max(0, endsBy - clock.now());
-      await Promise.race([answered, clock.sleep(leftMs, timeout.signal)]);
-      timeout.abort();
-    },
-    setStop: (stopNode) => {
-      stop = stopNode;
+    untilAnswered,
+    setStop: (givenStop, givenFallback) => {
+      stop = givenStop;
+      fallback = givenFallback;
     },
     endProcess: (end) => {
       if (end.status !== 0) status = end.status;
@@ -183,7 +217,7 @@
         logger.warn({ why: end.reason, first: first.reason }, 'the process ends already');
         if (end.reason === 'signal') return;
         // Joins the stop that runs, whose failure is logged where it was begun.
-        stop({ sinceMs: 0, isPlanned: false }).catch(() => undefined);
+        stopNode({ sinceMs: 0, isPlanned: false }).catch(() => undefined);
         return;
       }
       first = end;
--- a/lifecycle/mod.ts
+++ b/lifecycle/mod.ts
@@ -5,5 +5,5 @@
 } from './connection_ends.ts';
 export {
   createEndOwner, type EndOwner, type EndOwnerOptions, type OpenEnd, type ProcessEnd,
-  type ProcessEndReason, type StopNode, type StopRequest,
+  type ProcessEndReason, type StopFallback, type StopNode, type StopRequest,
 } from './end_owner.ts';
