--- a/lifecycle/failed_stop_test.ts
+++ b/lifecycle/failed_stop_test.ts
@@ -77,4 +77,18 @@
   });
 }
 
+// Guards against a process that does not exit, and is killed, since its metrics fail at its end.
+test('a failing report of an open end does not keep the process from its exit', async () => {
+  const {
+    clock, exits, owner, open,
+  } = setUp(async () => undefined);
+  owner.onOpenEnd(() => {
+    throw new Error('injected failure');
+  });
+  open();
+  owner.endProcess({ reason: 'signal', status: 0 });
+  await clock.advance(0);
+  assert.equal(exits, [0]);
+});
+
 test.run();
