Exit also if the report of an open end fails

Callers saw: nothing yet; a node whose metrics throw at its end would have stayed until it is killed, and a connection that ends with a request open would have thrown in the handler of its close.

Cause: the callback of the owner ran between the stop and the exit without containment.

Change: a failure of the callback is logged, and the exit follows.

--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -116,7 +116,15 @@
   let first: ProcessEnd | undefined;
   let status = 0;
   let isRecorded = false;
-  let report = (_end: OpenEnd) => undefined as void;
+  let callback = (_end: OpenEnd) => undefined as void;
+
+  const report = (end: OpenEnd) => {
+    try {
+      callback(end);
+    } catch (error) {
+      logger.error({ why: end.why, reason: String(error) }, 'failed to report an open end');
+    }
+  };
 
   const release = () => {
     openCount -= 1;
@@ -225,8 +233,8 @@
       stopAndExit(end);
     },
     recordExit,
-    onOpenEnd: (callback) => {
-      report = callback;
+    onOpenEnd: (givenCallback) => {
+      callback = givenCallback;
     },
   };
 };
