Add failing tests of the heap limit of a node

Requests with heads of 60 kB whose bodies never arrive fill the heap of a node process (80 MB): V8 aborts it, and four requests that the instance runs get no byte. Running and stopping, at the caller and the peer listener: 4 of 4 fail, each with SIGABRT.

--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -24,6 +24,8 @@
   readonly failureDomain?: string;
   /** Time in ms after which the process is killed. */
   readonly maxRunMs?: number;
+  /** Arguments of Node.js itself, such as a limit of the heap. */
+  readonly runtimeArguments?: readonly string[];
 }
 
 const DEFAULT_MAX_RUN_MS = 60_000;
@@ -44,6 +46,7 @@
 /** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
 export const startNodeProcess = ({
   host, storeAddress, node = 'host-1', failureDomain = 'd0', maxRunMs = DEFAULT_MAX_RUN_MS,
+  runtimeArguments = [],
 }: NodeProcessOptions): NodeProcess => {
   const directory = mkdtempSync(join(tmpdir(), 'node-process-'));
   const path = join(directory, 'settings.json');
@@ -57,7 +60,9 @@
     listen: listenersOf(host),
     store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
   }));
-  const args = ['--import', 'tsx', '--import', throwOnSignal, 'fleet/main.ts'];
+  const args = [
+    ...runtimeArguments, '--import', 'tsx', '--import', throwOnSignal, 'fleet/main.ts',
+  ];
   const child = spawn(process.execPath, args, {
     env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'ignore'],
   });
--- /dev/null
+++ b/fleet/heap_limit_test.ts
@@ -0,0 +1,173 @@
+import { connect, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Agent, request } from 'undici';
+import { splitAddress } from '../http/mod.ts';
+import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
+import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
+
+const test = suite('heap limit of a node');
+
+/** A loopback address of this process alone, as the ports of a node process are fixed. */
+const host = `127.4.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const listeners = listenersOf(host);
+/** Half of the limit of a deployed node, so that fewer connections reach it. */
+const runtimeArguments = ['--max-old-space-size=80', '--max-semi-space-size=4'];
+const WORK_MS = 1500;
+const REQUESTS = 4;
+const DEADLINE_MS = 4000;
+/** Longer than the requests in flight take. */
+const LOAD_MS = 2300;
+/** All heads together exceed the heap. */
+const LARGE_REQUESTS = 1800;
+/** Time in ms within which a node serves again once the large requests have ended. */
+const MAX_RECOVERY_MS = 5000;
+/** Connections that are opened at once, so that the backlog of the listener has room for them. */
+const BATCH_SIZE = 20;
+/** Just below the limit of a head. */
+const FILLER = 'x'.repeat(60_000);
+const HOP = JSON.stringify(['orders', 'safe', 0, 'safe/0/300', DEADLINE_MS, 300, null, null, 0]);
+const POLL_MS = 20;
+
+let fleet: LoopbackFleet;
+let node: NodeProcess | undefined;
+let instance: PlatformInstance | undefined;
+const sockets: Socket[] = [];
+
+test.before.each(async () => {
+  fleet = await startLoopbackFleet([], { timeoutMs: DEADLINE_MS });
+});
+
+test.after.each(async () => {
+  for (const socket of sockets.splice(0)) socket.destroy();
+  instance?.kill();
+  instance = undefined;
+  node?.child.kill('SIGKILL');
+  await node?.ended;
+  node = undefined;
+  await fleet.stop();
+});
+
+const send = async (id: string) => {
+  try {
+    const { statusCode, body } = await request(`http://${listeners.caller}/reads/${id}`, {
+      dispatcher: new Agent({ connections: 1, pipelining: 1 }),
+      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': String(DEADLINE_MS) },
+    });
+    await body.text();
+    return String(statusCode);
+  } catch (error) {
+    return String(error);
+  }
+};
+
+const startServing = async () => {
+  node = startNodeProcess({ host, storeAddress: fleet.server.address, runtimeArguments });
+  await node.logged('"node: started"');
+  instance = await startPlatformInstance({
+    service: 'orders', announceAddress: listeners.announcements, workMs: WORK_MS,
+  });
+  for (let attempt = 0; await send(`first-${attempt}`) !== '200'; attempt += 1) {
+    assert.ok(attempt < 100, 'the instance is not reached');
+    await sleep(POLL_MS);
+  }
+  return { node, instance };
+};
+
+const sendUntilRunning = async (running: () => number) => {
+  const results = Array.from({ length: REQUESTS }, (_, index) => send(`request-${index}`));
+  for (let waitedMs = 0; running() < REQUESTS; waitedMs += POLL_MS) {
+    assert.ok(waitedMs < DEADLINE_MS, `not run\n${node?.log()}`);
+    await sleep(POLL_MS);
+  }
+  return results;
+};
+
+/** Opens a connection and returns what it has received. */
+const open = (address: string, text: string) => {
+  const target = splitAddress(address);
+  const socket = connect(target.port, target.host);
+  let received = '';
+  socket.setEncoding('latin1').on('data', (chunk: string) => {
+    received += chunk;
+  });
+  socket.on('error', () => undefined);
+  socket.write(text);
+  sockets.push(socket);
+  return () => received;
+};
+
+/** Formats the head of a request whose body follows. */
+const formatLargeHead = (address: string, id: string) => [
+  'POST /orders/large HTTP/1.1',
+  'host: shop.example',
+  `request-id: ${id}`,
+  `deadline-ms: ${DEADLINE_MS}`,
+  ...(address === listeners.peer ? [`mh-hop: ${HOP}`] : []),
+  `filler: ${FILLER}`,
+  'content-length: 5',
+  '\r\n',
+].join('\r\n');
+
+/** Sends requests whose bodies never arrive for a time; returns the answers to them. */
+const sendLargeRequests = async (address: string) => {
+  const endsAt = performance.now() + LOAD_MS;
+  const answers: (() => string)[] = [];
+  while (answers.length < LARGE_REQUESTS && performance.now() < endsAt) {
+    for (let index = 0; index < BATCH_SIZE; index += 1) {
+      const id = `large-${answers.length}`;
+      answers.push(open(address, formatLargeHead(address, id)));
+    }
+    await sleep(POLL_MS);
+  }
+  return () => answers.map((received) => received()).filter((text) => text !== '');
+};
+
+/** Describes the node for the message of a failed check. */
+const describeNode = ({ child, log }: NodeProcess) => (
+  `status ${child.exitCode}, signal ${child.signalCode}\n${log().slice(-1000)}`
+);
+
+const answered = Array.from({ length: REQUESTS }, () => '200');
+
+const phases = ['running', 'stopping'] as const;
+
+const enterPhase = async (phase: typeof phases[number], { child, logged }: NodeProcess) => {
+  if (phase === 'running') return;
+  child.kill('SIGTERM');
+  await logged('node: stopping');
+};
+
+// Guards against a heap limit that aborts the process, without a byte of an answer to requests that
+// the instance runs.
+for (const phase of phases) {
+  for (const listener of ['caller', 'peer'] as const) {
+    test(`${phase}, ${listener}: large heads leave the requests in flight answered`, async () => {
+      const started = await startServing();
+      const results = await sendUntilRunning(started.instance.running);
+      await enterPhase(phase, started.node);
+      const received = await sendLargeRequests(listeners[listener]);
+      assert.equal(await Promise.all(results), answered, describeNode(started.node));
+      assert.ok(received().length > 0);
+      for (const text of received()) {
+        assert.match(text, /^HTTP\/1\.1 503 /u);
+        assert.match(text, /not run/u);
+        assert.match(text, /retry-after: /iu);
+      }
+      if (phase === 'stopping') {
+        assert.is(await started.node.ended, 0);
+        return;
+      }
+      for (const socket of sockets) socket.destroy();
+      const servesBy = performance.now() + MAX_RECOVERY_MS;
+      while (await send('after') !== '200') {
+        assert.ok(performance.now() < servesBy, describeNode(started.node));
+        await sleep(POLL_MS);
+      }
+    });
+  }
+}
+
+test.run();
