Refuse requests before the heap is full

Callers saw: a node under many large heads ended without a line (SIGABRT), and the requests that its instance ran got no byte of an answer.

Change: both listeners refuse a request at its head, as not run and with Retry-After, while 65 % of the heap are in use after a collection. The guard reads the size of the heap (1.3 us, measured) at most every 10 ms or 16 requests, and collects garbage at most once a second and for a tenth of the time. A refused request keeps no head while its body is discarded for 500 ms. Two gauges, a step of the refusals and three log lines show it.

Evidence: fleet/heap_limit_test.ts failed 4 of 4 before, each with SIGABRT.

Why it works: V8 aborts from four fifths of the old space on if collections take most of the time, and what a request takes until it is refused is freed in the same turn, but for its connection.

--- a/fleet/_listener_services.ts
+++ b/fleet/_listener_services.ts
@@ -6,6 +6,9 @@
 import { createEgressLink, type EgressLink } from '../http/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
+import {
+  createGarbageCollector, createHeapGuard, type HeapGuard, type Logger, readHeapUsage,
+} from '../telemetry/mod.ts';
 
 /** Registers what the listeners for callers and for peers share: order, memory, link and stop. */
 export const registerListenerServices = (kernel: Kernel, settings: PlatformSettings) => {
@@ -33,6 +36,19 @@
     start: () => ({ service: createBodyBudget(MAX_KEPT_BODY_BYTES) }),
   });
 
+  kernel.register<HeapGuard>({
+    name: 'heap',
+    needs: ['clock', 'logger'],
+    start: (find) => ({
+      service: createHeapGuard({
+        clock: find<Clock>('clock'),
+        logger: find<Logger>('logger'),
+        readHeap: readHeapUsage,
+        collectGarbage: createGarbageCollector(),
+      }),
+    }),
+  });
+
   kernel.register<DispatchQueue>({
     name: 'dispatch',
     needs: ['clock'],
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -2,7 +2,7 @@
   CallDetector, CallFailures, ColdStartLimit, EntranceGate,
 } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import { createFleetMembership, type Evacuations, type FleetView } from '../directory/mod.ts';
+import { createFleetMembership, type FleetView } from '../directory/mod.ts';
 import {
   type BodyBudget, createCallerListener, createDemandMeter, createLocalForwarder, createPeerClient,
   createPeerListener, createRequestSender, createServiceRetryBudget, createSlotQueue,
@@ -16,7 +16,9 @@
 import { platformHeaders, type PlatformSettings } from '../platform/mod.ts';
 import type { GrantTracker, KeyLoad } from '../ranges/mod.ts';
 import { createServiceView, type ServiceView } from '../routing/mod.ts';
-import type { EventLoopMonitor, Logger, NodeMetrics } from '../telemetry/mod.ts';
+import type {
+  EventLoopMonitor, HeapGuard, Logger, NodeMetrics,
+} from '../telemetry/mod.ts';
 import type { ContractSource } from './contract_source.ts';
 import { createControlMessageHandler } from './_control_messages.ts';
 import type { EvacuationRules } from './evacuation_rules.ts';
@@ -24,13 +26,12 @@
 import type { InstanceRegistry } from './instance_registry.ts';
 import type { RangeController } from './range_controller.ts';
 import { type DomainTraffic, registerDomainTraffic } from './_domain_traffic.ts';
+import { registerServiceViews } from './_service_views.ts';
 import type { LocalNode } from './_state_services.ts';
 
 /** Time in ms from the arrival of an announcement until its grants take effect. */
 const GRANT_DELAY_MS = 30;
 const MIN_KEY_RETRY_AFTER_MS = 50;
-/** Instances warm up and suspect peers recover without a change of the directory. */
-const VIEW_REFRESH_MS = 500;
 /**
  * Lets half of the requests try another node after a refusal, since a budget uses a quarter of
  * its ratio. This covers load differences between nodes without doubling the load when all nodes
@@ -101,22 +102,7 @@
     },
   });
 
-  kernel.register<Map<string, ServiceView>>({
-    name: 'service-views',
-    needs: ['clock', 'fleet', 'registry', 'evacuations'],
-    start: (find) => {
-      const views = new Map<string, ServiceView>();
-      const invalidate = () => {
-        for (const view of views.values()) view.invalidate();
-      };
-      find<FleetView>('fleet').onChange(invalidate);
-      find<InstanceRegistry>('registry').onChange(invalidate);
-      find<Evacuations>('evacuations').onChange(invalidate);
-      const timer = setInterval(invalidate, VIEW_REFRESH_MS);
-      return { service: views, stop: () => clearInterval(timer) };
-    },
-  });
-
+  registerServiceViews(kernel);
   registerDomainTraffic(kernel, settings);
 
   kernel.register<PeerClient>({
@@ -234,7 +220,7 @@
     needs: [
       'clock', 'logger', 'local', 'link', 'collector', 'progress', 'view-history', 'view', 'right',
       'event-loop', 'dispatch', 'bodies', 'succession', 'relay-activity', 'contracts', 'fleet',
-      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic', 'ends',
+      'metrics', 'evacuations', 'chooser', 'service-views', 'domain-traffic', 'ends', 'heap',
     ],
     start: (find) => {
       const service = createPeerListener({
@@ -243,6 +229,7 @@
         requestIdHeader: platformHeaders.requestId,
         dispatch: find<DispatchQueue>('dispatch'),
         bodies: find<BodyBudget>('bodies'),
+        heap: find<HeapGuard>('heap'),
         local: find<LocalForwarder>('local'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
@@ -261,7 +248,7 @@
     name: 'caller-listener',
     needs: [
       'clock', 'logger', 'contracts', 'entrance', 'link', 'metrics', 'progress', 'event-loop',
-      'dispatch', 'bodies', 'call-detector', 'ends',
+      'dispatch', 'bodies', 'call-detector', 'ends', 'heap',
     ],
     start: (find) => {
       const metrics = find<NodeMetrics>('metrics');
@@ -273,6 +260,7 @@
         routes: find<ContractSource>('contracts').routes,
         dispatch: find<DispatchQueue>('dispatch'),
         bodies: find<BodyBudget>('bodies'),
+        heap: find<HeapGuard>('heap'),
         sender: find<RequestSender>('entrance'),
         link: find<EgressLink>('link'),
         shutdown: find<ShutdownTracker>('progress'),
--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -126,9 +126,10 @@
 };
 
 /** Describes the node for the message of a failed check. */
-const describeNode = ({ child, log }: NodeProcess) => (
-  `status ${child.exitCode}, signal ${child.signalCode}\n${log().slice(-1000)}`
-);
+const describeNode = ({ child, log }: NodeProcess) => [
+  `status ${child.exitCode}, signal ${child.signalCode}`,
+  ...log().split('\n').filter((line) => line.includes('"heap: ')),
+].join('\n');
 
 const answered = Array.from({ length: REQUESTS }, () => '200');
 
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -10,7 +10,8 @@
 import type { Announcement, RightToGrant } from '../ranges/mod.ts';
 import type { StoreEras } from '../store/mod.ts';
 import {
-  createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type Logger, type NodeMetrics,
+  createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type HeapGuard, type Logger,
+  type NodeMetrics,
   readProcessUsage,
 } from '../telemetry/mod.ts';
 import { registerColdServices } from './_cold_services.ts';
@@ -152,6 +153,10 @@
   const eventLoop = kernel.find<EventLoopMonitor>('event-loop');
   metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
   metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
+  const heap = kernel.find<HeapGuard>('heap');
+  metrics.observe('heap_used_fraction', 'Used part of the heap', heap.usedFraction);
+  const isRefusing = () => Number(heap.isRefusing());
+  metrics.observe('heap_refusing', '1 while requests are refused for the heap', isRefusing);
   const eras = kernel.find<StoreEras>('eras');
   metrics.observe('store_era', 'Newest era of the store, 0 if it has none', eras.current);
   metrics.observe('store_era_rises', 'Restores of the store since the start', eras.rises);
--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -112,6 +112,20 @@
   };
 };
 
+/**
+ * Frees the head of a request that has been refused before its body was read. Node.js keeps the
+ * message until the end of its body, which may come late.
+ *
+ * @param message The request.
+ * @param idHeader Name of the header that is kept for log lines.
+ */
+export const releaseHead = (message: IncomingMessage, idHeader: string) => {
+  const id = message.headers[idHeader];
+  Object.assign(message, {
+    url: '', rawHeaders: [], headers: id === undefined ? {} : { [idHeader]: id },
+  });
+};
+
 /** Sends 100 Continue to a caller that waits for it before it sends the body. */
 export const sendContinueIfExpected = (
   expect: 'none' | 'continue' | 'other',
--- a/gateway/_refusals.ts
+++ b/gateway/_refusals.ts
@@ -33,6 +33,13 @@
   refuseNotRun('no memory is left for the body', SATURATED_RETRY_AFTER_MS, { step: 'body.read' })
 );
 
+/** Creates a refusal for a request for which the heap of this node has no room. */
+export const refuseForHeap = () => (
+  refuseNotRun('no memory is left for the request', SATURATED_RETRY_AFTER_MS, {
+    step: 'heap.check',
+  })
+);
+
 /** Creates a refusal for a request that an instance may have run. */
 export const refuseUnknown = (
   reason: string,
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -9,7 +9,7 @@
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
   abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal, formatRetryAfter,
-  respondBeforeBody, respondToError, respondWithJson, sendContinueIfExpected,
+  releaseHead, respondBeforeBody, respondToError, sendContinueIfExpected,
 } from './_http_messages.ts';
 import {
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
@@ -17,12 +17,11 @@
 import { createListenerEnds } from './_listener_ends.ts';
 import { readBody } from './_read_body.ts';
 import { describeUnknown } from './_log_fields.ts';
-import { refuseBody, refuseSaturated } from './_refusals.ts';
+import { respondWithOutcome } from './_outcome_response.ts';
+import { refuseBody, refuseForHeap, refuseSaturated } from './_refusals.ts';
 import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
-import {
-  type AttemptOutcome, failureReason, isBulk, type GatewayRequest,
-} from './request.ts';
+import { type AttemptOutcome, failureReason, isBulk } from './request.ts';
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
@@ -56,28 +55,6 @@
 
   const retryAfterHeader = (refusal: RefusalError) => formatRetryAfter(refusal, options.random);
 
-  const respondWithOutcome = (
-    request: Omit<GatewayRequest, 'body'>,
-    outcome: AttemptOutcome,
-    response: ServerResponse,
-  ) => {
-    if (outcome.kind === 'answered') return;
-    const idHeader = [headerNames.requestId, request.requestId];
-    // The begin of a truncated response may still wait for the link.
-    if (outcome.kind === 'failed' || outcome.kind === 'truncated') {
-      const text = '{"error":"the instance failed","outcome":"unknown"}';
-      respondWithJson(response, STATUS_BAD_GATEWAY, idHeader, text);
-      return;
-    }
-    const { refusal } = outcome;
-    respondWithJson(
-      response,
-      refusal.status,
-      [...idHeader, ...retryAfterHeader(refusal)],
-      formatRefusal(refusal),
-    );
-  };
-
   const refuseWhileStopping = (
     requestId: string | undefined,
     route: PublishedRoute,
@@ -174,7 +151,10 @@
       : refuseSaturated();
     const isCut = outcome.kind === 'truncated' && response.headersSent;
     if (isCut) resetConnection(response);
-    else respondWithOutcome(request, outcome, response);
+    else {
+      const idHeader = [headerNames.requestId, request.requestId];
+      respondWithOutcome(response, outcome, idHeader, options.random);
+    }
     const durationMs = clock.now() - arrivedAt;
     const isDisconnected = request.signal.aborted;
     const refusal = outcome.kind === 'refused' ? outcome.refusal : undefined;
@@ -258,6 +238,12 @@
       refuseAtOnce(requestId, route, response, refuseSaturated());
       return;
     }
+    if (options.heap?.mayAccept() === false) {
+      response.shouldKeepAlive = false;
+      refuseAtOnce(requestId, route, response, refuseForHeap());
+      releaseHead(message, headerNames.requestId);
+      return;
+    }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
     sendContinueIfExpected(expect, response);
     const progress = { isForwarded: false };
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { EgressLink } from '../http/mod.ts';
 import type { EndOwner } from '../lifecycle/mod.ts';
-import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, HeapGuard, Logger } from '../telemetry/mod.ts';
 import type { CallerHeaders } from './_caller_request.ts';
 import type { BodyBudget } from './body_budget.ts';
 import type { DispatchQueue } from './dispatch_queue.ts';
@@ -43,6 +43,8 @@
   readonly link: EgressLink;
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
+  /** Refuses requests before the heap is full; by default, none is refused for it. */
+  readonly heap?: Pick<HeapGuard, 'mayAccept' | 'isShort'>;
   readonly shutdown: ShutdownTracker;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: Pick<EndOwner, 'forListener'>;
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
+import type { RefusalError } from '../errors/mod.ts';
 import {
   endToEndHeaders, hopHeaders, loadHeaders, encodeRefusal, type ResponseSink,
 } from '../forward/mod.ts';
@@ -9,20 +10,24 @@
   resetConnection,
 } from '../http/mod.ts';
 import type { EndOwner } from '../lifecycle/mod.ts';
-import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
+import type { EventLoopMonitor, HeapGuard, Logger } from '../telemetry/mod.ts';
 import {
-  abortOnClose, createFirstRequestCheck, firstHeaderValue, respondBeforeBody,
+  abortOnClose, createFirstRequestCheck, firstHeaderValue, releaseHead, respondBeforeBody,
   respondToError, respondWithJson,
 } from './_http_messages.ts';
+import { flushErrorHeads } from './_error_heads.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
 import {
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
 } from './_limits.ts';
 import { startInterimResponses } from './_interim_responses.ts';
 import { createListenerEnds } from './_listener_ends.ts';
+import {
+  refuseWhileStopping, renderStopRefusal, STOPPING_RETRY_AFTER_MS,
+} from './_stop_refusals.ts';
 import { readBody } from './_read_body.ts';
 import {
-  refuseBody, refuseNotRun, refuseSaturated, refuseUnknown,
+  refuseBody, refuseForHeap, refuseNotRun, refuseSaturated, refuseUnknown,
 } from './_refusals.ts';
 import { type BodyBudget, createBodyBudget } from './body_budget.ts';
 import type { DispatchQueue } from './dispatch_queue.ts';
@@ -44,6 +49,8 @@
   readonly link: EgressLink;
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
+  /** Refuses requests before the heap is full; by default, none is refused for it. */
+  readonly heap?: Pick<HeapGuard, 'mayAccept' | 'isShort'>;
   readonly shutdown: ShutdownTracker;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: Pick<EndOwner, 'forListener'>;
@@ -62,42 +69,14 @@
 const IDLE_GRACE_MS = 40;
 /** Path prefix of control messages; forwarded requests always carry a hop header. */
 const CONTROL_PREFIX = '/marjoramhollow/';
-/** Approximate time until a restarted node accepts requests. */
-const STOPPING_RETRY_AFTER_MS = 400;
 const BODY_RETRY_AFTER_MS = 150;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_OK = 200;
-const FIRST_SERVER_ERROR = 500;
-
-const refuseWhileStopping = () => (
-  refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
-);
-
-/** Renders the refusal of a request that is in transit when the listener closes. */
-const renderStopRefusal = () => {
-  const { refusal } = refuseWhileStopping();
-  const headers = [...encodeRefusal(refusal), hopHeaders.stopping, '1'];
-  const lines = [`HTTP/1.1 ${refusal.status} Service Unavailable`];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    lines.push(`${headers[index]}: ${headers[index + 1]}`);
-  }
-  return [...lines, 'content-length: 0', 'connection: close', '\r\n'].join('\r\n');
-};
 
 const isControl = ({ url, headers }: IncomingMessage) => (
   url?.startsWith(CONTROL_PREFIX) === true && headers[HOP_HEADER] === undefined
 );
 
-/** Sends the head of an error at once, which is all that the peer needs to try again. */
-const flushErrorHeads = (sink: ResponseSink): ResponseSink => ({
-  ...sink,
-  start: (status, ...head) => {
-    const action = sink.start(status, ...head);
-    if (action === 'deliver' && status >= FIRST_SERVER_ERROR) sink.flushHead?.();
-    return action;
-  },
-});
-
 /**
  * Creates the listener for requests that other nodes forward, and for their control messages.
  *
@@ -140,6 +119,21 @@
     };
   };
 
+  /** Refuses a request whose body is not read; its connection ends, which frees its memory. */
+  const refuseUnread = (
+    message: IncomingMessage,
+    response: ServerResponse,
+    refusal: RefusalError,
+  ) => {
+    const requestId = firstHeaderValue(message, options.requestIdHeader) ?? '';
+    logger.warn({
+      request: requestId, notRun: true, reason: refusal.message,
+    }, 'refused request from peer');
+    response.shouldKeepAlive = false;
+    const headers = [...encodeRefusal(refusal), options.requestIdHeader, requestId];
+    respondBeforeBody(clock, response, refusal.status, headers, '');
+  };
+
   const forwardOrRefuse = async (
     request: GatewayRequest,
     sink: ResponseSink,
@@ -183,12 +177,7 @@
       const { refusal } = body === 'no room'
         ? refuseBody()
         : refuseNotRun(`the body is ${body}`, BODY_RETRY_AFTER_MS, { step: 'peer.receive' });
-      logger.warn({
-        request: request.requestId, notRun: true, reason: refusal.message,
-      }, 'refused request from peer');
-      response.shouldKeepAlive = false;
-      const headers = [...encodeRefusal(refusal), ...nameRequest];
-      respondBeforeBody(clock, response, refusal.status, headers, '');
+      refuseUnread(message, response, refusal);
       return;
     }
     const bodyReadAt = clock.now();
@@ -272,6 +261,11 @@
       });
       return;
     }
+    if (options.heap?.mayAccept() === false) {
+      refuseUnread(message, response, refuseForHeap().refusal);
+      releaseHead(message, options.requestIdHeader);
+      return;
+    }
     serve(message, response, arrivedAt).catch((error: unknown) => {
       logger.error({
         request: firstHeaderValue(message, options.requestIdHeader), reason: String(error),
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -19,6 +19,10 @@
   type ProcessUsage,
   readProcessUsage,
 } from './event_loop_monitor.ts';
+export {
+  createGarbageCollector, createHeapGuard, type HeapGuard, type HeapGuardOptions, type HeapUsage,
+  readHeapUsage,
+} from './heap_guard.ts';
 export { createNodeMetrics, type NodeMetrics } from './node_metrics.ts';
 export { type FailureSource, handleProcessFailures } from './process_failures.ts';
 export { openLogOutput } from './output_stream.ts';
