--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -2,7 +2,7 @@
 import type { ShutdownTracker } from '../gateway/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
 import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
-import type { Logger } from '../telemetry/mod.ts';
+import type { LogFields, Logger } from '../telemetry/mod.ts';
 import { createStopTimes, type StopTimes } from './_stop_times.ts';
 
 /** Options of {@link createGracefulStop}. */
@@ -53,13 +53,47 @@
   let stopped: Promise<void> | undefined;
   const unplanned = new AbortController();
 
+  const reportFailure = (step: string, error: unknown) => {
+    try {
+      logger.error({ step, reason: String(error) }, 'a step of the stop failed');
+    } catch {
+      // Nothing is left to report a damaged logger to.
+    }
+  };
+  /** Runs a step whose failure must not keep the stop from waiting for the open requests. */
+  const runStep = (step: string, runOnce: () => void) => {
+    try {
+      runOnce();
+    } catch (error) {
+      reportFailure(step, error);
+    }
+  };
+  const logInfo = (fields: LogFields, message: string) => (
+    runStep('log', () => logger.info(fields, message))
+  );
+  const stopListener = async (listener: HttpListener) => {
+    try {
+      await listener.stop();
+    } catch (error) {
+      reportFailure('listener', error);
+    }
+  };
+  const readArrived = async (listener: HttpListener, endsBy: number) => {
+    try {
+      return await listener.readArrived(endsBy);
+    } catch (error) {
+      reportFailure('listener', error);
+      return 0;
+    }
+  };
+
   const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
     shutdown.leave(times.answerBy);
-    options.announceStop();
-    logger.info({ graceMs: options.graceMs, isPlanned }, 'stopping');
+    runStep('announce', options.announceStop);
+    logInfo({ graceMs: options.graceMs, isPlanned }, 'stopping');
     if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
     const closed = shutdown.close();
-    logger.info({ active: shutdown.activeRequests() }, 'no longer accepting requests');
+    logInfo({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
     await clock.sleep(Math.min(LISTENER_CLOSE_DELAY_MS, Math.max(0, times.endsBy() - clock.now())));
     const unusedUntil = shutdown.activeRequests() === 0
@@ -67,7 +101,7 @@
       : Infinity;
     const limitAt = () => Math.min(times.endsBy(), unusedUntil);
     await Promise.race([
-      Promise.all(options.listeners.map((listener) => listener.stop())),
+      Promise.all(options.listeners.map(stopListener)),
       times.until(limitAt),
     ]);
     await ends.untilAnswered(limitAt());
@@ -78,7 +112,7 @@
     let readCount: number;
     do {
       const counts = await Promise.all(
-        options.listeners.map((listener) => listener.readArrived(refusedBy)),
+        options.listeners.map((listener) => readArrived(listener, refusedBy)),
       );
       readCount = counts.reduce((sum, count) => sum + count, 0);
       if (readCount > 0) await ends.untilAnswered(refusedBy);
@@ -103,7 +137,7 @@
     } finally {
       times.end();
     }
-    logger.info({
+    logInfo({
       active: shutdown.activeRequests(),
       open: ends.openRequests(),
       leftMs: Math.round(signalledAt + options.graceMs - clock.now()),
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -10,7 +10,8 @@
 import type { Announcement, RightToGrant } from '../ranges/mod.ts';
 import type { StoreEras } from '../store/mod.ts';
 import {
-  createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type Logger, type NodeMetrics,
+  createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type HeapGuard, type Logger,
+  type NodeMetrics,
   readProcessUsage,
 } from '../telemetry/mod.ts';
 import { registerColdServices } from './_cold_services.ts';
@@ -152,6 +153,10 @@
   const eventLoop = kernel.find<EventLoopMonitor>('event-loop');
   metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
   metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
+  const heap = kernel.find<HeapGuard>('heap');
+  metrics.observe('heap_used_fraction', 'Used part of the heap', heap.usedFraction);
+  const isRefusing = () => Number(heap.isRefusing());
+  metrics.observe('heap_refusing', '1 while requests are refused for the heap', isRefusing);
   const eras = kernel.find<StoreEras>('eras');
   metrics.observe('store_era', 'Newest era of the store, 0 if it has none', eras.current);
   metrics.observe('store_era_rises', 'Restores of the store since the start', eras.rises);
@@ -245,10 +250,11 @@
     leave,
     metricsText: kernel.find<NodeMetrics>('metrics').text,
   });
+  const shutdown = kernel.find<ShutdownTracker>('progress');
   const stop = createGracefulStop({
     clock,
     graceMs: settings.bounds.graceMs,
-    shutdown: kernel.find<ShutdownTracker>('progress'),
+    shutdown,
     ends,
     listeners: [callers, peers],
     announceStop: () => {
@@ -259,7 +265,13 @@
     logger,
   });
   const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
-  ends.setStop(stopNode);
+  ends.setStop(stopNode, {
+    graceMs: settings.bounds.graceMs,
+    refuseRequests: (endsBy) => {
+      shutdown.leave(endsBy);
+      shutdown.close();
+    },
+  });
   // Callers come last: a port that cannot be bound ends the start before one of them is accepted.
   for (const listener of [...controlListeners, peers, callers]) await listener.listen();
   logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
