--- a/fleet/failed_stop_test.ts
+++ b/fleet/failed_stop_test.ts
@@ -40,7 +40,11 @@
   });
   let listenerStops = 0;
   const listenerOf = (stop: () => Promise<void>): HttpListener => ({
-    listen: async () => '', isListening: () => true, stop, readArrived: async () => 0, kill: () => undefined,
+    listen: async () => '',
+    isListening: () => true,
+    stop,
+    readArrived: async () => 0,
+    kill: () => undefined,
   });
   const countStop = async () => {
     listenerStops += 1;
