--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -50,7 +50,7 @@
   /** Memory for request bodies; by default, a budget of this listener's own. */
   readonly bodies?: BodyBudget;
   /** Refuses requests before the heap is full; by default, none is refused for it. */
-  readonly heap?: Pick<HeapGuard, 'mayAccept' | 'isShort'>;
+  readonly heap?: Pick<HeapGuard, 'mayAccept'>;
   readonly shutdown: ShutdownTracker;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: Pick<EndOwner, 'forListener'>;
--- a/telemetry/heap_guard.ts
+++ b/telemetry/heap_guard.ts
@@ -15,8 +15,6 @@
 export interface HeapGuard {
   /** Returns whether there is room for one more request; may collect garbage to find out. */
   readonly mayAccept: () => boolean;
-  /** Returns whether the heap, with its garbage, is above the threshold. */
-  readonly isShort: () => boolean;
   /** Returns whether requests are refused. */
   readonly isRefusing: () => boolean;
   /** Returns the used fraction of the heap, garbage included. */
@@ -142,10 +140,6 @@
       refused += 1;
       return false;
     },
-    isShort: () => {
-      refresh();
-      return isAboveThreshold();
-    },
     isRefusing: () => refusingSince !== undefined,
     usedFraction: () => {
       refresh();
