--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -104,6 +104,24 @@
   await stopped;
 });
 
+// Guards against connections that are reset at the exit, since clients that connect without end keep
+// the listening socket open until then.
+test('no client connects once what has arrived before the exit was read', async () => {
+  const { server, open } = await startServer(undefined, 8);
+  const flood = setInterval(() => {
+    const { socket } = open();
+    socket.write(REQUEST);
+  }, 1);
+  await sleep(20);
+  const stopped = server.stop();
+  await server.readArrived(performance.now() + 100);
+  clearInterval(flood);
+  const { closed, error } = open();
+  await closed;
+  assert.match(error(), /ECONNREFUSED/u);
+  await stopped;
+});
+
 // The stop reset requests that were on their way on idle connections, with an unknown outcome.
 test('a request that crosses the stop gets the final response and is not handled', async () => {
   for (const isUsedBefore of [false, true]) {
