Show that a closing node accepts late requests

Callers saw, once: a request that a node took 3.2 s after its SIGTERM was run by an instance through a peer, and its connection closed without an answer. A closing node accepts any request whose deadline lies before that of a request in flight, and a request of a peer is refused only once its body has been read.

--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -195,6 +195,27 @@
   assert.is((await running).status, 200);
 });
 
+// A request taken late was run, and its connection closed without an answer.
+test('a request of a caller is refused while the node closes, though others run', async () => {
+  const { node } = fleet.hosts[0]!;
+  let late: Promise<Answer> | undefined;
+  onMessage = (message) => {
+    if (message === 'no longer accepting requests') late = send('/reads/late', 0, 500);
+  };
+  const stopped = node.stop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2700);
+  });
+  const running = send('/orders/running', 0);
+  await stopped;
+  await node.kill();
+  const { status, text, retryAfter } = await late!;
+  assert.is(status, 503);
+  assert.match(text, 'not run');
+  assert.ok(Number(retryAfter) > 0);
+  assert.is((await running).status, 200);
+});
+
 test('a request from a peer that arrives while the node closes is refused as not run', async () => {
   const { node, settings } = fleet.hosts[0]!;
   const socket = await openConnection(settings.listen.peer);
