Refuse all but proven nested calls while a node closes

Callers saw, once: a request that a node took 3.2 s after its SIGTERM was run, and its connection closed without an answer.

What it needed was that a closing node accepts requests of callers whose deadlines lie before that of a request in flight, as the deadlines of nested calls do.

Change: while closing, a request is accepted only if it is proven to be a nested call. Its connection has carried no request that no run can have made, its evidence alone exceeds a threshold of its own, and a run of the local instance whose response is awaited covers its deadline. Evidence about the route or the address does not count: it classifies a caller's request on a new connection as a call, too. Everything else is refused in the turn of its head (503, not run, Retry-After), with its body unread and without being counted as in flight. The bounds on the deadline stay. Without a detector nothing is accepted.

The dispatch queue and the turns of a connection let no request around the check: a request gets into the queue behind it, and one that waits behind another one of its connection is checked when it is handled.

Tests that encoded the old rule: - shutdown_tracker_test: the bounds on the deadline are asserted for proven calls, and a new test asserts that nothing else is accepted. - graceful_stop_test: the call of a running request comes on a connection that has carried calls within earlier runs, no longer on a new one. - model of the stop: calls are proven or not; the acceptance of anything but a proven call while closing, and the refusal of a proven one, are violations. The refusal of a call that is not proven is allowed. - stop_connections_test: each second connection is proven, so both branches are played. - caller_listener_test: its detector has the new function.

Why it works: what is not accepted cannot lose its answer, whatever the stop does.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -25,6 +25,11 @@
   readonly startRun: (deadlineAt: number) => (isComplete: boolean) => void;
   /** Classifies a request and learns from it; to be called once for each request. */
   readonly classify: (request: ArrivingRequest) => RequestOrigin;
+  /**
+   * Returns whether a request that was classified as a call is certain to come from a run: its
+   * connection has carried calls alone, and a run whose response is awaited covers its deadline.
+   */
+  readonly isProven: (request: Pick<ArrivingRequest, 'connection' | 'deadlineAt'>) => boolean;
 }
 
 /** Options of a call detector. */
@@ -42,6 +47,13 @@
 
 interface ConnectionEvidence extends Evidence {
   isCaller: boolean;
+  /** Whether it carried a request that no known run can have made. */
+  hasContradiction: boolean;
+}
+
+interface Run {
+  readonly deadlineAt: number;
+  isAwaited: boolean;
 }
 
 interface RouteEvidence extends Evidence {
@@ -72,6 +84,8 @@
 const MAX_SURPRISE = 1.5;
 /** A caller's request exceeds the sum with a probability of at most exp(-5), below 1 %. */
 const CALL_THRESHOLD = 5;
+/** The same with at most exp(-9), about 1 in 8000, since what is proven is accepted late. */
+const PROOF_THRESHOLD = 9;
 /** Taken from a trusted connection for a request that no known run can have made. */
 const CONTRADICTION_COST = 6;
 /** Bounds what one kind of evidence can add, so that new evidence can outweigh it. */
@@ -103,7 +117,7 @@
   const { clock } = options;
   const learnsFrom = clock.now() + UNKNOWN_RUNS_MS;
   /** Deadlines of the runs in progress; one instance has few slots. */
-  const runs = new Set<{ readonly deadlineAt: number }>();
+  const runs = new Set<Run>();
   const connections = new WeakMap<object, ConnectionEvidence>();
   const routes = new Map<string, RouteEvidence>();
   const addresses = new Map<string, AddressEvidence>();
@@ -212,7 +226,7 @@
   return {
     startRun: (deadlineAt) => {
       takeSamples(clock.now());
-      const run = { deadlineAt };
+      const run = { deadlineAt, isAwaited: true };
       const end = () => {
         takeSamples(clock.now());
         if (runs.delete(run)) updateLatest();
@@ -220,6 +234,7 @@
       runs.add(run);
       updateLatest();
       return (isComplete) => {
+        run.isAwaited = false;
         if (isComplete) end();
         else clock.schedule(Math.max(0, deadlineAt - clock.now()), end);
       };
@@ -231,13 +246,16 @@
       if (now < learnsFrom) return 'unsure';
       takeSamples(now);
       const connection = connections.get(socket)
-        ?? { isCaller: false, sum: 0, addedAt: -Infinity };
+        ?? {
+          isCaller: false, hasContradiction: false, sum: 0, addedAt: -Infinity,
+        };
       connections.set(socket, connection);
       const route = routeOf(name);
       const address = addressOf(remoteAddress);
       decaySightings(route, now);
       const remainingMs = deadlineAt - now;
       const isContradiction = !isPossible(latestDeadlineAt - now, remainingMs);
+      if (isContradiction) connection.hasContradiction = true;
       // A stall of this process delays calls beyond the end of their runs.
       if (isContradiction && connection.sum >= CALL_THRESHOLD) {
         connection.sum -= CONTRADICTION_COST;
@@ -256,5 +274,17 @@
       if (route.callerSightings <= MIN_SIGHTINGS) setCallRoute(name, route, true);
       return 'call';
     },
+    isProven: ({ connection: socket, deadlineAt }) => {
+      // Evidence about a route or an address also fits a caller's request on a new connection.
+      const evidence = connections.get(socket);
+      if (evidence === undefined || evidence.hasContradiction) return false;
+      if (evidence.sum < PROOF_THRESHOLD) return false;
+      const now = clock.now();
+      for (const run of runs) {
+        const covers = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
+        if (run.isAwaited && covers) return true;
+      }
+      return false;
+    },
   };
 };
--- a/admission/call_detector_test.ts
+++ b/admission/call_detector_test.ts
@@ -10,6 +10,8 @@
 interface Tally {
   requests: number;
   wrong: number;
+  /** Requests that were proven to be calls. */
+  proven: number;
 }
 
 const STEP_MS = 5;
@@ -27,8 +29,8 @@
   const endOf = new Map<object, (isComplete: boolean) => void>();
   const kept = Array.from({ length: 4 }, () => ({}));
   const instanceConnections = Array.from({ length: 3 }, () => ({}));
-  const callers: Tally = { requests: 0, wrong: 0 };
-  const calls: Tally = { requests: 0, wrong: 0 };
+  const callers: Tally = { requests: 0, wrong: 0, proven: 0 };
+  const calls: Tally = { requests: 0, wrong: 0, proven: 0 };
   const pick = (connections: readonly object[]) => (
     connections[Math.floor(random() * connections.length)]!
   );
@@ -40,6 +42,7 @@
     const tally = isCall ? calls : callers;
     tally.requests += 1;
     if (isCall !== (origin === 'call')) tally.wrong += 1;
+    if (origin === 'call' && detector.isProven({ connection, deadlineAt })) tally.proven += 1;
   };
 
   while (clock.now() < 40_000) {
@@ -87,6 +90,7 @@
       callers, calls, callerErrors, callErrors,
     });
     assert.ok(callerErrors <= 0.01, `${name}: ${callerErrors} of the callers' requests`);
+    assert.is(callers.proven, 0, `${name}: requests of callers are proven to be calls`);
     // On an instance that was never idle, calls cannot be told apart and count as callers'.
     if (calmUntil > 0) assert.ok(callErrors <= 0.1, `${name}: ${callErrors} of the calls`);
   }
@@ -117,4 +121,69 @@
   assert.is(detector.classify({ ...request, deadlineAt: clock.now() + 100 }), 'unsure');
 });
 
+/** Makes one call on a connection within each of a number of runs, with pauses between them. */
+const callOften = async (count: number) => {
+  const clock = createFakeClock();
+  const detector = createCallDetector({ clock });
+  const connection = {};
+  await clock.advance(5000);
+  for (let made = 0; made < count; made += 1) {
+    const endRun = detector.startRun(clock.now() + 1000);
+    await clock.advance(20);
+    detector.classify({ connection, route: 'probe', deadlineAt: clock.now() + 300 });
+    await clock.advance(60);
+    endRun(true);
+    await clock.advance(400);
+  }
+  /** Returns whether a request that expires after this time in ms is proven. */
+  const isProven = (on: object, remainingMs: number) => {
+    const request = { connection: on, route: 'probe', deadlineAt: clock.now() + remainingMs };
+    return detector.classify(request) === 'call' && detector.isProven(request);
+  };
+  return {
+    clock, detector, connection, isProven,
+  };
+};
+
+// A caller's request on a new connection counted as a call, on evidence about its route alone.
+test('a call is proven by its own connection, not by its route', async () => {
+  const {
+    clock, detector, connection, isProven,
+  } = await callOften(10);
+  detector.startRun(clock.now() + 1000);
+  const other = {};
+  const request = { connection: other, route: 'probe', deadlineAt: clock.now() + 300 };
+  assert.is(detector.classify(request), 'call');
+  assert.not(isProven(other, 300));
+  assert.ok(isProven(connection, 300));
+});
+
+// Guards against late work whose result nobody waits for, or that outlasts its run.
+test('a call is proven only by a run that covers it and whose response is awaited', async () => {
+  const beyond = await callOften(10);
+  beyond.detector.startRun(beyond.clock.now() + 1000);
+  assert.ok(beyond.isProven(beyond.connection, 1000));
+  assert.not(beyond.isProven(beyond.connection, 1500));
+  // The connection has carried a request that no run has made.
+  assert.not(beyond.isProven(beyond.connection, 300));
+  for (const isComplete of [false, true]) {
+    const {
+      clock, detector, connection, isProven,
+    } = await callOften(10);
+    const endRun = detector.startRun(clock.now() + 1000);
+    assert.ok(isProven(connection, 300));
+    endRun(isComplete);
+    assert.not(isProven(connection, 300), `${isComplete}`);
+  }
+});
+
+// Guards against a proof by chance, as some requests of callers fit the runs.
+test('a few calls prove nothing', async () => {
+  const {
+    clock, detector, connection, isProven,
+  } = await callOften(3);
+  detector.startRun(clock.now() + 1000);
+  assert.not(isProven(connection, 300));
+});
+
 test.run();
--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -31,8 +31,8 @@
 
 /**
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
- * node is not ready, then only those that end with the running ones, and none once no request is in
- * flight. It ends when every response has been handed to the operating system, at the latest
+ * node is not ready, then only proven nested calls of the running ones, and none once no request is
+ * in flight. It ends when every response has been handed to the operating system, at the latest
  * shortly before the end of the grace time. A stop that is not planned, as after an exception,
  * does not wait until callers have learned of it, and ends that wait of an earlier stop.
  *
--- a/fleet/_test_model_requests.ts
+++ b/fleet/_test_model_requests.ts
@@ -27,6 +27,8 @@
   readonly listener: ServingName;
   /** Request that made this one as a nested call. */
   readonly parent: ModelRequest | undefined;
+  /** Whether its connection is known to carry nested calls alone. */
+  readonly isKnownCall: boolean;
   response?: ModelResponse;
   isAccepted: boolean;
   isRun: boolean;
@@ -43,8 +45,13 @@
 export interface ModelRequests {
   /** Sends a request on a kept connection, or on a new one if there is none. */
   readonly send: (to: ServingName, kept: number | undefined, work: ModelWork) => void;
-  /** Sends a call of a request that an instance runs, with the deadline of that request. */
-  readonly callNested: (index: number, kept: number | undefined, work: ModelWork) => void;
+  /**
+   * Sends a call of a request that an instance runs, with the deadline of that request. `isKnown`:
+   * its connection is known for calls.
+   */
+  readonly callNested: (
+    index: number, kept: number | undefined, work: ModelWork, isKnown: boolean,
+  ) => void;
   /** Sends a control message from a peer. */
   readonly sendControl: (kept: number | undefined, work: ModelWork) => void;
   /** Ends a connection by its client. */
@@ -104,14 +111,24 @@
     }, closeMs);
   };
 
+  /** The parent runs, and its response is awaited. */
+  const isProvenCall = ({ parent, isKnownCall }: ModelRequest) => (
+    isKnownCall && parent !== undefined && parent.isRun && parent.result === undefined
+    && parent.response?.isClosed() === false && parent.deadlineAt > clock.now()
+  );
+
   const accept = (request: ModelRequest, response: ModelResponse, deadlineAt: number) => {
+    if (shutdown.phase() === 'closing' && !isProvenCall(request)) {
+      report(`${nameOf(request)} is accepted while the node closes`);
+    }
     if (shutdown.phase() === 'closed') report(`${nameOf(request)} is accepted after the close`);
     request.isAccepted = true;
     response.onClose(shutdown.trackRequest(deadlineAt));
   };
 
-  const checkRefusal = ({ id, parent }: ModelRequest) => {
-    if (parent === undefined || parent.response?.isClosed() !== false) return;
+  const checkRefusal = (request: ModelRequest) => {
+    const { id, parent } = request;
+    if (parent === undefined || !isProvenCall(request)) return;
     if (parent.deadlineAt > shutdown.answerBy() || shutdown.answerBy() <= clock.now()) return;
     report(`nested call ${id} is refused during ${nameOf(parent)}`);
   };
@@ -145,7 +162,7 @@
       const deadlineAt = readAt + request.work.timeoutMs;
       const bounded = Math.min(deadlineAt, shutdown.answerBy());
       Object.assign(request, { response, deadlineAt: bounded });
-      if (!shutdown.mayAccept(deadlineAt)) {
+      if (!shutdown.mayAccept(deadlineAt, isProvenCall(request))) {
         checkRefusal(request);
         respond(request, response, 'not run');
         return;
@@ -182,6 +199,7 @@
     kept: number | undefined,
     work: ModelWork,
     parent?: ModelRequest,
+    isKnownCall = false,
   ) => {
     const connection = findConnection(to, kept);
     if (connection === undefined) return;
@@ -191,6 +209,7 @@
       connection,
       listener: to,
       parent,
+      isKnownCall,
       isAccepted: false,
       isRun: false,
       isLost: false,
@@ -223,11 +242,11 @@
 
   return {
     send,
-    callNested: (index, kept, work) => {
+    callNested: (index, kept, work, isKnown) => {
       const parent = findRunning(index);
       if (parent === undefined) return;
       const timeoutMs = parent.deadlineAt - clock.now();
-      send('caller', kept, { ...work, timeoutMs }, parent);
+      send('caller', kept, { ...work, timeoutMs }, parent, isKnown);
     },
     sendControl: (kept, { workMs, flushMs, isLast }) => {
       findConnection('peer', kept)?.read({
--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Agent, request } from 'undici';
@@ -12,6 +13,9 @@
 /** Longer than the pause between the last request in flight and the end of a stopping node. */
 const WORK_MS = 300;
 
+/** Calls after which a connection is known to carry calls alone. */
+const KNOWN_CALLS = 12;
+
 interface Answer {
   readonly status: number;
   readonly text: string;
@@ -164,9 +168,7 @@
   const { node, settings } = fleet.hosts[0]!;
   const socket = await openConnection(settings.listen.caller);
   const stopped = node.stop();
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2500);
-  });
+  await sleep(2500);
   socket.write(formatHead('POST', '/orders/late', 'content-length: 5'));
   onMessage = (message) => {
     if (message === 'no longer accepting requests') socket.write('order');
@@ -179,20 +181,39 @@
 
 // Calls on routes below the highest priority were refused, and the requests that made them failed.
 test('calls of any priority are served while the request that makes them runs', async () => {
-  const { node } = fleet.hosts[0]!;
-  let call: Promise<Answer> | undefined;
+  const { node, settings } = fleet.hosts[0]!;
+  /** Starts a request on the instance of this host. */
+  const startRun = async (path: string) => {
+    const peer = await openConnection(settings.listen.peer);
+    const hop = JSON.stringify(['orders', 'unsafe', 1, 'unsafe/1/300', 1500, 300, null, null, 0]);
+    peer.write(`${formatHead('POST', path, `mh-hop: ${hop}`, 'content-length: 5')}order`);
+    return peer;
+  };
+  // Calls are only known from several runs with pauses between them.
+  const calls = await openConnection(settings.listen.caller);
+  const sendCall = (path: string) => {
+    calls.write(formatHead('GET', path).replace('deadline-ms: 4000', 'deadline-ms: 700'));
+  };
+  const countAnswers = () => calls.received().split('HTTP/1.1 200 ').length - 1;
+  await sleep(3000);
+  for (let made = 1; made <= KNOWN_CALLS; made += 1) {
+    const run = await startRun(`/orders/parent-${made}`);
+    await sleep(50);
+    sendCall(`/reads/call-${made}`);
+    await waitFor(() => countAnswers() === made);
+    await waitFor(() => run.received().includes('ran at'));
+    await sleep(500);
+  }
   onMessage = (message) => {
-    if (message === 'no longer accepting requests') call = send('/reads/call', 0, 500);
+    if (message === 'no longer accepting requests') sendCall('/reads/call');
   };
   const stopped = node.stop();
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2700);
-  });
-  const running = send('/orders/running', 0);
+  await sleep(2700);
+  const running = await startRun('/orders/running');
   await stopped;
   await node.kill();
-  assert.is((await call!).status, 200);
-  assert.is((await running).status, 200);
+  assert.is(countAnswers(), KNOWN_CALLS + 1, calls.received().slice(-500));
+  assert.match(running.received(), /HTTP\/1\.1 200 /u, running.received());
 });
 
 // A request taken late was run, and its connection closed without an answer.
@@ -203,9 +224,7 @@
     if (message === 'no longer accepting requests') late = send('/reads/late', 0, 500);
   };
   const stopped = node.stop();
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2700);
-  });
+  await sleep(2700);
   const running = send('/orders/running', 0);
   await stopped;
   await node.kill();
--- a/fleet/stop_connections_test.ts
+++ b/fleet/stop_connections_test.ts
@@ -88,7 +88,9 @@
   ) => {
     const path = request.url!;
     const deadlineAt = readAt + DEADLINE_MS;
-    if (!shutdown.mayAccept(deadlineAt)) {
+    // Each second connection carries requests that are proven to be calls.
+    const isProvenCall = Number(path.slice(1, path.indexOf('-'))) % 2 === 0;
+    if (!shutdown.mayAccept(deadlineAt, isProvenCall)) {
       expected.set(path, refusalOf(path));
       request.resume();
       response.writeHead(503).end(refusalOf(path));
--- a/fleet/stop_model_test.ts
+++ b/fleet/stop_model_test.ts
@@ -29,7 +29,7 @@
 }
 
 type Command = Sent & { readonly kind: 'request'; readonly to: ServingName }
-  | Sent & { readonly kind: 'nested'; readonly index: number }
+  | Sent & { readonly kind: 'nested'; readonly index: number; readonly isKnown: boolean }
   | Sent & { readonly kind: 'control' }
   | { readonly kind: 'leave' | 'partial head' | 'cut'; readonly index: number }
   | { readonly kind: 'wait'; readonly durationMs: number }
@@ -65,6 +65,7 @@
     arbitrary: fc.record({
       kind: fc.constant('nested' as const),
       index: indexArbitrary,
+      isKnown: fc.boolean(),
       work: workArbitrary,
       kept: keptArbitrary,
     }),
@@ -121,7 +122,9 @@
 
 const handlers: Handlers = {
   request: (model, { to, kept, work }) => model.send(to, kept, work),
-  nested: (model, { index, kept, work }) => model.callNested(index, kept, work),
+  nested: (model, {
+    index, kept, work, isKnown,
+  }) => model.callNested(index, kept, work, isKnown),
   control: (model, { kept, work }) => model.sendControl(kept, work),
   leave: (model, { index }) => model.leave(index),
   'partial head': (model, { index }) => model.readPartOfHead(index),
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -18,6 +18,7 @@
 import { readBody } from './_read_body.ts';
 import { describeUnknown } from './_log_fields.ts';
 import { refuseBody, refuseSaturated } from './_refusals.ts';
+import { findOrigin } from './_request_origin.ts';
 import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
 import {
@@ -237,13 +238,13 @@
       return;
     }
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
-    const origin = options.callDetector?.classify({
-      connection: message.socket,
-      remoteAddress: message.socket.remoteAddress,
-      route: route.name,
+    const { origin, isProvenCall } = findOrigin(
+      options.callDetector,
+      message,
+      route.name,
       deadlineAt,
-    }) ?? 'unsure';
-    if (!options.shutdown.mayAccept(deadlineAt)) {
+    );
+    if (!options.shutdown.mayAccept(deadlineAt, isProvenCall)) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -46,8 +46,11 @@
   readonly shutdown: ShutdownTracker;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: Pick<EndOwner, 'forListener'>;
-  /** Tells nested calls of the instance of this host from callers' requests. */
-  readonly callDetector?: Pick<CallDetector, 'classify'>;
+  /**
+   * Tells nested calls of the instance of this host from callers' requests; without it, no request
+   * counts as a call.
+   */
+  readonly callDetector?: Pick<CallDetector, 'classify' | 'isProven'>;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -176,7 +176,9 @@
     sink.start(200, []);
     sink.end();
     return { kind: 'answered', status: 200 };
-  }, undefined, { classify: () => (received.length < 2 ? 'call' : 'unsure') });
+  }, undefined, {
+    classify: () => (received.length < 2 ? 'call' : 'unsure'), isProven: () => false,
+  });
   const { host, port } = splitAddress(address);
   for (const deadlineMs of [340, 900, 340]) {
     const socket = connect(port, host).on('error', () => undefined);
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -139,7 +139,7 @@
 };
 
 // A caller's request that a closing node took late was run, and lost its connection unanswered.
-for (const origin of [undefined, 'unsure', 'caller'] as const) {
+for (const origin of [undefined, 'unsure', 'caller', 'call'] as const) {
   test(`a closing node refuses a request of unproven origin (${origin}) at its head`, async () => {
     const writtenInTurn: number[] = [];
     const classify = ({ connection }: { readonly connection: object }): RequestOrigin => {
@@ -147,7 +147,8 @@
       queueMicrotask(() => writtenInTurn.push(socket.bytesWritten));
       return origin ?? 'unsure';
     };
-    const node = await startCallerListener(origin && { classify });
+    const isProven = () => origin !== 'call';
+    const node = await startCallerListener(origin && { classify, isProven });
     closeWhileBusy(node.shutdown);
     const late = await sendHead(node.address, 'deadline-ms: 900');
     assert.match(late.received(), /^HTTP\/1\.1 503 [^]*retry-after: [^]*"outcome":"not run"/u);
@@ -159,6 +160,20 @@
   });
 }
 
+// Guards against running requests that fail since the calls that they make are refused.
+test('a closing node serves a proven call that ends with a request in flight', async () => {
+  const node = await startCallerListener({ classify: () => 'call', isProven: () => true });
+  closeWhileBusy(node.shutdown);
+  const call = await sendHead(node.address, 'deadline-ms: 900');
+  assert.is(call.received(), '');
+  assert.is(node.shutdown.activeRequests(), 2);
+  await call.sendBody();
+  assert.match(call.received(), /^HTTP\/1\.1 200 /u);
+  assert.is(node.sends(), 1);
+  call.close();
+  node.listener.kill();
+});
+
 // A closing node read the bodies of requests from peers, and let them wait, before their refusal.
 test('a closing node refuses the request of a peer before its body has been read', async () => {
   const node = await startPeerListener();
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -2,8 +2,8 @@
 
 /**
  * `running`: all requests are accepted. `leaving`: all requests are accepted, but each connection
- * is closed after its request. `closing`: only requests that end with those in flight are accepted,
- * such as their nested calls. `closed`: no request is accepted.
+ * is closed after its request. `closing`: only proven nested calls of requests in flight are
+ * accepted. `closed`: no request is accepted.
  */
 export type ShutdownPhase = 'running' | 'leaving' | 'closing' | 'closed';
 
@@ -23,10 +23,11 @@
   /** Time by which requests must be answered, monotonic in ms; infinite while `running`. */
   readonly answerBy: () => number;
   /**
-   * Returns whether a caller's request with this deadline, monotonic in ms, is accepted. Nested
-   * calls expire with the request that makes them, and nothing else tells them apart.
+   * Returns whether a request of the caller listener with this deadline, monotonic in ms, is
+   * accepted. While `closing`, it must be proven to be a nested call, and must expire with a
+   * request in flight, as nested calls do.
    */
-  readonly mayAccept: (deadlineAt: number) => boolean;
+  readonly mayAccept: (deadlineAt: number, isProvenCall?: boolean) => boolean;
   /** Counts a request with this deadline as in flight until the returned function is called. */
   readonly trackRequest: (deadlineAt: number) => () => void;
   /** Returns the number of requests in flight. */
@@ -86,9 +87,9 @@
       return closed;
     },
     answerBy: () => answerBy,
-    mayAccept: (deadlineAt) => {
+    mayAccept: (deadlineAt, isProvenCall = false) => {
       if (phase === 'closing') {
-        return deadlineAt <= Math.min(latestDeadline() + MAX_TRANSIT_MS, answerBy);
+        return isProvenCall && deadlineAt <= Math.min(latestDeadline() + MAX_TRANSIT_MS, answerBy);
       }
       return phase !== 'closed';
     },
--- a/gateway/shutdown_tracker_test.ts
+++ b/gateway/shutdown_tracker_test.ts
@@ -35,7 +35,7 @@
 });
 
 // Calls that a running request makes expire at its deadline, whatever their priority is.
-test('a closing node accepts what ends with the requests in flight', async () => {
+test('a closing node accepts proven calls that end with the requests in flight', async () => {
   const shutdown = createShutdownTracker(createFakeClock());
   assert.ok(shutdown.mayAccept(Infinity));
   shutdown.leave(5000);
@@ -43,13 +43,26 @@
   const end = shutdown.trackRequest(2000);
   const endFirst = shutdown.trackRequest(3000);
   shutdown.close();
-  assert.ok(shutdown.mayAccept(3000));
-  assert.not(shutdown.mayAccept(4000));
+  assert.ok(shutdown.mayAccept(3000, true));
+  assert.not(shutdown.mayAccept(4000, true));
   endFirst();
-  assert.ok(shutdown.mayAccept(2000));
-  assert.not(shutdown.mayAccept(3000));
+  assert.ok(shutdown.mayAccept(2000, true));
+  assert.not(shutdown.mayAccept(3000, true));
   end();
-  assert.not(shutdown.mayAccept(0));
+  assert.not(shutdown.mayAccept(0, true));
+});
+
+// A request of a caller that a closing node accepted could lose its connection unanswered.
+test('a closing node accepts nothing that is not proven to be a call', async () => {
+  const shutdown = createShutdownTracker(createFakeClock());
+  shutdown.trackRequest(3000);
+  assert.ok(shutdown.mayAccept(2000, false));
+  shutdown.leave(5000);
+  assert.ok(shutdown.mayAccept(2000, false));
+  shutdown.close();
+  assert.not(shutdown.mayAccept(2000, false));
+  assert.not(shutdown.mayAccept(2000));
+  assert.ok(shutdown.mayAccept(2000, true));
 });
 
 // A request that outlasts the grace time would be broken off while its instance is at work.
@@ -58,8 +71,8 @@
   shutdown.leave(2000);
   shutdown.trackRequest(3000);
   shutdown.close();
-  assert.ok(shutdown.mayAccept(2000));
-  assert.not(shutdown.mayAccept(2500));
+  assert.ok(shutdown.mayAccept(2000, true));
+  assert.not(shutdown.mayAccept(2500, true));
 });
 
 // Guards against a chain of requests that prolongs the stop, each a little.
@@ -69,9 +82,10 @@
   shutdown.trackRequest(2000);
   shutdown.close();
   let deadlineAt = 2000;
-  while (shutdown.mayAccept(deadlineAt + 1)) deadlineAt += 1;
+  while (shutdown.mayAccept(deadlineAt + 1, true)) deadlineAt += 1;
+  assert.ok(deadlineAt > 2000);
   shutdown.trackRequest(deadlineAt);
-  assert.not(shutdown.mayAccept(deadlineAt + 1));
+  assert.not(shutdown.mayAccept(deadlineAt + 1, true));
 });
 
 test('requests that do not end keep the node open no longer than the time limit', async () => {
