Refuse a peer's request at its head while a node closes

Peers saw a refusal only after they had sent the whole body, and after the request had waited for its turn; callers waited as long for the attempt at another node.

Cause: the peer listener asked for the phase of the stop only when it was about to forward the request.

Change: while closing, a request of a peer is refused in the turn of its head, with the headers of before (not run, the name of the request, load, stopping), its body unread, no memory reserved for it, and not counted as in flight. The check after the wait stays, for a request that was accepted while leaving. The options of the listener move to a file of their own.

Why it works: no step lies between the head and the refusal.

--- a/fleet/_test_model_requests.ts
+++ b/fleet/_test_model_requests.ts
@@ -173,7 +173,11 @@
     peer: (request) => (response, readAt) => {
       const deadlineAt = Math.min(readAt + request.work.timeoutMs, shutdown.answerBy());
       Object.assign(request, { response, deadlineAt });
-      if (isAccepting()) accept(request, response, deadlineAt);
+      if (!isAccepting()) {
+        respond(request, response, 'not run');
+        return;
+      }
+      accept(request, response, deadlineAt);
       readBody(request, response, isAccepting);
     },
   };
--- a/gateway/mod.ts
+++ b/gateway/mod.ts
@@ -35,7 +35,8 @@
   createDemandMeter, type DemandMeter, type DemandMeterOptions, type DemandRequest,
 } from './demand_meter.ts';
 export { type BodyBudget, type BodyReservation, createBodyBudget } from './body_budget.ts';
-export { createPeerListener, type PeerListenerOptions } from './peer_listener.ts';
+export { createPeerListener } from './peer_listener.ts';
+export type { PeerListenerOptions } from './peer_listener_options.ts';
 export {
   createPeerClient, type PeerClientOptions, type PeerClient, type PeerSendResult,
 } from './peer_client.ts';
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -1,18 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock } from '../clock/mod.ts';
 import {
   endToEndHeaders, hopHeaders, loadHeaders, encodeRefusal, type ResponseSink,
 } from '../forward/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
-  type EgressLink, hasBody, type HttpListener, type HttpServerOptions, renderMalformed,
+  hasBody, type HttpListener, type HttpServerOptions, renderMalformed,
   resetConnection,
 } from '../http/mod.ts';
-import type { EndOwner } from '../lifecycle/mod.ts';
-import type { EventLoopMonitor, Logger } from '../telemetry/mod.ts';
 import {
   abortOnClose, createFirstRequestCheck, firstHeaderValue, respondBeforeBody,
-  respondToError, respondWithJson,
+  respondToError,
 } from './_http_messages.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
 import {
@@ -24,39 +21,10 @@
 import {
   refuseBody, refuseNotRun, refuseSaturated, refuseUnknown,
 } from './_refusals.ts';
-import { type BodyBudget, createBodyBudget } from './body_budget.ts';
-import type { DispatchQueue } from './dispatch_queue.ts';
+import { createBodyBudget } from './body_budget.ts';
 import { refusalFields, timingFields } from './_log_fields.ts';
-import type { LocalForwarder } from './local_forwarder.ts';
+import type { PeerListenerOptions } from './peer_listener_options.ts';
 import { type AttemptOutcome, type GatewayRequest, isBulk } from './request.ts';
-import type { ShutdownTracker } from './shutdown_tracker.ts';
-
-/** Options of the peer listener. */
-export interface PeerListenerOptions {
-  readonly clock: Clock;
-  readonly address: string;
-  /** Lower-case name of the header that carries the request identifier. */
-  readonly requestIdHeader: string;
-  /** Orders the requests of both listeners of this process. */
-  readonly dispatch: DispatchQueue;
-  readonly local: LocalForwarder;
-  /** Link of this host, over which responses are sent. */
-  readonly link: EgressLink;
-  /** Memory for request bodies; by default, a budget of this listener's own. */
-  readonly bodies?: BodyBudget;
-  readonly shutdown: ShutdownTracker;
-  /** Decides on and records the ends of connections; by default, they are not recorded. */
-  readonly ends?: Pick<EndOwner, 'forListener'>;
-  /** Records how long requests wait for the event loop. */
-  readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
-  readonly logger: Logger;
-  /** Returns the failure domain of the node at an IP address, if it is known. */
-  readonly failureDomainOf?: (ipAddress: string) => string | undefined;
-  /** Called when a request is refused, with the step and the sender's failure domain. */
-  readonly onRefusal?: (step: string, failureDomain: string) => void;
-  /** Handles a control message from a peer; resolves to undefined for an unknown path. */
-  readonly handleControlMessage: (path: string) => Promise<string | undefined>;
-}
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
@@ -69,6 +37,8 @@
 const STATUS_OK = 200;
 const FIRST_SERVER_ERROR = 500;
 
+type RequestHead = Omit<GatewayRequest, 'body'>;
+
 const refuseWhileStopping = () => (
   refuseNotRun('the node stops', STOPPING_RETRY_AFTER_MS, { step: 'peer.receive' })
 );
@@ -124,7 +94,7 @@
     message: IncomingMessage,
     arrivedAt: number,
     signal: AbortSignal,
-  ): Omit<GatewayRequest, 'body'> | undefined => {
+  ): RequestHead | undefined => {
     const hop = parseHop(firstHeaderValue(message, HOP_HEADER));
     if (hop === undefined) return undefined;
     const { remainingMs, latencyTargetMs, ...fields } = hop;
@@ -148,6 +118,49 @@
     isAccepting() ? local.forward(request, sink, onSilent) : refuseWhileStopping()
   );
 
+  const describe = (
+    { socket }: IncomingMessage,
+    arrivedAt: number,
+    { requestId, service, key }: RequestHead,
+    { kind }: AttemptOutcome,
+  ) => ({
+    request: requestId,
+    service,
+    key,
+    outcome: kind,
+    from: socket.remoteAddress,
+    durationMs: Math.round(clock.now() - arrivedAt),
+    unsentBytes: responseBuffer.unsentBytes() + link.backlogBytes(),
+  });
+
+  const refuse = (
+    message: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: number,
+    request: RequestHead,
+    outcome: Extract<AttemptOutcome, { kind: 'refused' }>,
+  ) => {
+    const { refusal, reachedInstance } = outcome;
+    const fromDomain = options.failureDomainOf?.(message.socket.remoteAddress ?? '') ?? '';
+    options.onRefusal?.(refusal.step, fromDomain);
+    logger.warn({
+      ...describe(message, arrivedAt, request, outcome),
+      fromDomain,
+      notRun: refusal.outcome === 'not run',
+      reason: refusal.message,
+      ...refusalFields(outcome),
+    }, 'refused request from peer');
+    // Only the head of an error was sent before its instance failed.
+    if (response.headersSent) resetConnection(response);
+    respondBeforeBody(clock, response, refusal.status, [
+      ...encodeRefusal(refusal),
+      options.requestIdHeader, request.requestId,
+      ...loadHeaders(local.load(), clock.now() - arrivedAt),
+      ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
+      ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
+    ], '');
+  };
+
   const serve = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -168,8 +181,12 @@
       respondBeforeBody(clock, response, refusal.status, headers, '');
       return;
     }
-    // A request that will be refused must not delay the end of the requests in flight.
-    if (isAccepting()) response.once('close', options.shutdown.trackRequest(request.deadlineAt));
+    // Not tracked, since a refused request must not delay the end of the requests in flight.
+    if (!isAccepting()) {
+      refuse(message, response, arrivedAt, request, refuseWhileStopping());
+      return;
+    }
+    response.once('close', options.shutdown.trackRequest(request.deadlineAt));
     const reservation = bodies.open();
     response.once('close', reservation.release);
     const body = await readBody(message, {
@@ -213,15 +230,7 @@
       ? await forwardOrRefuse({ ...request, body }, flushErrorHeads(sink), interim.reportSilence)
       : refuseSaturated();
     interim.stop();
-    const fields = {
-      request: request.requestId,
-      service: request.service,
-      key: request.key,
-      outcome: outcome.kind,
-      from: message.socket.remoteAddress,
-      durationMs: Math.round(clock.now() - arrivedAt),
-      unsentBytes: responseBuffer.unsentBytes() + link.backlogBytes(),
-    };
+    const fields = describe(message, arrivedAt, request, outcome);
     if (outcome.kind === 'answered') {
       logger.info({
         ...fields, status: outcome.status, ...timingFields(outcome),
@@ -229,25 +238,7 @@
       return;
     }
     if (outcome.kind === 'refused') {
-      const { refusal, reachedInstance } = outcome;
-      const fromDomain = options.failureDomainOf?.(message.socket.remoteAddress ?? '') ?? '';
-      options.onRefusal?.(refusal.step, fromDomain);
-      logger.warn({
-        ...fields,
-        fromDomain,
-        notRun: refusal.outcome === 'not run',
-        reason: refusal.message,
-        ...refusalFields(outcome),
-      }, 'refused request from peer');
-      // Only the head of an error was sent before its instance failed.
-      if (response.headersSent) resetConnection(response);
-      respondWithJson(response, refusal.status, [
-        ...encodeRefusal(refusal),
-        ...nameRequest,
-        ...loadHeaders(local.load(), clock.now() - arrivedAt),
-        ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
-        ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
-      ], '');
+      refuse(message, response, arrivedAt, request, outcome);
       return;
     }
     logger.warn({
