Show that a leaving node ends the connections that prove calls

A leaving node ends each connection after its request, also those of its instance. The calls that the instance makes later come on new connections, are not proven, and are refused while the node closes.

--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -196,23 +196,29 @@
   };
   const countAnswers = () => calls.received().split('HTTP/1.1 200 ').length - 1;
   await sleep(3000);
-  for (let made = 1; made <= KNOWN_CALLS; made += 1) {
+  const callWithinRun = async (made: number) => {
     const run = await startRun(`/orders/parent-${made}`);
     await sleep(50);
     sendCall(`/reads/call-${made}`);
     await waitFor(() => countAnswers() === made);
     await waitFor(() => run.received().includes('ran at'));
+  };
+  for (let made = 1; made <= KNOWN_CALLS; made += 1) {
+    await callWithinRun(made);
     await sleep(500);
   }
   onMessage = (message) => {
     if (message === 'no longer accepting requests') sendCall('/reads/call');
   };
+  const stoppingAt = performance.now();
   const stopped = node.stop();
-  await sleep(2700);
+  // The connection is kept for calls while others end with their responses.
+  await callWithinRun(KNOWN_CALLS + 1);
+  await sleep(2700 + stoppingAt - performance.now());
   const running = await startRun('/orders/running');
   await stopped;
   await node.kill();
-  assert.is(countAnswers(), KNOWN_CALLS + 1, calls.received().slice(-500));
+  assert.is(countAnswers(), KNOWN_CALLS + 2, calls.received().slice(-500));
   assert.match(running.received(), /HTTP\/1\.1 200 /u, running.received());
 });
 
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -174,6 +174,25 @@
   node.listener.kill();
 });
 
+// A leaving node ended the connections of its instance's calls, and with them what proves them.
+test('a stopping node keeps the connections that are known for calls', async () => {
+  for (const isCallConnection of [false, true]) {
+    const detector = {
+      classify: () => 'call' as const,
+      isProven: () => true,
+      isCallConnection: () => isCallConnection,
+    };
+    const node = await startCallerListener(detector);
+    node.shutdown.leave(clock.now() + GRACE_MS);
+    const call = await sendHead(node.address, 'deadline-ms: 900');
+    await call.sendBody();
+    const expected = isCallConnection ? 'keep-alive' : 'close';
+    assert.match(call.received().toLowerCase(), `connection: ${expected}\r\n`);
+    call.close();
+    node.listener.kill();
+  }
+});
+
 // A closing node read the bodies of requests from peers, and let them wait, before their refusal.
 test('a closing node refuses the request of a peer before its body has been read', async () => {
   const node = await startPeerListener();
