Keep the connections of known calls while a node stops

Runs on a stopping node would fail: a leaving node ended each connection after its request, so the calls of its instance came on new connections, which prove nothing, and were refused once the node closed.

Change: a connection that is known to carry nested calls alone does not end after its request. All others do, as before. The connection is idle once no run is left, and the stop of the listener ends it then.

Why it works: the evidence of a connection lasts until its runs have ended. It is read before each response, so a connection whose evidence is contradicted ends like any other.

caller_listener_test, late_request_test: the detectors have the new function; no assertion changes.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -25,6 +25,8 @@
   readonly startRun: (deadlineAt: number) => (isComplete: boolean) => void;
   /** Classifies a request and learns from it; to be called once for each request. */
   readonly classify: (request: ArrivingRequest) => RequestOrigin;
+  /** Returns whether a connection is known to carry nested calls alone. */
+  readonly isCallConnection: (connection: object) => boolean;
   /**
    * Returns whether a request that was classified as a call is certain to come from a run: its
    * connection has carried calls alone, and a run whose response is awaited covers its deadline.
@@ -223,6 +225,11 @@
     return sum + (isCallAddress ? ADDRESS_EVIDENCE : 0);
   };
 
+  const isCallConnection = (connection: object) => {
+    const evidence = connections.get(connection);
+    return evidence !== undefined && !evidence.hasContradiction && evidence.sum >= PROOF_THRESHOLD;
+  };
+
   return {
     startRun: (deadlineAt) => {
       takeSamples(clock.now());
@@ -274,11 +281,10 @@
       if (route.callerSightings <= MIN_SIGHTINGS) setCallRoute(name, route, true);
       return 'call';
     },
-    isProven: ({ connection: socket, deadlineAt }) => {
+    isCallConnection,
+    isProven: ({ connection, deadlineAt }) => {
       // Evidence about a route or an address also fits a caller's request on a new connection.
-      const evidence = connections.get(socket);
-      if (evidence === undefined || evidence.hasContradiction) return false;
-      if (evidence.sum < PROOF_THRESHOLD) return false;
+      if (!isCallConnection(connection)) return false;
       const now = clock.now();
       for (const run of runs) {
         const covers = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -284,7 +284,9 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
-    mayEndAfter: () => options.shutdown.phase() !== 'running',
+    // The calls of a run are proven by their connection until the run ends.
+    mayEndAfter: ({ socket }) => options.shutdown.phase() !== 'running'
+      && options.callDetector?.isCallConnection(socket) !== true,
     onDiscard: (messages) => {
       const requests = messages.map((message) => firstHeaderValue(message, headerNames.requestId));
       logger.info({ requests, notRun: true }, 'requests discarded: their connection has ended');
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -177,7 +177,9 @@
     sink.end();
     return { kind: 'answered', status: 200 };
   }, undefined, {
-    classify: () => (received.length < 2 ? 'call' : 'unsure'), isProven: () => false,
+    classify: () => (received.length < 2 ? 'call' : 'unsure'),
+    isProven: () => false,
+    isCallConnection: () => false,
   });
   const { host, port } = splitAddress(address);
   for (const deadlineMs of [340, 900, 340]) {
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -148,7 +148,9 @@
       return origin ?? 'unsure';
     };
     const isProven = () => origin !== 'call';
-    const node = await startCallerListener(origin && { classify, isProven });
+    const node = await startCallerListener(origin && {
+      classify, isProven, isCallConnection: () => false,
+    });
     closeWhileBusy(node.shutdown);
     const late = await sendHead(node.address, 'deadline-ms: 900');
     assert.match(late.received(), /^HTTP\/1\.1 503 [^]*retry-after: [^]*"outcome":"not run"/u);
@@ -162,7 +164,9 @@
 
 // Guards against running requests that fail since the calls that they make are refused.
 test('a closing node serves a proven call that ends with a request in flight', async () => {
-  const node = await startCallerListener({ classify: () => 'call', isProven: () => true });
+  const node = await startCallerListener({
+    classify: () => 'call', isProven: () => true, isCallConnection: () => true,
+  });
   closeWhileBusy(node.shutdown);
   const call = await sendHead(node.address, 'deadline-ms: 900');
   assert.is(call.received(), '');
