--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -19,6 +19,7 @@
 import { describeUnknown } from './_log_fields.ts';
 import { respondWithOutcome } from './_outcome_response.ts';
 import { refuseBody, refuseForHeap, refuseSaturated } from './_refusals.ts';
+import { findOrigin } from './_request_origin.ts';
 import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
 import { type AttemptOutcome, failureReason, isBulk } from './request.ts';
@@ -220,13 +221,13 @@
       return;
     }
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
-    const origin = options.callDetector?.classify({
-      connection: message.socket,
-      remoteAddress: message.socket.remoteAddress,
-      route: route.name,
+    const { origin, isProvenCall } = findOrigin(
+      options.callDetector,
+      message,
+      route.name,
       deadlineAt,
-    }) ?? 'unsure';
-    if (!options.shutdown.mayAccept(deadlineAt)) {
+    );
+    if (!options.shutdown.mayAccept(deadlineAt, isProvenCall)) {
       refuseWhileStopping(requestId, route, response);
       return;
     }
@@ -272,7 +273,10 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
-    mayEndAfter: isStopping,
+    // The calls of a run are proven by their connection until the run ends.
+    mayEndAfter: ({ socket }) => (
+      isStopping() && options.callDetector?.isCallConnection(socket) !== true
+    ),
     // While the node stops, an answer that is made is worth more than the instance's time.
     keepsHalfOpen: isStopping,
     onDiscard: (messages) => {
