Prove no call on a route that callers use

A closing node accepts nested calls that are proven.

Cause: the bound on the evidence of a connection assumes that its requests come independently of the runs.

Change: a call is proven only if no caller was seen on its route lately, too. The design states what is left: a caller whose requests always come together with the runs of others, on a route of its own.

A second new test covers that a connection with a request that no run has made stays unproven; without that line it fails, which no test did before.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -28,10 +28,11 @@
   /** Returns whether a connection is known to carry nested calls alone. */
   readonly isCallConnection: (connection: object) => boolean;
   /**
-   * Returns whether a request that was classified as a call is certain to come from a run: its
-   * connection has carried calls alone, and a run whose response is awaited covers its deadline.
+   * Returns whether a request that was classified as a call is proven to come from a run: its
+   * connection has carried calls alone, no caller was seen on its route lately, and a run whose
+   * response is awaited covers its deadline.
    */
-  readonly isProven: (request: Pick<ArrivingRequest, 'connection' | 'deadlineAt'>) => boolean;
+  readonly isProven: (request: ArrivingRequest) => boolean;
 }
 
 /** Options of a call detector. */
@@ -282,9 +283,11 @@
       return 'call';
     },
     isCallConnection,
-    isProven: ({ connection, deadlineAt }) => {
+    isProven: ({ connection, route, deadlineAt }) => {
       // Evidence about a route or an address also fits a caller's request on a new connection.
       if (!isCallConnection(connection)) return false;
+      // A caller that sends its requests together meets the runs of its own ones.
+      if (routeOf(route).callerSightings > MIN_SIGHTINGS) return false;
       const now = clock.now();
       for (const run of runs) {
         const covers = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
--- a/admission/call_detector_test.ts
+++ b/admission/call_detector_test.ts
@@ -37,12 +37,13 @@
   const happens = (perSecond: number) => random() < (perSecond * STEP_MS) / 1000;
   const send = (isCall: boolean, connection: object, route: string, remainingMs: number) => {
     const deadlineAt = clock.now() + remainingMs;
-    const origin = detector.classify({ connection, route, deadlineAt });
+    const request = { connection, route, deadlineAt };
+    const origin = detector.classify(request);
     if (clock.now() < 10_000) return;
     const tally = isCall ? calls : callers;
     tally.requests += 1;
     if (isCall !== (origin === 'call')) tally.wrong += 1;
-    if (origin === 'call' && detector.isProven({ connection, deadlineAt })) tally.proven += 1;
+    if (origin === 'call' && detector.isProven(request)) tally.proven += 1;
   };
 
   while (clock.now() < 40_000) {
@@ -177,6 +178,46 @@
   }
 });
 
+// Guards against late work for a caller whose first request runs on this host, and makes its second
+// one look like a call of that run.
+test('a request that a caller sends together with a running one is not proven', async () => {
+  for (const lagMs of [0, 2, 10]) {
+    const clock = createFakeClock();
+    const detector = createCallDetector({ clock });
+    const [first, second] = [{}, {}];
+    await clock.advance(5000);
+    let proven = 0;
+    for (let sent = 0; sent < 30; sent += 1) {
+      const deadlineAt = clock.now() + 3000;
+      detector.classify({ connection: first, route: 'lookup', deadlineAt });
+      const endRun = detector.startRun(deadlineAt);
+      await clock.advance(lagMs);
+      const request = { connection: second, route: 'lookup', deadlineAt: deadlineAt + lagMs };
+      if (detector.classify(request) === 'call' && detector.isProven(request)) proven += 1;
+      await clock.advance(50);
+      endRun(true);
+      await clock.advance(450);
+    }
+    assert.is(proven, 0, `${lagMs} ms apart`);
+  }
+});
+
+// Guards against a connection that counts as the instance's again after a caller's request on it.
+test('a connection with a request that no run has made proves nothing any more', async () => {
+  const {
+    clock, detector, connection, isProven,
+  } = await callOften(12);
+  detector.classify({ connection, route: 'probe', deadlineAt: clock.now() + 9000 });
+  for (let made = 0; made < 12; made += 1) {
+    const endRun = detector.startRun(clock.now() + 1000);
+    await clock.advance(20);
+    assert.not(isProven(connection, 300));
+    await clock.advance(60);
+    endRun(true);
+    await clock.advance(400);
+  }
+});
+
 // Guards against a proof by chance, as some requests of callers fit the runs.
 test('a few calls prove nothing', async () => {
   const {
