Leave a running request its answer behind a FIN in the next one

What a caller would have seen, found by the review: it sends a request, then a part of the next one, and ends its side while the node stops. Its running request was cut and answered with 400.

Cause: Node.js reports the end within a request as an error of the input, before anything half-open applies, and the server took it for the leave of the client, which ends the connection.

Change: while the connection is kept half open, that error is handled like other errors of the input behind a complete request, whose response is sent.

--- a/gateway/half_open_test.ts
+++ b/gateway/half_open_test.ts
@@ -196,4 +196,31 @@
   await node.stop();
 });
 
+const incomplete: Readonly<Record<string, string>> = {
+  head: 'GET /safe/b HTTP/1.1\r\nhost: sh',
+  body: formatRequest('unsafe').slice(0, -1),
+};
+
+for (const hop of hops) {
+  for (const kind of kinds) {
+    for (const [part, text] of Object.entries(incomplete)) {
+      // A FIN within the request behind it took the answer of a running request: 400, and its run
+      // was cut.
+      test(`${hop}, ${kind}: a FIN within the next ${part} leaves the answer`, async () => {
+        const node = await setUp(hop);
+        node.socket.write(formatRequest(kind));
+        assert.ok(await node.isRunning());
+        node.leave();
+        node.socket.write(text);
+        await sleep(20);
+        node.socket.end();
+        assert.ok(await node.isClosed(WORK_MS + REFUSAL_MS), 'the connection stays open');
+        assert.match(node.received(), /^HTTP\/1\.1 200 [^]*sound$/u);
+        assert.is(node.path.outcomes[0], 'answered');
+        await node.stop();
+      });
+    }
+  }
+}
+
 test.run();
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -191,7 +191,8 @@
       return;
     }
     const lastComplete = findLastComplete(state.responses);
-    if (socket.writable && lastComplete !== undefined && isInputError(error.code)) {
+    const isEnd = error.code === 'HPE_INVALID_EOF_STATE' && options.keepsHalfOpen?.() === true;
+    if (socket.writable && lastComplete !== undefined && (isInputError(error.code) || isEnd)) {
       state.lastResponse = lastComplete;
       state.errorAt = (socket as Socket).bytesRead;
       if (!lastComplete.headersSent) lastComplete.shouldKeepAlive = false;
