--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -1,10 +1,10 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Agent, request } from 'undici';
-import { splitAddress } from '../http/mod.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { openConnection } from '../testing/open_connection.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 
@@ -85,18 +85,12 @@
   return results;
 };
 
-/** Opens a connection and returns what it has received. */
+/** Opens a connection, sends a text and returns what it has received. */
 const open = (address: string, text: string) => {
-  const target = splitAddress(address);
-  const socket = connect(target.port, target.host);
-  let received = '';
-  socket.setEncoding('latin1').on('data', (chunk: string) => {
-    received += chunk;
-  });
-  socket.on('error', () => undefined);
+  const { socket, received } = openConnection(address);
   socket.write(text);
   sockets.push(socket);
-  return () => received;
+  return received;
 };
 
 /** Formats the head of a request whose body follows. */
