--- a/fleet/unread_requests_test.ts
+++ b/fleet/unread_requests_test.ts
@@ -6,6 +6,7 @@
 import { createHttpServer, renderMalformed } from '../http/mod.ts';
 import { createEndOwner } from '../lifecycle/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 
@@ -19,11 +20,6 @@
 const CONNECTIONS = 20;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 
-const block = (durationMs: number) => {
-  const endsAt = performance.now() + durationMs;
-  while (performance.now() < endsAt);
-};
-
 /** Starts a node with one listener, whose connections are destroyed at the exit. */
 const startNode = async () => {
   const clock = createSystemClock();
@@ -74,7 +70,7 @@
   setTimeout(() => {
     setImmediate(() => {
       for (const { socket } of connections) socket.write(REQUEST);
-      block(BLOCK_MS);
+      blockEventLoop(BLOCK_MS);
     });
   }, GRACE_MS - 650);
   await stopped;
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -3,6 +3,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
+import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createHttpServer, renderMalformed } from './mod.ts';
 
@@ -15,12 +16,6 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 const FINAL_RESPONSE = 'HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n';
 
-/** Takes the processor, as a starved process waits for it. */
-const block = (durationMs: number) => {
-  const endsAt = performance.now() + durationMs;
-  while (performance.now() < endsAt);
-};
-
 const startServer = async (renderFinal?: () => string, handlingMs = 0) => {
   const paths: string[] = [];
   const server = createHttpServer({
@@ -30,7 +25,7 @@
     idleGraceMs: IDLE_GRACE_MS,
     handle: ({ url }, response) => {
       paths.push(url ?? '');
-      block(handlingMs);
+      blockEventLoop(handlingMs);
       response.end('done');
     },
     renderMalformed,
