Use the instances of leaving nodes when a service has no others

Callers were refused with 'no instance is ready' from the signal of the last node of a service on, though that node accepts requests for 2.8 s more: with the store's news of the stop, all nodes took its instance for draining.

The instances of a node that is to stop are now a group of their own: used only if no instance is on another alive node, and before those of suspected nodes. Once the node refuses a request as stopping, it is suspected and its instance counts as draining, as before.

Two of four tests in fleet/leaving_node_test.ts failed before, with 503 to all requests; all pass now.

--- a/directory/fleet_membership.ts
+++ b/directory/fleet_membership.ts
@@ -18,10 +18,13 @@
   readonly isEvacuated?: (failureDomain: string) => boolean;
 }
 
-const instancesOf = (entry: NodeEntry, now: number): readonly InstanceInfo[] => {
-  const { instance } = entry;
+const instancesOf = (
+  { instance }: NodeEntry,
+  now: number,
+  isClosed: boolean,
+): readonly InstanceInfo[] => {
   if (instance === undefined || instance.state === 'down') return [];
-  const isLeaving = entry.isStopping || instance.state === 'draining';
+  const isLeaving = isClosed || instance.state === 'draining';
   const activeState = now < instance.coldUntil
     ? InstanceState.INSTANCE_STATE_COLD
     : InstanceState.INSTANCE_STATE_READY;
@@ -49,21 +52,23 @@
 ): Pick<Membership, 'self' | 'members'> => {
   const { clock, fleet } = options;
 
-  const toMember = (entry: NodeEntry): MemberUpdate => ({
-    node: entry.node,
-    incarnation: String(entry.startedAt),
-    counter: 0,
-    state: options.isSuspect(entry.peerAddress)
-      ? MemberState.MEMBER_STATE_SUSPECT
-      : MemberState.MEMBER_STATE_ALIVE,
-    region: entry.region,
-    failureDomain: entry.failureDomain,
-    controlAddress: entry.peerAddress,
-    peerAddress: entry.peerAddress,
-    instances: options.isEvacuated?.(entry.failureDomain) === true
-      ? []
-      : instancesOf(entry, clock.wallTime()),
-  });
+  const toMember = (entry: NodeEntry): MemberUpdate => {
+    const isSuspect = options.isSuspect(entry.peerAddress);
+    return {
+      node: entry.node,
+      incarnation: String(entry.startedAt),
+      counter: 0,
+      state: isSuspect ? MemberState.MEMBER_STATE_SUSPECT : MemberState.MEMBER_STATE_ALIVE,
+      region: entry.region,
+      failureDomain: entry.failureDomain,
+      controlAddress: entry.peerAddress,
+      peerAddress: entry.peerAddress,
+      instances: options.isEvacuated?.(entry.failureDomain) === true
+        ? []
+        // A stopping node accepts requests for some seconds, and then does not come back.
+        : instancesOf(entry, clock.wallTime(), entry.isStopping && isSuspect),
+    };
+  };
 
   return {
     self: () => toMember(options.self()),
--- a/fleet/_request_services.ts
+++ b/fleet/_request_services.ts
@@ -141,17 +141,21 @@
       const views = find<Map<string, ServiceView>>('service-views');
       const { isSuspect } = find<PeerClient>('peers');
       const rules = find<EvacuationRules>('rules');
+      const self = find<LocalNode>('self');
+      const isLeaving = (node: string) => (
+        node === settings.node ? self.isStopping() : fleet.find(node)?.isStopping === true
+      );
       const membership = createFleetMembership({
         clock,
         fleet,
-        self: find<LocalNode>('self').entry,
+        self: self.entry,
         isSuspect,
         isEvacuated: rules.isEvacuated,
       });
       const viewOf = (service: string) => {
         const known = views.get(service);
         if (known !== undefined) return known;
-        const view = createServiceView(service, { clock, membership });
+        const view = createServiceView(service, { clock, membership, isLeaving });
         views.set(service, view);
         return view;
       };
--- a/routing/_service_view.ts
+++ b/routing/_service_view.ts
@@ -1,12 +1,9 @@
 import type { AdmissionLoad, RotatingHistogram } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { RequestClass } from '../contract/mod.ts';
-import type { Membership } from '../membership/mod.ts';
-import {
-  type InstanceInfo, InstanceState, MemberState, type MemberUpdate,
-} from '../proto/mod.ts';
+import { InstanceState } from '../proto/mod.ts';
+import { type Candidate, type CandidateOptions, listCandidates } from './_candidates.ts';
 import type { InstanceView } from './choose_instance.ts';
-import { chooseSubset, type SubsetOptions } from './choose_subset.ts';
 import { createOutlierEjection } from './outlier_ejection.ts';
 import type { AttemptReport } from './router.ts';
 
@@ -31,22 +28,12 @@
 }
 
 /** Options of a service view. */
-export interface ServiceViewOptions {
+export interface ServiceViewOptions extends CandidateOptions {
   readonly clock: Clock;
-  readonly membership: Pick<Membership, 'self' | 'members'>;
-  readonly subset?: SubsetOptions;
   /** Durations of lookups, from which the hedge delay is computed; without it, none is hedged. */
   readonly lookupTimes?: RotatingHistogram;
 }
 
-interface Candidate {
-  readonly instance: string;
-  readonly member: MemberUpdate;
-  readonly info: InstanceInfo;
-  readonly isSameDomain: boolean;
-  readonly distance: number;
-}
-
 interface InstanceStats {
   outstanding: number;
   lastSentAt: number;
@@ -89,7 +76,7 @@
  * @returns The view, without any measurements.
  */
 export const createServiceView = (service: string, options: ServiceViewOptions): ServiceView => {
-  const { clock, membership, lookupTimes } = options;
+  const { clock, lookupTimes } = options;
   const startedAt = clock.now();
   const statsByInstance = new Map<string, InstanceStats>();
   const ejection = createOutlierEjection(clock);
@@ -97,31 +84,6 @@
   let candidates: readonly Candidate[] | undefined;
   let allViews: readonly InstanceEndpoint[] = [];
 
-  const distanceTo = (member: MemberUpdate, self: MemberUpdate) => {
-    if (member.region !== self.region) return 2;
-    return member.failureDomain === self.failureDomain ? 0 : 1;
-  };
-
-  const listCandidates = (): readonly Candidate[] => {
-    const self = membership.self();
-    const alive: Candidate[] = [];
-    const suspected: Candidate[] = [];
-    for (const member of membership.members()) {
-      for (const info of member.instances) {
-        if (info.service !== service || info.state === InstanceState.INSTANCE_STATE_DRAINING) {
-          continue;
-        }
-        const distance = distanceTo(member, self);
-        const list = member.state === MemberState.MEMBER_STATE_ALIVE ? alive : suspected;
-        list.push({
-          instance: info.instance, member, info, distance, isSameDomain: distance === 0,
-        });
-      }
-    }
-    // Instances of suspected nodes are used only when no instance is on an alive node.
-    return chooseSubset(self.node, alive.length > 0 ? alive : suspected, options.subset);
-  };
-
   const updateStats = ({ instance, info }: Candidate) => {
     const now = clock.now();
     const isCold = info.state === InstanceState.INSTANCE_STATE_COLD;
@@ -202,7 +164,7 @@
 
   const refresh = () => {
     if (candidates !== undefined) return candidates;
-    candidates = listCandidates();
+    candidates = listCandidates(service, options);
     const names = new Set(candidates.map(({ instance }) => instance));
     for (const name of statsByInstance.keys()) if (!names.has(name)) statsByInstance.delete(name);
     for (const candidate of candidates) updateStats(candidate);
