Cancel the runs of clients that leave after an exception

What callers saw: after an exception, a node went on with the requests of clients that had ended their side, and its exit waited for them. Instances worked for clients that had left, at a node that ends by itself and so still counts as running.

Cause: a listener kept connections half open in every phase but `running`, whatever had begun the stop.

Change: the shutdown tracker knows whether the stop is planned, and the listener for callers keeps connections half open only then. A signal makes the stop of an exception a planned one; the owner of the ends hands it on for that. An exception does not undo a signal.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -88,7 +88,7 @@
   };
 
   const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
-    shutdown.leave(times.answerBy);
+    shutdown.leave(times.answerBy, isPlanned);
     runStep('announce', options.announceStop);
     logInfo({ graceMs: options.graceMs, isPlanned }, 'stopping');
     if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
@@ -145,7 +145,8 @@
   };
 
   return (request) => {
-    if (!request.isPlanned) unplanned.abort();
+    if (request.isPlanned) shutdown.markPlanned();
+    else unplanned.abort();
     stopped ??= runInTime(request);
     return stopped;
   };
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -268,7 +268,8 @@
   ends.setStop(stopNode, {
     graceMs: settings.bounds.graceMs,
     refuseRequests: (endsBy) => {
-      shutdown.leave(endsBy);
+      // The request to stop has marked it as planned if it is.
+      shutdown.leave(endsBy, false);
       shutdown.close();
     },
   });
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -277,8 +277,9 @@
     mayEndAfter: ({ socket }) => (
       isStopping() && options.callDetector?.isCallConnection(socket) !== true
     ),
-    // While the node stops, an answer that is made is worth more than the instance's time.
-    keepsHalfOpen: isStopping,
+    // A planned stop must not lose an answer; any other end must not keep instances at work for
+    // clients that have left.
+    keepsHalfOpen: options.shutdown.isPlanned,
     onDiscard: (messages) => {
       const requests = messages.map((message) => firstHeaderValue(message, headerNames.requestId));
       logger.info({ requests, notRun: true }, 'requests discarded: their connection has ended');
--- a/gateway/half_open_test.ts
+++ b/gateway/half_open_test.ts
@@ -51,7 +51,8 @@
     socket,
     received,
     lines,
-    leave: () => shutdown.caller.leave(clock.now() + GRACE_MS),
+    leave: (isPlanned = true) => shutdown.caller.leave(clock.now() + GRACE_MS, isPlanned),
+    markPlanned: () => shutdown.caller.markPlanned(),
     close: () => shutdown.caller.close(),
     isRunning: () => isMet(() => instance!.usedConnections() === 1),
     runs: () => instance!.counts.requests,
@@ -123,6 +124,46 @@
       assert.equal(node.path.outcomes, ['gone']);
     });
 
+    // After an exception, instances worked on for clients that had left; the exit waited for it.
+    test(`${hop}, ${kind}: a FIN after an exception cancels the run`, async () => {
+      const node = await setUp(hop);
+      node.socket.write(formatRequest(kind));
+      assert.ok(await node.isRunning());
+      node.leave(false);
+      const closed = node.close();
+      const stopped = node.path.stopCallers();
+      node.socket.end();
+      assert.ok(await node.isCancelled(), 'the run goes on');
+      assert.ok(await node.isClosed(NOTICE_MS), 'the connection stays open');
+      assert.is(node.received(), '');
+      await Promise.all([closed, stopped]);
+      await node.stop();
+      assert.equal(node.path.outcomes, ['gone']);
+      assert.is(node.lines.some(({ halfOpen }) => halfOpen !== undefined), false);
+    });
+
+    test(`${hop}, ${kind}: an exception after a signal leaves the answer`, async () => {
+      const node = await setUp(hop);
+      node.socket.write(formatRequest(kind));
+      assert.ok(await node.isRunning());
+      node.leave();
+      node.leave(false);
+      node.socket.end();
+      await checkAnswered(node);
+      await node.stop();
+    });
+
+    test(`${hop}, ${kind}: a signal after an exception leaves the answer`, async () => {
+      const node = await setUp(hop);
+      node.socket.write(formatRequest(kind));
+      assert.ok(await node.isRunning());
+      node.leave(false);
+      node.markPlanned();
+      node.socket.end();
+      await checkAnswered(node);
+      await node.stop();
+    });
+
     // A client that has left looks the same, and its request must not take up an instance.
     test(`${hop}, ${kind}: a FIN at a running node cancels the run`, async () => {
       const node = await setUp(hop);
@@ -151,6 +192,20 @@
     await node.stop();
   });
 
+  // Requests ran one after the other for a client that had left a node that had failed.
+  test(`${hop}: requests that wait behind a FIN after an exception are not run`, async () => {
+    const node = await setUp(hop);
+    node.socket.write(formatRequest('unsafe'));
+    assert.ok(await node.isRunning());
+    node.leave(false);
+    node.socket.end(formatRequest('unsafe').repeat(2));
+    assert.ok(await node.isCancelled());
+    assert.ok(await node.isClosed(NOTICE_MS));
+    await sleep(WORK_MS);
+    assert.is(node.runs(), 1);
+    await node.stop();
+  });
+
   test(`${hop}: the deadline ends the run of a half-open client during a stop`, async () => {
     const node = await setUp(hop, () => undefined);
     node.leave();
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -9,6 +9,7 @@
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
 import { HOP_HEADER } from './_hop_header.ts';
+import { isMet } from './_test_caller.ts';
 import {
   type CallerListenerOptions, createCallerListener, createDispatchQueue, createPeerListener,
   createRouteTable, createShutdownTracker, MAX_BUFFERED_BYTES,
@@ -37,10 +38,14 @@
   clock, megabitsPerSecond: 1000, maxBufferedBytes: MAX_BUFFERED_BYTES,
 });
 
-const startCallerListener = async (callDetector?: CallerListenerOptions['callDetector']) => {
+const startCallerListener = async (
+  callDetector?: CallerListenerOptions['callDetector'],
+  workMs = 0,
+) => {
   const shutdown = createShutdownTracker(clock);
   const table = createRouteTable({ revision: 1, routes: [route], services: new Map() });
   let sends = 0;
+  let cancelled = 0;
   const listener = createCallerListener({
     clock,
     dispatch: createDispatchQueue({ clock }),
@@ -51,8 +56,12 @@
     callerService: () => 'orders',
     routes: () => table,
     sender: {
-      send: async (_, __, sink) => {
+      send: async ({ signal }, __, sink) => {
         sends += 1;
+        signal.addEventListener('abort', () => {
+          cancelled += 1;
+        });
+        if (workMs > 0) await sleep(workMs);
         sink.start(200, ['content-length', '0']);
         sink.end();
         return { kind: 'answered', status: 200 };
@@ -66,7 +75,11 @@
     random: () => 0,
   });
   return {
-    listener, shutdown, sends: () => sends, address: await listener.listen(),
+    listener,
+    shutdown,
+    sends: () => sends,
+    cancelled: () => cancelled,
+    address: await listener.listen(),
   };
 };
 
@@ -127,6 +140,7 @@
       socket.write('order');
       await Promise.race([once(socket, 'data'), sleep(ANSWER_LIMIT_MS)]);
     },
+    endSide: () => socket.end(),
     close: () => socket.destroy(),
   };
 };
@@ -178,6 +192,32 @@
   node.listener.kill();
 });
 
+// A call that a closing node had taken ran on after an exception, though its client had left.
+for (const isPlanned of [false, true]) {
+  const what = isPlanned ? 'runs on in a planned stop' : 'is cancelled after an exception';
+  test(`a proven call that a FIN follows ${what}`, async () => {
+    const node = await startCallerListener({
+      classify: () => 'call', isProven: () => true, isCallConnection: () => true,
+    }, ANSWER_LIMIT_MS / 2);
+    node.shutdown.leave(clock.now() + GRACE_MS, isPlanned);
+    const endBusy = node.shutdown.trackRequest(clock.now() + GRACE_MS);
+    const closed = node.shutdown.close();
+    const call = await sendHead(node.address, 'deadline-ms: 900');
+    const answered = call.sendBody();
+    assert.ok(await isMet(() => node.sends() === 1));
+    call.endSide();
+    await answered;
+    assert.is(node.cancelled(), isPlanned ? 0 : 1);
+    if (isPlanned) assert.match(call.received(), /^HTTP\/1\.1 200 /u);
+    else assert.is(call.received(), '');
+    assert.is(node.shutdown.activeRequests(), 1);
+    endBusy();
+    await closed;
+    call.close();
+    node.listener.kill();
+  });
+}
+
 // A leaving node ended the connections of its instance's calls, and with them what proves them.
 test('a stopping node keeps the connections that are known for calls', async () => {
   for (const isCallConnection of [false, true]) {
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -12,9 +12,13 @@
   readonly phase: () => ShutdownPhase;
   /**
    * Enters `leaving`. Requests accepted from now on must be answered by `answerBy`, monotonic in
-   * ms.
+   * ms. By default, the stop is planned.
    */
-  readonly leave: (answerBy: number) => void;
+  readonly leave: (answerBy: number, isPlanned?: boolean) => void;
+  /** Marks the stop as planned, also one that was begun by an exception. */
+  readonly markPlanned: () => void;
+  /** Returns whether the node is stopping and was asked to, as by a signal. */
+  readonly isPlanned: () => boolean;
   /**
    * Enters `closing`, and `closed` at the moment at which no request is in flight, at the latest
    * at the time given to `leave`. Resolves in `closed`.
@@ -53,6 +57,7 @@
 export const createShutdownTracker = (clock: Clock): ShutdownTracker => {
   let phase: ShutdownPhase = 'running';
   let answerBy = Number.POSITIVE_INFINITY;
+  let isPlanned = false;
   const active = new Set<TrackedRequest>();
   let setClosed = () => undefined as void;
 
@@ -71,11 +76,16 @@
 
   return {
     phase: () => phase,
-    leave: (time) => {
+    leave: (time, isPlannedStop = true) => {
+      isPlanned ||= isPlannedStop;
       if (phase !== 'running') return;
       phase = 'leaving';
       answerBy = time;
     },
+    markPlanned: () => {
+      isPlanned = true;
+    },
+    isPlanned: () => isPlanned && phase !== 'running',
     close: async () => {
       if (phase === 'closing' || phase === 'closed') return closed;
       phase = 'closing';
--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -223,9 +223,10 @@
       if (end.status !== 0) status = end.status;
       if (first !== undefined) {
         logger.warn({ why: end.reason, first: first.reason }, 'the process ends already');
-        if (end.reason === 'signal') return;
+        const isPlanned = end.reason === 'signal';
+        if (isPlanned && first.reason === 'signal') return;
         // Joins the stop that runs, whose failure is logged where it was begun.
-        stopNode({ sinceMs: 0, isPlanned: false }).catch(() => undefined);
+        stopNode({ sinceMs: end.sinceMs ?? 0, isPlanned }).catch(() => undefined);
         return;
       }
       first = end;
--- a/lifecycle/end_owner_test.ts
+++ b/lifecycle/end_owner_test.ts
@@ -125,6 +125,17 @@
   assert.equal(exits, [1]);
 });
 
+// Guards against a planned stop that is treated as the failure before it.
+test('a signal after an exception makes the stop a planned one', async () => {
+  const { owner } = setUp();
+  const stop = setStop(owner);
+  owner.endProcess({ reason: 'exception', status: 1 });
+  owner.endProcess({ reason: 'signal', status: 0, sinceMs: 10 });
+  assert.equal(stop.requests, [
+    { sinceMs: 0, isPlanned: false }, { sinceMs: 10, isPlanned: true },
+  ]);
+});
+
 test('a stop that fails ends the process with status 1', async () => {
   const { clock, exits, owner } = setUp();
   const stop = setStop(owner);
