Refuse what has arrived before the exit after a failed stop

What callers saw: when the stop of a node failed as a whole, connections whose requests were unread at the exit were reset, without a refusal.

Cause: the owner of the ends refused what it had read and waited for the open requests, but did not let the listeners accept and read what had arrived.

Change: the refusal of arrived requests moves from the graceful stop to http/refuse_arrived.ts, and the fallback of a failed stop (fleet/_stop_fallback.ts) uses it as well, within the grace time.

The tests of lifecycle/failed_stop_test.ts advance the clock by the 20 ms that their refusals take before they expect the exit.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ShutdownTracker } from '../gateway/mod.ts';
-import type { HttpListener } from '../http/mod.ts';
+import { type HttpListener, refuseArrived } from '../http/mod.ts';
 import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
 import type { LogFields, Logger } from '../telemetry/mod.ts';
 import { createStopTimes, type StopTimes } from './_stop_times.ts';
@@ -27,10 +27,6 @@
 const LISTENER_CLOSE_DELAY_MS = 60;
 /** Limits the wait for connections that have only refused or incomplete requests. */
 const UNUSED_CONNECTION_LIMIT_MS = 1000;
-/** Limits the time in which requests that have arrived before the exit are refused. */
-const REFUSAL_LIMIT_MS = 250;
-/** Time for these refusals when the exit is late; an event loop that is free needs less. */
-const LATE_REFUSAL_LIMIT_MS = 100;
 
 /**
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
@@ -78,14 +74,6 @@
       reportFailure('listener', error);
     }
   };
-  const readArrived = async (listener: HttpListener, endsBy: number) => {
-    try {
-      return await listener.readArrived(endsBy);
-    } catch (error) {
-      reportFailure('listener', error);
-      return 0;
-    }
-  };
 
   const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
     shutdown.leave(times.answerBy, isPlanned);
@@ -107,18 +95,6 @@
     await ends.untilAnswered(limitAt());
   };
 
-  /** Requests that arrive behind the last ones are read and refused rather than reset. */
-  const refuseArrived = async (refusedBy: number) => {
-    let readCount: number;
-    do {
-      const counts = await Promise.all(
-        options.listeners.map((listener) => readArrived(listener, refusedBy)),
-      );
-      readCount = counts.reduce((sum, count) => sum + count, 0);
-      if (readCount > 0) await ends.untilAnswered(refusedBy);
-    } while (readCount > 0 && clock.now() < refusedBy);
-  };
-
   const runInTime = async (request: StopRequest) => {
     const signalledAt = clock.now() - request.sinceMs;
     const times = createStopTimes({
@@ -129,11 +105,11 @@
     });
     try {
       await Promise.race([run(request, times), times.until(times.exitBy)]);
-      const refusedBy = Math.max(
-        clock.now() + LATE_REFUSAL_LIMIT_MS,
-        Math.min(clock.now() + REFUSAL_LIMIT_MS, times.exitBy()),
-      );
-      await Promise.race([refuseArrived(refusedBy), times.until(() => refusedBy)]);
+      const onFailure = (error: unknown) => reportFailure('listener', error);
+      const { listeners } = options;
+      await refuseArrived({
+        clock, listeners, ends, onFailure,
+      }, times.exitBy());
     } finally {
       times.end();
     }
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -31,6 +31,7 @@
 import { registerAdmissionServices } from './_admission_services.ts';
 import { registerRequestServices } from './_request_services.ts';
 import { registerStateServices, type LocalNode } from './_state_services.ts';
+import { createStopFallback } from './_stop_fallback.ts';
 
 /** A running node on the platform. */
 export interface FleetNode {
@@ -265,14 +266,9 @@
     logger,
   });
   const stopNode = (request: StopRequest) => stop(request).finally(tasks.stop);
-  ends.setStop(stopNode, {
-    graceMs: settings.bounds.graceMs,
-    refuseRequests: (endsBy) => {
-      // The request to stop has marked it as planned if it is.
-      shutdown.leave(endsBy, false);
-      shutdown.close();
-    },
-  });
+  ends.setStop(stopNode, createStopFallback({
+    clock, graceMs: settings.bounds.graceMs, shutdown, ends, listeners: [callers, peers], logger,
+  }));
   // Callers come last: a port that cannot be bound ends the start before one of them is accepted.
   for (const listener of [...controlListeners, peers, callers]) await listener.listen();
   logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
--- a/fleet/unread_requests_test.ts
+++ b/fleet/unread_requests_test.ts
@@ -9,6 +9,7 @@
 import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
+import { createStopFallback } from './_stop_fallback.ts';
 
 const test = suite('requests that are unread at the end of the process');
 
@@ -24,7 +25,11 @@
 const startNode = async () => {
   const clock = createSystemClock();
   const shutdown = createShutdownTracker(clock);
-  const ends = createEndOwner({ clock, logger: noopLogger, exit: () => undefined });
+  let setExited = (_status: number) => undefined as void;
+  const exited = new Promise<number>((resolve) => {
+    setExited = resolve;
+  });
+  const ends = createEndOwner({ clock, logger: noopLogger, exit: (status) => setExited(status) });
   const server = createHttpServer({
     clock,
     address: '127.0.0.1:0',
@@ -55,6 +60,16 @@
       await stop({ sinceMs: 0, isPlanned: false });
       server.kill();
     },
+    /** Ends the process by a stop that fails, and resolves to its exit status. */
+    failStop: async () => {
+      ends.setStop(() => Promise.reject(new Error('injected failure')), createStopFallback({
+        clock, graceMs: GRACE_MS, shutdown, ends, listeners: [server], logger: noopLogger,
+      }));
+      ends.endProcess({ reason: 'signal', status: 0 });
+      const status = await exited;
+      server.kill();
+      return status;
+    },
   };
 };
 
@@ -80,6 +95,39 @@
   }
 });
 
+// Guards against connections that are reset at the exit after a stop that has failed as a whole:
+// those that have just been established, and idle ones on which a request arrives.
+for (const isOpen of [false, true]) {
+  const what = isOpen ? 'requests on open connections' : 'connections that are not accepted yet';
+  test(`${what} are refused at the exit after a stop that failed`, async () => {
+    const node = await startNode();
+    const open = () => Array.from({ length: CONNECTIONS }, () => openConnection(node.address));
+    const connections = open();
+    if (isOpen) await Promise.all(connections.map(({ socket }) => once(socket, 'connect')));
+    // In this turn, the system establishes the connections, and the listener does not accept them.
+    else await new Promise(process.nextTick);
+    const startedAt = performance.now();
+    const ended = node.failStop();
+    for (const { socket } of connections) socket.write(REQUEST);
+    assert.is(await ended, 1);
+    assert.ok(performance.now() - startedAt < GRACE_MS);
+    for (const { closed, received, error } of connections) {
+      await closed;
+      assert.match(received(), /^HTTP\/1\.1 503 /u, error());
+    }
+  });
+}
+
+test('a request that is never complete does not keep a failed stop from its exit', async () => {
+  const node = await startNode();
+  const startedAt = performance.now();
+  const { socket } = openConnection(node.address);
+  await once(socket, 'connect');
+  socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n');
+  assert.is(await node.failStop(), 1);
+  assert.ok(performance.now() - startedAt < GRACE_MS);
+});
+
 // Guards against an exit that waits for clients whose requests are never complete.
 test('a request that is never complete does not delay the exit beyond the grace time', async () => {
   const node = await startNode();
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -11,6 +11,7 @@
 } from './egress_link.ts';
 export { endAfterRequest } from './end_after_request.ts';
 export { isHalfOpen } from './half_open.ts';
+export { refuseArrived, type RefuseArrivedOptions } from './refuse_arrived.ts';
 export { hasBody } from './has_body.ts';
 export { renderMalformed } from './render_malformed.ts';
 export { type ResponseBuffer, createResponseBuffer } from './response_buffer.ts';
--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -28,6 +28,8 @@
   readonly graceMs: number;
   /** Refuses new requests; those open are answered by `endsBy`, monotonic in ms. */
   readonly refuseRequests: (endsBy: number) => void;
+  /** Refuses requests that have arrived and were not read; the process exits by `exitBy`. */
+  readonly refuseArrived: (exitBy: number) => Promise<void>;
 }
 
 /** Stops the node gracefully; further calls join the first one. */
@@ -82,6 +84,8 @@
 const EXIT_FAILED = 1;
 /** Part of the grace time that is reserved for the end of the process after a failed stop. */
 const EXIT_RESERVE_MS = 500;
+/** Part of that reserve in which no request is refused any more. */
+const LAST_RESERVE_MS = 250;
 
 /** Creates a logger that does not throw, as an end must not fail with its log line. */
 const createSafeLogger = (logger: Logger): Pick<Logger, 'info' | 'warn' | 'error'> => {
@@ -168,7 +172,10 @@
     timeout.abort();
   };
 
-  const endWithoutStop = async ({ graceMs, refuseRequests }: StopFallback, causeAt: number) => {
+  const endWithoutStop = async (
+    { graceMs, refuseRequests, refuseArrived }: StopFallback,
+    causeAt: number,
+  ) => {
     const endsBy = causeAt + graceMs - EXIT_RESERVE_MS;
     try {
       refuseRequests(endsBy);
@@ -176,6 +183,11 @@
       logger.error({ reason: String(error) }, 'failed to refuse requests');
     }
     await untilAnswered(endsBy);
+    try {
+      await refuseArrived(causeAt + graceMs - LAST_RESERVE_MS);
+    } catch (error) {
+      logger.error({ reason: String(error) }, 'failed to refuse what has arrived');
+    }
   };
 
   /** Stops the node; a stop that throws rejects, like one that fails later. */
--- a/lifecycle/failed_stop_test.ts
+++ b/lifecycle/failed_stop_test.ts
@@ -9,6 +9,8 @@
 const GRACE_MS = 6000;
 /** Part of the grace time before whose begin a node must exit. */
 const RESERVE_MS = 500;
+/** Time that the refusal of unread requests takes. */
+const REFUSAL_MS = 20;
 
 const failingStops: Readonly<Record<string, StopNode>> = {
   throws: () => {
@@ -21,15 +23,20 @@
   const clock = createFakeClock();
   const exits: number[] = [];
   const refusals: number[] = [];
+  const arrivals: number[] = [];
   const owner = createEndOwner({
     clock, logger: noopLogger, exit: (status) => exits.push(status),
   });
   owner.setStop(stop, {
     graceMs: GRACE_MS,
     refuseRequests: (endsBy) => refusals.push(endsBy),
+    refuseArrived: async (exitBy) => {
+      arrivals.push(exitBy);
+      await clock.sleep(REFUSAL_MS);
+    },
   });
   return {
-    clock, exits, owner, refusals, open: owner.forListener('caller', () => undefined).openRequest,
+    clock, exits, owner, refusals, arrivals, open: owner.forListener('caller', () => undefined).openRequest,
   };
 };
 
@@ -45,7 +52,7 @@
     assert.equal(exits, []);
     assert.equal(refusals, [GRACE_MS - RESERVE_MS]);
     close();
-    await clock.advance(0);
+    await clock.advance(REFUSAL_MS);
     assert.equal(exits, [1]);
   });
 
@@ -57,7 +64,7 @@
     owner.endProcess({ reason: 'signal', status: 0, sinceMs: 1000 });
     await clock.advance(GRACE_MS - RESERVE_MS - 1001);
     assert.equal(exits, []);
-    await clock.advance(1);
+    await clock.advance(1 + REFUSAL_MS);
     assert.equal(exits, [1]);
   });
 
@@ -72,7 +79,27 @@
     await clock.advance(1000);
     assert.equal(exits, []);
     close();
-    await clock.advance(0);
+    await clock.advance(REFUSAL_MS);
+    assert.equal(exits, [1]);
+  });
+}
+
+// Guards against an exit that resets the connections whose requests are unread.
+for (const [how, stop] of Object.entries(failingStops)) {
+  test(`a stop that ${how} refuses what has arrived before the exit`, async () => {
+    const {
+      clock, exits, owner, arrivals, open,
+    } = setUp(stop);
+    const close = open();
+    owner.endProcess({ reason: 'signal', status: 0 });
+    await clock.advance(1000);
+    assert.equal(arrivals, []);
+    close();
+    await clock.advance(REFUSAL_MS - 1);
+    assert.is(arrivals.length, 1);
+    assert.ok(arrivals[0]! < GRACE_MS);
+    assert.equal(exits, []);
+    await clock.advance(1);
     assert.equal(exits, [1]);
   });
 }
