--- a/lifecycle/failed_stop_test.ts
+++ b/lifecycle/failed_stop_test.ts
@@ -36,7 +36,12 @@
     },
   });
   return {
-    clock, exits, owner, refusals, arrivals, open: owner.forListener('caller', () => undefined).openRequest,
+    clock,
+    exits,
+    owner,
+    refusals,
+    arrivals,
+    open: owner.forListener('caller', () => undefined).openRequest,
   };
 };
 
