Keep half-open callers from the signal on, and stop on after a failed step

And a step of the stop that failed, such as the drain, ended the process at once with all requests open.

Cause: connections were kept half open only from the stop of the listener on, which follows the drain and its propagation; and the stop was one chain of steps without a handler, given to the owner of the ends without a fallback.

Change: daemon/_node_stop.ts runs the steps. A step that fails is logged and the next ones run; the wait for the listeners and the open requests is then limited to 30 s, and the stop rejects at its end, so that the owner exits with status 1. A fallback of the owner would have nothing left to do, as the stop rejects only after its last step. Planned stops keep connections half open from their request on, stops after an exception alone at no time. The listeners get the owner of the ends, which counts their open requests and records ends of connections with requests open.

--- a/command/_run_node.ts
+++ b/command/_run_node.ts
@@ -13,12 +13,8 @@
   const clock = createSystemClock();
   const logger = createLogger('node', { level: settings.log.level, node: settings.node });
   const ends = createEndOwner({ clock, logger: logger.forComponent('ends'), exit: resolve });
-  const started = startNode(settings, { clock });
-  let stopped: Promise<void> | undefined;
-  ends.setStop(() => {
-    stopped ??= started.then((node) => node.stop());
-    return stopped;
-  });
+  const started = startNode(settings, { clock, ends });
+  ends.setStop((request) => started.then((node) => node.stop(request)));
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.on(signal, () => ends.endProcess({ reason: 'signal', status: exitStatuses.ok }));
   }
--- a/daemon/_request_services.ts
+++ b/daemon/_request_services.ts
@@ -7,6 +7,7 @@
   createForwarder, createIdempotencyTable, createRequestLedger, type Forwarder,
 } from '../forward/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import type { Ownership } from '../lease/mod.ts';
 import type { Membership } from '../membership/mod.ts';
 import { loadTlsMaterial, type PeerTransport } from '../peer/mod.ts';
@@ -51,8 +52,18 @@
   };
 };
 
-/** Registers the services that handle requests. */
-export const registerRequestServices = (kernel: Kernel, settings: Settings): void => {
+/**
+ * Registers the services that handle requests.
+ *
+ * @param kernel Kernel of the node.
+ * @param settings Settings of the node.
+ * @param keepsHalfOpen Returns whether a caller that ends its side still gets its responses.
+ */
+export const registerRequestServices = (
+  kernel: Kernel,
+  settings: Settings,
+  keepsHalfOpen: () => boolean,
+): void => {
   const { register } = kernel;
 
   register<LocalUpstreams>({
@@ -69,7 +80,7 @@
 
   register<BoundListener>({
     name: 'peer-listener',
-    needs: ['clock', 'logger', 'upstreams'],
+    needs: ['clock', 'logger', 'ends', 'upstreams'],
     start: async (find) => {
       const clock = find<Clock>('clock');
       const listener = createPeerListener({
@@ -81,6 +92,7 @@
         findUpstream: find<LocalUpstreams>('upstreams').find,
         logger: find<Logger>('logger').forComponent('peer'),
         tls: settings.tls && await loadTlsMaterial(settings.tls),
+        ends: find<EndOwner>('ends'),
       });
       const address = await listener.listen();
       return { service: { ...listener, address }, stop: listener.stop };
@@ -163,7 +175,7 @@
 
   register<BoundListener>({
     name: 'caller-listener',
-    needs: ['limits', 'router', 'forwarder', 'dispatch', 'retry-budget', 'metrics'],
+    needs: ['ends', 'limits', 'router', 'forwarder', 'dispatch', 'retry-budget', 'metrics'],
     start: async (find) => {
       const listener = createCallerListener({
         clock: find<Clock>('clock'),
@@ -176,6 +188,8 @@
         retryBudget: find<RetryBudget>('retry-budget'),
         logger: find<Logger>('logger').forComponent('proxy'),
         metrics: find<Metrics>('metrics'),
+        ends: find<EndOwner>('ends'),
+        keepsHalfOpen,
       });
       const address = await listener.listen();
       return { service: { ...listener, address }, stop: listener.stop };
--- a/daemon/start_node.ts
+++ b/daemon/start_node.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import { createKernel } from '../kernel/mod.ts';
+import { createEndOwner, type EndOwner, type StopRequest } from '../lifecycle/mod.ts';
 import type { Membership } from '../membership/mod.ts';
 import type { GrpcTransport } from '../peer/mod.ts';
 import type { Status } from '../proto/mod.ts';
@@ -10,6 +11,7 @@
 import {
   createIncarnationId, type NodeAddresses, registerControlServices,
 } from './_control_services.ts';
+import { createNodeStop, type NodeStop } from './_node_stop.ts';
 import { type NodeStatusSource, registerStatus } from './_node_status.ts';
 import { type OperatorListener, registerOperatorServices } from './_operator_services.ts';
 import type { OwnerService } from './_owner_service.ts';
@@ -22,6 +24,8 @@
   readonly clock: Clock;
   /** Destination of the log lines; standard output by default. */
   readonly logStream?: NodeJS.WritableStream;
+  /** Owner of the ends of connections and of the process; by default, one that ends no process. */
+  readonly ends?: EndOwner;
 }
 
 /** A running node. */
@@ -30,16 +34,17 @@
   readonly status: () => Status;
   /** Transfers all slots to other nodes. The node continues to answer and forward requests. */
   readonly drain: () => Promise<void>;
-  /** Shuts down gracefully: drains, completes the requests in flight and stops. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Shuts down gracefully: drains, completes the requests in flight and stops. By default, the
+   * stop is planned. Rejects when a step failed, once the other ones have been run.
+   */
+  readonly stop: (request?: StopRequest) => Promise<void>;
   /** Stops at once without a handover, as a crash of the process does. */
   readonly kill: () => Promise<void>;
 }
 
 /** A graceful shutdown waits at most this long for the transfer of its slots. */
 const DRAIN_TIMEOUT_MS = 60_000;
-/** Time within which all peers learn that the instances of a node are draining. */
-const DRAIN_PROPAGATION_MS = 2000;
 
 /**
  * Starts a node.
@@ -62,7 +67,9 @@
     node: settings.node,
     ...(options.logStream === undefined ? {} : { stream: options.logStream }),
   });
+  const ends = options.ends ?? createEndOwner({ clock, logger, exit: () => undefined });
   let draining = false;
+  let nodeStop: NodeStop | undefined;
 
   const drain = async () => {
     draining = true;
@@ -77,6 +84,7 @@
 
   kernel.register<Clock>({ name: 'clock', needs: [], start: () => ({ service: clock }) });
   kernel.register<Logger>({ name: 'logger', needs: [], start: () => ({ service: logger }) });
+  kernel.register<EndOwner>({ name: 'ends', needs: [], start: () => ({ service: ends }) });
   kernel.register<Metrics>({
     name: 'metrics',
     needs: [],
@@ -89,7 +97,7 @@
   });
   registerControlServices(kernel, settings, incarnation);
   registerOwnershipServices(kernel, settings.node, incarnation);
-  registerRequestServices(kernel, settings);
+  registerRequestServices(kernel, settings, () => nodeStop?.isPlanned() === true);
   registerStatus(kernel, settings.node, incarnation, () => draining);
   registerOperatorServices(kernel, settings, drain);
   try {
@@ -109,21 +117,25 @@
     control: kernel.find<GrpcTransport>('transport').address,
     operator: kernel.find<OperatorListener>('operator-listener').address,
   };
+  const createdStop = createNodeStop({
+    clock,
+    ends,
+    drain,
+    listeners: [
+      kernel.find<BoundListener>('caller-listener'), kernel.find<BoundListener>('peer-listener'),
+    ],
+    leave: membership.leave,
+    stopServices: kernel.stop,
+    logger,
+  });
+  nodeStop = createdStop;
   logger.info({ addresses, incarnation }, 'started');
 
   return {
     addresses,
     status: kernel.find<NodeStatusSource>('status').localStatus,
     drain,
-    stop: async () => {
-      await drain();
-      await clock.sleep(DRAIN_PROPAGATION_MS);
-      await kernel.find<BoundListener>('caller-listener').stop();
-      await kernel.find<BoundListener>('peer-listener').stop();
-      await membership.leave();
-      await kernel.stop();
-      logger.info({}, 'stopped');
-    },
+    stop: (request = { sinceMs: 0, isPlanned: true }) => createdStop.stop(request),
     kill: async () => {
       for (const name of ['caller-listener', 'peer-listener']) {
         if (kernel.isRunning(name)) kernel.find<BoundListener>(name).kill();
--- a/proxy/caller_listener.ts
+++ b/proxy/caller_listener.ts
@@ -5,6 +5,7 @@
 import type { CompiledContracts, Contract, RouteMatch } from '../contract/mod.ts';
 import { type Outcome, RefusalError } from '../errors/mod.ts';
 import { endToEndHeaders, type Forwarder, REQUEST_ID_HEADER } from '../forward/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import type { Router } from '../routing/mod.ts';
 import { type Logger, metricNames, type Metrics } from '../telemetry/mod.ts';
 import { type CallerRequest, createAttemptRunner } from './_attempt_runner.ts';
@@ -35,6 +36,13 @@
   /** Largest number of requests that may wait for a placement change. */
   readonly maxWaiting?: number;
   readonly idleGraceMs?: number;
+  /** Decides on and records the ends of connections; by default, they are not recorded. */
+  readonly ends?: Pick<EndOwner, 'forListener'>;
+  /**
+   * Returns whether a caller that ends its side of a connection still gets its responses; by
+   * default, from the stop of the listener on.
+   */
+  readonly keepsHalfOpen?: () => boolean;
 }
 
 /** Result of the checks of a request. */
@@ -76,6 +84,7 @@
   const idPrefix = randomBytes(8).toString('hex');
   let nextId = 0;
   let isStopping = false;
+  const requestIds = new WeakMap<IncomingMessage, string>();
 
   const createRequestId = () => {
     nextId += 1;
@@ -151,6 +160,7 @@
 
   const handle: HttpServerOptions['handle'] = (message, response, expect, arrivedAt) => {
     const requestId = createRequestId();
+    requestIds.set(message, requestId);
     const checked = checkRequest(message, expect);
     if (checked instanceof RefusalError) {
       sendRefusal(response, checked, requestId);
@@ -199,7 +209,8 @@
     maxHeaderBytes: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
-    keepsHalfOpen: () => isStopping,
+    ends: options.ends?.forListener('caller', (message) => requestIds.get(message)),
+    keepsHalfOpen: options.keepsHalfOpen ?? (() => isStopping),
     onAcceptError: (error) => logger.error({ err: error }, 'failed to accept a connection'),
     renderMalformed: (status, dispatched) => renderProblem(
       createRefusal(status, 'the request is not valid HTTP', dispatched ? 'unknown' : 'not run'),
--- a/proxy/peer_listener.ts
+++ b/proxy/peer_listener.ts
@@ -7,6 +7,7 @@
   attemptId, endToEndHeaders, findHeader, formatLoad, HEAD_PROGRESS_TIMEOUT_MS, hopHeaders,
   type HopRequest, type ProgressTimeouts, encodeRefusal, type RequestLedger,
 } from '../forward/mod.ts';
+import type { EndOwner } from '../lifecycle/mod.ts';
 import { createSecretCheck, type TlsMaterial } from '../peer/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 import {
@@ -29,6 +30,8 @@
   readonly tls?: TlsMaterial;
   readonly progressTimeouts?: ProgressTimeouts;
   readonly idleGraceMs?: number;
+  /** Decides on and records the ends of connections; by default, they are not recorded. */
+  readonly ends?: Pick<EndOwner, 'forListener'>;
 }
 
 const STEP = 'peer.receive';
@@ -207,6 +210,9 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: options.idleGraceMs ?? DEFAULT_IDLE_GRACE_MS,
     handle,
+    ends: options.ends?.forListener('peer', ({ rawHeaders }) => (
+      findHeader(rawHeaders, hopHeaders.request)
+    )),
     onAcceptError: (error) => logger.error({ err: error }, 'failed to accept a connection'),
     renderMalformed: (status) => (
       `HTTP/1.1 ${status} Malformed\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
