Bind no listener once a starting node is to stop

What callers saw: a node that got SIGTERM (or an exception) during its binds went on to bind the rest, logged 'started', and took callers for 2.8 s into a process that was to end. Cause: the loop of the binds did not look at the stop, and the stop waited for callers to learn of it though the listener for callers was not bound. A bind that the stop had passed threw 'the listener has been stopped', a failed start with status 1 for a stop that was asked for. With numeric addresses all binds end in one turn of the event loop, in which no signal is handled; with host names, whose lookups take turns, a signal comes between them. Change: the binds end once the shutdown tracker is no longer running; without a bound listener for callers the stop closes at once. Requests of peers that were accepted still get their answers.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -14,6 +14,8 @@
   readonly ends: Pick<EndOwner, 'openRequests' | 'untilAnswered'>;
   /** Listeners whose requests must be answered before the node ends. */
   readonly listeners: readonly HttpListener[];
+  /** Whether callers may know of the node; by default, they may. */
+  readonly mayHaveCallers?: () => boolean;
   /** Announces that the node is stopping. */
   readonly announceStop: () => void;
   /** Longest delay in ms of the event loop before the stop; 0 by default. */
@@ -37,7 +39,8 @@
  * node is not ready, then only proven nested calls of the running ones, and none once no request is
  * in flight. It ends when every response has been handed to the operating system, at the latest
  * shortly before the end of the grace time. A stop that is not planned, as after an exception,
- * does not wait until callers have learned of it, and ends that wait of an earlier stop.
+ * does not wait until callers have learned of it, and ends that wait of an earlier stop. Nor does
+ * the stop of a node whose listener for callers is not bound.
  *
  * @param options Clock, grace time, shutdown tracker, owner of the ends, listeners and logger.
  * @returns A function that stops the node; further calls return the promise of the first one.
@@ -90,8 +93,11 @@
   const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
     shutdown.leave(times.answerBy);
     runStep('announce', options.announceStop);
-    logInfo({ graceMs: options.graceMs, isPlanned }, 'stopping');
-    if (isPlanned) await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
+    const mayHaveCallers = options.mayHaveCallers?.() ?? true;
+    logInfo({ graceMs: options.graceMs, isPlanned, mayHaveCallers }, 'stopping');
+    if (isPlanned && mayHaveCallers) {
+      await clock.sleep(Math.max(0, READINESS_DRAIN_MS - sinceMs), unplanned.signal);
+    }
     const closed = shutdown.close();
     logInfo({ active: shutdown.activeRequests() }, 'no longer accepting requests');
     await closed;
--- a/fleet/_test_stop_model.ts
+++ b/fleet/_test_stop_model.ts
@@ -5,6 +5,7 @@
   createEndOwner, type NodeEndReason, type StopRequest, unrecordedEnds,
 } from '../lifecycle/mod.ts';
 import { handleProcessFailures, noopLogger } from '../telemetry/mod.ts';
+import { bindListeners } from './_bind_listeners.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 import { createModelListener, type ModelListener } from './_test_model_listener.ts';
 import {
@@ -171,11 +172,18 @@
       },
       ends,
       listeners: [listeners.caller, listeners.peer],
+      mayHaveCallers: listeners.caller.isListening,
       announceStop: () => undefined,
       logger: noopLogger,
     });
     ends.setStop((request: StopRequest) => stop(request));
-    for (const name of listenerNames) await listeners[name].listen();
+    const isStopping = () => shutdown.phase() !== 'running';
+    await bindListeners(listenerNames.map((name) => ({
+      listen: () => {
+        if (firstCauseAt !== undefined) report(`${name} is bound although the process is to end`);
+        return listeners[name].listen();
+      },
+    })), isStopping);
   };
 
   const runProcess = async () => {
@@ -195,6 +203,8 @@
     noteCause();
     signalledAt = clock.now();
     ends.endProcess({ reason: 'signal', status: 0, sinceMs: 0 });
+    if (exitedAt !== undefined || listeners.caller.isListening()) return;
+    if (shutdown.phase() === 'leaving') report('the stop waits for callers that cannot connect');
   };
 
   return {
--- /dev/null
+++ b/fleet/signal_during_start_test.ts
@@ -0,0 +1,156 @@
+import { connect } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createSystemClock } from '../clock/mod.ts';
+import { createEndOwner } from '../lifecycle/mod.ts';
+import type { PlatformSettings } from '../platform/mod.ts';
+import { type Logger, noopLogger } from '../telemetry/mod.ts';
+import { startFleetNode } from './start_fleet_node.ts';
+
+const test = suite('signal during the start');
+
+/** Its lookup takes turns of the event loop, unlike that of a numeric address. */
+const HOST = 'localhost';
+/** Below the range from which the system assigns ports. */
+const FIRST_PORT = 20_000;
+const PORTS_PER_NODE = 6;
+const PORTS_PER_PROCESS = 50;
+const firstPort = FIRST_PORT + (process.pid % 200) * PORTS_PER_PROCESS;
+/** Turns of the event loop from the first moment at which a stop is needed to the signal. */
+const turnsBeforeSignal = [0, 1, 2, 3, 4, 6, 8, 12];
+/** Far below the time in which callers learn that a node that was ready is to stop. */
+const MAX_STOP_MS = 2000;
+
+const settingsOf = (port: number): PlatformSettings => ({
+  node: 'host-1',
+  region: 'r',
+  failureDomain: 'd',
+  service: 'orders',
+  instanceAddress: '',
+  isFirstStart: false,
+  announceIntervalMs: 200,
+  bounds: {
+    drainMs: 2000,
+    graceMs: 6000,
+    maxHoldMs: 10_000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    extraRetries: 600,
+  },
+  listen: {
+    caller: `${HOST}:${port}`,
+    peer: `${HOST}:${port + 1}`,
+    readiness: `${HOST}:${port + 2}`,
+    announcements: `${HOST}:${port + 3}`,
+  },
+  linkMegabitsPerSecond: 1000,
+  store: { address: `${HOST}:${port + 4}`, writesPerSecond: 400, readsPerSecond: 2000 },
+});
+
+const isAccepting = (port: number) => new Promise<boolean>((resolve) => {
+  const socket = connect(port, HOST, () => {
+    socket.destroy();
+    resolve(true);
+  });
+  socket.on('error', () => resolve(false));
+});
+
+interface Outcome {
+  readonly status: number;
+  readonly stopMs: number;
+  /** Whether all listeners were bound before the signal. */
+  readonly wasStarted: boolean;
+  readonly acceptedCount: number;
+  readonly failure: unknown;
+}
+
+/** Starts a node, signals it some turns after it can be stopped, and connects until its end. */
+const stopStarting = async (port: number, turns: number): Promise<Outcome> => {
+  const clock = createSystemClock();
+  let isStarted = false;
+  let wasStarted = false;
+  let signalledAt = 0;
+  const logger: Logger = {
+    ...noopLogger,
+    info: (_, message) => {
+      isStarted ||= message === 'started';
+    },
+    forComponent: () => noopLogger,
+  };
+  let failure: unknown;
+  let exitWith = (_status: number) => undefined as void;
+  const exited = new Promise<number>((resolve) => {
+    exitWith = resolve;
+  });
+  const ends = createEndOwner({ clock, logger: noopLogger, exit: exitWith });
+  const signal = async () => {
+    for (let turn = 0; turn < turns; turn += 1) await nextTurn();
+    wasStarted = isStarted;
+    signalledAt = clock.now();
+    ends.endProcess({ reason: 'signal', status: 0 });
+  };
+  const starting = startFleetNode(settingsOf(port), {
+    clock,
+    logger,
+    metricsPort: port + 5,
+    ends: {
+      ...ends,
+      setStop: (stop, fallback) => {
+        ends.setStop(stop, fallback);
+        signal();
+      },
+    },
+  }).catch((error: unknown) => {
+    failure = error;
+    ends.endProcess({ reason: 'failed start', status: 1 });
+    return undefined;
+  });
+  let hasExited = false;
+  exited.finally(() => {
+    hasExited = true;
+  });
+  let acceptedCount = 0;
+  while (!hasExited && !wasStarted) {
+    if (await isAccepting(port)) acceptedCount += 1;
+    await nextTurn();
+  }
+  const status = await exited;
+  const stopMs = clock.now() - signalledAt;
+  await (await starting)?.kill();
+  return {
+    status, stopMs, wasStarted, acceptedCount, failure,
+  };
+};
+
+const stops: PromiseSettledResult<Outcome>[] = [];
+
+test.before(async () => {
+  stops.push(...await Promise.allSettled(turnsBeforeSignal.map((turns, index) => (
+    stopStarting(firstPort + index * PORTS_PER_NODE, turns)
+  ))));
+});
+
+// Guards against a node that binds its listeners after a signal, and accepts callers into a process
+// that is to end.
+for (const [index, turns] of turnsBeforeSignal.entries()) {
+  test(`a node that is signalled ${turns} turns into its binds accepts no caller`, () => {
+    const result = stops[index]!;
+    if (result.status === 'rejected') throw result.reason;
+    const {
+      status, wasStarted, acceptedCount, stopMs, failure,
+    } = result.value;
+    assert.is(failure, undefined);
+    assert.is(status, 0);
+    if (wasStarted) return;
+    assert.is(acceptedCount, 0);
+    assert.ok(stopMs < MAX_STOP_MS, `ended ${stopMs} ms after the signal`);
+  });
+}
+
+test('some signals come during the binds', () => {
+  const outcomes = stops.map((result) => result.status === 'fulfilled' && result.value.wasStarted);
+  assert.ok(outcomes.includes(false));
+});
+
+test.run();
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -23,6 +23,7 @@
 import type { LoadCollector } from './load_collector.ts';
 import type { RangeController } from './range_controller.ts';
 import type { RelayActivity } from './relayed_changes.ts';
+import { bindListeners } from './_bind_listeners.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
 import { registerEraServices } from './_era_services.ts';
 import { registerKeyServices } from './_key_services.ts';
@@ -171,7 +172,7 @@
  *
  * @param settings Validated settings.
  * @param options Clock, logger and metrics port.
- * @returns The node, once all listeners are bound.
+ * @returns The node, once all listeners are bound or the node is to stop.
  * @throws {Error} when an address cannot be bound.
  *
  * @example
@@ -257,6 +258,7 @@
     shutdown,
     ends,
     listeners: [callers, peers],
+    mayHaveCallers: callers.isListening,
     announceStop: () => {
       localNode.setStopping();
       kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
@@ -273,8 +275,10 @@
     },
   });
   // Callers come last: a port that cannot be bound ends the start before one of them is accepted.
-  for (const listener of [...controlListeners, peers, callers]) await listener.listen();
-  logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
+  const isStopping = () => shutdown.phase() !== 'running';
+  if (await bindListeners([...controlListeners, peers, callers], isStopping)) {
+    logger.info({ listen: settings.listen, bounds: settings.bounds }, 'started');
+  } else logger.info({}, 'the start ends, as the node is to stop');
 
   return {
     reload: (changed) => {
--- a/fleet/stop_model_test.ts
+++ b/fleet/stop_model_test.ts
@@ -19,6 +19,8 @@
 const MAX_WAIT_MS = 1500;
 /** Longer than the grace time, after which a node does not wait for its listeners. */
 const MAX_SLOW_MS = 7000;
+/** Longer than the grace time, as for the address of a host name whose lookup takes long. */
+const MAX_BIND_MS = 7000;
 /** A response that is handed over more slowly than the node reserves for it may be cut. */
 const MAX_FLUSH_MS = 200;
 
@@ -110,7 +112,10 @@
 
 const startArbitrary: fc.Arbitrary<ModelStart> = fc.record({
   kernelMs: fc.nat(100),
-  bindMs: fc.array(fc.nat(30), { minLength: 5, maxLength: 5 }),
+  bindMs: fc.array(fc.oneof(
+    { weight: 5, arbitrary: fc.nat(30) },
+    { weight: 1, arbitrary: fc.nat(MAX_BIND_MS) },
+  ), { minLength: 5, maxLength: 5 }),
   failsAt: fc.option(fc.integer({ min: -1, max: 4 }), { nil: undefined, freq: 5 }),
 });
 
