Stop the node command gracefully at a SIGHUP

What callers saw: a SIGHUP, as from a terminal that closes, ended `marjoramhollow node` at once, with requests in flight, also during the graceful stop after a SIGTERM. Cause: the command handled SIGTERM and SIGINT only; the default action of SIGHUP ends the process. Change: SIGHUP ends the node like the other two. This node does not reload its settings. Measured: run_node_test: both tests with a SIGHUP failed with the status SIGHUP before, and pass after. A SIGTERM while the listeners are bound led to the graceful stop before, too; its test stays.

--- a/command/_run_node.ts
+++ b/command/_run_node.ts
@@ -19,7 +19,7 @@
     stopped ??= started.then((node) => node.stop());
     return stopped;
   });
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
     process.on(signal, () => ends.endProcess({ reason: 'signal', status: exitStatuses.ok }));
   }
   handleProcessFailures(process, logger, () => {
--- a/command/run_node_test.ts
+++ b/command/run_node_test.ts
@@ -1,22 +1,28 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 const test = suite('node command');
 
-/** A loopback address of this process alone. */
-const host = `127.3.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
 /** Shorter than the stop of a node without requests. */
 const SECOND_SIGNAL_MS = 500;
 const RUN_LIMIT_MS = 30_000;
+const POLL_MS = 2;
+/** Port of the first listener that a node binds. */
+const CONTROL_PORT = 8280;
+
+/** A loopback address of this process alone. */
+const hostOf = (index: number) => (
+  `127.${30 + index}.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`
+);
 
-// The handler of a signal was removed after the first one, so that the next one ended the process
-// by its default action, with requests in flight.
-test('a second SIGTERM does not end the node before its graceful stop', async () => {
+const startNode = (host: string) => {
   const directory = mkdtempSync(join(tmpdir(), 'run-node-'));
   const path = join(directory, 'settings.json');
   writeFileSync(path, JSON.stringify({
@@ -26,7 +32,7 @@
     listen: {
       caller: `${host}:8080`,
       peer: `${host}:8180`,
-      control: `${host}:8280`,
+      control: `${host}:${CONTROL_PORT}`,
       operator: `${host}:8380`,
     },
     store: { url: `http://${host}:7000` },
@@ -39,22 +45,91 @@
   const args = ['bin/marjoramhollow.js', 'node', '--settings', path];
   const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
   const limit = setTimeout(() => child.kill('SIGKILL'), RUN_LIMIT_MS);
-  const exited = once(child, 'exit');
   let log = '';
+  let onLog = () => undefined as void;
+  const started = new Promise<void>((resolve) => {
+    onLog = () => {
+      if (log.includes('node: started')) resolve();
+    };
+  });
   child.stdout.on('data', (chunk: Buffer) => {
-    const before = log;
     log += chunk.toString();
-    if (before.includes('node: started') || !log.includes('node: started')) return;
-    child.kill('SIGTERM');
-    setTimeout(() => child.kill('SIGTERM'), SECOND_SIGNAL_MS);
+    onLog();
+  });
+  const ended = once(child, 'close').then(([status, signal]) => {
+    clearTimeout(limit);
+    rmSync(directory, { recursive: true });
+    return (status ?? signal) as number | string;
+  });
+  return {
+    child, started, ended, log: () => log,
+  };
+};
+
+const isBound = (host: string) => new Promise<boolean>((resolve) => {
+  const socket = connect(CONTROL_PORT, host, () => {
+    socket.destroy();
+    resolve(true);
   });
-  const [status, signal] = await exited as [number | null, string | null];
-  clearTimeout(limit);
-  rmSync(directory, { recursive: true });
-  assert.is(signal, null);
-  assert.is(status, 0);
-  assert.match(log, /node: stopped/u);
-  assert.match(log, /ends: the process ends already/u);
+  socket.on('error', () => resolve(false));
 });
 
+/** Sends signals, the first one once the node has started or binds its first listener. */
+const stopWith = async (index: number, signals: readonly NodeJS.Signals[], isStarting: boolean) => {
+  const host = hostOf(index);
+  const node = startNode(host);
+  if (isStarting) while (!await isBound(host)) await sleep(POLL_MS);
+  else await node.started;
+  for (const [position, signal] of signals.entries()) {
+    if (position > 0) await sleep(SECOND_SIGNAL_MS);
+    node.child.kill(signal);
+  }
+  assert.is(await node.ended, 0);
+  assert.match(node.log(), /node: stopped/u);
+  if (signals.length > 1) assert.match(node.log(), /ends: the process ends already/u);
+};
+
+const cases = [
+  // The handler of a signal was removed after the first one, so that the next one ended the process
+  // by its default action, with requests in flight.
+  {
+    name: 'a second SIGTERM does not end the node before its graceful stop',
+    signals: ['SIGTERM', 'SIGTERM'],
+    isStarting: false,
+  },
+  // Guards against a signal that ends a node at once after it has begun to accept requests.
+  {
+    name: 'a SIGTERM while the listeners are bound leads to the graceful stop',
+    signals: ['SIGTERM', 'SIGTERM'],
+    isStarting: true,
+  },
+  // A SIGHUP, as from a terminal that closes, ended the process with requests in flight.
+  {
+    name: 'a SIGHUP leads to the graceful stop',
+    signals: ['SIGHUP', 'SIGHUP'],
+    isStarting: false,
+  },
+  // The default action of a SIGHUP cut the graceful stop short.
+  {
+    name: 'a SIGHUP after a SIGTERM does not end the node before its graceful stop',
+    signals: ['SIGTERM', 'SIGHUP'],
+    isStarting: false,
+  },
+] as const;
+
+const stops: PromiseSettledResult<void>[] = [];
+
+test.before(async () => {
+  stops.push(...await Promise.allSettled(cases.map(({ signals, isStarting }, index) => (
+    stopWith(index, signals, isStarting)
+  ))));
+});
+
+for (const [index, { name }] of cases.entries()) {
+  test(name, () => {
+    const result = stops[index]!;
+    if (result.status === 'rejected') throw result.reason;
+  });
+}
+
 test.run();
