Log when the changed settings cannot be read

What operators saw: nothing, when the settings file was missing at a SIGHUP or a poll; the node kept the settings in force without a line. Cause: the check returned without a line when the file could not be read. Change: one error line for each time the file becomes unreadable, in fleet/_watch_settings.ts, which takes its text from a function so that the model of the stop can play it. The case of missing settings waits for the new line.

--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -7,6 +7,7 @@
 /** A node that runs in a process of its own. */
 export interface NodeProcess {
   readonly child: ChildProcess;
+  readonly settingsPath: string;
   /** Returns the lines of its log. */
   readonly log: () => string;
   /** Resolves once the log contains a text. */
@@ -80,6 +81,7 @@
   });
   return {
     child,
+    settingsPath: path,
     log: () => log,
     logged: (text) => new Promise((resolve, reject) => {
       const check = () => {
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { setImmediate } from 'node:timers/promises';
 import { processSignals } from './_process_signals.ts';
+import { createSettingsCheck } from './_watch_settings.ts';
 import { createSystemClock } from '../clock/mod.ts';
 import { createEndOwner } from '../lifecycle/mod.ts';
 import { parsePlatformSettings } from '../platform/mod.ts';
@@ -31,15 +32,9 @@
 };
 
 const watchSettings = (path: string, first: string, node: FleetNode, logger: Logger) => {
-  let known = first;
-  const check = () => {
-    const text = readText(path);
-    if (text === undefined || text === known) return;
-    known = text;
-    const settings = parsePlatformSettings(text, path);
-    if (settings.isOk()) node.reload(settings.value);
-    else logger.error({ reason: settings.error.message }, 'rejected the changed settings');
-  };
+  const check = createSettingsCheck({
+    source: path, read: () => readText(path), first, reload: node.reload, logger,
+  });
   processSignals.onReload(check);
   setInterval(check, SETTINGS_POLL_INTERVAL_MS).unref();
 };
