Play SIGHUP, further SIGTERM and signals before the start in the model of the stop

The random orders had one signal, after the handlers were set. They use the handlers of fleet/_process_signals.ts and the check of the settings now, with signals from the creation of the process on, and require that a SIGHUP ends nothing and that the settings of the last one are in force.

--- a/fleet/_process_signals.ts
+++ b/fleet/_process_signals.ts
@@ -8,7 +8,13 @@
   readonly onReload: (handler: () => void) => void;
 }
 
-const createProcessSignals = (): ProcessSignals => {
+/** The part of a Node.js process that delivers its signals. */
+export interface SignalSource {
+  readonly on: (signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP', listener: () => void) => unknown;
+}
+
+/** Creates the handlers for the signals of a source. */
+export const createProcessSignals = (source: SignalSource): ProcessSignals => {
   let stopRequestedAt: number | undefined;
   let isReloadPending = false;
   let stop = (_sinceSignalMs: number) => undefined as void;
@@ -20,9 +26,9 @@
     stopRequestedAt = performance.now();
     stop(0);
   };
-  process.on('SIGTERM', requestStop);
-  process.on('SIGINT', requestStop);
-  process.on('SIGHUP', () => reload());
+  source.on('SIGTERM', requestStop);
+  source.on('SIGINT', requestStop);
+  source.on('SIGHUP', () => reload());
   return {
     isStopRequested: () => stopRequestedAt !== undefined,
     onStop: (handler) => {
@@ -41,4 +47,4 @@
  * Signals of this process. They are caught from the evaluation of this module on, which has to be
  * the first import of an entry point: the default action of each of them ends the process.
  */
-export const processSignals = createProcessSignals();
+export const processSignals = createProcessSignals(process);
--- a/fleet/_test_stop_model.ts
+++ b/fleet/_test_stop_model.ts
@@ -7,10 +7,13 @@
 import { handleProcessFailures, noopLogger } from '../telemetry/mod.ts';
 import { bindListeners } from './_bind_listeners.ts';
 import { createGracefulStop } from './_create_graceful_stop.ts';
+import { createProcessSignals } from './_process_signals.ts';
 import { createModelListener, type ModelListener } from './_test_model_listener.ts';
 import {
   createModelRequests, type ModelRequests, type ServingName,
 } from './_test_model_requests.ts';
+import { type ModelSettings, settingsTextOf, settingsTexts } from './_test_model_settings.ts';
+import { createSettingsCheck } from './_watch_settings.ts';
 
 /** Listeners in the order in which a node binds them. */
 const listenerNames = ['announcements', 'metrics', 'readiness', 'peer', 'caller'] as const;
@@ -18,6 +21,8 @@
 
 /** How a node starts. */
 export interface ModelStart {
+  /** Time in ms from the first handler of a signal until the node is started; none if absent. */
+  readonly loadMs?: number;
   /** Time in ms before the first listener is bound. */
   readonly kernelMs: number;
   /** Times in ms of the binds, in their order. */
@@ -29,7 +34,10 @@
 /** Events of a model of a node, and the violations it has found. */
 export interface StopModel extends Omit<ModelRequests, 'checkExit'> {
   readonly slowDown: (listener: ServingName, delayMs: number) => void;
+  /** Sends a SIGTERM; further ones may follow. */
   readonly signal: () => void;
+  /** Changes the settings file and sends a SIGHUP. */
+  readonly hangUp: (settings: ModelSettings) => void;
   readonly throwException: () => void;
   readonly advance: (durationMs: number) => Promise<void>;
   /** Stops the node, if nothing did, and checks what must hold after the exit. */
@@ -62,7 +70,6 @@
   const cancelTasks = new Set<() => void>();
   let exitedAt: number | undefined;
   let firstCauseAt: number | undefined;
-  let signalledAt: number | undefined;
   let closedAt: number | undefined;
   let isFailed = false;
 
@@ -83,6 +90,10 @@
     },
   };
 
+  const sleep = (delayMs: number) => new Promise<void>((resolve) => {
+    modelClock.schedule(delayMs, resolve);
+  });
+
   const shutdown = createShutdownTracker(clock);
 
   let exit = (_status: number) => undefined as void;
@@ -129,6 +140,7 @@
       report('the process exits twice');
       return;
     }
+    if (firstCauseAt === undefined) report('the process exits without a cause');
     exitedAt = clock.now();
     const latestAt = (firstCauseAt ?? -Infinity) + GRACE_MS - RESERVE_MS;
     if (exitedAt > latestAt) report(`the process exits later than at ${latestAt} ms`);
@@ -145,6 +157,21 @@
   };
 
   const source = new EventEmitter();
+  const signals = createProcessSignals({ on: (name, listener) => source.on(name, listener) });
+  let settingsText: string | undefined = settingsTexts.valid;
+  let inForce = settingsTexts.valid;
+  let isReloadable = false;
+
+  const checkReload = () => {
+    if (exitedAt !== undefined || !isReloadable) return;
+    if (settingsText === undefined || settingsText === settingsTexts.invalid) return;
+    if (inForce !== settingsText) report('the settings of the last SIGHUP are not in force');
+  };
+
+  const exitUnstarted = () => {
+    exitedAt = clock.now();
+    for (const cancelTask of cancelTasks) cancelTask();
+  };
   handleProcessFailures({
     on: (event, listener) => source.on(event, listener),
   }, noopLogger, () => {
@@ -156,9 +183,7 @@
   };
 
   const startNode = async () => {
-    await new Promise<void>((resolve) => {
-      modelClock.schedule(start.kernelMs, resolve);
-    });
+    await sleep(start.kernelMs);
     if (start.failsAt === -1) throw new Error('the kernel does not start');
     const stop = createGracefulStop({
       clock,
@@ -187,8 +212,25 @@
   };
 
   const runProcess = async () => {
+    if (start.loadMs !== undefined) await sleep(start.loadMs);
+    if (signals.isStopRequested()) {
+      exitUnstarted();
+      return;
+    }
+    signals.onStop((sinceMs) => ends.endProcess({ reason: 'signal', status: 0, sinceMs }));
     try {
       await startNode();
+      signals.onReload(createSettingsCheck({
+        source: 'model',
+        read: () => settingsText,
+        first: settingsTexts.valid,
+        reload: ({ service }) => {
+          inForce = settingsTextOf(service);
+        },
+        logger: noopLogger,
+      }));
+      isReloadable = true;
+      checkReload();
     } catch {
       if (exitedAt !== undefined) return;
       noteCause();
@@ -199,10 +241,9 @@
   runProcess();
 
   const signal = () => {
-    if (signalledAt !== undefined) return;
+    if (exitedAt !== undefined) return;
     noteCause();
-    signalledAt = clock.now();
-    ends.endProcess({ reason: 'signal', status: 0, sinceMs: 0 });
+    source.emit('SIGTERM');
     if (exitedAt !== undefined || listeners.caller.isListening()) return;
     if (shutdown.phase() === 'leaving') report('the stop waits for callers that cannot connect');
   };
@@ -211,6 +252,11 @@
     ...requests,
     slowDown: (name, delayMs) => listeners[name].slowDown(delayMs),
     signal,
+    hangUp: (settings) => {
+      settingsText = settingsTexts[settings];
+      source.emit('SIGHUP');
+      checkReload();
+    },
     throwException: () => {
       noteCause();
       isFailed = true;
--- a/fleet/stop_model_test.ts
+++ b/fleet/stop_model_test.ts
@@ -6,6 +6,7 @@
 import fc from 'fast-check';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { ModelSettings } from './_test_model_settings.ts';
 import { createStopModel, type ModelStart, type StopModel } from './_test_stop_model.ts';
 import type { ModelWork, ServingName } from './_test_model_requests.ts';
 
@@ -37,6 +38,7 @@
   | { readonly kind: 'wait'; readonly durationMs: number }
   | { readonly kind: 'slow stop'; readonly listener: ServingName; readonly delayMs: number }
   | { readonly kind: 'turns'; readonly count: number }
+  | { readonly kind: 'hang-up'; readonly settings: ModelSettings }
   | { readonly kind: 'signal' | 'exception' };
 
 type CommandOf<Kind> = Extract<Command, { readonly kind: Kind }>;
@@ -108,9 +110,17 @@
     weight: 1,
     arbitrary: fc.record({ kind: fc.constantFrom('signal' as const, 'exception' as const) }),
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('hang-up' as const),
+      settings: fc.constantFrom<ModelSettings>('valid', 'changed', 'invalid', 'missing'),
+    }),
+  },
 );
 
 const startArbitrary: fc.Arbitrary<ModelStart> = fc.record({
+  loadMs: fc.nat(100),
   kernelMs: fc.nat(100),
   bindMs: fc.array(fc.oneof(
     { weight: 5, arbitrary: fc.nat(30) },
@@ -140,6 +150,7 @@
     for (let turn = 0; turn < count; turn += 1) await Promise.resolve();
   },
   signal: (model) => model.signal(),
+  'hang-up': (model, { settings }) => model.hangUp(settings),
   exception: (model) => model.throwException(),
 };
 
