--- a/command/_run_node.ts
+++ b/command/_run_node.ts
@@ -15,7 +15,7 @@
   const ends = createEndOwner({ clock, logger: logger.forComponent('ends'), exit: resolve });
   const started = startNode(settings, { clock, ends });
   ends.setStop((request) => started.then((node) => node.stop(request)));
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
     process.on(signal, () => ends.endProcess({ reason: 'signal', status: exitStatuses.ok }));
   }
   handleProcessFailures(process, logger, () => {
