Tell in the soak whether a request without a byte was read

A finding `closed without a byte` did not tell whether the process had accepted the connection or read the request, so its cause was a guess from the times. Each node of the soak now prints at its exit which connections of callers it accepted and which requests it read on them, by the public diagnostics channels of Node.js, and the trace of a finding names it as `reach`.

--- a/soak/_callers.ts
+++ b/soak/_callers.ts
@@ -14,6 +14,8 @@
   /** Whether the request was sent on a connection that had carried another one. */
   isReused: boolean;
   isConnected: boolean;
+  /** Port of the caller; 0 until it is connected. */
+  port: number;
   endedAt: number;
   answerBytes: number;
   status: number | undefined;
@@ -70,6 +72,7 @@
     sentAt: performance.now(),
     isReused: false,
     isConnected: false,
+    port: 0,
     endedAt: 0,
     answerBytes: 0,
     status: undefined,
@@ -97,9 +100,11 @@
     bytesReadBefore = socket.bytesRead;
     bytesRead = () => socket.bytesRead;
     sent.isConnected = !socket.connecting;
+    sent.port = socket.localPort ?? 0;
     if (!socket.connecting) return;
     socket.once('connect', () => {
       sent.isConnected = true;
+      sent.port = socket.localPort ?? 0;
     });
   });
   request.once('response', (received) => {
--- a/soak/_check_round.ts
+++ b/soak/_check_round.ts
@@ -1,5 +1,6 @@
 import type { SentRequest } from './_callers.ts';
 import type { ProcessRecord } from './_starved_node.ts';
+import { findReach } from './_traced_connections.ts';
 
 /** What a round leaves for its check. */
 export interface RoundRecord {
@@ -66,6 +67,7 @@
       sinceSignalMs: sinceSignalMs(round, request),
       beforeExitMs: entrance?.endedAt && Math.round(entrance.endedAt - endedAt),
       runs: runsOf(round, request.id),
+      reach: entrance && findReach(entrance.process.log(), request),
     }),
     ...named,
     ...ends,
--- a/soak/_starved_node.ts
+++ b/soak/_starved_node.ts
@@ -34,6 +34,7 @@
   readonly storeAddress: string;
 }
 
+const TRACE_ARGUMENTS = ['--import', 'tsx', '--import', './soak/_connection_trace.ts'] as const;
 const PERIOD_MS = 100;
 /** The platform kills a process that is still there after its grace time. */
 const GRACE_MS = 6000;
@@ -52,7 +53,7 @@
 
   const start = () => {
     const process = startNodeProcess({
-      node: name, failureDomain, host, storeAddress,
+      node: name, failureDomain, host, storeAddress, runtimeArguments: TRACE_ARGUMENTS,
     });
     const record: ProcessRecord = { startedAt: performance.now(), process };
     processes.push(record);
