Close a listening socket only after a short turn of the event loop

Callers whose connections were established while a stopping process was suspended got a reset, with no byte of an answer: Linux resets what waits in the accept queue when the listening socket is closed. The stop closes the socket in a turn in which no connection was accepted, but that turn lasts from the poll to the close, so a process that is suspended, or runs other work, in between leaves a window as long as that.

The stop now measures that turn and looks again when it took more than a millisecond, for at most 100 ms.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -26,6 +26,10 @@
 const ACCEPT_PAUSE_MS = 2;
 /** Pauses in a row after which no client is taken to be connecting. */
 const QUIET_PAUSES = 3;
+/** Connections may be established while a turn lasts, so one that took longer is not the last. */
+const MAX_LAST_TURN_MS = 1;
+/** Limits the wait for a short turn in a process that is always busy. */
+const MAX_LAST_TURN_WAIT_MS = 100;
 /** A request may be read in one turn, handled in the next one and answered in a third. */
 const QUIET_TURNS = 3;
 /** Limits the time for requests on idle connections that have arrived before their close. */
@@ -49,18 +53,33 @@
   /** Closes the listening socket, and resolves once all connections have closed. */
   readonly close: () => Promise<void>;
 } => {
+  /** Runs one turn; returns whether it was short, so that little can have arrived in it unseen. */
+  const runTurn = async () => {
+    const startedAt = clock.now();
+    await nextTurn();
+    return clock.now() - startedAt <= MAX_LAST_TURN_MS;
+  };
+
   /** Node.js accepts one connection in each turn of the event loop. */
   const acceptEstablished = async (endsBy: number) => {
     let quietPauses = 0;
     let countBefore = acceptedCount();
-    while (clock.now() < endsBy) {
-      await nextTurn();
+    let closesBy = endsBy;
+    while (clock.now() < closesBy) {
+      const isShort = await runTurn();
       const isQuiet = acceptedCount() === countBefore;
       countBefore = acceptedCount();
-      // The socket is closed in the turn that has looked for connections.
-      if (isQuiet && quietPauses === QUIET_PAUSES) return;
-      quietPauses = isQuiet ? quietPauses + 1 : 0;
-      if (isQuiet) await pause(ACCEPT_PAUSE_MS);
+      if (!isQuiet) {
+        quietPauses = 0;
+        closesBy = endsBy;
+      } else if (quietPauses < QUIET_PAUSES) {
+        quietPauses += 1;
+        await pause(ACCEPT_PAUSE_MS);
+      } else {
+        // The socket is closed in the turn that has looked for connections.
+        if (isShort) return;
+        closesBy = Math.min(closesBy, clock.now() + MAX_LAST_TURN_WAIT_MS);
+      }
     }
   };
 
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { createSystemClock } from '../clock/mod.ts';
+import { type Clock, createSystemClock } from '../clock/mod.ts';
 import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createHttpServer, renderMalformed } from './mod.ts';
@@ -16,10 +16,14 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 const FINAL_RESPONSE = 'HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n';
 
-const startServer = async (renderFinal?: () => string, handlingMs = 0) => {
+const startServer = async (
+  renderFinal?: () => string,
+  handlingMs = 0,
+  clock: Clock = createSystemClock(),
+) => {
   const paths: string[] = [];
   const server = createHttpServer({
-    clock: createSystemClock(),
+    clock,
     address: '127.0.0.1:0',
     maxHeaderBytes: 16_384,
     idleGraceMs: IDLE_GRACE_MS,
@@ -83,6 +87,45 @@
   }
 });
 
+/** Reads of the clock by the stop until the listening socket is closed, and some more. */
+const CLOCK_READS = 16;
+/** Time for which the process waits for the processor between two steps of its event loop. */
+const DELAY_MS = 15;
+
+// Guards against connections that the close of the listening socket resets, since they were
+// established while the process was suspended after it had looked for them.
+test('connections established in a suspension before the close are served', async () => {
+  for (let suspendedAt = 1; suspendedAt <= CLOCK_READS; suspendedAt += 1) {
+    const clock = createSystemClock();
+    let reads = -Infinity;
+    const opened: ReturnType<typeof openConnection>[] = [];
+    const { server, open } = await startServer(undefined, 0, {
+      ...clock,
+      now: () => {
+        reads += 1;
+        // Runs after the event loop has polled and before the stop goes on.
+        if (reads === suspendedAt) {
+          setImmediate(() => {
+            blockEventLoop(DELAY_MS);
+            const connection = open();
+            connection.socket.write(REQUEST);
+            opened.push(connection);
+          });
+        }
+        return clock.now();
+      },
+    });
+    reads = 0;
+    await server.stop();
+    for (const { closed, received, error } of opened) {
+      await closed;
+      if (error().includes('ECONNREFUSED')) continue;
+      assert.is(error(), '', `suspended at read ${suspendedAt} of the clock`);
+      assert.match(received(), /^HTTP\/1\.1 200 /u);
+    }
+  }
+});
+
 // Guards against a listener that is kept open for as long as clients connect.
 test('new connections without end do not keep the server from its stop', async () => {
   const { server, open } = await startServer(undefined, 8);
