Close idle connections only after a short turn of the event loop

A caller that sent a request on a kept connection got a reset when the node was suspended between its last look for requests and the close of its idle connections: a connection that is closed with input unread is reset. As for the listening socket, the look and the close are in one turn of the event loop, and that turn lasts as long as the suspension.

The last of the quiet turns must now be short. The new test suspends the event loop at each step of the close; before, the request was reset at the fourth.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -91,10 +91,12 @@
       NetServer.prototype.close.call(server);
     }
     let quietTurns = 0;
-    while (options.openConnections() > 0 && quietTurns < QUIET_TURNS && clock.now() < endsBy) {
+    while (options.openConnections() > 0 && clock.now() < endsBy) {
       const countBefore = readCount();
-      await nextTurn();
+      const isShort = await runTurn();
       quietTurns = readCount() > countBefore ? 0 : quietTurns + 1;
+      // Connections are closed in the turn that has looked for requests.
+      if (quietTurns >= QUIET_TURNS && isShort) break;
     }
     return readCount() - readBefore;
   };
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -3,6 +3,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { type Clock, createSystemClock } from '../clock/mod.ts';
+import { type ConnectionEnds, unrecordedEnds } from '../lifecycle/mod.ts';
 import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createHttpServer, renderMalformed } from './mod.ts';
@@ -20,6 +21,7 @@
   renderFinal?: () => string,
   handlingMs = 0,
   clock: Clock = createSystemClock(),
+  ends?: ConnectionEnds,
 ) => {
   const paths: string[] = [];
   const server = createHttpServer({
@@ -34,6 +36,7 @@
     },
     renderMalformed,
     ...(renderFinal === undefined ? {} : { renderFinal }),
+    ...(ends === undefined ? {} : { ends }),
   });
   const address = await server.listen();
   return { server, paths, open: () => openConnection(address) };
@@ -126,6 +129,53 @@
   }
 });
 
+// Guards against idle connections that are closed with a request unread, since it arrived while the
+// process was suspended after it had looked for requests.
+test('requests that arrive in a suspension before idle connections close are served', async () => {
+  for (let suspendedAt = 1; suspendedAt <= CLOCK_READS; suspendedAt += 1) {
+    const clock = createSystemClock();
+    let reads = -Infinity;
+    let isClosed = false;
+    let isSentInTime = false;
+    let send = () => undefined as unknown;
+    const { server, open } = await startServer(undefined, 0, {
+      ...clock,
+      now: () => {
+        reads += 1;
+        if (reads === suspendedAt) {
+          setImmediate(() => {
+            blockEventLoop(DELAY_MS);
+            isSentInTime = !isClosed;
+            send();
+          });
+        }
+        return clock.now();
+      },
+    }, {
+      ...unrecordedEnds,
+      mayEnd: (reason, openRequests) => {
+        isClosed ||= reason === 'idle after the stop' && openRequests === 0;
+        return unrecordedEnds.mayEnd(reason, openRequests);
+      },
+    });
+    const {
+      socket, closed, received, error,
+    } = open();
+    socket.write(REQUEST);
+    await once(socket, 'data');
+    send = () => socket.write(REQUEST);
+    const stopped = server.stop();
+    // The socket that listens is closed; what follows precedes the close of idle connections.
+    await sleep(IDLE_GRACE_MS / 2);
+    reads = 0;
+    await stopped;
+    await closed;
+    if (!isSentInTime) continue;
+    assert.is(error(), '', `suspended at read ${suspendedAt} of the clock`);
+    assert.is(received().match(/HTTP\/1\.1 200 /gu)?.length, 2);
+  }
+});
+
 // Guards against a listener that is kept open for as long as clients connect.
 test('new connections without end do not keep the server from its stop', async () => {
   const { server, open } = await startServer(undefined, 8);
