Close unused connections before the process exits

A caller that sent a request on a kept connection while a late stop ended got a reset without a byte: when requests are in flight until the end of the grace time, the listeners are not stopped before, so idle connections stayed open until the operating system closed them in the exit of the process, which takes some milliseconds after the last look for requests and longer for a process that is suspended.

The stop now closes the connections without an open request in the turn of its last look, after a pass in which no listener has read anything: callers get a FIN, and peers their refusal. The new test fails without the change; ten of ten connections were open at the exit.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -31,6 +31,8 @@
 const REFUSAL_LIMIT_MS = 250;
 /** Time for these refusals when the exit is late; an event loop that is free needs less. */
 const LATE_REFUSAL_LIMIT_MS = 100;
+/** Listeners end the first pass in different turns of the event loop, as some still accept. */
+const QUIET_PASSES = 2;
 
 /**
  * Creates the graceful stop of a node. It accepts all requests until callers have learned that the
@@ -109,14 +111,15 @@
 
   /** Requests that arrive behind the last ones are read and refused rather than reset. */
   const refuseArrived = async (refusedBy: number) => {
-    let readCount: number;
+    let quietPasses = 0;
     do {
       const counts = await Promise.all(
         options.listeners.map((listener) => readArrived(listener, refusedBy)),
       );
-      readCount = counts.reduce((sum, count) => sum + count, 0);
+      const readCount = counts.reduce((sum, count) => sum + count, 0);
+      quietPasses = readCount > 0 ? 0 : quietPasses + 1;
       if (readCount > 0) await ends.untilAnswered(refusedBy);
-    } while (readCount > 0 && clock.now() < refusedBy);
+    } while (quietPasses < QUIET_PASSES && clock.now() < refusedBy);
   };
 
   const runInTime = async (request: StopRequest) => {
@@ -134,6 +137,8 @@
         Math.min(clock.now() + REFUSAL_LIMIT_MS, times.exitBy()),
       );
       await Promise.race([refuseArrived(refusedBy), times.until(() => refusedBy)]);
+      // The exit takes long enough for clients to send further requests on open connections.
+      for (const { closeIdle } of options.listeners) runStep('close', closeIdle);
     } finally {
       times.end();
     }
--- a/fleet/_test_model_listener.ts
+++ b/fleet/_test_model_listener.ts
@@ -263,6 +263,7 @@
       if (slowMs > 0) await sleep(slowMs);
     },
     readArrived: async () => 0,
+    closeIdle: state.closeIdle,
     kill: () => undefined,
     wasBound: () => isBound,
     connect: () => {
--- a/fleet/create_graceful_stop_test.ts
+++ b/fleet/create_graceful_stop_test.ts
@@ -32,6 +32,7 @@
       });
     },
     readArrived: async () => 0,
+    closeIdle: () => undefined,
     kill: () => undefined,
   };
   const stop = createGracefulStop({
--- a/fleet/failed_stop_test.ts
+++ b/fleet/failed_stop_test.ts
@@ -44,6 +44,7 @@
     isListening: () => true,
     stop,
     readArrived: async () => 0,
+    closeIdle: () => undefined,
     kill: () => undefined,
   });
   const countStop = async () => {
--- a/fleet/unread_requests_test.ts
+++ b/fleet/unread_requests_test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
@@ -17,6 +18,8 @@
 const IDLE_GRACE_MS = 5000;
 /** Time for which the event loop is late at the end of the stop. */
 const BLOCK_MS = 400;
+/** Time that the exit of a process takes. */
+const EXIT_MS = 100;
 const CONNECTIONS = 20;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 
@@ -51,8 +54,9 @@
   return {
     address,
     shutdown,
-    stop: async () => {
+    stop: async (exit = async () => undefined as void) => {
       await stop({ sinceMs: 0, isPlanned: false });
+      await exit();
       server.kill();
     },
   };
@@ -80,6 +84,28 @@
   }
 });
 
+// Guards against requests that clients send while the process exits, on connections that are still
+// open to them.
+test('connections without a request are closed before the exit', async () => {
+  const node = await startNode();
+  node.shutdown.trackRequest(Infinity);
+  const connections = Array.from({ length: CONNECTIONS }, () => openConnection(node.address));
+  await Promise.all(connections.map(({ socket }) => once(socket, 'connect')));
+  for (const { socket } of connections.slice(CONNECTIONS / 2)) socket.write('GET / HTTP/1.1\r\n');
+  const exit = { isBegun: false };
+  const atExit: (string | undefined)[] = [];
+  for (const { socket, error } of connections.slice(0, CONNECTIONS / 2)) {
+    socket.once('close', () => atExit.push(exit.isBegun ? 'open at the exit' : error()));
+  }
+  const stopped = node.stop(async () => {
+    await sleep(EXIT_MS);
+    exit.isBegun = true;
+  });
+  await stopped;
+  await Promise.all(connections.map(({ closed }) => closed));
+  assert.equal(atExit, Array.from({ length: CONNECTIONS / 2 }, () => ''));
+});
+
 // Guards against an exit that waits for clients whose requests are never complete.
 test('a request that is never complete does not delay the exit beyond the grace time', async () => {
   const node = await startNode();
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -272,6 +272,11 @@
   };
 
   return {
-    listen, isListening: () => server.listening && !isStopping, stop, readArrived, kill,
+    listen,
+    isListening: () => server.listening && !isStopping,
+    stop,
+    readArrived,
+    closeIdle: closeIdleConnections,
+    kill,
   };
 };
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -19,6 +19,8 @@
    * number of requests that were read.
    */
   readonly readArrived: (endsBy: number) => Promise<number>;
+  /** Closes all connections without an open request at once, before the process ends. */
+  readonly closeIdle: () => void;
   /** Destroys all connections at once, as a crash of the process does. */
   readonly kill: () => void;
 }
