--- a/soak/_check_round.ts
+++ b/soak/_check_round.ts
@@ -133,6 +133,9 @@
     lateAnswered: count((request) => isLate(request) && request.status === 200),
     lateRun: count((request) => isLate(request) && isRun(request)),
     stops: stopped.length,
+    msToExit: stopped.reduce((sum, { signalledAt, endedAt }) => (
+      sum + Math.round((endedAt ?? signalledAt!) - signalledAt!)
+    ), 0),
     exitsWithOpenRequests: stopped.filter(({ process }) => (
       process.log().includes('process ended with a request open')
     )).length,
