--- a/soak/_starved_node.ts
+++ b/soak/_starved_node.ts
@@ -35,6 +35,8 @@
 }
 
 const TRACE_ARGUMENTS = ['--import', 'tsx', '--import', './soak/_connection_trace.ts'] as const;
+/** Longer than a round on a machine that is busy; only a round that hangs may meet it. */
+const MAX_RUN_MS = 300_000;
 const PERIOD_MS = 100;
 /** The platform kills a process that is still there after its grace time. */
 const GRACE_MS = 6000;
@@ -53,7 +55,12 @@
 
   const start = () => {
     const process = startNodeProcess({
-      node: name, failureDomain, host, storeAddress, runtimeArguments: TRACE_ARGUMENTS,
+      node: name,
+      failureDomain,
+      host,
+      storeAddress,
+      maxRunMs: MAX_RUN_MS,
+      runtimeArguments: TRACE_ARGUMENTS,
     });
     const record: ProcessRecord = { startedAt: performance.now(), process };
     processes.push(record);
