--- a/http/refuse_arrived.ts
+++ b/http/refuse_arrived.ts
@@ -6,9 +6,9 @@
 export interface RefuseArrivedOptions {
   readonly clock: Clock;
   /** Listeners that refuse all requests by now. */
-  readonly listeners: readonly Pick<HttpListener, 'readArrived'>[];
+  readonly listeners: readonly Pick<HttpListener, 'readArrived' | 'closeIdle'>[];
   readonly ends: Pick<EndOwner, 'untilAnswered'>;
-  /** Called when a listener fails to read; the others go on. */
+  /** Called when a listener fails to read or to close; the others go on. */
   readonly onFailure: (error: unknown) => void;
 }
 
@@ -16,10 +16,13 @@
 const REFUSAL_LIMIT_MS = 250;
 /** Time for these refusals when the exit is late; an event loop that is free needs less. */
 const LATE_REFUSAL_LIMIT_MS = 100;
+/** Listeners end the first pass in different turns of the event loop, as some still accept. */
+const QUIET_PASSES = 2;
 
 /**
- * Reads what has arrived at listeners that refuse all requests, and waits for the refusals. At the
- * exit of the process, a connection whose input was not read is reset.
+ * Reads what has arrived at listeners that refuse all requests, waits for the refusals and closes
+ * the connections without a request. At the exit of the process, a connection whose input was not
+ * read is reset.
  *
  * @param options Clock, listeners and owner of the ends.
  * @param exitBy Time by which the process should exit, monotonic in ms.
@@ -47,14 +50,23 @@
     }
   };
   const refuse = async () => {
-    let readCount: number;
+    let quietPasses = 0;
     do {
       const counts = await Promise.all(listeners.map(readArrived));
-      readCount = counts.reduce((sum, count) => sum + count, 0);
+      const readCount = counts.reduce((sum, count) => sum + count, 0);
+      quietPasses = readCount > 0 ? 0 : quietPasses + 1;
       if (readCount > 0) await ends.untilAnswered(refusedBy);
-    } while (readCount > 0 && clock.now() < refusedBy);
+    } while (quietPasses < QUIET_PASSES && clock.now() < refusedBy);
   };
   const timeout = new AbortController();
   await Promise.race([refuse(), clock.sleep(refusedBy - now, timeout.signal)]);
   timeout.abort();
+  // The exit takes long enough for clients to send further requests on open connections.
+  for (const { closeIdle } of listeners) {
+    try {
+      closeIdle();
+    } catch (error) {
+      onFailure(error);
+    }
+  }
 };
--- a/soak/_check_round.ts
+++ b/soak/_check_round.ts
@@ -1,5 +1,6 @@
 import type { SentRequest } from './_callers.ts';
 import type { ProcessRecord } from './_starved_node.ts';
+import { findReach } from './_traced_connections.ts';
 
 /** What a round leaves for its check. */
 export interface RoundRecord {
@@ -66,6 +67,7 @@
       sinceSignalMs: sinceSignalMs(round, request),
       beforeExitMs: entrance?.endedAt && Math.round(entrance.endedAt - endedAt),
       runs: runsOf(round, request.id),
+      reach: entrance && findReach(entrance.process.log(), request),
     }),
     ...named,
     ...ends,
@@ -131,6 +133,9 @@
     lateAnswered: count((request) => isLate(request) && request.status === 200),
     lateRun: count((request) => isLate(request) && isRun(request)),
     stops: stopped.length,
+    msToExit: stopped.reduce((sum, { signalledAt, endedAt }) => (
+      sum + Math.round((endedAt ?? signalledAt!) - signalledAt!)
+    ), 0),
     exitsWithOpenRequests: stopped.filter(({ process }) => (
       process.log().includes('process ended with a request open')
     )).length,
