--- a/telemetry/heap_guard_test.ts
+++ b/telemetry/heap_guard_test.ts
@@ -44,6 +44,22 @@
   assert.equal(lines, ['collected garbage']);
 });
 
+// Guards against a request, and all others of its turn, that wait for a collection of all garbage.
+test('no garbage is collected in the turn of a request', async () => {
+  const {
+    clock, heap, guard, collections,
+  } = setUp();
+  for (const inUse of [50, 60, 80]) {
+    Object.assign(heap, { inUse, garbage: 90 - inUse });
+    await clock.advance(2000);
+    const before = collections();
+    for (let index = 0; index < 40; index += 1) guard.mayAccept();
+    assert.is(collections(), before, `${inUse} in use`);
+    await clock.advance(2000);
+    assert.ok(collections() > before, `${inUse} in use`);
+  }
+});
+
 // Guards against an abort by V8 with requests in flight.
 test('requests are refused while the heap is nearly full, and accepted after', async () => {
   const {
