Decide on room in the heap by what collections leave, out of requests' turns

Callers were refused as not run for garbage alone, and waited for a collection of all garbage in the turn of their request. Cause: above 65 % the guard collected within the check, and refused for the size with garbage until it could collect again, a second or more later.

The guard now decides by an upper bound of what the last full collection left: its own, or one of V8, which is seen as a fall of the old generation. It collects on a timer, in at most a tenth of the time as before. Up to 72 % garbage does not count; beyond, requests are refused until a collection has run, as all growth may be in use; this is below four fifths of the old generation (128 of 172 MB) of a deployed node, from which V8 may abort.

Tests that pinned a collection within the check are replaced: garbage between both bounds is accepted for 10 s with no refusal, garbage beyond is refused only until the next turn, and refusals end at the same time as before, also without a request. The test of a tenth of the time runs the timers, keeps its bound and also asks for at least 8 collections.

--- a/fleet/_listener_services.ts
+++ b/fleet/_listener_services.ts
@@ -39,14 +39,15 @@
   kernel.register<HeapGuard>({
     name: 'heap',
     needs: ['clock', 'logger'],
-    start: (find) => ({
-      service: createHeapGuard({
+    start: (find) => {
+      const guard = createHeapGuard({
         clock: find<Clock>('clock'),
         logger: find<Logger>('logger'),
         readHeap: readHeapUsage,
         collectGarbage: createGarbageCollector(),
-      }),
-    }),
+      });
+      return { service: guard, stop: guard.stop };
+    },
   });
 
   kernel.register<DispatchQueue>({
--- a/telemetry/heap_guard.ts
+++ b/telemetry/heap_guard.ts
@@ -1,11 +1,11 @@
-import { getHeapStatistics, setFlagsFromString } from 'node:v8';
+import { getHeapSpaceStatistics, getHeapStatistics, setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
-import type { Clock } from '../clock/mod.ts';
+import type { CancelTask, Clock } from '../clock/mod.ts';
 import type { Logger } from './logger.ts';
 
 /** Size of the heap of V8 in bytes. */
 export interface HeapUsage {
-  /** Objects in use and garbage that has not been collected. */
+  /** Objects of the old generation in use and its garbage that has not been collected. */
   readonly usedBytes: number;
   /** Size beyond which V8 aborts the process. */
   readonly limitBytes: number;
@@ -13,12 +13,14 @@
 
 /** Keeps the heap of the process from its limit, beyond which V8 aborts the process. */
 export interface HeapGuard {
-  /** Returns whether there is room for one more request; may collect garbage to find out. */
+  /** Returns whether there is room for one more request. It never collects garbage itself. */
   readonly mayAccept: () => boolean;
   /** Returns whether requests are refused. */
   readonly isRefusing: () => boolean;
   /** Returns the used fraction of the heap, garbage included. */
   readonly usedFraction: () => number;
+  /** Cancels the next collection. */
+  readonly stop: () => void;
 }
 
 /** Options of a heap guard. */
@@ -31,10 +33,19 @@
 }
 
 /**
- * Used fraction of the heap from which requests are refused. V8 aborts the process from four fifths
- * on, if collections take most of its time, and the rest is for the requests in flight.
+ * Fraction of the heap from which requests are refused if it is in use after a full collection. V8
+ * aborts the process from four fifths of the old generation on, if collections take most of its
+ * time, and the rest is for the requests in flight.
  */
-const MAX_USED_FRACTION = 0.65;
+const MAX_SURVIVING_FRACTION = 0.65;
+/**
+ * Fraction of the heap from which requests are refused, garbage included, since all that was
+ * allocated since the last full collection may be in use. It is below four fifths of the old
+ * generation.
+ */
+const MAX_USED_FRACTION = 0.72;
+/** The old generation also shrinks by less than this fraction while it is swept. */
+const MIN_COLLECTED_FRACTION = 0.01;
 /** A sample is used for this time and number of requests, since each costs some microseconds. */
 const SAMPLE_AGE_MS = 10;
 const REQUESTS_PER_SAMPLE = 16;
@@ -43,11 +54,18 @@
 /** Keeps these collections to a tenth of the time on a slow or busy host. */
 const COLLECT_INTERVAL_FACTOR = 10;
 const BYTES_PER_MEGABYTE = 1_048_576;
+/** V8 collects the garbage of these often, without the rest of the heap. */
+const YOUNG_SPACES: ReadonlySet<string> = new Set(['new_space', 'new_large_object_space']);
+
+const LIMIT_BYTES = getHeapStatistics().heap_size_limit;
 
 /** Reads the size of the heap of this process. */
 export const readHeapUsage = (): HeapUsage => {
-  const statistics = getHeapStatistics();
-  return { usedBytes: statistics.used_heap_size, limitBytes: statistics.heap_size_limit };
+  let usedBytes = 0;
+  for (const space of getHeapSpaceStatistics()) {
+    if (!YOUNG_SPACES.has(space.space_name)) usedBytes += space.space_used_size;
+  }
+  return { usedBytes, limitBytes: LIMIT_BYTES };
 };
 
 /** Returns a function that collects all garbage of this process before it returns. */
@@ -61,8 +79,8 @@
 
 /**
  * Creates a guard. Garbage counts as used until it is collected, and V8 may leave it for long in a
- * process that refuses requests, so above the threshold the guard decides by what a collection
- * leaves.
+ * process that refuses requests, so the guard decides by what the last full collection has left,
+ * and causes one in a turn of its own if the heap has grown since.
  *
  * @param options Clock, logger, reader of the size of the heap and collector.
  * @returns The guard, which accepts requests.
@@ -77,33 +95,60 @@
   const { clock, readHeap } = options;
   const logger = options.logger.forComponent('heap');
   let usage = readHeap();
+  /** Upper bound of what was in use at the last full collection. */
+  let survivingBytes = usage.usedBytes;
   let sampledAt = clock.now();
   let requestsSinceSample = 0;
   let collectAt = -Infinity;
+  let cancelCollection: CancelTask | undefined;
   let refusingSince: number | undefined;
   let refused = 0;
 
+  const usageFields = () => ({
+    usedMegabytes: Math.round(usage.usedBytes / BYTES_PER_MEGABYTE),
+    limitMegabytes: Math.round(usage.limitBytes / BYTES_PER_MEGABYTE),
+  });
+  const usedFraction = () => usage.usedBytes / usage.limitBytes;
+  const isNearlyFull = () => (
+    survivingBytes / usage.limitBytes >= MAX_SURVIVING_FRACTION
+    || usedFraction() >= MAX_USED_FRACTION
+  );
+
   const sample = () => {
+    const previousBytes = usage.usedBytes;
     usage = readHeap();
     sampledAt = clock.now();
     requestsSinceSample = 0;
+    // Only a full collection shrinks the old generation by more.
+    const collectedBytes = previousBytes - usage.usedBytes;
+    const isCollected = collectedBytes >= usage.limitBytes * MIN_COLLECTED_FRACTION;
+    survivingBytes = isCollected ? usage.usedBytes : Math.min(survivingBytes, usage.usedBytes);
   };
-  const usedFraction = () => usage.usedBytes / usage.limitBytes;
-  const isAboveThreshold = () => usedFraction() >= MAX_USED_FRACTION;
   const refresh = () => {
     if (clock.now() - sampledAt >= SAMPLE_AGE_MS) sample();
   };
 
-  const usageFields = () => ({
-    usedMegabytes: Math.round(usage.usedBytes / BYTES_PER_MEGABYTE),
-    limitMegabytes: Math.round(usage.limitBytes / BYTES_PER_MEGABYTE),
-  });
+  const updateRefusal = () => {
+    const isRefusing = refusingSince !== undefined;
+    if (isNearlyFull() === isRefusing) return;
+    if (refusingSince === undefined) {
+      refusingSince = clock.now();
+      logger.warn(usageFields(), 'refuses requests: the heap is nearly full');
+      return;
+    }
+    logger.warn({
+      ...usageFields(), refused, lastedMs: Math.round(clock.now() - refusingSince),
+    }, 'accepts requests again');
+    refusingSince = undefined;
+    refused = 0;
+  };
 
   const collect = () => {
     const before = usageFields();
     const startedAt = clock.now();
     options.collectGarbage();
     sample();
+    survivingBytes = usage.usedBytes;
     const durationMs = sampledAt - startedAt;
     collectAt = sampledAt + Math.max(MIN_COLLECT_INTERVAL_MS, durationMs * COLLECT_INTERVAL_FACTOR);
     logger.info({
@@ -113,14 +158,16 @@
     }, 'collected garbage');
   };
 
-  const accept = () => {
-    if (refusingSince === undefined) return true;
-    logger.warn({
-      ...usageFields(), refused, lastedMs: Math.round(clock.now() - refusingSince),
-    }, 'accepts requests again');
-    refusingSince = undefined;
-    refused = 0;
-    return true;
+  const scheduleCollection = () => {
+    if (cancelCollection !== undefined || usedFraction() < MAX_SURVIVING_FRACTION) return;
+    cancelCollection = clock.schedule(Math.max(0, collectAt - clock.now()), () => {
+      cancelCollection = undefined;
+      sample();
+      if (usedFraction() >= MAX_SURVIVING_FRACTION) collect();
+      updateRefusal();
+      // Without requests, only a further collection shows that there is room again.
+      if (refusingSince !== undefined) scheduleCollection();
+    });
   };
 
   return {
@@ -128,15 +175,9 @@
       requestsSinceSample += 1;
       if (requestsSinceSample >= REQUESTS_PER_SAMPLE) sample();
       else refresh();
-      if (!isAboveThreshold()) return accept();
-      if (clock.now() >= collectAt) {
-        collect();
-        if (!isAboveThreshold()) return accept();
-      }
-      if (refusingSince === undefined) {
-        refusingSince = clock.now();
-        logger.warn(usageFields(), 'refuses requests: the heap is nearly full');
-      }
+      scheduleCollection();
+      updateRefusal();
+      if (refusingSince === undefined) return true;
       refused += 1;
       return false;
     },
@@ -145,5 +186,9 @@
       refresh();
       return usedFraction();
     },
+    stop: () => {
+      cancelCollection?.();
+      cancelCollection = undefined;
+    },
   };
 };
--- a/telemetry/heap_guard_test.ts
+++ b/telemetry/heap_guard_test.ts
@@ -7,9 +7,9 @@
 const test = suite('heap guard');
 
 /** Creates the guard of a heap of 100 bytes, a part of which is garbage. */
-const setUp = () => {
+const setUp = ({ inUse = 10, collectionMs = 0 } = {}) => {
   const clock = createFakeClock();
-  const heap = { inUse: 10, garbage: 0 };
+  const heap = { inUse, garbage: 0 };
   const lines: string[] = [];
   let collections = 0;
   const write = (_: unknown, message: string) => {
@@ -25,6 +25,7 @@
     collectGarbage: () => {
       heap.garbage = 0;
       collections += 1;
+      clock.jump(collectionMs);
     },
   });
   return {
@@ -37,11 +38,62 @@
   const {
     clock, heap, guard, lines, collections,
   } = setUp();
+  heap.inUse = 50;
+  for (let step = 0; step < 200; step += 1) {
+    heap.garbage += 1;
+    await clock.advance(50);
+    assert.ok(guard.mayAccept(), `step ${step}, ${heap.garbage} garbage`);
+  }
+  assert.ok(collections() > 1);
+  assert.equal(new Set(lines), new Set(['collected garbage']));
+});
+
+// Guards against refusals for garbage that last longer than until the next turn.
+test('garbage near the limit leads to refusals until the next turn collects it', async () => {
+  const {
+    clock, heap, guard, collections,
+  } = setUp();
   Object.assign(heap, { inUse: 50, garbage: 40 });
   await clock.advance(20);
+  assert.not(guard.mayAccept());
+  await clock.advance(0);
+  assert.is(collections(), 1);
+  assert.not(guard.isRefusing());
   assert.ok(guard.mayAccept());
+});
+
+// Guards against an abort by V8 after a burst of requests since the last collection.
+test('growth since the last collection counts as in use near the limit', async () => {
+  const {
+    clock, heap, guard, collections,
+  } = setUp();
+  Object.assign(heap, { inUse: 50, garbage: 16 });
+  await clock.advance(20);
+  assert.ok(guard.mayAccept());
+  await clock.advance(20);
+  assert.is(collections(), 1);
+  assert.ok(guard.mayAccept());
+  heap.inUse = 72;
+  await clock.advance(20);
+  assert.not(guard.mayAccept());
+  assert.is(collections(), 1);
+});
+
+// Guards against an abort by V8 when its own collection shows that little of the heap is garbage.
+test('what a collection of V8 leaves leads to refusals', async () => {
+  const {
+    clock, heap, guard, collections,
+  } = setUp();
+  heap.inUse = 50;
+  for (const garbage of [16, 0, 18]) {
+    heap.garbage = garbage;
+    await clock.advance(20);
+    assert.ok(guard.mayAccept());
+  }
+  Object.assign(heap, { inUse: 66, garbage: 0 });
+  await clock.advance(20);
+  assert.not(guard.mayAccept());
   assert.is(collections(), 1);
-  assert.equal(lines, ['collected garbage']);
 });
 
 // Guards against a request, and all others of its turn, that wait for a collection of all garbage.
@@ -68,6 +120,7 @@
   heap.inUse = 80;
   await clock.advance(20);
   assert.not(guard.mayAccept());
+  await clock.advance(0);
   assert.not(guard.mayAccept());
   assert.ok(guard.isRefusing());
   Object.assign(heap, { inUse: 30, garbage: 50 });
@@ -75,15 +128,51 @@
   assert.not(guard.mayAccept());
   assert.is(collections(), 1);
   await clock.advance(500);
-  assert.ok(guard.mayAccept());
   assert.not(guard.isRefusing());
+  assert.ok(guard.mayAccept());
   assert.is(collections(), 2);
   assert.equal(lines, [
-    'collected garbage', 'refuses requests: the heap is nearly full', 'collected garbage',
+    'refuses requests: the heap is nearly full', 'collected garbage', 'collected garbage',
     'accepts requests again',
   ]);
 });
 
+// Guards against an abort by V8 at the threshold of refusals, where little is left to collect.
+test('requests are refused if a collection leaves the heap nearly full', async () => {
+  const { clock, heap, guard } = setUp();
+  heap.inUse = 66;
+  await clock.advance(20);
+  guard.mayAccept();
+  await clock.advance(0);
+  assert.not(guard.mayAccept());
+});
+
+// Guards against a first request after a pause that is refused for garbage of the time before.
+test('requests are accepted again without a request in between', async () => {
+  const { clock, heap, guard } = setUp();
+  heap.inUse = 80;
+  await clock.advance(20);
+  assert.not(guard.mayAccept());
+  await clock.advance(2000);
+  Object.assign(heap, { inUse: 10, garbage: 70 });
+  await clock.advance(2000);
+  assert.ok(guard.mayAccept());
+});
+
+// Guards against a timer that keeps a stopped process from its end.
+test('a stopped guard collects no more', async () => {
+  const {
+    clock, heap, guard, collections,
+  } = setUp();
+  heap.inUse = 80;
+  await clock.advance(20);
+  guard.mayAccept();
+  guard.stop();
+  assert.is(clock.pending(), 0);
+  await clock.advance(2000);
+  assert.is(collections(), 0);
+});
+
 // Guards against a burst of requests between two samples that fills the heap.
 test('many requests at once are checked by more than one sample', () => {
   const { heap, guard } = setUp();
@@ -96,31 +185,14 @@
 });
 
 test('the collections take at most a tenth of the time', async () => {
-  const clock = createFakeClock();
-  let now = 0;
-  let collections = 0;
-  const guard = createHeapGuard({
-    clock: { ...clock, now: () => now },
-    logger: {
-      debug: () => undefined,
-      info: () => undefined,
-      warn: () => undefined,
-      error: () => undefined,
-      forComponent() {
-        return this;
-      },
-    },
-    readHeap: () => ({ usedBytes: 90, limitBytes: 100 }),
-    collectGarbage: () => {
-      collections += 1;
-      now += 300;
-    },
-  });
-  while (now < 30_000) {
-    now += 20;
+  const { clock, lines, guard } = setUp({ inUse: 90, collectionMs: 300 });
+  while (clock.now() < 30_000) {
+    await clock.advance(20);
     guard.mayAccept();
   }
+  const collections = lines.filter((line) => line === 'collected garbage').length;
   assert.ok(collections * 300 <= 3300, `${collections} collections`);
+  assert.ok(collections >= 8, `${collections} collections`);
 });
 
 test.run();
