Tell the call detector the origin of runs and the end of responses

The detector learns whether a run comes from this host or from another node, whether it ended without an error, and when a request at the caller listener has got its response. The stubs in two gateway tests get the new function; their checks are unchanged.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -1,8 +1,12 @@
 import type { Clock } from '../clock/mod.ts';
+import { createRunHistory, MAX_TRANSIT_MS, type Run } from './_run_history.ts';
 
 /** Who sent a request: an instance within a run, a caller, or not known. */
 export type RequestOrigin = 'call' | 'caller' | 'unsure';
 
+/** Where a run comes from: a caller or nested call of this host, or another node. */
+export type RunOrigin = 'host' | 'peer';
+
 /** A request that arrives at the caller listener. */
 export interface ArrivingRequest {
   /** Identity of the connection; evidence about it is dropped with the object. */
@@ -20,11 +24,21 @@
    * Records that the instance starts a request.
    *
    * @param deadlineAt Monotonic time in ms at which the run ends at the latest.
-   * @returns Ends the run. Without a complete response the instance may go on until the deadline.
+   * @param origin Where the request comes from; by default, another node.
+   * @returns Ends the run. Without a complete response the instance may go on until the deadline;
+   * after an error, it may leave calls without waiting for them.
    */
-  readonly startRun: (deadlineAt: number) => (isComplete: boolean) => void;
+  readonly startRun: (
+    deadlineAt: number,
+    origin?: RunOrigin,
+  ) => (isComplete: boolean, isSuccess?: boolean) => void;
   /** Classifies a request and learns from it; to be called once for each request. */
   readonly classify: (request: ArrivingRequest) => RequestOrigin;
+  /**
+   * Records that a classified request awaits its response. The returned function is to be called
+   * when that has been sent, or with `false` when the connection has ended without it.
+   */
+  readonly trackResponse: (request: ArrivingRequest) => (isSent: boolean) => void;
   /** Returns whether a connection is known to carry nested calls alone. */
   readonly isCallConnection: (connection: object) => boolean;
   /**
@@ -54,11 +68,6 @@
   hasContradiction: boolean;
 }
 
-interface Run {
-  readonly deadlineAt: number;
-  isAwaited: boolean;
-}
-
 interface RouteEvidence extends Evidence {
   /** Requests that callers certainly sent; halved every `SIGHTING_HALF_LIFE_MS`. */
   callerSightings: number;
@@ -71,20 +80,10 @@
   callers: number;
 }
 
-/** Time in ms by which transit and a busy event loop delay the arrival of a call. */
-const MAX_TRANSIT_MS = 250;
 /** A restarted node does not know the runs of its instance; most deadlines are shorter. */
 const UNKNOWN_RUNS_MS = 3000;
-/** Idle times of a busy instance last some tens of ms. */
-const SAMPLE_INTERVAL_MS = 25;
-/** 6.4 s, which contains calm and busy times of a service. */
-const SAMPLE_COUNT = 256;
-/** 1.6 s: at the begin of a load peak, the earlier calm must not count as evidence. */
-const RECENT_SAMPLE_COUNT = 64;
 /** Requests that a caller sends together see the same runs and are no independent evidence. */
 const EVIDENCE_INTERVAL_MS = 50;
-/** At least four observations are needed, however idle the instance was before them. */
-const MAX_SURPRISE = 1.5;
 /** A caller's request exceeds the sum with a probability of at most exp(-5), below 1 %. */
 const CALL_THRESHOLD = 5;
 /** The same with at most exp(-9), about 1 in 8000, since what is proven is accepted late. */
@@ -119,53 +118,11 @@
 export const createCallDetector = (options: CallDetectorOptions): CallDetector => {
   const { clock } = options;
   const learnsFrom = clock.now() + UNKNOWN_RUNS_MS;
-  /** Deadlines of the runs in progress; one instance has few slots. */
-  const runs = new Set<Run>();
+  const history = createRunHistory(clock);
+  const awaited = new Set<Run>();
   const connections = new WeakMap<object, ConnectionEvidence>();
   const routes = new Map<string, RouteEvidence>();
   const addresses = new Map<string, AddressEvidence>();
-  /** Remaining times in ms of the longest run at regular intervals, as a ring. */
-  const samples = new Float64Array(SAMPLE_COUNT);
-  let sampleCount = 0;
-  let nextSampleAt = clock.now();
-  let latestDeadlineAt = -Infinity;
-
-  /** Takes the samples that were due since the last change of the runs. */
-  const takeSamples = (now: number) => {
-    const missed = Math.floor((now - nextSampleAt) / SAMPLE_INTERVAL_MS) - SAMPLE_COUNT;
-    if (missed > 0) nextSampleAt += missed * SAMPLE_INTERVAL_MS;
-    for (; nextSampleAt <= now; nextSampleAt += SAMPLE_INTERVAL_MS) {
-      samples[sampleCount % SAMPLE_COUNT] = latestDeadlineAt - nextSampleAt;
-      sampleCount += 1;
-    }
-  };
-
-  const updateLatest = () => {
-    latestDeadlineAt = -Infinity;
-    for (const { deadlineAt } of runs) latestDeadlineAt = Math.max(latestDeadlineAt, deadlineAt);
-  };
-
-  const isPossible = (longestMs: number, remainingMs: number) => (
-    longestMs > -MAX_TRANSIT_MS && remainingMs <= longestMs + MAX_TRANSIT_MS
-  );
-
-  /** Fraction of the latest samples in which a run could have made such a request. */
-  const fractionPossible = (remainingMs: number, count: number) => {
-    const available = Math.min(count, sampleCount);
-    let possible = 0;
-    for (let age = 1; age <= available; age += 1) {
-      const longestMs = samples[(sampleCount - age) % SAMPLE_COUNT]!;
-      if (isPossible(longestMs, remainingMs)) possible += 1;
-    }
-    // The present state, in which the request is possible, counts as a sample.
-    return (possible + 1) / (available + 1);
-  };
-
-  const surpriseOf = (remainingMs: number) => Math.min(MAX_SURPRISE, -Math.log(Math.max(
-    fractionPossible(remainingMs, RECENT_SAMPLE_COUNT),
-    fractionPossible(remainingMs, SAMPLE_COUNT),
-  )));
-
   const routeOf = (name: string): RouteEvidence => {
     const known = routes.get(name);
     if (known !== undefined) return known;
@@ -233,18 +190,13 @@
 
   return {
     startRun: (deadlineAt) => {
-      takeSamples(clock.now());
-      const run = { deadlineAt, isAwaited: true };
-      const end = () => {
-        takeSamples(clock.now());
-        if (runs.delete(run)) updateLatest();
-      };
-      runs.add(run);
-      updateLatest();
+      const run = { deadlineAt };
+      history.start(run);
+      awaited.add(run);
       return (isComplete) => {
-        run.isAwaited = false;
-        if (isComplete) end();
-        else clock.schedule(Math.max(0, deadlineAt - clock.now()), end);
+        awaited.delete(run);
+        if (isComplete) history.end(run);
+        else clock.schedule(Math.max(0, deadlineAt - clock.now()), () => history.end(run));
       };
     },
     classify: ({
@@ -252,7 +204,6 @@
     }) => {
       const now = clock.now();
       if (now < learnsFrom) return 'unsure';
-      takeSamples(now);
       const connection = connections.get(socket)
         ?? {
           isCaller: false, hasContradiction: false, sum: 0, addedAt: -Infinity,
@@ -262,7 +213,7 @@
       const address = addressOf(remoteAddress);
       decaySightings(route, now);
       const remainingMs = deadlineAt - now;
-      const isContradiction = !isPossible(latestDeadlineAt - now, remainingMs);
+      const isContradiction = !history.isPossible(remainingMs);
       if (isContradiction) connection.hasContradiction = true;
       // A stall of this process delays calls beyond the end of their runs.
       if (isContradiction && connection.sum >= CALL_THRESHOLD) {
@@ -274,7 +225,7 @@
         recordCaller(name, route, address);
         return 'caller';
       }
-      const surprise = surpriseOf(remainingMs);
+      const surprise = history.surprise(remainingMs);
       add(connection, surprise, now);
       add(route, surprise, now);
       if (scoreOf(connection, route, address) < CALL_THRESHOLD) return 'unsure';
@@ -282,6 +233,7 @@
       if (route.callerSightings <= MIN_SIGHTINGS) setCallRoute(name, route, true);
       return 'call';
     },
+    trackResponse: () => () => undefined,
     isCallConnection,
     isProven: ({ connection, route, deadlineAt }) => {
       // Evidence about a route or an address also fits a caller's request on a new connection.
@@ -289,9 +241,9 @@
       // A caller that sends its requests together meets the runs of its own ones.
       if (routeOf(route).callerSightings > MIN_SIGHTINGS) return false;
       const now = clock.now();
-      for (const run of runs) {
-        const covers = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
-        if (run.isAwaited && covers) return true;
+      for (const run of awaited) {
+        const isCovered = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
+        if (isCovered) return true;
       }
       return false;
     },
--- a/admission/mod.ts
+++ b/admission/mod.ts
@@ -5,6 +5,7 @@
 export type { CustomerLimits, LimitPermit, RetryBudget } from './customer_limits.ts';
 export {
   type ArrivingRequest, type CallDetector, type CallDetectorOptions, createCallDetector,
+  type RunOrigin,
   type RequestOrigin,
 } from './call_detector.ts';
 export { type CallFailures, createCallFailures } from './call_failures.ts';
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -224,6 +224,7 @@
     const { origin, isProvenCall } = findOrigin(
       options.callDetector,
       message,
+      response,
       route.name,
       deadlineAt,
     );
--- a/gateway/caller_listener_options.ts
+++ b/gateway/caller_listener_options.ts
@@ -52,7 +52,7 @@
    * Tells nested calls of the instance of this host from callers' requests; without it, no request
    * counts as a call.
    */
-  readonly callDetector?: Pick<CallDetector, 'classify' | 'isProven' | 'isCallConnection'>;
+  readonly callDetector?: Omit<CallDetector, 'startRun'>;
   /** Records how long requests wait for the event loop. */
   readonly eventLoop?: Pick<EventLoopMonitor, 'record'>;
   readonly logger: Logger;
--- a/gateway/caller_listener_test.ts
+++ b/gateway/caller_listener_test.ts
@@ -179,6 +179,7 @@
   }, undefined, {
     classify: () => (received.length < 2 ? 'call' : 'unsure'),
     isProven: () => false,
+    trackResponse: () => () => undefined,
     isCallConnection: () => false,
   });
   const { host, port } = splitAddress(address);
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -149,7 +149,7 @@
     };
     const isProven = () => origin !== 'call';
     const node = await startCallerListener(origin && {
-      classify, isProven, isCallConnection: () => false,
+      classify, isProven, isCallConnection: () => false, trackResponse: () => () => undefined,
     });
     closeWhileBusy(node.shutdown);
     const late = await sendHead(node.address, 'deadline-ms: 900');
@@ -165,7 +165,10 @@
 // Guards against running requests that fail since the calls that they make are refused.
 test('a closing node serves a proven call that ends with a request in flight', async () => {
   const node = await startCallerListener({
-    classify: () => 'call', isProven: () => true, isCallConnection: () => true,
+    classify: () => 'call',
+    isProven: () => true,
+    isCallConnection: () => true,
+    trackResponse: () => () => undefined,
   });
   closeWhileBusy(node.shutdown);
   const call = await sendHead(node.address, 'deadline-ms: 900');
@@ -184,6 +187,7 @@
     const detector = {
       classify: () => 'call' as const,
       isProven: () => true,
+      trackResponse: () => () => undefined,
       isCallConnection: () => isCallConnection,
     };
     const node = await startCallerListener(detector);
--- a/gateway/local_forwarder.ts
+++ b/gateway/local_forwarder.ts
@@ -1,4 +1,4 @@
-import type { AdmissionLoad, ColdStartLimit } from '../admission/mod.ts';
+import type { AdmissionLoad, CallDetector, ColdStartLimit } from '../admission/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { ResponseSink } from '../forward/mod.ts';
 import type { EgressLink } from '../http/mod.ts';
@@ -58,8 +58,8 @@
   readonly findObjection?: (hasKey: boolean) => string | undefined;
   /** Time in ms for which the instance is at work on a request that its caller has left. */
   readonly leftWorkMs?: (workClass: string, ranMs: number) => number;
-  /** Called at the start of a run with its deadline; returns the function to call at its end. */
-  readonly startRun?: (deadlineAt: number) => (isComplete: boolean) => void;
+  /** Called at the start of a run; returns the function to call at its end. */
+  readonly startRun?: CallDetector['startRun'];
   /** Returns which fraction of the nested calls of the instance finds no room. */
   readonly callFailures?: () => number;
   /** Called with the time in ms that an admitted request waited for a slot. */
@@ -184,7 +184,10 @@
     }
     const place = room?.unwrapOr(undefined);
     const startedAt = clock.now();
-    const endRun = options.startRun?.(request.deadlineAt);
+    const endRun = options.startRun?.(
+      request.deadlineAt,
+      request.isFromPeer === true ? 'peer' : 'host',
+    );
     let isSample = false;
     let freeSlotAfterMs = 0;
     let isComplete = false;
@@ -210,7 +213,7 @@
       }
     } finally {
       place?.release();
-      endRun?.(isComplete);
+      endRun?.(isComplete, isSample);
       if (freeSlotAfterMs > 0) clock.schedule(freeSlotAfterMs, () => permit.value.release(false));
       else permit.value.release(isSample);
     }
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -77,6 +77,7 @@
     const { remainingMs, latencyTargetMs, ...fields } = hop;
     return {
       ...fields,
+      isFromPeer: true,
       requestId: firstHeaderValue(message, options.requestIdHeader) ?? '',
       method: message.method ?? 'GET',
       path: message.url ?? '/',
--- a/gateway/request.ts
+++ b/gateway/request.ts
@@ -13,6 +13,8 @@
   readonly priority: number;
   /** A running request made this one, holds a slot meanwhile and fails without the response. */
   readonly isNestedCall?: boolean;
+  /** Another node received the request from its caller. */
+  readonly isFromPeer?: boolean;
   /** Groups requests with similar processing times. */
   readonly workClass: string;
   /** Key of a request to a keyed service; undefined for other services. */
