Prove no call of a caller that waits on when the runs that it follows end

A closing node served the request of a caller that always sends shortly after runs of other nodes begin, as if it were a nested call. Cause: the detector compared arrivals and deadlines with the runs, but not the time at which a request ends. A run waits for its calls. Change: a request that is still open when the last run that covers it has ended with success is no call of it. Its connection proves nothing any more, and its route for ten minutes. It does not count if the run failed or was cut, if the request was about to expire, or if its connection ends within 250 ms, since the instance may have left it.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/mod.ts';
+import { createOpenCalls } from './_open_calls.ts';
 import {
   createRunHistory, MAX_TRANSIT_MS, type Run, type RunOrigin,
 } from './_run_history.ts';
@@ -42,9 +43,9 @@
   readonly isCallConnection: (connection: object) => boolean;
   /**
    * Returns whether a request that was classified as a call is proven to come from a run: its
-   * connection has carried calls alone, no caller was seen on its route lately, and a run whose
-   * response is awaited covers its deadline. Runs that this host began are no evidence, since its
-   * callers know of them.
+   * connection has carried calls alone, no caller was seen on its route lately, no request of
+   * either outlived the runs that cover it, and a run whose response is awaited covers its
+   * deadline. Runs that this host began are no evidence, since its callers know of them.
    */
   readonly isProven: (request: ArrivingRequest) => boolean;
 }
@@ -66,7 +67,7 @@
   /** The observations that a caller who knows the runs of this host would not explain. */
   readonly proof: Evidence;
   isCaller: boolean;
-  /** Whether it carried a request that no known run can have made. */
+  /** Whether it carried a request that no known run can have made, or that outlived its runs. */
   hasContradiction: boolean;
 }
 
@@ -74,6 +75,8 @@
   /** Requests that callers certainly sent; halved every `SIGHTING_HALF_LIFE_MS`. */
   callerSightings: number;
   sightingsAt: number;
+  /** Monotonic time in ms until which no request on it is proven. */
+  unprovenUntil: number;
   isCallRoute: boolean;
 }
 
@@ -99,6 +102,8 @@
 const SIGHTING_HALF_LIFE_MS = 60_000;
 /** Sightings that are left when a route is believed to be used by instances alone again. */
 const MIN_SIGHTINGS = 0.5;
+/** A caller whose requests mostly end before the runs that it follows outlives one seldom. */
+const OUTLIVED_MS = 600_000;
 const ADDRESS_EVIDENCE = 3;
 const MIN_ADDRESS_CALLS = 16;
 /** Above the routes of a contract and the addresses on one host. */
@@ -121,6 +126,7 @@
   const { clock } = options;
   const learnsFrom = clock.now() + UNKNOWN_RUNS_MS;
   const history = createRunHistory(clock);
+  const openCalls = createOpenCalls(clock);
   const awaited = new Set<Run>();
   const connections = new WeakMap<object, ConnectionEvidence>();
   const routes = new Map<string, RouteEvidence>();
@@ -130,7 +136,12 @@
     if (known !== undefined) return known;
     if (routes.size >= MAX_NAMES) routes.clear();
     const created = {
-      sum: 0, addedAt: -Infinity, callerSightings: 0, sightingsAt: clock.now(), isCallRoute: false,
+      sum: 0,
+      addedAt: -Infinity,
+      callerSightings: 0,
+      sightingsAt: clock.now(),
+      unprovenUntil: -Infinity,
+      isCallRoute: false,
     };
     routes.set(name, created);
     return created;
@@ -195,8 +206,9 @@
       const run = { deadlineAt, origin };
       history.start(run);
       awaited.add(run);
-      return (isComplete) => {
+      return (isComplete, isSuccess = isComplete) => {
         awaited.delete(run);
+        openCalls.endRun(run, isSuccess);
         if (isComplete) history.end(run);
         else clock.schedule(Math.max(0, deadlineAt - clock.now()), () => history.end(run));
       };
@@ -240,14 +252,21 @@
       if (route.callerSightings <= MIN_SIGHTINGS) setCallRoute(name, route, true);
       return 'call';
     },
-    trackResponse: () => () => undefined,
+    trackResponse: ({ connection, route, deadlineAt }) => (
+      openCalls.open(deadlineAt, history.current(), () => {
+        const evidence = connections.get(connection);
+        if (evidence !== undefined) evidence.hasContradiction = true;
+        routeOf(route).unprovenUntil = clock.now() + OUTLIVED_MS;
+      })
+    ),
     isCallConnection,
     isProven: ({ connection, route, deadlineAt }) => {
       // Evidence about a route or an address also fits a caller's request on a new connection.
       if (!isCallConnection(connection)) return false;
       // A caller that sends its requests together meets the runs of its own ones.
-      if (routeOf(route).callerSightings > MIN_SIGHTINGS) return false;
+      const { callerSightings, unprovenUntil } = routeOf(route);
       const now = clock.now();
+      if (callerSightings > MIN_SIGHTINGS || now < unprovenUntil) return false;
       for (const run of awaited) {
         const isCovered = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
         if (isCovered) return true;
--- a/admission/call_detector_test.ts
+++ b/admission/call_detector_test.ts
@@ -227,4 +227,30 @@
   assert.not(isProven(connection, 300));
 });
 
+// Guards against calls that are refused after the instance has left one without its response.
+test('a call that the instance left before its response is no evidence of a caller', async () => {
+  const cases = [
+    ['its run fails', 300, 20, true, false, true],
+    ['its run gets no complete response', 300, 20, false, false, true],
+    ['its deadline comes', 100, 90, true, true, true],
+    ['its connection ends after the response to its run', 300, 20, true, true, false],
+  ] as const;
+  for (const [name, remainingMs, runMs, isComplete, isSuccess, isSent] of cases) {
+    const {
+      clock, detector, connection, isProven,
+    } = await callOften(10);
+    const endRun = detector.startRun(clock.now() + 1000);
+    const request = { connection, route: 'probe', deadlineAt: clock.now() + remainingMs };
+    assert.is(detector.classify(request), 'call');
+    const endResponse = detector.trackResponse(request);
+    await clock.advance(runMs);
+    endRun(isComplete, isSuccess);
+    await clock.advance(10);
+    endResponse(isSent);
+    await clock.advance(500);
+    detector.startRun(clock.now() + 1000);
+    assert.ok(isProven(connection, 300), name);
+  }
+});
+
 test.run();
