Let the parents in the test of nested calls wait for their calls

Since "calls of any priority are served while the request that makes them runs" failed at a load of 3 to 11: its parents and calls took 300 ms each, and the calls began 50 ms later, so each parent was answered before its own call. A run waits for its calls, so the detector took them for a caller's. The parents now take 600 ms; the assertions are unchanged.

--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -30,7 +30,7 @@
 export interface LoopbackFleetOptions {
   readonly logger?: Logger;
   /** Time in ms that an instance takes for a request. */
-  readonly workMs?: number;
+  readonly workMs?: number | ((path: string) => number);
   /** Timeout of all routes in ms. */
   readonly timeoutMs?: number;
   /** Time in ms for which instances are cold, with a bound of 9 requests in any second. */
--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -12,6 +12,8 @@
 
 /** Longer than the pause between the last request in flight and the end of a stopping node. */
 const WORK_MS = 300;
+/** A request that makes a call of `WORK_MS` waits for it. */
+const PARENT_WORK_MS = 600;
 
 /** Calls after which a connection is known to carry calls alone. */
 const KNOWN_CALLS = 12;
@@ -107,7 +109,9 @@
 test.before.each(async () => {
   onMessage = () => undefined;
   isStarted = false;
-  fleet = await startLoopbackFleet(['orders', 'orders'], { logger, workMs: WORK_MS });
+  fleet = await startLoopbackFleet(['orders', 'orders'], {
+    logger, workMs: (path) => (path.startsWith('/orders/parent') ? PARENT_WORK_MS : WORK_MS),
+  });
   isStarted = true;
   await waitUntilServed('/calls/a');
 });
@@ -215,7 +219,7 @@
   // The connection is kept for calls while others end with their responses.
   await callWithinRun(KNOWN_CALLS + 1);
   await sleep(2700 + stoppingAt - performance.now());
-  const running = await startRun('/orders/running');
+  const running = await startRun('/orders/parent-running');
   await stopped;
   await node.kill();
   assert.is(countAnswers(), KNOWN_CALLS + 2, calls.received().slice(-500));
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -36,7 +36,7 @@
   /** Address of the node's listener that receives announcements. */
   readonly announceAddress: string;
   readonly slots?: number;
-  readonly workMs?: number;
+  readonly workMs?: number | ((path: string) => number);
   /** Least size of the body of a response in bytes. */
   readonly responseBytes?: number;
   readonly announceIntervalMs?: number;
@@ -139,7 +139,9 @@
       setTimeout(() => {
         running -= 1;
         respond(id, response);
-      }, options.workMs ?? DEFAULT_WORK_MS);
+      }, typeof options.workMs === 'function'
+        ? options.workMs(incoming.url ?? '')
+        : options.workMs ?? DEFAULT_WORK_MS);
     }
   };
 
