--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -200,7 +200,10 @@
   const what = isPlanned ? 'runs on in a planned stop' : 'is cancelled after an exception';
   test(`a proven call that a FIN follows ${what}`, async () => {
     const node = await startCallerListener({
-      classify: () => 'call', isProven: () => true, isCallConnection: () => true,
+      classify: () => 'call',
+      isProven: () => true,
+      isCallConnection: () => true,
+      trackResponse: () => () => undefined,
     }, ANSWER_LIMIT_MS / 2);
     node.shutdown.leave(clock.now() + GRACE_MS, isPlanned);
     const endBusy = node.shutdown.trackRequest(clock.now() + GRACE_MS);
