--- a/fleet/leaving_node_test.ts
+++ b/fleet/leaving_node_test.ts
@@ -51,64 +51,77 @@
   return Promise.all(answers);
 };
 
-// Guards against a stop of the last instances' nodes that leaves a service without an instance
-// seconds before these nodes stop accepting requests.
-test('the last instance of a service is used until its node accepts no more requests', async () => {
-  const fleet = await startFleet(['orders', 'ledger']);
-  const [leaving, other] = fleet.hosts;
+/** Stops the first host, and sends requests to a host within a span of the stop. */
+const stopWhileSending = async (
+  services: readonly string[],
+  to: number,
+  [fromMs, untilMs]: readonly [number, number],
+) => {
+  const fleet = await startFleet(services);
+  const [leaving] = fleet.hosts;
+  const startedAt = performance.now();
   const stopped = leaving!.node.stop();
-  await sleep(PROPAGATION_MS);
-  const answers = await sendFor(other!.settings.listen.caller, LEAVING_MS - PROPAGATION_MS);
-  assert.equal(answers.filter(({ status }) => status !== 200), []);
+  await sleep(fromMs);
+  const runsBefore = leaving!.instance.executionCounts.size;
+  const answers = await sendFor(fleet.hosts[to]!.settings.listen.caller, untilMs - fromMs);
+  const runs = leaving!.instance.executionCounts.size - runsBefore;
   await stopped;
+  const stopMs = performance.now() - startedAt;
   await leaving!.node.kill();
   await fleet.stop();
+  return { answers, runs, stopMs };
+};
+
+const whileLeaving = [PROPAGATION_MS, LEAVING_MS] as const;
+const whileClosing = [GRACE_MS / 2, (GRACE_MS * 3) / 4] as const;
+
+const cases = {
+  lastInstance: () => stopWhileSending(['orders', 'ledger'], 1, whileLeaving),
+  ownCallers: () => stopWhileSending(['orders', 'ledger'], 0, whileLeaving),
+  closing: () => stopWhileSending(['orders', 'ledger'], 1, whileClosing),
+  otherInstance: () => stopWhileSending(['orders', 'orders', 'ledger'], 2, whileLeaving),
+};
+
+let outcomes: Readonly<Record<keyof typeof cases, Awaited<ReturnType<typeof stopWhileSending>>>>;
+
+test.before(async () => {
+  const [lastInstance, ownCallers, closing, otherInstance] = await Promise.all([
+    cases.lastInstance(), cases.ownCallers(), cases.closing(), cases.otherInstance(),
+  ]);
+  outcomes = {
+    lastInstance, ownCallers, closing, otherInstance,
+  };
 });
 
-test('callers of a leaving node reach its instance if it is the last one', async () => {
-  const fleet = await startFleet(['orders', 'ledger']);
-  const [leaving] = fleet.hosts;
-  const stopped = leaving!.node.stop();
-  await sleep(PROPAGATION_MS);
-  const answers = await sendFor(leaving!.settings.listen.caller, LEAVING_MS - PROPAGATION_MS);
-  assert.equal(answers.filter(({ status }) => status !== 200), []);
-  await stopped;
-  await leaving!.node.kill();
-  await fleet.stop();
+const notAnswered = ({ answers }: Awaited<ReturnType<typeof stopWhileSending>>) => (
+  answers.filter(({ status }) => status !== 200)
+);
+
+// Guards against a stop of the last instances' nodes that leaves a service without an instance
+// seconds before these nodes stop accepting requests.
+test('the last instance of a service is used until its node accepts no more requests', () => {
+  assert.equal(notAnswered(outcomes.lastInstance), []);
+});
+
+test('callers of a leaving node reach its instance if it is the last one', () => {
+  assert.equal(notAnswered(outcomes.ownCallers), []);
 });
 
 // Guards against requests that are sent to a node that refuses them, or wait for it until their
 // deadline.
-test('requests for the last instance are refused as not run once its node closes', async () => {
-  const fleet = await startFleet(['orders', 'ledger']);
-  const [leaving, other] = fleet.hosts;
-  const startedAt = performance.now();
-  const stopped = leaving!.node.stop();
-  await sleep(GRACE_MS / 2);
-  const answers = await sendFor(other!.settings.listen.caller, GRACE_MS / 4);
-  for (const { status, text } of answers) {
+test('requests for the last instance are refused as not run once its node closes', () => {
+  for (const { status, text } of outcomes.closing.answers) {
     assert.is(status, 503, text);
     assert.match(text, /not run/u);
   }
-  await stopped;
-  assert.ok(performance.now() - startedAt < GRACE_MS);
-  await leaving!.node.kill();
-  await fleet.stop();
+  assert.is(outcomes.closing.runs, 0);
+  assert.ok(outcomes.closing.stopMs < GRACE_MS);
 });
 
 // Guards against a stop that is prolonged by requests which other instances can take.
-test('an instance of a leaving node is not used while another one is ready', async () => {
-  const fleet = await startFleet(['orders', 'orders', 'ledger']);
-  const [leaving, , other] = fleet.hosts;
-  const stopped = leaving!.node.stop();
-  await sleep(PROPAGATION_MS);
-  const before = leaving!.instance.executionCounts.size;
-  const answers = await sendFor(other!.settings.listen.caller, LEAVING_MS - PROPAGATION_MS);
-  assert.equal(answers.filter(({ status }) => status !== 200), []);
-  assert.is(leaving!.instance.executionCounts.size, before);
-  await stopped;
-  await leaving!.node.kill();
-  await fleet.stop();
+test('an instance of a leaving node is not used while another one is ready', () => {
+  assert.equal(notAnswered(outcomes.otherInstance), []);
+  assert.is(outcomes.otherInstance.runs, 0);
 });
 
 test.run();
