Let the test of a late body wait until its request is accepted

"a request whose body arrives late is answered before the node ends" failed twice beside other work; the messages were not kept. The test took a request that is sent 2500 ms after the stop to be accepted, and the node accepts none after 2800 ms. When the event loop of the process, which the node shares with the test, is blocked for 500 ms from 2400 ms on, both timers are due in one turn: the head is written before the node closes and read after it. The caller gets 503, "not run", which is what the node owes to a late request. That this was the cause of the two failures is suspected, no run shows it.

The request now expects 100 Continue, which the node sends once it has accepted it. The test checks that this response, and nothing else, came before the node accepts no more, sends the body then, and expects 200 as before. The head is sent 1000 ms after the stop, so the routes of this test have a timeout that outlasts the wait for the body. As strict as before: the body still arrives after the node has stopped accepting, and the acceptance is now checked too.

--- a/fleet/graceful_stop_test.ts
+++ b/fleet/graceful_stop_test.ts
@@ -12,6 +12,8 @@
 
 /** Longer than the pause between the last request in flight and the end of a stopping node. */
 const WORK_MS = 300;
+/** Longer than a request waits for a body that arrives when the node accepts no more requests. */
+const LATE_BODY_TIMEOUT_MS = 4000;
 /** A request that makes a call of `WORK_MS` waits for it. */
 const PARENT_WORK_MS = 600;
 
@@ -90,30 +92,30 @@
 
 const waitFor = async (isDone: () => boolean) => {
   for (let attempt = 0; attempt < 100 && !isDone(); attempt += 1) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
+    await sleep(20);
   }
 };
 
 const waitUntilServed = async (path: string) => {
   for (let attempt = 0; attempt < 160; attempt += 1) {
     if ((await send(path, 0)).status === 200) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await sleep(50);
   }
   throw new Error(`${path} is not served`);
 };
 
-test.before.each(async () => {
-  onMessage = () => undefined;
+const workMs = (path: string) => (path.startsWith('/orders/parent') ? PARENT_WORK_MS : WORK_MS);
+
+const startFleet = async (timeoutMs?: number) => {
   isStarted = false;
-  fleet = await startLoopbackFleet(['orders', 'orders'], {
-    logger, workMs: (path) => (path.startsWith('/orders/parent') ? PARENT_WORK_MS : WORK_MS),
-  });
+  fleet = await startLoopbackFleet(['orders', 'orders'], { logger, workMs, timeoutMs });
   isStarted = true;
   await waitUntilServed('/calls/a');
+};
+
+test.before.each(async () => {
+  onMessage = () => undefined;
+  await startFleet();
 });
 
 test.after.each(async () => {
@@ -169,18 +171,25 @@
 });
 
 test('a request whose body arrives late is answered before the node ends', async () => {
+  await fleet.stop();
+  await startFleet(LATE_BODY_TIMEOUT_MS);
   const { node, settings } = fleet.hosts[0]!;
   const socket = await openConnection(settings.listen.caller);
   const stopped = node.stop();
-  await sleep(2500);
-  socket.write(formatHead('POST', '/orders/late', 'content-length: 5'));
+  await sleep(1000);
+  // The response 100 tells that the request was accepted before the node accepts no more.
+  socket.write(formatHead('POST', '/orders/late', 'content-length: 5', 'expect: 100-continue'));
+  let receivedBefore = '';
   onMessage = (message) => {
-    if (message === 'no longer accepting requests') socket.write('order');
+    if (message !== 'no longer accepting requests') return;
+    receivedBefore = socket.received();
+    socket.write('order');
   };
   await stopped;
   await node.kill();
   await socket.closed;
-  assert.match(socket.received(), /^HTTP\/1\.1 200 .*ran at/isu);
+  assert.match(receivedBefore, /^HTTP\/1\.1 100 Continue\r\n\r\n$/u);
+  assert.match(socket.received().slice(receivedBefore.length), /^HTTP\/1\.1 200 .*ran at/isu);
 });
 
 // Calls on routes below the highest priority were refused, and the requests that made them failed.
@@ -265,15 +274,11 @@
   const load = async () => {
     while (isLoaded) {
       for (const host of [0, 1]) answers.push(send('/calls/load', host).catch(toError));
-      await new Promise((resolve) => {
-        setTimeout(resolve, 15);
-      });
+      await sleep(15);
     }
   };
   const loading = load();
-  await new Promise((resolve) => {
-    setTimeout(resolve, WORK_MS);
-  });
+  await sleep(WORK_MS);
   await Promise.all(fleet.hosts.map(({ node }) => node.stop()));
   await Promise.all(fleet.hosts.map(({ node }) => node.kill()));
   isLoaded = false;
