Take no early call after a restart as evidence of a caller

What callers saw: after a restart beside a running instance, for ten minutes a stopping node could refuse the calls of running requests on a route, and their parents failed.

Cause: in the first 3 s the detector learns nothing from the arrival of requests, since runs of the earlier process are not known, but it tracked their responses. A call of such a run is open when the known runs that cover it end, and so counted as a caller's on its route.

Change: responses are tracked once requests are classified.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -252,13 +252,14 @@
       if (route.callerSightings <= MIN_SIGHTINGS) setCallRoute(name, route, true);
       return 'call';
     },
-    trackResponse: ({ connection, route, deadlineAt }) => (
-      openCalls.open(deadlineAt, history.current(), () => {
+    trackResponse: ({ connection, route, deadlineAt }) => {
+      if (clock.now() < learnsFrom) return () => undefined;
+      return openCalls.open(deadlineAt, history.current(), () => {
         const evidence = connections.get(connection);
         if (evidence !== undefined) evidence.hasContradiction = true;
         routeOf(route).unprovenUntil = clock.now() + OUTLIVED_MS;
-      })
-    ),
+      });
+    },
     isCallConnection,
     isProven: ({ connection, route, deadlineAt }) => {
       // Evidence about a route or an address also fits a caller's request on a new connection.
--- a/admission/call_detector_test.ts
+++ b/admission/call_detector_test.ts
@@ -253,4 +253,38 @@
   }
 });
 
+// Guards against calls that are refused for minutes after a restart, since one of a run that an
+// earlier process had begun outlived the runs that are known.
+test('a call of an unknown run after a restart is no evidence of a caller', async () => {
+  const clock = createFakeClock();
+  const detector = createCallDetector({ clock });
+  const connection = {};
+  const endKnown = detector.startRun(clock.now() + 2000);
+  const early = { connection, route: 'probe', deadlineAt: clock.now() + 1500 };
+  assert.is(detector.classify(early), 'unsure');
+  const endEarly = detector.trackResponse(early);
+  await clock.advance(100);
+  endKnown(true);
+  await clock.advance(400);
+  endEarly(true);
+  await clock.advance(4000);
+  const later = {};
+  for (let made = 0; made < 12; made += 1) {
+    const endRun = detector.startRun(clock.now() + 1000);
+    await clock.advance(20);
+    const request = { connection: later, route: 'probe', deadlineAt: clock.now() + 300 };
+    detector.classify(request);
+    const endResponse = detector.trackResponse(request);
+    await clock.advance(20);
+    endResponse(true);
+    await clock.advance(40);
+    endRun(true);
+    await clock.advance(400);
+  }
+  detector.startRun(clock.now() + 1000);
+  assert.ok(detector.isProven({
+    connection: later, route: 'probe', deadlineAt: clock.now() + 300,
+  }));
+});
+
 test.run();
