Test the last instance's requests around the end of its node

Nothing tested a dense mix of safe and unsafe requests of a peer, on new and kept connections, from the stop of the last instances' nodes until after their exits. Each takes an answer as not run only if no instance ran the request, and no unsafe request may run twice.

--- /dev/null
+++ b/fleet/leaving_process_test.ts
@@ -0,0 +1,105 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Agent, request } from 'undici';
+import { startPlatformInstance } from '../standins/mod.ts';
+import { startLoopbackFleet } from './_test_loopback_fleet.ts';
+import { listenersOf, startNodeProcess } from './_test_node_process.ts';
+
+const test = suite('requests of a peer around the end of the process of the last instance');
+
+const host = `127.2.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const listeners = listenersOf(host);
+const WORK_MS = 60;
+const INTERVAL_MS = 3;
+const POLL_MS = 50;
+const GRACE_MS = 6000;
+/** Time for which requests are sent after the end of the process. */
+const AFTER_EXIT_MS = 300;
+const SIGNAL_GAP_MS = 1000;
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+let nextId = 0;
+const kept = new Agent({ connections: 16, pipelining: 1 });
+
+const send = async (address: string, path: string, isKept: boolean) => {
+  nextId += 1;
+  const id = `process-${nextId}`;
+  const dispatcher = isKept ? kept : new Agent({ connections: 1, pipelining: 1 });
+  const sentAt = performance.now();
+  try {
+    const { statusCode, body } = await request(`http://${address}${path}`, {
+      dispatcher,
+      method: path.startsWith('/orders') ? 'POST' : 'GET',
+      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': '1000' },
+    });
+    return {
+      id, path, sentAt, status: statusCode, text: await body.text(),
+    };
+  } catch (error) {
+    return {
+      id, path, sentAt, status: 0, text: String(error),
+    };
+  } finally {
+    if (!isKept) dispatcher.close().catch(() => undefined);
+  }
+};
+
+// Guards against requests that a peer takes to have not run, although they ran, or that get no
+// answer from it, when the process beside the last instance of a service ends.
+for (const signals of [
+  ['SIGTERM'], ['SIGUSR2'], ['SIGTERM', 'SIGUSR2'], ['SIGTERM', 'SIGKILL'],
+  ['SIGTERM', 'SIGSTOP', 'SIGCONT'],
+] as const) {
+  test(`${signals.join(', ')}: a peer answers, and refuses no request that ran`, async () => {
+    const fleet = await startLoopbackFleet(['ledger']);
+    const node = startNodeProcess({ host, storeAddress: fleet.server.address });
+    await node.logged('"node: started"');
+    const instance = await startPlatformInstance({
+      service: 'orders', announceAddress: listeners.announcements, workMs: WORK_MS,
+    });
+    const other = fleet.hosts[0]!.settings.listen.caller;
+    for (let served = 0; served < 40;) {
+      served = (await send(other, '/reads/x', false)).status === 200 ? served + 1 : 0;
+      if (served === 0) await sleep(POLL_MS);
+    }
+    const startedAt = performance.now();
+    let endedAt = Infinity;
+    const ended = node.ended.then((status) => {
+      endedAt = performance.now();
+      return status;
+    });
+    const gap = signals[0] === 'SIGUSR2' ? 2 : SIGNAL_GAP_MS;
+    signals.forEach((signal, index) => {
+      setTimeout(() => node.child.kill(signal), index * gap);
+    });
+    const answers: ReturnType<typeof send>[] = [];
+    while (performance.now() < endedAt + AFTER_EXIT_MS) {
+      const index = answers.length;
+      answers.push(send(other, index % 2 === 0 ? '/orders/x' : '/reads/x', index % 3 === 0));
+      await sleep(INTERVAL_MS);
+    }
+    await ended;
+    const results = await Promise.all(answers);
+    const wrong: unknown[] = [];
+    for (const {
+      id, path, sentAt, status, text,
+    } of results) {
+      const runs = instance.executionCounts.get(id) ?? 0;
+      const isPromiseBroken = NOT_RUN_STATUSES.has(status) && runs > 0;
+      const mayFail = signals.some((signal) => signal === 'SIGKILL' || signal === 'SIGSTOP');
+      const isAnswered = mayFail ? status !== 0 : status === 200 || status === 503;
+      if (isPromiseBroken || (path === '/orders/x' && runs > 1) || !isAnswered) {
+        wrong.push([id, path, Math.round(sentAt - startedAt), status, text, runs]);
+      }
+    }
+    instance.kill();
+    await fleet.stop();
+    assert.ok(endedAt - startedAt < GRACE_MS);
+    const answered = results.filter(({ status }) => status === 200);
+    assert.ok(answered.every(({ id }) => instance.executionCounts.has(id)), 'runs are not counted');
+    assert.equal(wrong, []);
+  });
+}
+
+test.run();
