--- a/fleet/_bind_listeners.ts
+++ b/fleet/_bind_listeners.ts
@@ -13,12 +13,16 @@
  * if (await bindListeners([peers, callers], () => shutdown.phase() !== 'running')) announce();
  */
 export const bindListeners = async (
-  listeners: readonly Pick<HttpListener, 'listen'>[],
+  listeners: readonly Pick<HttpListener, 'listen' | 'kill'>[],
   isStopping: () => boolean,
 ): Promise<boolean> => {
   for (const listener of listeners) {
     if (isStopping()) return false;
     await listener.listen();
+    if (!isStopping()) continue;
+    // It has been bound in this turn of the event loop, so it has accepted nothing.
+    listener.kill();
+    return false;
   }
   return true;
 };
--- a/fleet/_test_model_listener.ts
+++ b/fleet/_test_model_listener.ts
@@ -264,7 +264,10 @@
     },
     readArrived: async () => 0,
     closeIdle: state.closeIdle,
-    kill: () => undefined,
+    kill: () => {
+      state.isStopping = true;
+      isClosing = true;
+    },
     wasBound: () => isBound,
     connect: () => {
       if (!isBound || isClosing) return undefined;
--- a/fleet/_test_stop_model.ts
+++ b/fleet/_test_stop_model.ts
@@ -208,6 +208,7 @@
         if (firstCauseAt !== undefined) report(`${name} is bound although the process is to end`);
         return listeners[name].listen();
       },
+      kill: listeners[name].kill,
     })), isStopping);
   };
 
