Measure the room in the heap by its old generation

The bound for the used size was 72 % of the whole heap, 66 MB of which the old generation of 80 MB takes 64 MB at four fifths, from where V8 may abort: the share of the young generation depends on the settings. The limit is now that of the old generation, if an argument names it, and the bound is 77 % of it: 61.6 and 123 MB, below four fifths for each size.

--- a/telemetry/heap_guard.ts
+++ b/telemetry/heap_guard.ts
@@ -7,7 +7,7 @@
 export interface HeapUsage {
   /** Objects of the old generation in use and its garbage that has not been collected. */
   readonly usedBytes: number;
-  /** Size beyond which V8 aborts the process. */
+  /** Size of the old generation beyond which V8 aborts the process. */
   readonly limitBytes: number;
 }
 
@@ -43,7 +43,7 @@
  * allocated since the last full collection may be in use. It is below four fifths of the old
  * generation.
  */
-const MAX_USED_FRACTION = 0.72;
+const MAX_USED_FRACTION = 0.77;
 /** The old generation also shrinks by less than this fraction while it is swept. */
 const MIN_COLLECTED_FRACTION = 0.01;
 /** A sample is used for this time and number of requests, since each costs some microseconds. */
@@ -57,7 +57,20 @@
 /** V8 collects the garbage of these often, without the rest of the heap. */
 const YOUNG_SPACES: ReadonlySet<string> = new Set(['new_space', 'new_large_object_space']);
 
-const LIMIT_BYTES = getHeapStatistics().heap_size_limit;
+const OLD_SPACE_ARGUMENT = /^--max[-_]old[-_]space[-_]size=(\d+)$/u;
+
+/** Without an argument for the old generation, the young one is a small part of the whole limit. */
+const readLimitBytes = () => {
+  const limitBytes = getHeapStatistics().heap_size_limit;
+  for (const argument of process.execArgv) {
+    const [, megabytes] = OLD_SPACE_ARGUMENT.exec(argument) ?? [];
+    if (megabytes === undefined) continue;
+    return Math.min(limitBytes, Number(megabytes) * BYTES_PER_MEGABYTE);
+  }
+  return limitBytes;
+};
+
+const LIMIT_BYTES = readLimitBytes();
 
 /** Reads the size of the heap of this process. */
 export const readHeapUsage = (): HeapUsage => {
