--- a/admission/_run_history.ts
+++ b/admission/_run_history.ts
@@ -92,25 +92,26 @@
     }
   };
 
-  /** Fraction of the latest samples in which a run could have made such a request. */
-  const fractionPossible = (ring: Float64Array, remainingMs: number, count: number) => {
-    let available = 0;
+  /** Larger of the fractions of recent and of all samples in which a run could have made it. */
+  const fractionPossible = (ring: Float64Array, remainingMs: number) => {
+    const count = Math.min(SAMPLE_COUNT, sampleCount);
+    const leastMs = remainingMs - MAX_TRANSIT_MS;
+    let unknown = 0;
     let possible = 0;
-    for (let age = 1; age <= Math.min(count, sampleCount); age += 1) {
+    let recent = 0;
+    for (let age = 1; age <= count; age += 1) {
       const longestMs = ring[(sampleCount - age) % SAMPLE_COUNT]!;
-      if (!Number.isNaN(longestMs)) available += 1;
-      if (canCover(longestMs, remainingMs)) possible += 1;
+      if (longestMs > -MAX_TRANSIT_MS && longestMs >= leastMs) possible += 1;
+      else if (Number.isNaN(longestMs)) unknown += 1;
+      // The present state, in which the request is possible, counts as a sample.
+      if (age === RECENT_SAMPLE_COUNT) recent = (possible + 1) / (age - unknown + 1);
     }
-    // The present state, in which the request is possible, counts as a sample.
-    return (possible + 1) / (available + 1);
+    return Math.max(recent, (possible + 1) / (count - unknown + 1));
   };
 
   const surpriseIn = (ring: Float64Array, remainingMs: number) => {
     takeSamples(clock.now());
-    return Math.min(MAX_SURPRISE, -Math.log(Math.max(
-      fractionPossible(ring, remainingMs, RECENT_SAMPLE_COUNT),
-      fractionPossible(ring, remainingMs, SAMPLE_COUNT),
-    )));
+    return Math.min(MAX_SURPRISE, -Math.log(fractionPossible(ring, remainingMs)));
   };
 
   return {
--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -243,9 +243,10 @@
         recordCaller(name, route, address);
         return 'caller';
       }
+      // Most callers send one request on a connection, which proves nothing.
+      if (connection.sum > 0) add(connection.proof, history.peerSurprise(remainingMs), now);
       const surprise = history.surprise(remainingMs);
       add(connection, surprise, now);
-      add(connection.proof, history.peerSurprise(remainingMs), now);
       add(route, surprise, now);
       if (scoreOf(connection, route, address) < CALL_THRESHOLD) return 'unsure';
       address.calls += 1;
