Report failed steps of a stop by one function

Change: lifecycle/failed_steps.ts is called by all three, on the logger that does not throw, which the owner of the ends had already and which is a file of its own now.

Nothing else about the stops changes.

--- a/daemon/_node_stop.ts
+++ b/daemon/_node_stop.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/mod.ts';
 import { StepError } from '../errors/mod.ts';
-import type { EndOwner, StopNode } from '../lifecycle/mod.ts';
+import { createFailedStepReport, type EndOwner, type StopNode } from '../lifecycle/mod.ts';
 import type { HttpListener } from '../http/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
@@ -48,6 +48,7 @@
  */
 export const createNodeStop = (options: NodeStopOptions): NodeStop => {
   const { clock, ends, logger } = options;
+  const reportFailure = createFailedStepReport(logger);
   let stopped: Promise<void> | undefined;
   let isPlanned = false;
   const failures: unknown[] = [];
@@ -62,11 +63,7 @@
     } catch (error) {
       failures.push(error);
       setFailed();
-      try {
-        logger.error({ step, reason: String(error) }, 'a step of the stop failed');
-      } catch {
-        // Nothing is left to report a damaged logger to.
-      }
+      reportFailure(step, error);
     }
   };
   const stopListener = ({ stop }: Pick<HttpListener, 'stop'>) => runStep('listener', stop);
--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ShutdownTracker } from '../gateway/mod.ts';
 import { type HttpListener, refuseArrived } from '../http/mod.ts';
-import type { EndOwner, StopNode, StopRequest } from '../lifecycle/mod.ts';
+import {
+  createFailedStepReport, type EndOwner, type StopNode, type StopRequest,
+} from '../lifecycle/mod.ts';
 import type { LogFields, Logger } from '../telemetry/mod.ts';
 import { createStopTimes, type StopTimes } from './_stop_times.ts';
 
@@ -52,13 +54,7 @@
   let stopped: Promise<void> | undefined;
   const unplanned = new AbortController();
 
-  const reportFailure = (step: string, error: unknown) => {
-    try {
-      logger.error({ step, reason: String(error) }, 'a step of the stop failed');
-    } catch {
-      // Nothing is left to report a damaged logger to.
-    }
-  };
+  const reportFailure = createFailedStepReport(logger);
   /** Runs a step whose failure must not keep the stop from waiting for the open requests. */
   const runStep = (step: string, runOnce: () => void) => {
     try {
--- a/fleet/_stop_fallback.ts
+++ b/fleet/_stop_fallback.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '../clock/mod.ts';
 import type { ShutdownTracker } from '../gateway/mod.ts';
 import { type HttpListener, refuseArrived } from '../http/mod.ts';
-import type { EndOwner, StopFallback } from '../lifecycle/mod.ts';
+import {
+  createFailedStepReport, type EndOwner, type StopFallback,
+} from '../lifecycle/mod.ts';
 import type { Logger } from '../telemetry/mod.ts';
 
 /** Options of {@link createStopFallback}. */
@@ -27,19 +29,18 @@
  */
 export const createStopFallback = ({
   clock, graceMs, shutdown, ends, listeners, logger,
-}: StopFallbackOptions): StopFallback => ({
-  graceMs,
-  refuseRequests: (endsBy) => {
-    // The request to stop has marked it as planned if it is.
-    shutdown.leave(endsBy, false);
-    shutdown.close();
-  },
-  refuseArrived: (exitBy) => refuseArrived({
-    clock,
-    listeners,
-    ends,
-    onFailure: (error) => {
-      logger.error({ step: 'listener', reason: String(error) }, 'a step of the stop failed');
+}: StopFallbackOptions): StopFallback => {
+  const reportFailure = createFailedStepReport(logger);
+  const onFailure = (error: unknown) => reportFailure('listener', error);
+  return {
+    graceMs,
+    refuseRequests: (endsBy) => {
+      // The request to stop has marked it as planned if it is.
+      shutdown.leave(endsBy, false);
+      shutdown.close();
     },
-  }, exitBy),
-});
+    refuseArrived: (exitBy) => refuseArrived({
+      clock, listeners, ends, onFailure,
+    }, exitBy),
+  };
+};
--- a/lifecycle/end_owner.ts
+++ b/lifecycle/end_owner.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '../clock/mod.ts';
-import type { LogFields, Logger } from '../telemetry/mod.ts';
+import type { Logger } from '../telemetry/mod.ts';
+import { createSafeLogger } from './_safe_logger.ts';
 import { type ConnectionEnds, type EndedBy, mayEndConnection } from './connection_ends.ts';
 
 /** Why a process ends. `exit`: by a call that did not ask the owner. */
@@ -87,18 +88,6 @@
 /** Part of that reserve in which no request is refused any more. */
 const LAST_RESERVE_MS = 250;
 
-/** Creates a logger that does not throw, as an end must not fail with its log line. */
-const createSafeLogger = (logger: Logger): Pick<Logger, 'info' | 'warn' | 'error'> => {
-  const writeAt = (level: 'info' | 'warn' | 'error') => (fields: LogFields, message: string) => {
-    try {
-      logger[level](fields, message);
-    } catch {
-      // Nothing is left to report a damaged logger to.
-    }
-  };
-  return { info: writeAt('info'), warn: writeAt('warn'), error: writeAt('error') };
-};
-
 /**
  * Creates the owner of the ends: listeners ask it before they end a connection, and each way to end
  * the process leads through it, so that none of them leaves a request without an answer that could
