Name the settings check, a draining instance and the heap metric by what they are

Cause: the file of createSettingsCheck kept the name of the function that main.ts still has; in fleet_membership.ts isLeaving meant draining, beside the leaving nodes that came since, and a comment said that a stopping node does not come back; the metric of the heap covers its old generation only since the guard measures that.

Change: names, one comment, the text of the metric, an import and a blank line.

Result: five test files of fleet (22 tests), types and linter pass. Behaviour is the same.

--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -131,6 +131,7 @@
   const connections = new WeakMap<object, ConnectionEvidence>();
   const routes = new Map<string, RouteEvidence>();
   const addresses = new Map<string, AddressEvidence>();
+
   const routeOf = (name: string): RouteEvidence => {
     const known = routes.get(name);
     if (known !== undefined) return known;
--- a/directory/fleet_membership.ts
+++ b/directory/fleet_membership.ts
@@ -21,10 +21,10 @@
 const instancesOf = (
   { instance }: NodeEntry,
   now: number,
-  isClosed: boolean,
+  isNodeClosed: boolean,
 ): readonly InstanceInfo[] => {
   if (instance === undefined || instance.state === 'down') return [];
-  const isLeaving = isClosed || instance.state === 'draining';
+  const isDraining = isNodeClosed || instance.state === 'draining';
   const activeState = now < instance.coldUntil
     ? InstanceState.INSTANCE_STATE_COLD
     : InstanceState.INSTANCE_STATE_READY;
@@ -34,7 +34,7 @@
     slots: instance.slots,
     connections: 0,
     weight: 1,
-    state: isLeaving ? InstanceState.INSTANCE_STATE_DRAINING : activeState,
+    state: isDraining ? InstanceState.INSTANCE_STATE_DRAINING : activeState,
   }];
 };
 
@@ -65,7 +65,7 @@
       peerAddress: entry.peerAddress,
       instances: options.isEvacuated?.(entry.failureDomain) === true
         ? []
-        // A stopping node accepts requests for some seconds, and then does not come back.
+        // A stopping node is suspected once it refuses a request, and accepts none from then on.
         : instancesOf(entry, clock.wallTime(), entry.isStopping && isSuspect),
     };
   };
--- a/fleet/_test_stop_model.ts
+++ b/fleet/_test_stop_model.ts
@@ -13,7 +13,7 @@
   createModelRequests, type ModelRequests, type ServingName,
 } from './_test_model_requests.ts';
 import { type ModelSettings, settingsTextOf, settingsTexts } from './_test_model_settings.ts';
-import { createSettingsCheck } from './_watch_settings.ts';
+import { createSettingsCheck } from './_settings_check.ts';
 
 /** Listeners in the order in which a node binds them. */
 const listenerNames = ['announcements', 'metrics', 'readiness', 'peer', 'caller'] as const;
--- a/fleet/main.ts
+++ b/fleet/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { setImmediate } from 'node:timers/promises';
 import { processSignals } from './_process_signals.ts';
-import { createSettingsCheck } from './_watch_settings.ts';
+import { createSettingsCheck } from './_settings_check.ts';
 import { createSystemClock } from '../clock/mod.ts';
 import { createEndOwner } from '../lifecycle/mod.ts';
 import { parsePlatformSettings } from '../platform/mod.ts';
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -11,8 +11,7 @@
 import type { StoreEras } from '../store/mod.ts';
 import {
   createEventLoopMonitor, createNodeMetrics, type EventLoopMonitor, type HeapGuard, type Logger,
-  type NodeMetrics,
-  readProcessUsage,
+  type NodeMetrics, readProcessUsage,
 } from '../telemetry/mod.ts';
 import { registerColdServices } from './_cold_services.ts';
 import { registerResponseSilence } from './_instance_connections.ts';
@@ -156,7 +155,7 @@
   metrics.observe('event_loop_utilization', 'Busy part of the event loop', eventLoop.utilization);
   metrics.observe('event_loop_delay_ms', 'Longest wait for the event loop', eventLoop.maxDelayMs);
   const heap = kernel.find<HeapGuard>('heap');
-  metrics.observe('heap_used_fraction', 'Used part of the heap', heap.usedFraction);
+  metrics.observe('heap_used_fraction', 'Used part of the old generation', heap.usedFraction);
   const isRefusing = () => Number(heap.isRefusing());
   metrics.observe('heap_refusing', '1 while requests are refused for the heap', isRefusing);
   const eras = kernel.find<StoreEras>('eras');
