Mark a stop as planned in one place

Cause: the graceful stop told the shutdown tracker twice that it is planned, by markPlanned and by a parameter of leave whose default was the opposite of what the fallback needed.

Change: leave has no such parameter; markPlanned alone tells it. Two tests that built a planned stop by the default call markPlanned; their assertions are the same.

Behaviour is the same.

--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -75,7 +75,7 @@
   };
 
   const run = async ({ sinceMs, isPlanned }: StopRequest, times: StopTimes) => {
-    shutdown.leave(times.answerBy, isPlanned);
+    shutdown.leave(times.answerBy);
     runStep('announce', options.announceStop);
     const mayHaveCallers = options.mayHaveCallers?.() ?? true;
     logInfo({ graceMs: options.graceMs, isPlanned, mayHaveCallers }, 'stopping');
--- a/fleet/_stop_fallback.ts
+++ b/fleet/_stop_fallback.ts
@@ -35,8 +35,7 @@
   return {
     graceMs,
     refuseRequests: (endsBy) => {
-      // The request to stop has marked it as planned if it is.
-      shutdown.leave(endsBy, false);
+      shutdown.leave(endsBy);
       shutdown.close();
     },
     refuseArrived: (exitBy) => refuseArrived({
--- a/gateway/half_open_test.ts
+++ b/gateway/half_open_test.ts
@@ -51,7 +51,10 @@
     socket,
     received,
     lines,
-    leave: (isPlanned = true) => shutdown.caller.leave(clock.now() + GRACE_MS, isPlanned),
+    leave: (isPlanned = true) => {
+      if (isPlanned) shutdown.caller.markPlanned();
+      shutdown.caller.leave(clock.now() + GRACE_MS);
+    },
     markPlanned: () => shutdown.caller.markPlanned(),
     close: () => shutdown.caller.close(),
     isRunning: () => isMet(() => instance!.usedConnections() === 1),
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -205,7 +205,8 @@
       isCallConnection: () => true,
       trackResponse: () => () => undefined,
     }, ANSWER_LIMIT_MS / 2);
-    node.shutdown.leave(clock.now() + GRACE_MS, isPlanned);
+    if (isPlanned) node.shutdown.markPlanned();
+    node.shutdown.leave(clock.now() + GRACE_MS);
     const endBusy = node.shutdown.trackRequest(clock.now() + GRACE_MS);
     const closed = node.shutdown.close();
     const call = await sendHead(node.address, 'deadline-ms: 900');
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -12,9 +12,9 @@
   readonly phase: () => ShutdownPhase;
   /**
    * Enters `leaving`. Requests accepted from now on must be answered by `answerBy`, monotonic in
-   * ms. By default, the stop is planned.
+   * ms.
    */
-  readonly leave: (answerBy: number, isPlanned?: boolean) => void;
+  readonly leave: (answerBy: number) => void;
   /** Marks the stop as planned, also one that was begun by an exception. */
   readonly markPlanned: () => void;
   /** Returns whether the node is stopping and was asked to, as by a signal. */
@@ -76,8 +76,7 @@
 
   return {
     phase: () => phase,
-    leave: (time, isPlannedStop = true) => {
-      isPlanned ||= isPlannedStop;
+    leave: (time) => {
       if (phase !== 'running') return;
       phase = 'leaving';
       answerBy = time;
