--- a/fleet/leaving_close_test.ts
+++ b/fleet/leaving_close_test.ts
@@ -1,8 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
+import { findWrongAnswers, sendTestRequest } from './_test_requests.ts';
 
 const test = suite('requests around the close of the nodes of the last instances');
 
@@ -12,33 +13,16 @@
 /** Longer than the grace time, so that requests are sent after the exits, too. */
 const DURATION_MS = 7000;
 const STAGGER_MS = 400;
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const DEADLINE_MS = 1000;
 
 let nextId = 0;
 const kept = new Agent({ connections: 16, pipelining: 1 });
 
-const send = async (address: string, path: string, isKept: boolean) => {
+const send = (address: string, path: string, isKept: boolean) => {
   nextId += 1;
-  const id = `close-${nextId}`;
-  const sentAt = performance.now();
-  const dispatcher = isKept ? kept : new Agent({ connections: 1, pipelining: 1 });
-  try {
-    const { statusCode, body } = await request(`http://${address}${path}`, {
-      dispatcher,
-      method: path.startsWith('/orders') ? 'POST' : 'GET',
-      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': '1000' },
-    });
-    const text = await body.text();
-    return {
-      id, path, sentAt, status: statusCode, text, tookMs: performance.now() - sentAt,
-    };
-  } catch (error) {
-    return {
-      id, path, sentAt, status: 0, text: String(error), tookMs: performance.now() - sentAt,
-    };
-  } finally {
-    if (!isKept) dispatcher.close().catch(() => undefined);
-  }
+  return sendTestRequest(address, path, {
+    id: `close-${nextId}`, deadlineMs: DEADLINE_MS, ...(isKept ? { kept } : {}),
+  });
 };
 
 // Guards against requests that run twice, are answered as not run although they ran, or get an
@@ -73,16 +57,9 @@
     const runsOf = (id: string) => fleet.hosts.reduce((sum, { instance }) => (
       sum + (instance.executionCounts.get(id) ?? 0)
     ), 0);
-    const wrong: unknown[] = [];
-    for (const {
-      id, path, sentAt, status, text, tookMs,
-    } of results) {
-      const isPromiseBroken = NOT_RUN_STATUSES.has(status) && runsOf(id) > 0;
-      if (isPromiseBroken || (path === '/orders/x' && runsOf(id) > 1)
-        || (status !== 200 && status !== 503)) {
-        wrong.push([id, path, Math.round(sentAt - startedAt), status, text, runsOf(id), tookMs]);
-      }
-    }
+    const wrong = findWrongAnswers(results, {
+      runsOf, mayBe: (status) => status === 200 || status === 503,
+    });
     assert.equal(wrong, []);
     await fleet.stop();
   });
--- a/fleet/leaving_node_test.ts
+++ b/fleet/leaving_node_test.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent, request } from 'undici';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
+import { sendTestRequest } from './_test_requests.ts';
 
 const test = suite('instances of a leaving node');
 
@@ -14,23 +14,15 @@
 const INTERVAL_MS = 50;
 const POLL_MS = 50;
 const GRACE_MS = 6000;
+const DEADLINE_MS = 1000;
 
 let nextId = 0;
 
-const send = async (address: string) => {
+const send = (address: string) => {
   nextId += 1;
-  try {
-    const { statusCode, body } = await request(`http://${address}/reads/leaving`, {
-      dispatcher: new Agent({ connections: 1, pipelining: 1 }),
-      headers: {
-        host: 'shop.example', 'request-id': `leaving-${nextId}`, 'deadline-ms': '1000',
-      },
-    });
-    const text = await body.text();
-    return { status: statusCode, text };
-  } catch (error) {
-    return { status: 0, text: String(error) };
-  }
+  return sendTestRequest(address, '/reads/leaving', {
+    id: `leaving-${nextId}`, deadlineMs: DEADLINE_MS,
+  });
 };
 
 const startFleet = async (services: readonly string[]) => {
--- a/fleet/leaving_process_test.ts
+++ b/fleet/leaving_process_test.ts
@@ -1,10 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { startPlatformInstance } from '../standins/mod.ts';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, startNodeProcess } from './_test_node_process.ts';
+import { findWrongAnswers, sendTestRequest } from './_test_requests.ts';
 
 const test = suite('requests of a peer around the end of the process of the last instance');
 
@@ -17,32 +18,16 @@
 /** Time for which requests are sent after the end of the process. */
 const AFTER_EXIT_MS = 300;
 const SIGNAL_GAP_MS = 1000;
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const DEADLINE_MS = 1000;
 
 let nextId = 0;
 const kept = new Agent({ connections: 16, pipelining: 1 });
 
-const send = async (address: string, path: string, isKept: boolean) => {
+const send = (address: string, path: string, isKept: boolean) => {
   nextId += 1;
-  const id = `process-${nextId}`;
-  const dispatcher = isKept ? kept : new Agent({ connections: 1, pipelining: 1 });
-  const sentAt = performance.now();
-  try {
-    const { statusCode, body } = await request(`http://${address}${path}`, {
-      dispatcher,
-      method: path.startsWith('/orders') ? 'POST' : 'GET',
-      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': '1000' },
-    });
-    return {
-      id, path, sentAt, status: statusCode, text: await body.text(),
-    };
-  } catch (error) {
-    return {
-      id, path, sentAt, status: 0, text: String(error),
-    };
-  } finally {
-    if (!isKept) dispatcher.close().catch(() => undefined);
-  }
+  return sendTestRequest(address, path, {
+    id: `process-${nextId}`, deadlineMs: DEADLINE_MS, ...(isKept ? { kept } : {}),
+  });
 };
 
 // Guards against requests that a peer takes to have not run, although they ran, or that get no
@@ -81,18 +66,11 @@
     }
     await ended;
     const results = await Promise.all(answers);
-    const wrong: unknown[] = [];
-    for (const {
-      id, path, sentAt, status, text,
-    } of results) {
-      const runs = instance.executionCounts.get(id) ?? 0;
-      const isPromiseBroken = NOT_RUN_STATUSES.has(status) && runs > 0;
-      const mayFail = signals.some((signal) => signal === 'SIGKILL' || signal === 'SIGSTOP');
-      const isAnswered = mayFail ? status !== 0 : status === 200 || status === 503;
-      if (isPromiseBroken || (path === '/orders/x' && runs > 1) || !isAnswered) {
-        wrong.push([id, path, Math.round(sentAt - startedAt), status, text, runs]);
-      }
-    }
+    const mayFail = signals.some((signal) => signal === 'SIGKILL' || signal === 'SIGSTOP');
+    const wrong = findWrongAnswers(results, {
+      runsOf: (id) => instance.executionCounts.get(id) ?? 0,
+      mayBe: (status) => (mayFail ? status !== 0 : status === 200 || status === 503),
+    });
     instance.kill();
     await fleet.stop();
     assert.ok(endedAt - startedAt < GRACE_MS);
--- a/fleet/node_end_test.ts
+++ b/fleet/node_end_test.ts
@@ -3,12 +3,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent, request } from 'undici';
 import { splitAddress } from '../http/mod.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
+import { sendTestRequest } from './_test_requests.ts';
 
 const test = suite('end of a node');
 
@@ -43,16 +43,10 @@
 });
 
 const send = async (id: string) => {
-  try {
-    const { statusCode, body } = await request(`http://${listeners.caller}/reads/${id}`, {
-      dispatcher: new Agent({ connections: 1, pipelining: 1 }),
-      headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': String(DEADLINE_MS) },
-    });
-    await body.text();
-    return String(statusCode);
-  } catch (error) {
-    return String(error);
-  }
+  const answer = await sendTestRequest(listeners.caller, `/reads/${id}`, {
+    id, deadlineMs: DEADLINE_MS,
+  });
+  return answer.status === 0 ? answer.text : String(answer.status);
 };
 
 /** Starts a node and an instance that serves. */
