Share the suspended clock and the half-open clients of two tests

Cause: two tests of http/stop_test.ts each built the clock that suspends the process at one of its reads, and two of daemon/stop_test.ts were the same but for what ends the process and the status.

Change: one clock, and one test that runs for both; names and assertions are the same.

Result: stop_test of http (10) and of daemon (4) pass; types and linter pass.

--- a/daemon/stop_test.ts
+++ b/daemon/stop_test.ts
@@ -63,17 +63,22 @@
 };
 
 // A client that ended its side while the node drained lost its answer, and its run was cut.
-test('a FIN right after the signal leaves the request its answer', async () => {
-  const node = await setUp();
-  node.end('signal');
-  await clock.sleep(FIN_MS);
-  node.socket.end();
-  await node.closed;
-  assert.match(node.received(), /^HTTP\/1\.1 200 /u);
-  await node.exited();
-  assert.equal(node.exits, [0]);
-  await node.stop();
-});
+for (const [what, reasons, status] of [
+  ['a FIN right after the signal leaves the request its answer', ['signal'], 0],
+  ['a signal after an exception leaves a half-open client its answer', ['exception', 'signal'], 1],
+] as const) {
+  test(what, async () => {
+    const node = await setUp();
+    for (const reason of reasons) node.end(reason);
+    await clock.sleep(FIN_MS);
+    node.socket.end();
+    await node.closed;
+    assert.match(node.received(), /^HTTP\/1\.1 200 /u);
+    await node.exited();
+    assert.equal(node.exits, [status]);
+    await node.stop();
+  });
+}
 
 // After an exception, a client that has left still counts as one that has left.
 test('a FIN after an exception cancels the run', async () => {
@@ -88,19 +93,6 @@
   await node.stop();
 });
 
-test('a signal after an exception leaves a half-open client its answer', async () => {
-  const node = await setUp();
-  node.end('exception');
-  node.end('signal');
-  await clock.sleep(FIN_MS);
-  node.socket.end();
-  await node.closed;
-  assert.match(node.received(), /^HTTP\/1\.1 200 /u);
-  await node.exited();
-  assert.equal(node.exits, [1]);
-  await node.stop();
-});
-
 // A drain that failed ended the process at once, with all its requests open.
 test('a drain that fails leaves the open requests their answers', async () => {
   const node = await setUp();
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -95,31 +95,48 @@
 /** Time for which the process waits for the processor between two steps of its event loop. */
 const DELAY_MS = 15;
 
-// Guards against connections that the close of the listening socket resets, since they were
-// established while the process was suspended after it had looked for them.
-test('connections established in a suspension before the close are served', async () => {
-  let served = 0;
-  for (let suspendedAt = 1; suspendedAt <= CLOCK_READS; suspendedAt += 1) {
-    const clock = createSystemClock();
-    let reads = -Infinity;
-    const opened: ReturnType<typeof openConnection>[] = [];
-    const { server, open } = await startServer(undefined, 0, {
+/**
+ * Creates a clock that suspends the process once it has been read a number of times since
+ * `startCounting`, after the event loop has polled and before the stop goes on.
+ */
+const createSuspendingClock = (suspendedAt: number, afterSuspension: () => void) => {
+  const clock = createSystemClock();
+  let reads = -Infinity;
+  return {
+    clock: {
       ...clock,
       now: () => {
         reads += 1;
-        // Runs after the event loop has polled and before the stop goes on.
         if (reads === suspendedAt) {
           setImmediate(() => {
             blockEventLoop(DELAY_MS);
-            const connection = open();
-            connection.socket.write(REQUEST);
-            opened.push(connection);
+            afterSuspension();
           });
         }
         return clock.now();
       },
-    });
-    reads = 0;
+    },
+    startCounting: () => {
+      reads = 0;
+    },
+  };
+};
+
+// Guards against connections that the close of the listening socket resets, since they were
+// established while the process was suspended after it had looked for them.
+test('connections established in a suspension before the close are served', async () => {
+  let served = 0;
+  for (let suspendedAt = 1; suspendedAt <= CLOCK_READS; suspendedAt += 1) {
+    const opened: ReturnType<typeof openConnection>[] = [];
+    let openOne = () => undefined as void;
+    const { clock, startCounting } = createSuspendingClock(suspendedAt, () => openOne());
+    const { server, open } = await startServer(undefined, 0, clock);
+    openOne = () => {
+      const connection = open();
+      connection.socket.write(REQUEST);
+      opened.push(connection);
+    };
+    startCounting();
     await server.stop();
     for (const { closed, received, error } of opened) {
       await closed;
@@ -137,25 +154,14 @@
 test('requests that arrive in a suspension before idle connections close are served', async () => {
   let served = 0;
   for (let suspendedAt = 1; suspendedAt <= CLOCK_READS; suspendedAt += 1) {
-    const clock = createSystemClock();
-    let reads = -Infinity;
     let isClosed = false;
     let isSentInTime = false;
     let send = () => undefined as unknown;
-    const { server, open } = await startServer(undefined, 0, {
-      ...clock,
-      now: () => {
-        reads += 1;
-        if (reads === suspendedAt) {
-          setImmediate(() => {
-            blockEventLoop(DELAY_MS);
-            isSentInTime = !isClosed;
-            send();
-          });
-        }
-        return clock.now();
-      },
-    }, {
+    const { clock, startCounting } = createSuspendingClock(suspendedAt, () => {
+      isSentInTime = !isClosed;
+      send();
+    });
+    const { server, open } = await startServer(undefined, 0, clock, {
       ...unrecordedEnds,
       mayEnd: (reason, openRequests) => {
         isClosed ||= reason === 'idle after the stop' && openRequests === 0;
@@ -171,7 +177,7 @@
     const stopped = server.stop();
     // The socket that listens is closed; what follows precedes the close of idle connections.
     await sleep(IDLE_GRACE_MS / 2);
-    reads = 0;
+    startCounting();
     await stopped;
     await closed;
     if (!isSentInTime) continue;
