--- a/deploy/signal_before_load_test.ts
+++ b/deploy/signal_before_load_test.ts
@@ -8,6 +8,7 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { formatProcessSettings } from '../fleet/_test_node_process.ts';
 
 const test = suite('signal before the bundle is loaded');
 
@@ -24,20 +25,7 @@
 test.before(() => {
   execFileSync(process.execPath, ['deploy/build.mjs', target], { stdio: 'inherit' });
   cache = readFileSync(cachePath);
-  writeFileSync(settingsPath, JSON.stringify({
-    node: 'host-1',
-    region: 'r',
-    failureDomain: 'd',
-    announceInterval: '200ms',
-    bounds: { drain: '2s', grace: '6s' },
-    listen: {
-      caller: `${host}:7001`,
-      peer: `${host}:7002`,
-      readiness: `${host}:7003`,
-      announcements: `${host}:7004`,
-    },
-    store: { address: `${host}:7005`, writesPerSecond: 400, readsPerSecond: 2000 },
-  }));
+  writeFileSync(settingsPath, formatProcessSettings(host));
 });
 test.after(() => rmSync(target, { recursive: true }));
 
--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -44,6 +44,25 @@
   announcements: `${host}:7004`,
 });
 
+/** Formats the settings of a node process; by default, its store does not answer. */
+export const formatProcessSettings = (host: string, {
+  node = 'host-1', failureDomain = 'd', service, storeAddress = `${host}:7005`,
+}: {
+  readonly node?: string;
+  readonly failureDomain?: string;
+  readonly service?: string;
+  readonly storeAddress?: string;
+} = {}): string => JSON.stringify({
+  node,
+  region: 'r',
+  failureDomain,
+  service,
+  announceInterval: '200ms',
+  bounds: { drain: '2s', grace: '6s' },
+  listen: listenersOf(host),
+  store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
+});
+
 /** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
 export const startNodeProcess = ({
   host, storeAddress, node = 'host-1', failureDomain = 'd0', maxRunMs = DEFAULT_MAX_RUN_MS,
@@ -51,15 +70,8 @@
 }: NodeProcessOptions): NodeProcess => {
   const directory = mkdtempSync(join(tmpdir(), 'node-process-'));
   const path = join(directory, 'settings.json');
-  writeFileSync(path, JSON.stringify({
-    node,
-    region: 'r',
-    failureDomain,
-    service: 'orders',
-    announceInterval: '200ms',
-    bounds: { drain: '2s', grace: '6s' },
-    listen: listenersOf(host),
-    store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
+  writeFileSync(path, formatProcessSettings(host, {
+    node, failureDomain, service: 'orders', storeAddress,
   }));
   const args = [
     ...runtimeArguments, '--import', 'tsx', '--import', throwOnSignal, 'fleet/main.ts',
--- a/fleet/main_test.ts
+++ b/fleet/main_test.ts
@@ -9,26 +9,13 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { startNodeProcess } from './_test_node_process.ts';
+import { formatProcessSettings, startNodeProcess } from './_test_node_process.ts';
 
 const test = suite('fleet process');
 
 /** A loopback address of this process alone, as the port of the metrics endpoint is fixed. */
 const host = `127.1.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
-const settings = JSON.stringify({
-  node: 'host-1',
-  region: 'r',
-  failureDomain: 'd',
-  announceInterval: '200ms',
-  bounds: { drain: '2s', grace: '6s' },
-  listen: {
-    caller: `${host}:7001`,
-    peer: `${host}:7002`,
-    readiness: `${host}:7003`,
-    announcements: `${host}:7004`,
-  },
-  store: { address: `${host}:7005`, writesPerSecond: 400, readsPerSecond: 2000 },
-});
+const settings = formatProcessSettings(host);
 
 const START_LIMIT_MS = 15_000;
 
