--- a/daemon/stop_test.ts
+++ b/daemon/stop_test.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { createEndOwner, type ProcessEndReason } from '../lifecycle/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { addConcurrentTests } from '../testing/concurrent_tests.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import {
   callerTokens, clock, planHost, send, startTestFleet, waitUntil,
@@ -62,26 +63,19 @@
   };
 };
 
-// A client that ended its side while the node drained lost its answer, and its run was cut.
-for (const [what, reasons, status] of [
-  ['a FIN right after the signal leaves the request its answer', ['signal'], 0],
-  ['a signal after an exception leaves a half-open client its answer', ['exception', 'signal'], 1],
-] as const) {
-  test(what, async () => {
-    const node = await setUp();
-    for (const reason of reasons) node.end(reason);
-    await clock.sleep(FIN_MS);
-    node.socket.end();
-    await node.closed;
-    assert.match(node.received(), /^HTTP\/1\.1 200 /u);
-    await node.exited();
-    assert.equal(node.exits, [status]);
-    await node.stop();
-  });
-}
+const leaveAfter = async (reasons: readonly ProcessEndReason[], status: number) => {
+  const node = await setUp();
+  for (const reason of reasons) node.end(reason);
+  await clock.sleep(FIN_MS);
+  node.socket.end();
+  await node.closed;
+  assert.match(node.received(), /^HTTP\/1\.1 200 /u);
+  await node.exited();
+  assert.equal(node.exits, [status]);
+  await node.stop();
+};
 
-// After an exception, a client that has left still counts as one that has left.
-test('a FIN after an exception cancels the run', async () => {
+const cancelAfterException = async () => {
   const node = await setUp();
   node.end('exception');
   await clock.sleep(FIN_MS);
@@ -91,10 +85,9 @@
   await node.exited();
   assert.equal(node.exits, [1]);
   await node.stop();
-});
+};
 
-// A drain that failed ended the process at once, with all its requests open.
-test('a drain that fails leaves the open requests their answers', async () => {
+const failDrain = async () => {
   const node = await setUp();
   node.failDrain();
   await clock.sleep(FIN_MS);
@@ -107,6 +100,18 @@
   const refused = await send(node.host, '/state/2').catch(String);
   assert.match(String(refused), /ECONNREFUSED/u);
   await node.stop();
+};
+
+addConcurrentTests(test, {
+  // A client that ended its side while the node drained lost its answer, and its run was cut.
+  'a FIN right after the signal leaves the request its answer': () => leaveAfter(['signal'], 0),
+  'a signal after an exception leaves a half-open client its answer': () => (
+    leaveAfter(['exception', 'signal'], 1)
+  ),
+  // After an exception, a client that has left still counts as one that has left.
+  'a FIN after an exception cancels the run': cancelAfterException,
+  // A drain that failed ended the process at once, with all its requests open.
+  'a drain that fails leaves the open requests their answers': failDrain,
 });
 
 test.run();
