Close a listening socket in a shorter turn of the event loop

What callers saw: a connection that a client opened while a node stopped was reset, with "connect ECONNRESET" in place of a refusal or an answer.

Cause: a stopping server closes its listening socket in the turn that has found no connection to accept, and a turn of up to 1 ms counted as the last one. An event that such a turn handles after the look leaves time for a handshake, and Linux resets what is in the accept queue at the close.

Evidence: http/last_turn_test opens a connection in an event of 0.2 ms and more after each step of the stop.

The last turn may now take 0.1 ms. The wait for a short turn stays limited to 100 ms, in which connections are accepted.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -27,7 +27,7 @@
 /** Pauses in a row after which no client is taken to be connecting. */
 const QUIET_PAUSES = 3;
 /** Connections may be established while a turn lasts, so one that took longer is not the last. */
-const MAX_LAST_TURN_MS = 1;
+const MAX_LAST_TURN_MS = 0.1;
 /** Limits the wait for a short turn in a process that is always busy. */
 const MAX_LAST_TURN_WAIT_MS = 100;
 /** A request may be read in one turn, handled in the next one and answered in a third. */
