--- a/daemon/fleet_test.ts
+++ b/daemon/fleet_test.ts
@@ -140,18 +140,35 @@
   const statuses = new Map<string, number>();
   let sent = 0;
   let stopped = false;
+  let stoppingAt = Infinity;
+  const describeError = (
+    host: FleetHost,
+    sentAt: number,
+    { code, message }: NodeJS.ErrnoException,
+  ) => JSON.stringify({
+    error: code ?? message,
+    node: host.plan.node,
+    isOwner: host === owner,
+    sentMs: sentAt - stoppingAt,
+    failedMs: clock.now() - stoppingAt,
+  });
   const sendLoad = async (host: FleetHost, isStopping: boolean) => {
     while (!stopped) {
       sent += 1;
       const path = `/entries/k${sent % 40}`;
       const method = sent % 2 === 0 ? 'GET' : 'POST';
       const headers = { 'x-work-ms': '20' };
+      const sentAt = clock.now();
       const result = await send(host, path, { method, headers, dispatcher: agent }).then(
         ({ status, text }) => (status === 200 ? '200' : text),
-        (error: NodeJS.ErrnoException) => String(error.code ?? error.message),
+        (error: NodeJS.ErrnoException) => (
+          // Only the node that was shut down may refuse new connections.
+          isStopping && error.code === 'ECONNREFUSED'
+            ? 'refused'
+            : describeError(host, sentAt, error)
+        ),
       );
-      // Only the node that was shut down may refuse new connections.
-      if (isStopping && result === 'ECONNREFUSED') return;
+      if (result === 'refused') return;
       statuses.set(result, (statuses.get(result) ?? 0) + 1);
     }
   };
@@ -159,6 +176,7 @@
     sendLoad(host, host === owner), sendLoad(host, host === owner), sendLoad(host, host === owner),
   ]);
   await clock.sleep(200);
+  stoppingAt = clock.now();
   await owner.stop();
   await clock.sleep(200);
   stopped = true;
