Print the log of the heap when a stopping node aborts

The failure is "stopping, caller: large heads leave the requests in flight answered" of heap_limit_test: the requests in flight were answered, and the node ended by SIGABRT instead of 0 afterwards. Its message had no line of the node's log; now it has those of the heap.

--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -146,7 +146,7 @@
         assert.match(text, /retry-after: /iu);
       }
       if (phase === 'stopping') {
-        assert.is(await started.node.ended, 0);
+        assert.is(await started.node.ended, 0, describeNode(started.node));
         return;
       }
       for (const socket of sockets) socket.destroy();
