Run the tests of two folders at a time from four cores on

The tests of a folder use about half of a core beside the processes that they start (load 2 on 8 cores with two folders). With 8 cores nothing changes; a run on four cores was not made.

--- a/testing/run_tests.ts
+++ b/testing/run_tests.ts
@@ -7,7 +7,7 @@
 const RUN_TIMEOUT_MS = 15 * 60 * 1000;
 
 /** Leaves cores to the processes that the tests start. */
-const CORES_PER_FOLDER = 4;
+const CORES_PER_FOLDER = 2;
 /** Each folder more makes the tests that depend on time wait for the processor more often. */
 const MAX_FOLDERS_AT_ONCE = 2;
 
