Follow the end of a run with the requests that await it alone

Cause: the end of each run walked all open requests of the caller listener, which are many on a node that is overloaded, and each request kept a set of all its runs. The detector kept the awaited runs beside the history, and had a second copy of the check whether a run covers a deadline.

Change: a request awaits one of the runs that cover it, and the next one when that has succeeded. A run holds whether it succeeded, so the awaited runs are those of the history without an outcome; isProven calls canCover.

--- a/admission/_open_calls.ts
+++ b/admission/_open_calls.ts
@@ -14,15 +14,8 @@
     runs: Iterable<Run>,
     onOutlived: () => void,
   ) => (isSent: boolean) => void;
-  /** Records the end of a run; without success, the instance may have left its calls. */
-  readonly endRun: (run: Run, isSuccess: boolean) => void;
-}
-
-interface OpenCall {
-  readonly deadlineAt: number;
-  readonly runs: Set<Run>;
-  readonly onOutlived: () => void;
-  hasOutlived: boolean;
+  /** Follows the end of a run; without success, the instance may have left its calls. */
+  readonly endRun: (run: Run) => void;
 }
 
 /** An instance reads the deadline of its call earlier than this node, by the transit. */
@@ -41,41 +34,55 @@
  * response.once('finish', () => end(true));
  */
 export const createOpenCalls = (clock: Clock): OpenCalls => {
-  const calls = new Set<OpenCall>();
+  /** A request awaits one of its runs at a time, so that the end of a run concerns few of them. */
+  const followersByRun = new Map<Run, Set<() => void>>();
 
-  const outlive = (call: OpenCall) => {
-    if (calls.delete(call)) call.onOutlived();
+  const follow = (run: Run, onEnd: () => void) => {
+    const followers = followersByRun.get(run);
+    if (followers === undefined) followersByRun.set(run, new Set([onEnd]));
+    else followers.add(onEnd);
   };
 
   return {
     open: (deadlineAt, runs, onOutlived) => {
       const now = clock.now();
-      const covering = new Set<Run>();
+      const covering: Run[] = [];
       for (const run of runs) {
-        if (canCover(run.deadlineAt - now, deadlineAt - now)) covering.add(run);
+        if (!canCover(run.deadlineAt - now, deadlineAt - now)) continue;
+        // The instance may go on after a response that was not complete.
+        if (run.isSuccess !== undefined) return () => undefined;
+        covering.push(run);
       }
-      if (covering.size === 0) return () => undefined;
-      const call = {
-        deadlineAt, runs: covering, onOutlived, hasOutlived: false,
+      let awaited = covering.pop();
+      if (awaited === undefined) return () => undefined;
+      let hasOutlived = false;
+      let isOpen = true;
+      const outlive = () => {
+        if (!isOpen) return;
+        isOpen = false;
+        onOutlived();
+      };
+      const onRunEnd = () => {
+        if (clock.now() >= deadlineAt - DEADLINE_MARGIN_MS) return;
+        while (awaited?.isSuccess === true) awaited = covering.pop();
+        if (awaited === undefined) {
+          hasOutlived = true;
+          // The end of a connection may be read after the response that was sent with it.
+          clock.schedule(MAX_TRANSIT_MS, outlive);
+        } else if (awaited.isSuccess === undefined) follow(awaited, onRunEnd);
       };
-      calls.add(call);
+      follow(awaited, onRunEnd);
       return (isSent) => {
-        if (isSent && call.hasOutlived) outlive(call);
-        else calls.delete(call);
+        if (isSent && hasOutlived) outlive();
+        isOpen = false;
+        if (awaited !== undefined) followersByRun.get(awaited)?.delete(onRunEnd);
       };
     },
-    endRun: (run, isSuccess) => {
-      const now = clock.now();
-      for (const call of calls) {
-        const isCovered = call.runs.delete(run);
-        const mayBeLeft = !isSuccess || now >= call.deadlineAt - DEADLINE_MARGIN_MS;
-        if (isCovered && mayBeLeft) calls.delete(call);
-        else if (isCovered && call.runs.size === 0) {
-          call.hasOutlived = true;
-          // The end of a connection may be read after the response that was sent with it.
-          clock.schedule(MAX_TRANSIT_MS, () => outlive(call));
-        }
-      }
+    endRun: (run) => {
+      const followers = followersByRun.get(run);
+      if (followers === undefined) return;
+      followersByRun.delete(run);
+      for (const onRunEnd of followers) onRunEnd();
     },
   };
 };
--- a/admission/_run_history.ts
+++ b/admission/_run_history.ts
@@ -8,6 +8,8 @@
   /** Monotonic time in ms at which it ends at the latest. */
   readonly deadlineAt: number;
   readonly origin: RunOrigin;
+  /** Whether it succeeded; undefined while its response is awaited. */
+  isSuccess?: boolean;
 }
 
 /** The runs of the instance of this host, now and in the last seconds. */
--- a/admission/call_detector.ts
+++ b/admission/call_detector.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { createOpenCalls } from './_open_calls.ts';
 import {
-  createRunHistory, MAX_TRANSIT_MS, type Run, type RunOrigin,
+  canCover, createRunHistory, type Run, type RunOrigin,
 } from './_run_history.ts';
 
 /** Who sent a request: an instance within a run, a caller, or not known. */
@@ -127,7 +127,6 @@
   const learnsFrom = clock.now() + UNKNOWN_RUNS_MS;
   const history = createRunHistory(clock);
   const openCalls = createOpenCalls(clock);
-  const awaited = new Set<Run>();
   const connections = new WeakMap<object, ConnectionEvidence>();
   const routes = new Map<string, RouteEvidence>();
   const addresses = new Map<string, AddressEvidence>();
@@ -204,12 +203,11 @@
 
   return {
     startRun: (deadlineAt, origin = 'peer') => {
-      const run = { deadlineAt, origin };
+      const run: Run = { deadlineAt, origin };
       history.start(run);
-      awaited.add(run);
       return (isComplete, isSuccess = isComplete) => {
-        awaited.delete(run);
-        openCalls.endRun(run, isSuccess);
+        run.isSuccess = isSuccess;
+        openCalls.endRun(run);
         if (isComplete) history.end(run);
         else clock.schedule(Math.max(0, deadlineAt - clock.now()), () => history.end(run));
       };
@@ -270,9 +268,9 @@
       const { callerSightings, unprovenUntil } = routeOf(route);
       const now = clock.now();
       if (callerSightings > MIN_SIGHTINGS || now < unprovenUntil) return false;
-      for (const run of awaited) {
-        const isCovered = now < run.deadlineAt && deadlineAt <= run.deadlineAt + MAX_TRANSIT_MS;
-        if (isCovered) return true;
+      for (const run of history.current()) {
+        const isAwaited = run.isSuccess === undefined && now < run.deadlineAt;
+        if (isAwaited && canCover(run.deadlineAt - now, deadlineAt - now)) return true;
       }
       return false;
     },
