Number the requests of three tests in one place

Cause: leaving_close_test and leaving_process_test had the same constants and the same function that numbers requests and keeps connections, and leaving_node_test one of its shape.

Change: createTestSender in fleet/_test_requests.ts, called by all three. Their requests, checks and bounds are unchanged.

--- a/fleet/_test_requests.ts
+++ b/fleet/_test_requests.ts
@@ -58,3 +58,15 @@
   if (NOT_RUN_STATUSES.has(status) && runs > 0) return true;
   return (path.startsWith('/orders/') && runs > 1) || !mayBe(status);
 }).map((answer) => ({ ...answer, runs: runsOf(answer.id) }));
+
+/** Creates a sender of requests with ids of their own; kept connections are shared. */
+export const createTestSender = (idPrefix: string, deadlineMs: number) => {
+  const kept = new Agent({ connections: 16, pipelining: 1 });
+  let nextId = 0;
+  return (address: string, path: string, isKept = false): Promise<TestAnswer> => {
+    nextId += 1;
+    return sendTestRequest(address, path, {
+      id: `${idPrefix}-${nextId}`, deadlineMs, ...(isKept ? { kept } : {}),
+    });
+  };
+};
--- a/fleet/leaving_close_test.ts
+++ b/fleet/leaving_close_test.ts
@@ -1,10 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent } from 'undici';
 import { addConcurrentTests } from '../testing/concurrent_tests.ts';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
-import { findWrongAnswers, sendTestRequest } from './_test_requests.ts';
+import { createTestSender, findWrongAnswers } from './_test_requests.ts';
 
 const test = suite('requests around the close of the nodes of the last instances');
 
@@ -16,15 +15,7 @@
 const STAGGER_MS = 400;
 const DEADLINE_MS = 1000;
 
-let nextId = 0;
-const kept = new Agent({ connections: 16, pipelining: 1 });
-
-const send = (address: string, path: string, isKept: boolean) => {
-  nextId += 1;
-  return sendTestRequest(address, path, {
-    id: `close-${nextId}`, deadlineMs: DEADLINE_MS, ...(isKept ? { kept } : {}),
-  });
-};
+const send = createTestSender('close', DEADLINE_MS);
 
 /** Stops the nodes of all instances of a service while requests are sent to another node. */
 const stopInstances = async (services: readonly string[]) => {
@@ -32,7 +23,7 @@
   const fleet = await startLoopbackFleet(services, { workMs: WORK_MS });
   for (const { settings } of fleet.hosts) {
     for (;;) {
-      const { status } = await send(settings.listen.caller, '/reads/x', false);
+      const { status } = await send(settings.listen.caller, '/reads/x');
       if (status === 200) break;
       await sleep(POLL_MS);
     }
--- a/fleet/leaving_node_test.ts
+++ b/fleet/leaving_node_test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
-import { sendTestRequest } from './_test_requests.ts';
+import { createTestSender } from './_test_requests.ts';
 
 const test = suite('instances of a leaving node');
 
@@ -16,14 +16,8 @@
 const GRACE_MS = 6000;
 const DEADLINE_MS = 1000;
 
-let nextId = 0;
-
-const send = (address: string) => {
-  nextId += 1;
-  return sendTestRequest(address, '/reads/leaving', {
-    id: `leaving-${nextId}`, deadlineMs: DEADLINE_MS,
-  });
-};
+const sendTo = createTestSender('leaving', DEADLINE_MS);
+const send = (address: string) => sendTo(address, '/reads/leaving');
 
 const startFleet = async (services: readonly string[]) => {
   const fleet = await startLoopbackFleet(services, { workMs: WORK_MS });
--- a/fleet/leaving_process_test.ts
+++ b/fleet/leaving_process_test.ts
@@ -1,11 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Agent } from 'undici';
 import { startPlatformInstance } from '../standins/mod.ts';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, startNodeProcess } from './_test_node_process.ts';
-import { findWrongAnswers, sendTestRequest } from './_test_requests.ts';
+import { createTestSender, findWrongAnswers } from './_test_requests.ts';
 
 const test = suite('requests of a peer around the end of the process of the last instance');
 
@@ -20,15 +19,7 @@
 const SIGNAL_GAP_MS = 1000;
 const DEADLINE_MS = 1000;
 
-let nextId = 0;
-const kept = new Agent({ connections: 16, pipelining: 1 });
-
-const send = (address: string, path: string, isKept: boolean) => {
-  nextId += 1;
-  return sendTestRequest(address, path, {
-    id: `process-${nextId}`, deadlineMs: DEADLINE_MS, ...(isKept ? { kept } : {}),
-  });
-};
+const send = createTestSender('process', DEADLINE_MS);
 
 // Guards against requests that a peer takes to have not run, although they ran, or that get no
 // answer from it, when the process beside the last instance of a service ends.
@@ -45,7 +36,7 @@
     });
     const other = fleet.hosts[0]!.settings.listen.caller;
     for (let served = 0; served < 40;) {
-      served = (await send(other, '/reads/x', false)).status === 200 ? served + 1 : 0;
+      served = (await send(other, '/reads/x')).status === 200 ? served + 1 : 0;
       if (served === 0) await sleep(POLL_MS);
     }
     const startedAt = performance.now();
