Run the stops of two more tests by addConcurrentTests

Cause: late_caller_test and signal_during_start_test each settled their stops before the first test and reported them one by one, as addConcurrentTests does.

Change: both call it. The names of the tests and what they require are unchanged.

--- a/fleet/late_caller_test.ts
+++ b/fleet/late_caller_test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { addConcurrentTests } from '../testing/concurrent_tests.ts';
 import { openConnection, type RawConnection } from '../testing/open_connection.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
@@ -133,23 +134,12 @@
   assert.ok(performance.now() - signalledAt < GRACE_MS);
 };
 
-const names = Object.keys(events);
-const stops: PromiseSettledResult<void>[] = [];
-
-test.before(async () => {
-  stops.push(...await Promise.allSettled(names.map((name, index) => (
-    stopWith(1 + index, name)
-  ))));
-});
-
 // Guards against a request that is taken long after the signal and given up while an instance is at
 // work on it.
-for (const [index, name] of names.entries()) {
-  test(`a request 3.2 s after SIGTERM is refused as not run, beside ${name}`, () => {
-    const result = stops[index]!;
-    if (result.status === 'rejected') throw result.reason;
-  });
-}
+addConcurrentTests(test, Object.fromEntries(Object.keys(events).map((name, index) => [
+  `a request 3.2 s after SIGTERM is refused as not run, beside ${name}`,
+  () => stopWith(1 + index, name),
+])));
 
 const SIGNAL_STEP_MS = 100;
 const STARTS = 12;
--- a/fleet/signal_during_start_test.ts
+++ b/fleet/signal_during_start_test.ts
@@ -6,6 +6,7 @@
 import { createEndOwner } from '../lifecycle/mod.ts';
 import type { PlatformSettings } from '../platform/mod.ts';
 import { type Logger, noopLogger } from '../telemetry/mod.ts';
+import { addConcurrentTests } from '../testing/concurrent_tests.ts';
 import { startFleetNode } from './start_fleet_node.ts';
 
 const test = suite('signal during the start');
@@ -123,34 +124,25 @@
   };
 };
 
-const stops: PromiseSettledResult<Outcome>[] = [];
-
-test.before(async () => {
-  stops.push(...await Promise.allSettled(turnsBeforeSignal.map((turns, index) => (
-    stopStarting(firstPort + index * PORTS_PER_NODE, turns)
-  ))));
-});
+const outcomes: Outcome[] = [];
 
 // Guards against a node that binds its listeners after a signal, and accepts callers into a process
 // that is to end.
-for (const [index, turns] of turnsBeforeSignal.entries()) {
-  test(`a node that is signalled ${turns} turns into its binds accepts no caller`, () => {
-    const result = stops[index]!;
-    if (result.status === 'rejected') throw result.reason;
-    const {
-      status, wasStarted, acceptedCount, stopMs, failure,
-    } = result.value;
-    assert.is(failure, undefined);
-    assert.is(status, 0);
-    if (wasStarted) return;
-    assert.is(acceptedCount, 0);
-    assert.ok(stopMs < MAX_STOP_MS, `ended ${stopMs} ms after the signal`);
-  });
-}
+addConcurrentTests(test, Object.fromEntries(turnsBeforeSignal.map((turns, index) => [
+  `a node that is signalled ${turns} turns into its binds accepts no caller`,
+  async () => {
+    const outcome = await stopStarting(firstPort + index * PORTS_PER_NODE, turns);
+    outcomes.push(outcome);
+    assert.is(outcome.failure, undefined);
+    assert.is(outcome.status, 0);
+    if (outcome.wasStarted) return;
+    assert.is(outcome.acceptedCount, 0);
+    assert.ok(outcome.stopMs < MAX_STOP_MS, `ended ${outcome.stopMs} ms after the signal`);
+  },
+])));
 
 test('some signals come during the binds', () => {
-  const outcomes = stops.map((result) => result.status === 'fulfilled' && result.value.wasStarted);
-  assert.ok(outcomes.includes(false));
+  assert.ok(outcomes.some(({ wasStarted }) => !wasStarted));
 });
 
 test.run();
