--- a/telemetry/_test_heap_load.ts
+++ b/telemetry/_test_heap_load.ts
@@ -1,6 +1,6 @@
 import { createSystemClock } from '../clock/mod.ts';
 import {
-  createGarbageCollector, createHeapGuard, type Logger, readHeapUsage,
+  createGarbageCollector, createHeapGuard, type Logger, noopLogger, readHeapUsage,
 } from './mod.ts';
 
 /** What a process with a steady load of requests has seen; its last line of output as JSON. */
@@ -27,14 +27,8 @@
 
 const fractionInUse = Number(process.argv[2]);
 
-const silentLogger = (onInfo: () => void): Logger => {
-  const logger: Logger = {
-    debug: () => undefined,
-    info: onInfo,
-    warn: () => undefined,
-    error: () => undefined,
-    forComponent: () => logger,
-  };
+const countingLogger = (onInfo: () => void): Logger => {
+  const logger: Logger = { ...noopLogger, info: onInfo, forComponent: () => logger };
   return logger;
 };
 
@@ -60,7 +54,7 @@
   let collections = 0;
   const guard = createHeapGuard({
     clock,
-    logger: silentLogger(() => {
+    logger: countingLogger(() => {
       collections += 1;
     }),
     readHeap: readHeapUsage,
