Keep the settings that nodes of tests have in common in one place

Cause: signal_during_start_test had a copy of the bounds, rates and intervals of the loopback fleet.

Change: commonSettings of fleet/_test_loopback_fleet.ts, spread by both.

--- a/fleet/_test_loopback_fleet.ts
+++ b/fleet/_test_loopback_fleet.ts
@@ -103,6 +103,24 @@
   return `${SUBNET}.${host}`;
 };
 
+/** Settings that the nodes of tests have in common. */
+export const commonSettings = {
+  region: 'r',
+  instanceAddress: '',
+  isFirstStart: false,
+  announceIntervalMs: 200,
+  bounds: {
+    drainMs: 2000,
+    graceMs: 6000,
+    maxHoldMs: 10_000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    extraRetries: 600,
+  },
+  linkMegabitsPerSecond: 1000,
+  store: { writesPerSecond: 400, readsPerSecond: 2000 },
+} as const;
+
 /** Starts one host, with a node and an instance, for each of the services. */
 export const startLoopbackFleet = async (
   services: readonly string[],
@@ -131,19 +149,11 @@
       : server.address;
     const settings: PlatformSettings = {
       node: `host-${index}`,
-      region: 'r',
+      ...commonSettings,
       failureDomain: `d${index % 2}`,
       service,
-      instanceAddress: '',
-      isFirstStart: false,
-      announceIntervalMs: 200,
       bounds: {
-        drainMs: 2000,
-        graceMs: 6000,
-        maxHoldMs: 10_000,
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-        extraRetries: 600,
+        ...commonSettings.bounds,
         ...(coldMs === undefined ? {} : { coldExcess: 1.5, coldSlack: 3 }),
         evacuationMs,
       },
@@ -153,8 +163,7 @@
         readiness: `${address}:${ports.readiness}`,
         announcements: `${address}:${ports.announcements}`,
       },
-      linkMegabitsPerSecond: 1000,
-      store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
+      store: { ...commonSettings.store, address: storeAddress },
     };
     const node = await startFleetNode(settings, {
       clock, logger, metricsPort: ports.metrics,
--- a/fleet/signal_during_start_test.ts
+++ b/fleet/signal_during_start_test.ts
@@ -7,6 +7,7 @@
 import type { PlatformSettings } from '../platform/mod.ts';
 import { type Logger, noopLogger } from '../telemetry/mod.ts';
 import { addConcurrentTests } from '../testing/concurrent_tests.ts';
+import { commonSettings } from './_test_loopback_fleet.ts';
 import { startFleetNode } from './start_fleet_node.ts';
 
 const test = suite('signal during the start');
@@ -24,29 +25,17 @@
 const MAX_STOP_MS = 2000;
 
 const settingsOf = (port: number): PlatformSettings => ({
+  ...commonSettings,
   node: 'host-1',
-  region: 'r',
   failureDomain: 'd',
   service: 'orders',
-  instanceAddress: '',
-  isFirstStart: false,
-  announceIntervalMs: 200,
-  bounds: {
-    drainMs: 2000,
-    graceMs: 6000,
-    maxHoldMs: 10_000,
-    retryRatio: 0.2,
-    retryWindowMs: 10_000,
-    extraRetries: 600,
-  },
   listen: {
     caller: `${HOST}:${port}`,
     peer: `${HOST}:${port + 1}`,
     readiness: `${HOST}:${port + 2}`,
     announcements: `${HOST}:${port + 3}`,
   },
-  linkMegabitsPerSecond: 1000,
-  store: { address: `${HOST}:${port + 4}`, writesPerSecond: 400, readsPerSecond: 2000 },
+  store: { ...commonSettings.store, address: `${HOST}:${port + 4}` },
 });
 
 const isAccepting = (port: number) => new Promise<boolean>((resolve) => {
