Share the loopback addresses and the concurrent stops of process tests

Cause: nine files computed the loopback address of their process by the same formula, and run_node_test and settings_signal_test settled their stops as addConcurrentTests does.

Change: loopbackHost in testing/loopback_host.ts, with the same addresses, and addConcurrentTests in both. The names of the tests and what they require are unchanged.

--- a/command/run_node_test.ts
+++ b/command/run_node_test.ts
@@ -7,6 +7,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { addConcurrentTests } from '../testing/concurrent_tests.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 
 const test = suite('node command');
 
@@ -18,9 +20,7 @@
 const CONTROL_PORT = 8280;
 
 /** A loopback address of this process alone. */
-const hostOf = (index: number) => (
-  `127.${30 + index}.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`
-);
+const hostOf = (index: number) => loopbackHost(30 + index);
 
 const startNode = (host: string) => {
   const directory = mkdtempSync(join(tmpdir(), 'run-node-'));
@@ -89,47 +89,22 @@
   if (signals.length > 1) assert.match(node.log(), /ends: the process ends already/u);
 };
 
-const cases = [
+addConcurrentTests(test, {
   // The handler of a signal was removed after the first one, so that the next one ended the process
   // by its default action, with requests in flight.
-  {
-    name: 'a second SIGTERM does not end the node before its graceful stop',
-    signals: ['SIGTERM', 'SIGTERM'],
-    isStarting: false,
-  },
+  'a second SIGTERM does not end the node before its graceful stop': () => (
+    stopWith(0, ['SIGTERM', 'SIGTERM'], false)
+  ),
   // Guards against a signal that ends a node at once after it has begun to accept requests.
-  {
-    name: 'a SIGTERM while the listeners are bound leads to the graceful stop',
-    signals: ['SIGTERM', 'SIGTERM'],
-    isStarting: true,
-  },
+  'a SIGTERM while the listeners are bound leads to the graceful stop': () => (
+    stopWith(1, ['SIGTERM', 'SIGTERM'], true)
+  ),
   // A SIGHUP, as from a terminal that closes, ended the process with requests in flight.
-  {
-    name: 'a SIGHUP leads to the graceful stop',
-    signals: ['SIGHUP', 'SIGHUP'],
-    isStarting: false,
-  },
+  'a SIGHUP leads to the graceful stop': () => stopWith(2, ['SIGHUP', 'SIGHUP'], false),
   // The default action of a SIGHUP cut the graceful stop short.
-  {
-    name: 'a SIGHUP after a SIGTERM does not end the node before its graceful stop',
-    signals: ['SIGTERM', 'SIGHUP'],
-    isStarting: false,
-  },
-] as const;
-
-const stops: PromiseSettledResult<void>[] = [];
-
-test.before(async () => {
-  stops.push(...await Promise.allSettled(cases.map(({ signals, isStarting }, index) => (
-    stopWith(index, signals, isStarting)
-  ))));
+  'a SIGHUP after a SIGTERM does not end the node before its graceful stop': () => (
+    stopWith(3, ['SIGTERM', 'SIGHUP'], false)
+  ),
 });
 
-for (const [index, { name }] of cases.entries()) {
-  test(name, () => {
-    const result = stops[index]!;
-    if (result.status === 'rejected') throw result.reason;
-  });
-}
-
 test.run();
--- a/deploy/signal_before_load_test.ts
+++ b/deploy/signal_before_load_test.ts
@@ -9,11 +9,12 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { formatProcessSettings } from '../fleet/_test_node_process.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 
 const test = suite('signal before the bundle is loaded');
 
 /** A loopback address of this process alone, as the port of the metrics endpoint is fixed. */
-const host = `127.5.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const host = loopbackHost(5);
 const RUN_LIMIT_MS = 30_000;
 const [, runFlags = ''] = /^run = "node (.*) target\/marjoramhollow\.cjs"$/mu
   .exec(readFileSync('deploy/system.toml', 'utf8')) ?? [];
--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
 import { openConnection } from '../testing/open_connection.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 import { sendTestRequest } from './_test_requests.ts';
@@ -11,7 +12,7 @@
 const test = suite('heap limit of a node');
 
 /** A loopback address of this process alone, as the ports of a node process are fixed. */
-const host = `127.4.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const host = loopbackHost(4);
 const listeners = listenersOf(host);
 /** Half of the limit of a deployed node, so that fewer connections reach it. */
 const runtimeArguments = ['--max-old-space-size=80', '--max-semi-space-size=4'];
--- a/fleet/late_caller_test.ts
+++ b/fleet/late_caller_test.ts
@@ -4,6 +4,7 @@
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
 import { addConcurrentTests } from '../testing/concurrent_tests.ts';
 import { openConnection, type RawConnection } from '../testing/open_connection.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 
@@ -24,9 +25,7 @@
 const SEND_INTERVAL_MS = 50;
 
 /** A loopback address of this process alone, as the ports of a node process are fixed. */
-const hostOf = (index: number) => (
-  `127.${60 + index}.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`
-);
+const hostOf = (index: number) => loopbackHost(60 + index);
 
 let fleet: LoopbackFleet;
 let serving: NodeProcess;
--- a/fleet/leaving_process_test.ts
+++ b/fleet/leaving_process_test.ts
@@ -2,13 +2,14 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { startPlatformInstance } from '../standins/mod.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, startNodeProcess } from './_test_node_process.ts';
 import { createTestSender, findWrongAnswers } from './_test_requests.ts';
 
 const test = suite('requests of a peer around the end of the process of the last instance');
 
-const host = `127.2.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const host = loopbackHost(2);
 const listeners = listenersOf(host);
 const WORK_MS = 60;
 const INTERVAL_MS = 3;
--- a/fleet/main_test.ts
+++ b/fleet/main_test.ts
@@ -9,12 +9,13 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { formatProcessSettings, startNodeProcess } from './_test_node_process.ts';
 
 const test = suite('fleet process');
 
 /** A loopback address of this process alone, as the port of the metrics endpoint is fixed. */
-const host = `127.1.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const host = loopbackHost(1);
 const settings = formatProcessSettings(host);
 
 const START_LIMIT_MS = 15_000;
--- a/fleet/node_end_test.ts
+++ b/fleet/node_end_test.ts
@@ -6,6 +6,7 @@
 import { splitAddress } from '../http/mod.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 import { sendTestRequest } from './_test_requests.ts';
@@ -13,7 +14,7 @@
 const test = suite('end of a node');
 
 /** A loopback address of this process alone, as the ports of a node process are fixed. */
-const host = `127.2.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const host = loopbackHost(2);
 const listeners = listenersOf(host);
 const METRICS_PORT = 9464;
 const WORK_MS = 400;
--- a/fleet/settings_signal_test.ts
+++ b/fleet/settings_signal_test.ts
@@ -2,14 +2,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { addConcurrentTests } from '../testing/concurrent_tests.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 
 const test = suite('settings and signals');
 
 /** Loopback addresses of this process alone, as the ports of a node process are fixed. */
-const hostOf = (index: number) => (
-  `127.${90 + index}.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`
-);
+const hostOf = (index: number) => loopbackHost(90 + index);
 /** Within the time in which a stopping node waits for callers to learn of it. */
 const STOP_PART_MS = 100;
 
@@ -61,21 +61,10 @@
   assert.ok(Number(leftMs) > 0, `stopped ${leftMs} ms before the end of the grace time`);
 };
 
-const names = Object.keys(changes);
-const plays: PromiseSettledResult<void>[] = [];
-
-test.before(async () => {
-  plays.push(...await Promise.allSettled(names.map((name, index) => (
-    play(index, changes[name]!, lines[name] ?? 'rejected the changed settings')
-  ))));
-});
-
 // Guards against a SIGHUP that ends a node, or its graceful stop, for the state of its settings.
-for (const [index, name] of names.entries()) {
-  test(`a SIGHUP before, beside and after a SIGTERM with settings: ${name}`, () => {
-    const result = plays[index]!;
-    if (result.status === 'rejected') throw result.reason;
-  });
-}
+addConcurrentTests(test, Object.fromEntries(Object.entries(changes).map(([name, change], index) => [
+  `a SIGHUP before, beside and after a SIGTERM with settings: ${name}`,
+  () => play(index, change, lines[name] ?? 'rejected the changed settings'),
+])));
 
 test.run();
--- a/soak/_run_round.ts
+++ b/soak/_run_round.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { startLoopbackFleet } from '../fleet/_test_loopback_fleet.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { loopbackHost } from '../testing/loopback_host.ts';
 import { callUntil, send } from './_callers.ts';
 import {
   countOpenEnds, countRound, type Finding, findFaults, type RoundRecord,
@@ -36,9 +37,7 @@
 const AFTER_RESTART_MS = 300;
 
 /** Returns a loopback address of this process alone, as the ports of a node process are fixed. */
-const hostOf = (node: number) => (
-  `127.${20 + node}.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`
-);
+const hostOf = (node: number) => loopbackHost(20 + node);
 
 /** Publishes one more route at each interval, safe ones and downloads by turns. */
 const publishUntil = async (
