Accept all connections that wait when a server stops before it reads them

Cause: Node.js accepts one connection a turn, each turn also handled a request, and the stop accepted for a second only, so what waited longer was reset by the close of the listening socket.

A stop now holds the connections back from their handlers until the socket is closed, so that a turn costs the accept alone, and the time limit no longer applies to connections that were established before it: until a turn finds the queue empty or 512 were accepted, as many as the queue holds. Clients that connect without end are waited for 0.1 s instead of 1 s.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -3,12 +3,14 @@
   setImmediate as nextTurn, setTimeout as pause,
 } from 'node:timers/promises';
 import type { Clock } from '../clock/mod.ts';
+import type { AcceptGate } from './_accept_gate.ts';
 import type { HttpListener } from './http_server_options.ts';
 
 /** What the stop of a server knows of it. */
 export interface ServerStopOptions {
   readonly clock: Clock;
   readonly server: NetServer;
+  readonly gate: AcceptGate;
   /** Time in ms after the close of the listening socket until idle connections are closed. */
   readonly idleGraceMs: number;
   /** Number of connections that were accepted so far. */
@@ -20,8 +22,12 @@
   readonly onIdleGraceOver: () => void;
 }
 
-/** Limits the time in which connections are accepted, for clients that connect without end. */
+/** Limits the time in which connections are accepted that came after the stop. */
 const MAX_ACCEPT_MS = 1000;
+/** Connections that the accept queue of Node.js holds at most (its default backlog), and one. */
+const MAX_QUEUED_CONNECTIONS = 512;
+/** Limits the time for connections in their handshake, for clients that connect without end. */
+const MAX_HANDSHAKE_WAIT_MS = 100;
 /** Time for which a connection may be in its handshake, so that it is not found yet. */
 const ACCEPT_PAUSE_MS = 2;
 /** Pauses in a row after which no client is taken to be connecting. */
@@ -48,7 +54,7 @@
  * await close();
  */
 export const createServerStop = ({
-  clock, server, acceptedCount, readCount, ...options
+  clock, server, gate, acceptedCount, readCount, ...options
 }: ServerStopOptions): Pick<HttpListener, 'readArrived'> & {
   /** Closes the listening socket, and resolves once all connections have closed. */
   readonly close: () => Promise<void>;
@@ -60,35 +66,50 @@
     return clock.now() - startedAt <= MAX_LAST_TURN_MS;
   };
 
-  /** Node.js accepts one connection in each turn of the event loop. */
-  const acceptEstablished = async (endsBy: number) => {
+  /**
+   * Accepts all connections that were established before the call, in the order in which they wait,
+   * and later ones for a limited time. Their requests are read once the socket has been closed.
+   */
+  const acceptAndClose = async (endsBy = Infinity) => {
+    const startedAt = clock.now();
+    const countAtStart = acceptedCount();
+    let areAllAccepted = false;
     let quietPauses = 0;
-    let countBefore = acceptedCount();
-    let closesBy = endsBy;
-    while (clock.now() < closesBy) {
+    let lastTurnBy = Infinity;
+    gate.hold();
+    while (clock.now() < endsBy) {
+      const countBefore = acceptedCount();
       const isShort = await runTurn();
-      const isQuiet = acceptedCount() === countBefore;
-      countBefore = acceptedCount();
-      if (!isQuiet) {
+      const passedMs = clock.now() - startedAt;
+      if (acceptedCount() > countBefore) {
         quietPauses = 0;
-        closesBy = endsBy;
-      } else if (quietPauses < QUIET_PAUSES) {
+        areAllAccepted ||= acceptedCount() - countAtStart >= MAX_QUEUED_CONNECTIONS;
+        if (areAllAccepted && passedMs >= MAX_ACCEPT_MS) break;
+        continue;
+      }
+      areAllAccepted = true;
+      if (quietPauses < QUIET_PAUSES && passedMs < MAX_HANDSHAKE_WAIT_MS) {
         quietPauses += 1;
         await pause(ACCEPT_PAUSE_MS);
-      } else {
-        // The socket is closed in the turn that has looked for connections.
-        if (isShort) return;
-        closesBy = Math.min(closesBy, clock.now() + MAX_LAST_TURN_WAIT_MS);
+        continue;
       }
+      // The socket is closed in the turn that has looked for connections.
+      if (isShort || clock.now() >= lastTurnBy) break;
+      lastTurnBy = Math.min(lastTurnBy, clock.now() + MAX_LAST_TURN_WAIT_MS);
     }
+    const closed = new Promise<void>((resolve) => {
+      // `http.Server.close` would drop requests that are in transit on idle connections.
+      NetServer.prototype.close.call(server, () => resolve());
+    });
+    gate.release();
+    return { closed };
   };
 
   const readArrived = async (endsBy: number) => {
     const readBefore = readCount();
     if (server.listening) {
       // The other half of the time is left to read from the connections that were accepted.
-      await acceptEstablished(clock.now() + (endsBy - clock.now()) / 2);
-      NetServer.prototype.close.call(server);
+      await acceptAndClose(clock.now() + (endsBy - clock.now()) / 2);
     }
     let quietTurns = 0;
     while (options.openConnections() > 0 && clock.now() < endsBy) {
@@ -104,11 +125,7 @@
   return {
     readArrived,
     close: async () => {
-      await acceptEstablished(clock.now() + MAX_ACCEPT_MS);
-      // `http.Server.close` would drop requests that are in transit on idle connections.
-      const closed = new Promise<void>((resolve) => {
-        NetServer.prototype.close.call(server, () => resolve());
-      });
+      const { closed } = await acceptAndClose();
       const cancelGraceTimer = clock.schedule(options.idleGraceMs, () => {
         readArrived(clock.now() + MAX_READ_MS).then(options.onIdleGraceOver);
       });
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { CancelTask } from '../clock/mod.ts';
 import { type NodeEndReason, unrecordedEnds } from '../lifecycle/mod.ts';
+import { createAcceptGate } from './_accept_gate.ts';
 import {
   type ConnectionState, createConnectionState, findLastComplete,
 } from './_connection_state.ts';
@@ -58,6 +59,7 @@
   });
 
   const server = createNodeServer(options);
+  const gate = createAcceptGate(server);
 
   /** Ends a connection if its open requests allow it. */
   const endConnection = (
@@ -241,6 +243,7 @@
   const { close, readArrived } = createServerStop({
     clock,
     server,
+    gate,
     idleGraceMs: options.idleGraceMs,
     acceptedCount: () => acceptedCount,
     readCount: () => readCount,
--- a/http/stop_test.ts
+++ b/http/stop_test.ts
@@ -56,20 +56,22 @@
   }
 });
 
-// Guards against connections in the backlog that a stop resets, since the node took 200 ms to
-// accept those before them.
-test('connections in the backlog of a slow server are served when it stops', async () => {
-  const { server, open } = await startServer(undefined, 8);
-  const connections = Array.from({ length: 50 }, open);
-  for (const { socket } of connections) socket.write(REQUEST);
-  await new Promise(process.nextTick);
-  await server.stop();
-  const outcomes = await Promise.all(connections.map(async ({ closed, received, error }) => {
-    await closed;
-    return error() || received().split('\r\n')[0];
-  }));
-  assert.equal([...new Set(outcomes)], ['HTTP/1.1 200 OK']);
-});
+// Guards against connections in the backlog that a stop resets, since it accepts connections for a
+// second only, and handles a request of those before them in each turn.
+for (const [name, handlingMs] of [['slow', 8], ['very slow', 30]] as const) {
+  test(`connections in the backlog of a ${name} server are served when it stops`, async () => {
+    const { server, open } = await startServer(undefined, handlingMs);
+    const connections = Array.from({ length: 50 }, open);
+    for (const { socket } of connections) socket.write(REQUEST);
+    await new Promise(process.nextTick);
+    await server.stop();
+    const outcomes = await Promise.all(connections.map(async ({ closed, received, error }) => {
+      await closed;
+      return error() || received().split('\r\n')[0];
+    }));
+    assert.equal([...new Set(outcomes)], ['HTTP/1.1 200 OK']);
+  });
+}
 
 // Guards against connections that a stop resets, since they were established in a turn of the event
 // loop that had looked for them before.
