--- a/gateway/_test_caller.ts
+++ b/gateway/_test_caller.ts
@@ -34,6 +34,8 @@
   readonly reader?: 'quick' | 'stalled';
   /** The caller leaves after this time in ms. */
   readonly leaveAfterMs?: number;
+  /** Called when the first part of the body has arrived. */
+  readonly onBodyStart?: () => void;
 }
 
 let nextId = 0;
@@ -80,6 +82,7 @@
       setTimeout(() => request.destroy(), STALLED_CALLER_MS);
     } else {
       response.on('data', (chunk: Buffer) => {
+        if (bodyBytes === 0) options.onBodyStart?.();
         bodyBytes += chunk.length;
         if (text.length < 1000) text += chunk.toString('latin1');
       });
@@ -101,31 +104,6 @@
   }
 };
 
-const POLL_INTERVAL_MS = 5;
-/** Shortest time in ms between two polls that counts as a stop of this process. */
-const MIN_STOP_MS = 20;
-
-/**
- * Polls until `check` returns true; returns false when the time limit in ms has passed. Time for
- * which the machine runs other processes instead of this one does not count.
- */
-export const isMet = async (check: () => boolean, limitMs = 500) => {
-  let leftMs = limitMs;
-  let polledAt = clock.now();
-  let usedBefore = process.cpuUsage();
-  while (!check()) {
-    if (leftMs < 0) return false;
-    await sleep(POLL_INTERVAL_MS);
-    const passedMs = clock.now() - polledAt;
-    const { user, system } = process.cpuUsage(usedBefore);
-    const stoppedMs = passedMs - POLL_INTERVAL_MS - (user + system) / 1000;
-    leftMs -= stoppedMs < MIN_STOP_MS ? passedMs : passedMs - stoppedMs;
-    polledAt += passedMs;
-    usedBefore = process.cpuUsage();
-  }
-  return true;
-};
-
 /** Samples the buffers of this process until stopped; returns their largest growth in bytes. */
 export const watchBuffers = () => {
   const start = process.memoryUsage().arrayBuffers;
--- a/gateway/_test_sick_call.ts
+++ b/gateway/_test_sick_call.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
+import { isMet } from '../testing/is_met.ts';
 import {
-  type CallerAnswer, type CallOptions, isMet, MAX_CALM_PROCESSOR_MS, processorTimeMs, watchBuffers,
+  type CallerAnswer, type CallOptions, MAX_CALM_PROCESSOR_MS, processorTimeMs, watchBuffers,
 } from './_test_caller.ts';
 import {
   answerSoundly, type Respond, ROUTE_TIMEOUT_MS, startPath,
--- a/gateway/body_budget_test.ts
+++ b/gateway/body_budget_test.ts
@@ -3,7 +3,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { splitAddress } from '../http/mod.ts';
-import { isMet } from './_test_caller.ts';
+import { isMet } from '../testing/is_met.ts';
 import { answerSoundly, startPath } from './_test_path.ts';
 import { createBodyBudget } from './mod.ts';
 
--- a/gateway/connection_losses_test.ts
+++ b/gateway/connection_losses_test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { isMet } from './_test_caller.ts';
+import { isMet } from '../testing/is_met.ts';
 import { answerSoundly, startPath } from './_test_path.ts';
 
 const test = suite('connection losses');
--- a/gateway/endless_bytes_test.ts
+++ b/gateway/endless_bytes_test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { isMet, watchBuffers } from './_test_caller.ts';
+import { isMet } from '../testing/is_met.ts';
+import { watchBuffers } from './_test_caller.ts';
 import {
   answerSoundly, type Respond, ROUTE_TIMEOUT_MS, startPath, writeEndlessly,
 } from './_test_path.ts';
--- a/gateway/late_request_test.ts
+++ b/gateway/late_request_test.ts
@@ -8,8 +8,8 @@
 import type { PublishedRoute } from '../contract/mod.ts';
 import { createEgressLink, splitAddress } from '../http/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
+import { isMet } from '../testing/is_met.ts';
 import { HOP_HEADER } from './_hop_header.ts';
-import { isMet } from './_test_caller.ts';
 import {
   type CallerListenerOptions, createCallerListener, createDispatchQueue, createPeerListener,
   createRouteTable, createShutdownTracker, MAX_BUFFERED_BYTES,
--- a/gateway/pipelined_requests_test.ts
+++ b/gateway/pipelined_requests_test.ts
@@ -4,7 +4,7 @@
 import { createSystemClock } from '../clock/mod.ts';
 import type { RouteKind } from '../contract/mod.ts';
 import { openConnection } from '../testing/open_connection.ts';
-import { isMet } from './_test_caller.ts';
+import { isMet } from '../testing/is_met.ts';
 import { answerSoundly, type Respond, startPath } from './_test_path.ts';
 import { hops } from './_test_sick_call.ts';
 import { createShutdownTracker } from './mod.ts';
--- a/gateway/silent_instance_test.ts
+++ b/gateway/silent_instance_test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { RouteKind } from '../contract/mod.ts';
-import { isMet } from './_test_caller.ts';
+import { isMet } from '../testing/is_met.ts';
 import { answerSoundly, startPath } from './_test_path.ts';
 import { hops } from './_test_sick_call.ts';
 
--- a/gateway/small_chunks_test.ts
+++ b/gateway/small_chunks_test.ts
@@ -3,8 +3,8 @@
 import { runInNewContext } from 'node:vm';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { isMet } from '../testing/is_met.ts';
 import { type ChunkedUpload, sendChunks } from './_chunked_upload.ts';
-import { isMet } from './_test_caller.ts';
 import { answerSoundly, startPath } from './_test_path.ts';
 import { createBodyBudget } from './mod.ts';
 
