Kill the node of a test once its caller has received a part of the answer

The test killed the node 90 ms after its start. The kill now follows the first part of the body that the caller has received, and the instance sends the rest only after the kill. What is checked stays: a status, a part of the body, and no complete answer.

--- a/gateway/killed_node_test.ts
+++ b/gateway/killed_node_test.ts
@@ -10,6 +10,8 @@
 /** Time in ms between the parts of an answer. */
 const PART_INTERVAL_MS = 20;
 const PARTS = 10;
+/** Parts that are sent before the node is killed. */
+const PARTS_BEFORE_KILL = 4;
 const PART = 'x'.repeat(1000);
 
 /** Heads of answers, with the framing of a part and what ends the answer. */
@@ -25,11 +27,16 @@
   },
 } as const;
 
-const respondSlowly = (name: keyof typeof framings): Respond => (socket, headOf) => {
+/** Sends an answer in parts; the rest of it waits until `mayGoOn` returns true. */
+const respondSlowly = (
+  name: keyof typeof framings,
+  mayGoOn: () => boolean,
+): Respond => (socket, headOf) => {
   const { head, frame, end } = framings[name];
   socket.write(headOf() + head);
   let parts = 0;
   const timer = setInterval(() => {
+    if (parts === PARTS_BEFORE_KILL && !mayGoOn()) return;
     parts += 1;
     socket.write(frame(PART));
     if (parts < PARTS) return;
@@ -39,13 +46,18 @@
   socket.once('close', () => clearInterval(timer));
 };
 
-/** Calls through a node that is killed after a time in ms, on the first or on the second hop. */
-const callThroughKilled = async (
+/**
+ * Calls through a node on the first or on the second hop, which is killed once its caller has
+ * received a part of the answer.
+ */
+const callThrough = async (
   killed: 'caller' | 'peer',
-  respond: Respond,
-  killAfterMs: number | undefined,
+  name: keyof typeof framings,
+  isKilled: boolean,
 ): Promise<CallerAnswer> => {
   const relays: TcpRelay[] = [];
+  let mayGoOn = !isKilled;
+  const respond = respondSlowly(name, () => mayGoOn);
   const reachThrough = async (address: string) => {
     const relay = await startTcpRelay(address);
     relays.push(relay);
@@ -55,9 +67,14 @@
     hop: 'peer', timeoutMs: TIMEOUT_MS, ...(killed === 'peer' ? { reachThrough } : {}),
   }, respond, answerSoundly);
   const address = killed === 'peer' ? path.callerAddress : await reachThrough(path.callerAddress);
-  const answered = sendAsCaller(address, { kind: 'download' });
-  if (killAfterMs !== undefined) setTimeout(() => relays[0]!.kill(), killAfterMs);
-  const answer = await answered;
+  const answer = await sendAsCaller(address, {
+    kind: 'download',
+    onBodyStart: () => {
+      if (!isKilled) return;
+      relays[0]!.kill();
+      mayGoOn = true;
+    },
+  });
   for (const relay of relays) relay.kill();
   await path.stop();
   return answer;
@@ -68,15 +85,14 @@
 for (const killed of ['caller', 'peer'] as const) {
   for (const name of Object.keys(framings) as (keyof typeof framings)[]) {
     test(`an answer ${name} is not complete when the ${killed}'s node is killed`, async () => {
-      const killAfterMs = 4.5 * PART_INTERVAL_MS;
-      const answer = await callThroughKilled(killed, respondSlowly(name), killAfterMs);
+      const answer = await callThrough(killed, name, true);
       assert.is(answer.status, 200);
       assert.ok(answer.bodyBytes > 0 && answer.bodyBytes < PARTS * PART.length);
       assert.not(answer.isComplete);
     });
 
     test(`an answer ${name} is whole when the ${killed}'s node lives`, async () => {
-      const answer = await callThroughKilled(killed, respondSlowly(name), undefined);
+      const answer = await callThrough(killed, name, false);
       assert.ok(answer.isComplete);
       assert.is(answer.bodyBytes, PARTS * PART.length);
     });
