Wait for the responses in the tests of pipelined requests

Three tests waited for a fixed time. At load 23 to 26 the responses had not come, or the first one had ended before the second request was sent (1 of 10 runs). They now wait until the responses have come, or until the server has read the second request; then they wait as long as before for what must not come. The checks are the same.

--- a/http/request_turns_test.ts
+++ b/http/request_turns_test.ts
@@ -3,6 +3,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
+import { isMet } from '../testing/is_met.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { createHttpServer, renderMalformed } from './mod.ts';
 
@@ -11,6 +12,8 @@
 const WORK_MS = 40;
 /** Time in which a request behind another one would have been handled. */
 const SETTLE_MS = 100;
+/** Limits the wait for responses that must come. */
+const ANSWER_LIMIT_MS = 10_000;
 const FLOOD_REQUESTS = 400_000;
 const MAX_READ_REQUESTS = 20_000;
 
@@ -64,7 +67,8 @@
 test('requests of a connection are handled one after the other', async () => {
   const { socket, server, ...seen } = await setUp(answerLater);
   socket.write(format('/a') + format('/b') + format('/c'));
-  await sleep(4 * WORK_MS + SETTLE_MS);
+  await isMet(() => seen.received().endsWith('done/c'), ANSWER_LIMIT_MS);
+  await sleep(SETTLE_MS);
   assert.match(seen.received(), /done\/a.*done\/b.*done\/c$/su);
   assert.is(seen.maxRunning(), 1);
   assert.is(count(seen.received(), /connection: close/giu), 0);
@@ -84,10 +88,19 @@
 }
 
 test('a request that arrives behind a running one moves the end of the connection', async () => {
-  const { socket, closed, ...seen } = await setUp(answerLater, () => true);
-  socket.write(format('/a'));
-  await sleep(WORK_MS / 2);
-  socket.write(format('/b'));
+  let finishFirst = () => undefined as unknown;
+  let bytesRead = () => 0;
+  const { socket, closed, ...seen } = await setUp(({ url, socket: connection }, response) => {
+    bytesRead = () => connection.bytesRead;
+    finishFirst = () => response.end(`done${url}`);
+    if (url === '/b') finishFirst();
+  }, () => true);
+  const [first, second] = [format('/a'), format('/b')];
+  socket.write(first);
+  assert.ok(await isMet(() => seen.handled.length === 1, ANSWER_LIMIT_MS));
+  socket.write(second);
+  assert.ok(await isMet(() => bytesRead() === first.length + second.length, ANSWER_LIMIT_MS));
+  finishFirst();
   await closed;
   assert.match(seen.received(), /done\/a.*connection: close\r\n.*done\/b$/isu);
 });
@@ -147,7 +160,8 @@
 test('more requests than are read ahead are all answered', async () => {
   const { socket, server, ...seen } = await setUp(answerAtOnce);
   socket.write(format('/b').repeat(1000));
-  await sleep(10 * SETTLE_MS);
+  await isMet(() => count(seen.received(), /done\/b/gu) >= 1000, ANSWER_LIMIT_MS);
+  await sleep(SETTLE_MS);
   assert.is(count(seen.received(), /done\/b/gu), 1000);
   server.kill();
 });
