Reload a store view at once when the history is compacted

After an outage of the store, entries could stay out of date for more than 2 s: a watch that is answered 'compacted' was followed by another backoff of up to 1.05 s before the reload, though the store had just answered.

--- a/directory/node_registration_test.ts
+++ b/directory/node_registration_test.ts
@@ -21,7 +21,10 @@
   ...changes,
 });
 
-const setUp = () => {
+/** An entry is in use again about 2 s after the store is back. */
+const MAX_RELOAD_MS = 2000;
+
+const setUp = (random: () => number = Math.random) => {
   const clock = createFakeClock();
   const store = createMemoryLeasedStore(clock);
   const right = createRightToGrant(clock, RIGHT_TO_GRANT_MS);
@@ -31,7 +34,7 @@
   });
   own.run(stopping.signal);
   const view = createStoreView({
-    clock, store, prefix: KEY_PREFIX, logger: noopLogger,
+    clock, store, prefix: KEY_PREFIX, logger: noopLogger, random,
   });
   view.follow(stopping.signal);
   const fleet = createFleetView({ clock, view });
@@ -124,6 +127,24 @@
   stop();
 });
 
+// Guards against a second backoff before the reload, after the answer that says 'compacted'.
+test('a store view reloads within one backoff after an outage of any length', async () => {
+  for (let outageMs = 2000; outageMs < 3500; outageMs += 25) {
+    const {
+      clock, store, view, stop,
+    } = setUp(() => 0.999);
+    await clock.advance(1000);
+    store.faults.failWith = 'unavailable';
+    await clock.advance(outageMs);
+    store.faults.failWith = undefined;
+    await store.transact({ expect: [], puts: [{ key: `${KEY_PREFIX}x`, value: 'new' }] });
+    store.compact();
+    await clock.advance(MAX_RELOAD_MS);
+    assert.is(view.get(`${KEY_PREFIX}x`)?.value, 'new', `after an outage of ${outageMs} ms`);
+    stop();
+  }
+});
+
 test('an entry that cannot be decoded adds no node', async () => {
   const { clock, store, fleet } = setUp();
   await store.transact({ expect: [], puts: [{ key: nodeKey('x'), value: '{"node":5}' }] });
--- a/directory/store_view.ts
+++ b/directory/store_view.ts
@@ -78,6 +78,7 @@
   const watch = options.watch ?? store.watch;
   const waitMs = options.waitMs ?? (() => DEFAULT_WAIT_MS);
   const pauseMs = options.pauseMs ?? (() => DEFAULT_PAUSE_MS);
+  const random = options.random ?? Math.random;
   const margin = options.marginMs === undefined ? {} : { marginMs: options.marginMs };
   const logger = options.logger.forComponent('store view');
   const entries = new Map<string, StoreEntry>();
@@ -237,13 +238,14 @@
         } else if (error !== undefined && !error.isGivenUp) {
           // The store keeps its history during an outage, so the next watch misses no changes.
           needsReload = error.kind === 'compacted';
-          // A timeout is pause enough, and the changes that it has held up are due.
-          hasWaited = error.isTimeout;
+          // A timeout is pause enough, and the changes that it has held up are due. A store that
+          // has compacted its history can be reached.
+          hasWaited = error.isTimeout || needsReload;
           if (!needsReload) setConnected(false, error.message);
         }
       }
       retryMs = connected ? MIN_RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 1.5);
-      const backoffMs = retryMs * (0.5 + Math.random());
+      const backoffMs = retryMs * (0.5 + random());
       await clock.sleep(connected || hasWaited ? pauseMs() : backoffMs, signal);
     }
   };
--- a/directory/store_view_options.ts
+++ b/directory/store_view_options.ts
@@ -26,6 +26,8 @@
   readonly marginMs?: number;
   /** Returns the delay in ms after a watch, so that a burst of changes costs a single call. */
   readonly pauseMs?: () => number;
+  /** Returns random numbers in [0, 1) for the backoff; `Math.random` by default. */
+  readonly random?: () => number;
   /**
    * Returns the largest length of the value of a key, in characters; unlimited by default. Of a
    * longer value, which another writer left, an empty one is kept.
