Share the caller, traces and restarts of the soak with tests of stops

Cause: the caller that records what became of a request, the trace of what a process accepted and read, and the node that is restarted after its stop were internals of the soak, and the large heads were part of heap_limit_test. A test of the ways to stop a host needs all of them.

Change: testing/send_request.ts, testing/create_random.ts and four files _test_*.ts in fleet; what the soak and heap_limit_test require is unchanged.

--- a/soak/_connection_trace.ts
+++ b/fleet/_test_connection_trace.ts
@@ -6,9 +6,9 @@
 import { writeSync } from 'node:fs';
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { listenersOf } from '../fleet/_test_node_process.ts';
+import { listenersOf } from './_test_node_process.ts';
 import { splitAddress } from '../http/mod.ts';
-import { TRACE_NAME, type TracedConnection } from './_traced_connections.ts';
+import { TRACE_NAME, type TracedConnection } from './_test_traced_connections.ts';
 
 const STDOUT_FD = 1;
 /** Covers a stop with its grace time. */
--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -23,13 +23,18 @@
   readonly storeAddress: string;
   readonly node?: string;
   readonly failureDomain?: string;
+  /** Service of the instance on the host; `orders` by default. */
+  readonly service?: string;
   /** Time in ms after which the process is killed. */
   readonly maxRunMs?: number;
   /** Arguments of Node.js itself, such as a limit of the heap. */
   readonly runtimeArguments?: readonly string[];
+  /** Arguments that run the program; by default, they load it from its sources. */
+  readonly programArguments?: readonly string[];
 }
 
 const DEFAULT_MAX_RUN_MS = 60_000;
+const SOURCE_ARGUMENTS = ['--import', 'tsx', 'fleet/main.ts'] as const;
 
 /** Throws an exception that nothing handles at SIGUSR2. */
 const throwOnSignal = `data:text/javascript,${encodeURIComponent(`
@@ -65,17 +70,15 @@
 
 /** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
 export const startNodeProcess = ({
-  host, storeAddress, node = 'host-1', failureDomain = 'd0', maxRunMs = DEFAULT_MAX_RUN_MS,
-  runtimeArguments = [],
+  host, storeAddress, node = 'host-1', failureDomain = 'd0', service = 'orders',
+  maxRunMs = DEFAULT_MAX_RUN_MS, runtimeArguments = [], programArguments = SOURCE_ARGUMENTS,
 }: NodeProcessOptions): NodeProcess => {
   const directory = mkdtempSync(join(tmpdir(), 'node-process-'));
   const path = join(directory, 'settings.json');
   writeFileSync(path, formatProcessSettings(host, {
-    node, failureDomain, service: 'orders', storeAddress,
+    node, failureDomain, service, storeAddress,
   }));
-  const args = [
-    ...runtimeArguments, '--import', 'tsx', '--import', throwOnSignal, 'fleet/main.ts',
-  ];
+  const args = [...runtimeArguments, '--import', throwOnSignal, ...programArguments];
   const child = spawn(process.execPath, args, {
     env: { ...process.env, MARJORAMHOLLOW_CONFIG: path }, stdio: ['ignore', 'pipe', 'ignore'],
   });
--- a/soak/_starved_node.ts
+++ b/fleet/_test_starved_node.ts
@@ -1,8 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   listenersOf, type NodeProcess, startNodeProcess,
-} from '../fleet/_test_node_process.ts';
-import type { StopPlan } from './_plan.ts';
+} from './_test_node_process.ts';
 
 /** One process of a node. */
 export interface ProcessRecord {
@@ -14,6 +13,14 @@
   readonly process: NodeProcess;
 }
 
+/** How a node is stopped and restarted. */
+export interface RestartOptions {
+  /** Time in ms from the first SIGTERM to another one. */
+  readonly repeatAfterMs: number | undefined;
+  /** Time in ms from the exit of the process to the start of the next one. */
+  readonly restartAfterMs: number;
+}
+
 /** A node whose process can be suspended by turns, and is restarted after each stop. */
 export interface StarvedNode {
   readonly name: string;
@@ -22,7 +29,11 @@
   /** Suspends the process for a time in ms of each 100 ms, beginning after a time in ms. */
   readonly starve: (afterMs: number, suspendedMs: number) => void;
   /** Stops the node as the platform does, and resolves once it has been restarted. */
-  readonly restart: (plan: StopPlan) => Promise<void>;
+  readonly restart: (options: RestartOptions) => Promise<void>;
+  /** Sends a signal to the process, if there is one. */
+  readonly signal: (sent: NodeJS.Signals) => void;
+  /** Ends the last process by an exception, so that it leaves its trace. */
+  readonly end: () => Promise<void>;
   readonly kill: () => Promise<void>;
 }
 
@@ -30,13 +41,24 @@
 export interface StarvedNodeOptions {
   readonly name: string;
   readonly failureDomain: string;
+  /** Service of the instance on the host; `orders` by default. */
+  readonly service?: string;
   readonly host: string;
   readonly storeAddress: string;
+  /** Arguments of Node.js itself, such as a limit of the heap. */
+  readonly runtimeArguments?: readonly string[];
+  /** Arguments that run the program and the trace; by default, they load them from sources. */
+  readonly programArguments?: readonly string[];
+  /** Suspends no process until it has started; by default, starting ones are suspended, too. */
+  readonly isStartSpared?: boolean;
 }
 
-const TRACE_ARGUMENTS = ['--import', 'tsx', '--import', './soak/_connection_trace.ts'] as const;
+const SOURCE_ARGUMENTS = [
+  '--import', 'tsx', '--import', './fleet/_test_connection_trace.ts', 'fleet/main.ts',
+] as const;
 /** Longer than a round on a machine that is busy; only a round that hangs may meet it. */
 const MAX_RUN_MS = 300_000;
+const STARTED = '"node: started"';
 const PERIOD_MS = 100;
 /** The platform kills a process that is still there after its grace time. */
 const GRACE_MS = 6000;
@@ -48,7 +70,8 @@
  * @returns The node, once it has started.
  */
 export const startStarvedNode = async ({
-  name, failureDomain, host, storeAddress,
+  name, failureDomain, service = 'orders', host, storeAddress, runtimeArguments = [],
+  programArguments = SOURCE_ARGUMENTS, isStartSpared = false,
 }: StarvedNodeOptions): Promise<StarvedNode> => {
   const processes: ProcessRecord[] = [];
   let timer: NodeJS.Timeout | undefined;
@@ -57,10 +80,12 @@
     const process = startNodeProcess({
       node: name,
       failureDomain,
+      service,
       host,
       storeAddress,
       maxRunMs: MAX_RUN_MS,
-      runtimeArguments: TRACE_ARGUMENTS,
+      runtimeArguments,
+      programArguments,
     });
     const record: ProcessRecord = { startedAt: performance.now(), process };
     processes.push(record);
@@ -76,7 +101,7 @@
   };
 
   const suspend = (suspendedMs: number) => {
-    signal('SIGSTOP');
+    if (!isStartSpared || processes.at(-1)!.process.log().includes(STARTED)) signal('SIGSTOP');
     timer = setTimeout(() => {
       signal('SIGCONT');
       timer = setTimeout(() => suspend(suspendedMs), PERIOD_MS - suspendedMs);
@@ -84,7 +109,7 @@
   };
 
   const first = start();
-  await first.process.logged('"node: started"');
+  await first.process.logged(STARTED);
 
   return {
     name,
@@ -104,7 +129,14 @@
       clearTimeout(repeat);
       clearTimeout(limit);
       await sleep(restartAfterMs);
-      await start().process.logged('"node: started"');
+      await start().process.logged(STARTED);
+    },
+    signal,
+    end: async () => {
+      clearTimeout(timer);
+      signal('SIGCONT');
+      signal('SIGUSR2');
+      await processes.at(-1)!.process.ended;
     },
     kill: async () => {
       clearTimeout(timer);
--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -3,8 +3,8 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
-import { openConnection } from '../testing/open_connection.ts';
 import { loopbackHost } from '../testing/loopback_host.ts';
+import { heapArguments, sendLargeHeads } from './_test_large_heads.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { listenersOf, type NodeProcess, startNodeProcess } from './_test_node_process.ts';
 import { sendTestRequest } from './_test_requests.ts';
@@ -14,21 +14,11 @@
 /** A loopback address of this process alone, as the ports of a node process are fixed. */
 const host = loopbackHost(4);
 const listeners = listenersOf(host);
-/** Half of the limit of a deployed node, so that fewer connections reach it. */
-const runtimeArguments = ['--max-old-space-size=80', '--max-semi-space-size=4'];
 const WORK_MS = 1500;
 const REQUESTS = 4;
 const DEADLINE_MS = 4000;
-/** Longer than the requests in flight take. */
-const LOAD_MS = 2300;
-/** All heads together exceed the heap. */
-const LARGE_REQUESTS = 1800;
 /** Time in ms within which a node serves again once the large requests have ended. */
 const MAX_RECOVERY_MS = 5000;
-/** Connections that are opened at once, so that the backlog of the listener has room for them. */
-const BATCH_SIZE = 20;
-/** Just below the limit of a head. */
-const FILLER = 'x'.repeat(60_000);
 const HOP = JSON.stringify(['orders', 'safe', 0, 'safe/0/300', DEADLINE_MS, 300, null, null, 0]);
 const POLL_MS = 20;
 
@@ -59,7 +49,9 @@
 };
 
 const startServing = async () => {
-  node = startNodeProcess({ host, storeAddress: fleet.server.address, runtimeArguments });
+  node = startNodeProcess({
+    host, storeAddress: fleet.server.address, runtimeArguments: heapArguments,
+  });
   await node.logged('"node: started"');
   instance = await startPlatformInstance({
     service: 'orders', announceAddress: listeners.announcements, workMs: WORK_MS,
@@ -80,38 +72,12 @@
   return results;
 };
 
-/** Opens a connection, sends a text and returns what it has received. */
-const open = (address: string, text: string) => {
-  const { socket, received } = openConnection(address);
-  socket.write(text);
-  sockets.push(socket);
-  return received;
-};
-
-/** Formats the head of a request whose body follows. */
-const formatLargeHead = (address: string, id: string) => [
-  'POST /orders/large HTTP/1.1',
-  'host: shop.example',
-  `request-id: ${id}`,
-  `deadline-ms: ${DEADLINE_MS}`,
-  ...(address === listeners.peer ? [`mh-hop: ${HOP}`] : []),
-  `filler: ${FILLER}`,
-  'content-length: 5',
-  '\r\n',
-].join('\r\n');
-
-/** Sends requests whose bodies never arrive for a time; returns the answers to them. */
-const sendLargeRequests = async (address: string) => {
-  const endsAt = performance.now() + LOAD_MS;
-  const answers: (() => string)[] = [];
-  while (answers.length < LARGE_REQUESTS && performance.now() < endsAt) {
-    for (let index = 0; index < BATCH_SIZE; index += 1) {
-      const id = `large-${answers.length}`;
-      answers.push(open(address, formatLargeHead(address, id)));
-    }
-    await sleep(POLL_MS);
-  }
-  return () => answers.map((received) => received()).filter((text) => text !== '');
+/** Sends large heads; returns the answers to them. */
+const sendLarge = async (address: string) => {
+  const headers = address === listeners.peer ? [`mh-hop: ${HOP}`] : [];
+  const connections = await sendLargeHeads(address, { deadlineMs: DEADLINE_MS, headers });
+  sockets.push(...connections.map(({ socket }) => socket));
+  return () => connections.map(({ received }) => received()).filter((text) => text !== '');
 };
 
 /** Describes the node for the message of a failed check. */
@@ -138,7 +104,7 @@
       const started = await startServing();
       const results = await sendUntilRunning(started.instance.running);
       await enterPhase(phase, started.node);
-      const received = await sendLargeRequests(listeners[listener]);
+      const received = await sendLarge(listeners[listener]);
       assert.equal(await Promise.all(results), answered, describeNode(started.node));
       assert.ok(received().length > 0);
       for (const text of received()) {
--- a/soak/_callers.ts
+++ b/soak/_callers.ts
@@ -1,27 +1,11 @@
-import { Agent, request as sendRequest, type IncomingMessage } from 'node:http';
+import { Agent } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { splitAddress } from '../http/mod.ts';
-import type { Random } from './_plan.ts';
+import type { Random } from '../testing/create_random.ts';
+import { send as sendRequest, type SentRequest } from '../testing/send_request.ts';
 
-/** A request as its caller saw it. All times are monotonic in ms. */
-export interface SentRequest {
-  readonly id: string;
+/** A request to a node of the round. */
+export interface NodeRequest extends SentRequest {
   readonly node: number;
-  readonly path: string;
-  readonly deadlineMs: number;
-  readonly isKept: boolean;
-  sentAt: number;
-  /** Whether the request was sent on a connection that had carried another one. */
-  isReused: boolean;
-  isConnected: boolean;
-  /** Port of the caller; 0 until it is connected. */
-  port: number;
-  endedAt: number;
-  answerBytes: number;
-  status: number | undefined;
-  body: string;
-  /** Why there is no whole answer; `left` if the caller gave up after the deadline. */
-  failure: string | undefined;
 }
 
 /** Options of {@link callUntil}. */
@@ -35,11 +19,8 @@
   readonly signal: AbortSignal;
 }
 
-/** Time after the deadline for which a caller waits, as the node answers at the deadline. */
-const LEAVE_AFTER_DEADLINE_MS = 250;
 const MIN_DEADLINE_MS = 100;
 const MAX_DEADLINE_MS = 3000;
-const MAX_KEPT_BODY = 300;
 
 let nextId = 0;
 
@@ -53,80 +34,14 @@
   readonly agent?: Agent;
 }
 
-/** Sends a request and resolves once it has a whole answer, or its connection has ended. */
-export const send = (
+/** Sends a request with an identifier of its own to a node. */
+export const send = async (
   address: string,
-  options: SendOptions,
-): Promise<SentRequest> => new Promise((resolve) => {
-  const {
-    node, path, deadlineMs, agent,
-  } = options;
+  { node, ...options }: SendOptions,
+): Promise<NodeRequest> => {
   nextId += 1;
-  const id = `starved-${nextId}`;
-  const sent: SentRequest = {
-    id,
-    node,
-    path,
-    deadlineMs,
-    isKept: agent !== undefined,
-    sentAt: performance.now(),
-    isReused: false,
-    isConnected: false,
-    port: 0,
-    endedAt: 0,
-    answerBytes: 0,
-    status: undefined,
-    body: '',
-    failure: undefined,
-  };
-  const { host, port } = splitAddress(address);
-  const request = sendRequest({
-    host,
-    port,
-    path,
-    method: path.startsWith('/orders/') ? 'POST' : 'GET',
-    agent: agent ?? false,
-    headers: { host: 'shop.example', 'request-id': id, 'deadline-ms': String(deadlineMs) },
-  });
-  let bytesReadBefore = 0;
-  let bytesRead = () => 0;
-  let response: IncomingMessage | undefined;
-  const leave = setTimeout(() => {
-    sent.failure = 'left';
-    request.destroy();
-  }, deadlineMs + LEAVE_AFTER_DEADLINE_MS);
-  request.once('socket', (socket) => {
-    sent.isReused = request.reusedSocket;
-    bytesReadBefore = socket.bytesRead;
-    bytesRead = () => socket.bytesRead;
-    sent.isConnected = !socket.connecting;
-    sent.port = socket.localPort ?? 0;
-    if (!socket.connecting) return;
-    socket.once('connect', () => {
-      sent.isConnected = true;
-      sent.port = socket.localPort ?? 0;
-    });
-  });
-  request.once('response', (received) => {
-    response = received;
-    sent.status = received.statusCode;
-    received.on('data', (chunk: Buffer) => {
-      if (sent.body.length < MAX_KEPT_BODY) sent.body += chunk.toString('latin1');
-    });
-    received.once('error', () => undefined);
-  });
-  request.on('error', (error: NodeJS.ErrnoException) => {
-    sent.failure ??= error.code ?? error.message;
-  });
-  request.once('close', () => {
-    clearTimeout(leave);
-    sent.endedAt = performance.now();
-    sent.answerBytes = bytesRead() - bytesReadBefore;
-    if (response?.complete !== true) sent.failure ??= 'incomplete';
-    resolve(sent);
-  });
-  request.end();
-});
+  return { ...await sendRequest(address, { id: `starved-${nextId}`, ...options }), node };
+};
 
 const pathOf = ({ random, newestPrefix }: CallerOptions) => {
   const prefix = ['/reads/', '/orders/', newestPrefix()][random(3)]!;
@@ -134,10 +49,10 @@
 };
 
 /** Sends requests to one node until aborted; resolves to all of them once each has ended. */
-export const callUntil = async (options: CallerOptions): Promise<readonly SentRequest[]> => {
+export const callUntil = async (options: CallerOptions): Promise<readonly NodeRequest[]> => {
   const { random, signal } = options;
   const agent = new Agent({ keepAlive: true });
-  const sent: Promise<SentRequest>[] = [];
+  const sent: Promise<NodeRequest>[] = [];
   while (!signal.aborted) {
     sent.push(send(options.address, {
       node: options.node,
--- a/soak/_check_round.ts
+++ b/soak/_check_round.ts
@@ -1,10 +1,13 @@
-import type { SentRequest } from './_callers.ts';
-import type { ProcessRecord } from './_starved_node.ts';
-import { findReach } from './_traced_connections.ts';
+import type { NodeRequest } from './_callers.ts';
+import type { ProcessRecord } from '../fleet/_test_starved_node.ts';
+import {
+  endLinesOf, linesOf, processAt as findProcess, requestLinesOf,
+} from '../fleet/_test_stop_trace.ts';
+import { findReach } from '../fleet/_test_traced_connections.ts';
 
 /** What a round leaves for its check. */
 export interface RoundRecord {
-  readonly sent: readonly SentRequest[];
+  readonly sent: readonly NodeRequest[];
   /** Processes of each node, in the order of their starts. */
   readonly processes: readonly (readonly ProcessRecord[])[];
   /** Instances at the index of their node, with the executions by request ID. */
@@ -24,41 +27,28 @@
 /** The time after its signal at which a node no longer accepts all requests. */
 const LATE_MS = 2800;
 const REFUSED = 'ECONNREFUSED';
-const MAX_TRACE_LINES = 30;
-const END_LINES = [
-  'connection ended with a request open', 'process ended with a request open', 'node: stopped"',
-  'no longer accepting requests', 'the process is to end', 'process ends',
-] as const;
+const OPEN_END = 'connection ended with a request open';
 
 const runsOf = ({ instances }: RoundRecord, id: string) => instances.map(
   (instance) => instance?.executionCounts.get(id) ?? 0,
 );
 
 /** Returns the process that ran when a request was sent, or the last one before. */
-const processAt = (round: RoundRecord, { node, sentAt }: SentRequest) => (
-  round.processes[node]!.findLast(({ startedAt }) => startedAt <= sentAt)
+const processAt = (round: RoundRecord, { node, sentAt }: NodeRequest) => (
+  findProcess(round.processes[node]!, sentAt)
 );
 
-const sinceSignalMs = (round: RoundRecord, request: SentRequest) => {
+const sinceSignalMs = (round: RoundRecord, request: NodeRequest) => {
   const signalledAt = processAt(round, request)?.signalledAt;
   return signalledAt === undefined ? undefined : Math.round(request.sentAt - signalledAt);
 };
 
-const linesOf = (
-  { process }: ProcessRecord,
-  isWanted: (line: string) => boolean,
-  maxLines = MAX_TRACE_LINES,
-) => process.log().split('\n').filter(isWanted).slice(-maxLines);
-
-const traceOf = (round: RoundRecord, request: SentRequest): readonly string[] => {
+const traceOf = (round: RoundRecord, request: NodeRequest): readonly string[] => {
   const { sentAt, endedAt, body } = request;
   const entrance = processAt(round, request);
-  const named = round.processes.flat().flatMap((record) => (
-    linesOf(record, (line) => line.includes(`"${request.id}"`))
-  ));
-  const ends = entrance === undefined ? [] : linesOf(entrance, (line) => (
-    END_LINES.some((text) => line.includes(text)) && !named.includes(line)
-  ));
+  const named = requestLinesOf(round.processes.flat(), request.id);
+  const ends = entrance === undefined
+    ? [] : endLinesOf(entrance).filter((line) => !named.includes(line));
   return [
     JSON.stringify({
       ...request,
@@ -74,15 +64,15 @@
   ];
 };
 
-const isWhole = ({ failure }: SentRequest) => failure === undefined;
-const endedBeforeDeadline = ({ sentAt, endedAt, deadlineMs }: SentRequest) => (
+const isWhole = ({ failure }: NodeRequest) => failure === undefined;
+const endedBeforeDeadline = ({ sentAt, endedAt, deadlineMs }: NodeRequest) => (
   endedAt - sentAt < deadlineMs
 );
-const isNotRun = ({ status, body }: SentRequest) => (
+const isNotRun = ({ status, body }: NodeRequest) => (
   status !== 200 && body.includes('"outcome":"not run"')
 );
 
-const judge = (round: RoundRecord, request: SentRequest): Finding['what'] | undefined => {
+const judge = (round: RoundRecord, request: NodeRequest): Finding['what'] | undefined => {
   const runs = runsOf(round, request.id).reduce((sum, count) => sum + count, 0);
   if (runs > 0 && isNotRun(request)) return 'ran, answered as not run';
   if (runs > 1 && request.path.startsWith('/orders/')) return 'ran more than once';
@@ -107,9 +97,9 @@
   }
   for (const record of round.processes.flat()) {
     if (hasEndedAsAsked(record)) continue;
-    const trace = linesOf(record, (line) => END_LINES.some((text) => line.includes(text)));
     findings.push({
-      what: 'unexpected end of a process', trace: [`status ${record.status}`, ...trace],
+      what: 'unexpected end of a process',
+      trace: [`status ${record.status}`, ...endLinesOf(record)],
     });
   }
   return findings;
@@ -118,9 +108,9 @@
 /** Counts the requests and stops of a round. */
 export const countRound = (round: RoundRecord) => {
   const { sent, processes } = round;
-  const count = (isCounted: (request: SentRequest) => boolean) => sent.filter(isCounted).length;
-  const isRun = ({ id }: SentRequest) => runsOf(round, id).some((runs) => runs > 0);
-  const isLate = (request: SentRequest) => (
+  const count = (isCounted: (request: NodeRequest) => boolean) => sent.filter(isCounted).length;
+  const isRun = ({ id }: NodeRequest) => runsOf(round, id).some((runs) => runs > 0);
+  const isLate = (request: NodeRequest) => (
     (sinceSignalMs(round, request) ?? 0) > LATE_MS && request.failure !== REFUSED
   );
   const stopped = processes.flat().filter(({ signalledAt }) => signalledAt !== undefined);
@@ -155,7 +145,7 @@
 export const countOpenEnds = ({ processes }: RoundRecord): ReadonlyMap<string, number> => {
   const counts = new Map<string, number>();
   for (const record of processes.flat()) {
-    for (const line of linesOf(record, (text) => text.includes(END_LINES[0]), Infinity)) {
+    for (const line of linesOf(record, (text) => text.includes(OPEN_END), Infinity)) {
       const { listener, by, why } = JSON.parse(line) as Record<string, string>;
       const cause = `open end at ${listener}: ${by} ${why}`;
       counts.set(cause, (counts.get(cause) ?? 0) + 1);
--- a/soak/_plan.ts
+++ b/soak/_plan.ts
@@ -1,8 +1,5 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-
-/** Returns a whole number from 0 up to, and without, a limit. */
-export type Random = (limit: number) => number;
+import type { RestartOptions } from '../fleet/_test_starved_node.ts';
+import type { Random } from '../testing/create_random.ts';
 
 /** What one node and its instance do in a round. */
 export interface NodePlan {
@@ -14,13 +11,10 @@
 }
 
 /** A stop of a node by SIGTERM, with a restart after its exit. */
-export interface StopPlan {
+export interface StopPlan extends RestartOptions {
   readonly node: number;
   /** Time in ms from the start of the load. */
   readonly atMs: number;
-  /** Time in ms from the first SIGTERM to another one. */
-  readonly repeatAfterMs: number | undefined;
-  readonly restartAfterMs: number;
 }
 
 /** A round: nodes, stops and the interval of changes of the contract in ms. */
@@ -42,12 +36,6 @@
 const PUBLISH_SPREAD_MS = 400;
 const STARVED_PERIOD_MS = 100;
 
-/** Creates a random source from a seed. */
-export const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed);
-  return (limit) => uniformInt(generator, 0, limit - 1);
-};
-
 /**
  * Plans a round: the stops are of a node that passes requests on, of one that serves them, or both.
  *
--- a/soak/_run_round.ts
+++ b/soak/_run_round.ts
@@ -1,15 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { startLoopbackFleet } from '../fleet/_test_loopback_fleet.ts';
 import { type PlatformInstance, startPlatformInstance } from '../standins/mod.ts';
+import { createRandom } from '../testing/create_random.ts';
 import { loopbackHost } from '../testing/loopback_host.ts';
 import { callUntil, send } from './_callers.ts';
 import {
   countOpenEnds, countRound, type Finding, findFaults, type RoundRecord,
 } from './_check_round.ts';
-import {
-  createRandom, planRound, type RoundPlan, type StopPlan,
-} from './_plan.ts';
-import { type StarvedNode, startStarvedNode } from './_starved_node.ts';
+import { planRound, type RoundPlan, type StopPlan } from './_plan.ts';
+import { type StarvedNode, startStarvedNode } from '../fleet/_test_starved_node.ts';
 
 /** Outcome of a round. */
 export interface RoundResult {
