Answer half-open clients of the process that follows a planned stop

The stopping process keeps these connections half open; the next one is a running process, knows nothing of the signal, and cancels at the FIN.

An entry in the directory now says when the shutdown began. A node that starts reads its former entry anyway, and keeps connections half open until that time, the grace time and 1 s have passed; in its first second, until it has read the entry, always, but at the first start of all hosts. After any other end, such as a kill, clients that leave are noticed as before.

--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -38,6 +38,8 @@
   readonly failureDomain: string;
   /** True while the node is shutting down; it should get no new requests. */
   readonly isStopping: boolean;
+  /** Time at which the shutdown began, in ms since the Unix epoch; absent in a running node. */
+  readonly stoppingAt?: number | undefined;
   readonly instance: DirectoryInstance | undefined;
   /** Absent as long as the store has not been restored since the node started. */
   readonly storeEra?: StoreEraState | undefined;
@@ -62,6 +64,7 @@
   region: z.string().max(MAX_NAME_LENGTH),
   failureDomain: z.string().max(MAX_NAME_LENGTH),
   isStopping: z.boolean(),
+  stoppingAt: wallTime.optional(),
   storeEra: z.object({ contributed: z.int().min(0), isTrusted: z.boolean() }).optional(),
   instance: z.object({
     instance: name,
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -4,7 +4,7 @@
   type Evacuations, type FleetView, KEY_PREFIX, MAX_ENTRY_LENGTH, type NodeEntry,
   type NodeRegistration, RANGES_PREFIX, type StoreView, type ViewHistory,
 } from '../directory/mod.ts';
-import type { ResponseSilence } from '../gateway/mod.ts';
+import type { ResponseSilence, ShutdownTracker } from '../gateway/mod.ts';
 import type { Kernel } from '../kernel/mod.ts';
 import { createPlatformStore, type PlatformSettings } from '../platform/mod.ts';
 import type { RightToGrant } from '../ranges/mod.ts';
@@ -42,6 +42,11 @@
 const VIEW_PAUSE_MS = 100;
 const RELAY_PAUSE_MS = 250;
 
+/** Time in ms after the grace time of a stop for which its rules hold on the host. */
+const AFTER_GRACE_MS = 1000;
+/** Time in ms in which a node that starts learns from its former entry whether it was to stop. */
+const UNKNOWN_STOP_MS = 1000;
+
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
 export const registerStateServices = (
   kernel: Kernel,
@@ -218,8 +223,9 @@
     needs: ['clock', 'registry'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
-      const startedAt = find<Clock>('clock').wallTime();
-      let isStopping = false;
+      const clock = find<Clock>('clock');
+      const startedAt = clock.wallTime();
+      let stoppingAt: number | undefined;
       return {
         service: {
           entry: () => ({
@@ -228,7 +234,8 @@
             peerAddress: settings.listen.peer,
             region: settings.region,
             failureDomain: settings.failureDomain,
-            isStopping,
+            isStopping: stoppingAt !== undefined,
+            stoppingAt,
             instance: registry.describe(),
             // The recovery starts later; the era has not risen before.
             storeEra: kernel.isRunning('recovery')
@@ -236,9 +243,9 @@
               : undefined,
           }),
           setStopping: () => {
-            isStopping = true;
+            stoppingAt ??= clock.wallTime();
           },
-          isStopping: () => isStopping,
+          isStopping: () => stoppingAt !== undefined,
         },
       };
     },
@@ -246,11 +253,16 @@
 
   kernel.register<NodeRegistration>({
     name: 'own-entry',
-    needs: ['clock', 'store', 'eras', 'logger', 'right', 'self', 'view', 'registry'],
+    needs: ['clock', 'store', 'eras', 'logger', 'right', 'self', 'view', 'registry', 'progress'],
     start: (find) => {
       const clock = find<Clock>('clock');
       const logger = find<Logger>('logger');
       const localNode = find<LocalNode>('self');
+      const { followStop } = find<ShutdownTracker>('progress');
+      const startedAt = clock.now();
+      const stopMs = settings.bounds.graceMs + AFTER_GRACE_MS;
+      // The first start of all hosts follows no stop.
+      if (!settings.isFirstStart) followStop(startedAt + UNKNOWN_STOP_MS);
       const own = createNodeRegistration({
         clock,
         store: find<LeasedStore>('store'),
@@ -259,7 +271,12 @@
         eras: find<StoreEras>('eras'),
         entry: localNode.entry(),
         view: find<StoreView>('view'),
-        onFormerEntry: ({ instance }) => {
+        onFormerEntry: ({ instance, stoppingAt }) => {
+          if (stoppingAt !== undefined) {
+            const endsAt = clock.now() + stoppingAt + stopMs - clock.wallTime();
+            // The time of day may have been set since.
+            followStop(Math.min(endsAt, startedAt + stopMs));
+          }
           if (instance !== undefined) find<InstanceRegistry>('registry').restore(instance);
         },
       });
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -280,7 +280,7 @@
     ),
     // A planned stop must not lose an answer; any other end must not keep instances at work for
     // clients that have left.
-    keepsHalfOpen: options.shutdown.isPlanned,
+    keepsHalfOpen: options.shutdown.keepsHalfOpen,
     onDiscard: (messages) => {
       const requests = messages.map((message) => firstHeaderValue(message, headerNames.requestId));
       logger.info({ requests, notRun: true }, 'requests discarded: their connection has ended');
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -17,8 +17,16 @@
   readonly leave: (answerBy: number) => void;
   /** Marks the stop as planned, also one that was begun by an exception. */
   readonly markPlanned: () => void;
-  /** Returns whether the node is stopping and was asked to, as by a signal. */
-  readonly isPlanned: () => boolean;
+  /**
+   * Notes that an earlier process of the host got a signal to stop, whose rules hold on the host
+   * until a time in ms, monotonic.
+   */
+  readonly followStop: (endsAt: number) => void;
+  /**
+   * Returns whether a client that ends its side of a connection still gets its responses: in a
+   * planned stop, and in a running process while the stop of an earlier one may last.
+   */
+  readonly keepsHalfOpen: () => boolean;
   /**
    * Enters `closing`, and `closed` at the moment at which no request is in flight, at the latest
    * at the time given to `leave`. Resolves in `closed`.
@@ -58,6 +66,7 @@
   let phase: ShutdownPhase = 'running';
   let answerBy = Number.POSITIVE_INFINITY;
   let isPlanned = false;
+  let earlierStopEndsAt = -Infinity;
   const active = new Set<TrackedRequest>();
   let setClosed = () => undefined as void;
 
@@ -84,7 +93,10 @@
     markPlanned: () => {
       isPlanned = true;
     },
-    isPlanned: () => isPlanned && phase !== 'running',
+    followStop: (endsAt) => {
+      earlierStopEndsAt = Math.max(earlierStopEndsAt, endsAt);
+    },
+    keepsHalfOpen: () => (phase === 'running' ? clock.now() < earlierStopEndsAt : isPlanned),
     close: async () => {
       if (phase === 'closing' || phase === 'closed') return closed;
       phase = 'closing';
--- a/gateway/shutdown_tracker_test.ts
+++ b/gateway/shutdown_tracker_test.ts
@@ -27,6 +27,31 @@
   assert.is(clock.pending(), 0);
 });
 
+// Guards against a process that cancels the request of a half-closed connection while the stop of
+// the process before it is still to lose no answer.
+test('half-open connections are kept while the stop of an earlier process lasts', async () => {
+  const clock = createFakeClock();
+  const shutdown = createShutdownTracker(clock);
+  assert.not(shutdown.keepsHalfOpen());
+  shutdown.followStop(clock.now() + 3000);
+  shutdown.followStop(clock.now() + 1000);
+  await clock.advance(2999);
+  assert.ok(shutdown.keepsHalfOpen());
+  await clock.advance(1);
+  assert.not(shutdown.keepsHalfOpen());
+});
+
+// Guards against work for clients that have left after an exception, which nobody planned.
+test('half-open connections are kept in a planned stop, and not after an exception alone', () => {
+  const clock = createFakeClock();
+  const shutdown = createShutdownTracker(clock);
+  shutdown.followStop(Infinity);
+  shutdown.leave(5000);
+  assert.not(shutdown.keepsHalfOpen());
+  shutdown.markPlanned();
+  assert.ok(shutdown.keepsHalfOpen());
+});
+
 test('an idle node is closed at once', () => {
   const shutdown = createShutdownTracker(createFakeClock());
   shutdown.leave(5000);
