--- a/fleet/_test_starved_node.ts
+++ b/fleet/_test_starved_node.ts
@@ -15,8 +15,8 @@
 
 /** How a node is stopped and restarted. */
 export interface RestartOptions {
-  /** Time in ms from the first SIGTERM to another one. */
-  readonly repeatAfterMs: number | undefined;
+  /** Time in ms from the first SIGTERM to another one; by default, there is only one. */
+  readonly repeatAfterMs?: number | undefined;
   /** Time in ms from the exit of the process to the start of the next one. */
   readonly restartAfterMs: number;
 }
--- a/standins/mod.ts
+++ b/standins/mod.ts
@@ -7,6 +7,7 @@
   type InstanceFault,
   type PlatformInstance,
   type PlatformInstanceOptions,
+  type RunRequest,
   startPlatformInstance,
 } from './platform_instance.ts';
 export { type PlatformStoreServer, startPlatformStore } from './platform_store.ts';
--- a/standins/platform_instance.ts
+++ b/standins/platform_instance.ts
@@ -30,6 +30,14 @@
 export type InstanceFault = 'none' | 'error' | 'shed' | 'truncate' | 'unframed' | 'unsigned'
   | 'foreign';
 
+/** A request that an instance runs. */
+export interface RunRequest {
+  readonly id: string;
+  readonly path: string;
+  /** Monotonic time in ms at which the instance stops the work. */
+  readonly endsAt: number;
+}
+
 /** Options of an instance. */
 export interface PlatformInstanceOptions {
   readonly service: string;
@@ -38,7 +46,12 @@
   readonly slots?: number;
   readonly workMs?: number | ((path: string) => number);
   /** Least size of the body of a response in bytes. */
-  readonly responseBytes?: number;
+  readonly responseBytes?: number | ((path: string) => number);
+  /**
+   * Makes the calls that a run needs, once its work is done; the response is 500 if one fails.
+   * By default, runs make no calls.
+   */
+  readonly makeCalls?: (request: RunRequest) => Promise<boolean>;
   readonly announceIntervalMs?: number;
   /** Time in ms after the start for which the instance announces that it is cold. */
   readonly coldMs?: number;
@@ -107,12 +120,14 @@
     response.end();
   };
 
-  const respond = (id: string, response: ServerResponse) => {
+  const respond = ({ id, path }: RunRequest, response: ServerResponse, areCallsAnswered = true) => {
     const headers: Record<string, string> = {
       [platformHeaders.requestId]: fault === 'foreign' ? 'other' : id,
       ...(fault === 'unsigned' ? {} : { [platformHeaders.signature]: `${instance}.${id}` }),
     };
-    const body = `${id} ran at ${instance}`.padEnd(options.responseBytes ?? 0);
+    const body = `${id} ran at ${instance}`.padEnd(typeof options.responseBytes === 'function'
+      ? options.responseBytes(path)
+      : options.responseBytes ?? 0);
     if (fault === 'truncate') {
       response.writeHead(200, { ...headers, 'content-length': body.length + 10 });
       response.write(body);
@@ -120,7 +135,7 @@
       return;
     }
     if (fault === 'unframed') response.useChunkedEncodingByDefault = false;
-    response.writeHead(fault === 'error' ? 500 : 200, headers);
+    response.writeHead(fault === 'error' || !areCallsAnswered ? 500 : 200, headers);
     response.end(body);
   };
 
@@ -136,11 +151,18 @@
     else {
       runs.set(id, (runs.get(id) ?? 0) + 1);
       running += 1;
-      setTimeout(() => {
+      const path = incoming.url ?? '';
+      const deadlineMs = Number(incoming.headers[platformHeaders.remainingMs] ?? Infinity);
+      const run: RunRequest = { id, path, endsAt: performance.now() + deadlineMs };
+      const end = (areCallsAnswered?: boolean) => {
         running -= 1;
-        respond(id, response);
+        respond(run, response, areCallsAnswered);
+      };
+      setTimeout(() => {
+        if (options.makeCalls === undefined) end();
+        else options.makeCalls(run).then(end, () => end(false));
       }, typeof options.workMs === 'function'
-        ? options.workMs(incoming.url ?? '')
+        ? options.workMs(path)
         : options.workMs ?? DEFAULT_WORK_MS);
     }
   };
