Leave the trace of connections of a test process in a file

Processes of tests that had logged their end were still there 0.8 to 1.4 s later, and got SIGKILL at the end of the grace time, in 3 of 18 ways of stop_ways_test at load 25 to 35 on 8 cores. Cause, by reading: the trace was written to the pipe of the log, and tried again up to 100,000 times while the pipe was full, which lasted as long as its reader was busy.

The trace is now a file beside the settings, which becomes the last line of the log.

--- a/fleet/_test_connection_trace.ts
+++ b/fleet/_test_connection_trace.ts
@@ -1,20 +1,18 @@
 /**
- * Is loaded before a node: at its exit it prints which connections of callers the process had
+ * Is loaded before a node: at its exit it writes which connections of callers the process had
  * accepted, and what it had read from them.
  */
 import { subscribe } from 'node:diagnostics_channel';
-import { writeSync } from 'node:fs';
+import { writeFileSync } from 'node:fs';
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { listenersOf } from './_test_node_process.ts';
+import { listenersOf, tracePathOf } from './_test_node_process.ts';
 import { splitAddress } from '../http/mod.ts';
 import { TRACE_NAME, type TracedConnection } from './_test_traced_connections.ts';
 
-const STDOUT_FD = 1;
 /** Covers a stop with its grace time. */
 const KEPT_MS = 8000;
-/** Times that a write is tried while the pipe of the log is full. */
-const MAX_WRITES = 100_000;
+const settingsPath = process.env.MARJORAMHOLLOW_CONFIG ?? '';
 const callerPort = splitAddress(listenersOf('').caller).port;
 
 interface Connection extends TracedConnection {
@@ -43,17 +41,6 @@
   if (traced !== undefined) (traced.requests as string[]).push(String(id));
 });
 
-const write = (text: string) => {
-  let rest = Buffer.from(text);
-  for (let count = 0; rest.length > 0 && count < MAX_WRITES; count += 1) {
-    try {
-      rest = rest.subarray(writeSync(STDOUT_FD, rest));
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') return;
-    }
-  }
-};
-
 process.on('exit', () => {
   const since = performance.now() - KEPT_MS;
   const traced = [...connections.values()]
@@ -61,5 +48,5 @@
     .map(({ socket, port, requests }): TracedConnection => ({
       port, bytesRead: socket.bytesRead, requests,
     }));
-  write(`${JSON.stringify({ trace: TRACE_NAME, traced })}\n`);
+  writeFileSync(tracePathOf(settingsPath), `${JSON.stringify({ trace: TRACE_NAME, traced })}\n`);
 });
--- a/fleet/_test_node_process.ts
+++ b/fleet/_test_node_process.ts
@@ -1,8 +1,10 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import {
+  existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 
 /** A node that runs in a process of its own. */
 export interface NodeProcess {
@@ -68,6 +70,9 @@
   store: { address: storeAddress, writesPerSecond: 400, readsPerSecond: 2000 },
 });
 
+/** Path of what a process may leave at its exit; it becomes the last line of its log. */
+export const tracePathOf = (settingsPath: string) => join(dirname(settingsPath), 'trace.json');
+
 /** Starts a node in a process of its own, which throws an exception at SIGUSR2. */
 export const startNodeProcess = ({
   host, storeAddress, node = 'host-1', failureDomain = 'd0', service = 'orders',
@@ -91,6 +96,8 @@
   });
   const ended = once(child, 'close').then(([code, signal]) => {
     clearTimeout(limit);
+    const tracePath = tracePathOf(path);
+    if (existsSync(tracePath)) log += `\n${readFileSync(tracePath, 'latin1')}`;
     rmSync(directory, { recursive: true });
     return (code ?? signal) as number | string;
   });
