--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -44,6 +44,8 @@
 
 /** Time in ms after the grace time of a stop for which its rules hold on the host. */
 const AFTER_GRACE_MS = 1000;
+/** Time in ms that a request which is sent at the end of these takes to arrive with its body. */
+const ARRIVAL_MS = 500;
 /** Time in ms in which a node that starts learns from its former entry whether it was to stop. */
 const UNKNOWN_STOP_MS = 1000;
 
@@ -260,7 +262,7 @@
       const localNode = find<LocalNode>('self');
       const { followStop } = find<ShutdownTracker>('progress');
       const startedAt = clock.now();
-      const stopMs = settings.bounds.graceMs + AFTER_GRACE_MS;
+      const stopMs = settings.bounds.graceMs + AFTER_GRACE_MS + ARRIVAL_MS;
       // The first start of all hosts follows no stop.
       if (!settings.isFirstStart) followStop(startedAt + UNKNOWN_STOP_MS);
       const own = createNodeRegistration({
