Ask for room in the heap when a head is read, and keep no head that was refused

- A stopping node refused requests before it asked the heap guard, and kept each head until the end of its body or for 500 ms.
So did all other refusals, and those on kept connections (no route) had no limit in time.
- The guard was asked when a request had its turn.
Up to 100 heads of a connection wait behind a running request, and a stopping node reads all that has arrived in a turn of the event loop before it handles one.

The server now asks for room when it has read a head, and the head of a request without room is cut down at once.

--- a/fleet/heap_limit_test.ts
+++ b/fleet/heap_limit_test.ts
@@ -25,6 +25,9 @@
 const LARGE_REQUESTS = 1800;
 /** Time in ms within which a node serves again once the large requests have ended. */
 const MAX_RECOVERY_MS = 5000;
+/** Connections on which many requests are sent at once, all of whose heads exceed the heap. */
+const PIPELINES = 24;
+const PIPELINED_REQUESTS = 100;
 /** Connections that are opened at once, so that the backlog of the listener has room for them. */
 const BATCH_SIZE = 20;
 /** Just below the limit of a head. */
@@ -114,6 +117,27 @@
   return () => answers.map((received) => received()).filter((text) => text !== '');
 };
 
+/** Formats a request without a body. */
+const formatRequest = (address: string, id: string, filler: string) => [
+  'GET /reads/pipelined HTTP/1.1',
+  'host: shop.example',
+  `request-id: ${id}`,
+  `deadline-ms: ${DEADLINE_MS}`,
+  ...(address === listeners.peer ? [`mh-hop: ${HOP}`] : []),
+  `filler: ${filler}`,
+  '\r\n',
+].join('\r\n');
+
+/** Sends requests with large heads behind a small one that runs; returns what was received. */
+const sendPipelinedRequests = (address: string) => (
+  Array.from({ length: PIPELINES }, (_, pipeline) => open(
+    address,
+    Array.from({ length: PIPELINED_REQUESTS }, (__, index) => (
+      formatRequest(address, `pipelined-${pipeline}-${index}`, index === 0 ? '' : FILLER)
+    )).join(''),
+  ))
+);
+
 /** Describes the node for the message of a failed check. */
 const describeNode = ({ child, log }: NodeProcess) => [
   `status ${child.exitCode}, signal ${child.signalCode}`,
@@ -160,4 +184,25 @@
   }
 }
 
+/** A peer gets interim responses while its request runs. */
+const finalResponse = /^(HTTP\/1\.1 102 [^]*?\r\n\r\n)*(HTTP\/1\.1 (200|503) |$)/u;
+
+// Guards against heads that fill the heap before one of them is handled: requests behind another
+// one, and all that arrive in one turn of the event loop at a stopping node.
+for (const phase of phases) {
+  for (const listener of ['caller', 'peer'] as const) {
+    test(`${phase}, ${listener}: large heads that wait for their turn take no answer`, async () => {
+      const started = await startServing();
+      const results = await sendUntilRunning(started.instance.running);
+      await enterPhase(phase, started.node);
+      const received = sendPipelinedRequests(listeners[listener]);
+      assert.equal(await Promise.all(results), answered, describeNode(started.node));
+      assert.ok(received.some((text) => text() !== ''), describeNode(started.node));
+      for (const text of received) assert.match(text(), finalResponse);
+      if (phase === 'stopping') assert.is(await started.node.ended, 0, describeNode(started.node));
+      else assert.is(started.node.child.signalCode, null, describeNode(started.node));
+    });
+  }
+}
+
 test.run();
--- a/gateway/_http_messages.ts
+++ b/gateway/_http_messages.ts
@@ -121,20 +121,42 @@
   };
 };
 
+/** Headers that the refusal of a request needs: for its route, and for the end of its body. */
+const KEPT_HEADERS = ['host', 'content-length', 'transfer-encoding'] as const;
+/** Longer URLs and headers would take as much memory as the heads that are freed. */
+const MAX_KEPT_LENGTH = 1024;
+
+const isShort = (text: string | readonly string[] | undefined) => (
+  text !== undefined && text.length <= MAX_KEPT_LENGTH
+);
+
 /**
- * Frees the head of a request that has been refused before its body was read. Node.js keeps the
- * message until the end of its body, which may come late.
+ * Frees the head of a request that is refused before its body was read, but for what the refusal
+ * needs. Node.js keeps the message until the end of its body, which may come late.
  *
  * @param message The request.
  * @param idHeader Name of the header that is kept for log lines.
  */
-export const releaseHead = (message: IncomingMessage, idHeader: string) => {
-  const id = message.headers[idHeader];
+export const releaseHead = (message: IncomingMessage, idHeader: string): void => {
+  const { headers, url = '' } = message;
+  const kept = [...KEPT_HEADERS, idHeader].filter((name) => isShort(headers[name]));
   Object.assign(message, {
-    url: '', rawHeaders: [], headers: id === undefined ? {} : { [idHeader]: id },
+    url: isShort(url) ? url : '',
+    rawHeaders: [],
+    headers: Object.fromEntries(kept.map((name) => [name, headers[name]])),
   });
 };
 
+/** Creates a check of the room for a request at its head, which frees the head if there is none. */
+export const createRoomCheck = (
+  heap: { readonly mayAccept: () => boolean } | undefined,
+  idHeader: string,
+) => (message: IncomingMessage): boolean => {
+  if (heap?.mayAccept() !== false) return true;
+  releaseHead(message, idHeader);
+  return false;
+};
+
 /** Sends 100 Continue to a caller that waits for it before it sends the body. */
 export const sendContinueIfExpected = (
   expect: 'none' | 'continue' | 'other',
--- a/gateway/caller_listener.ts
+++ b/gateway/caller_listener.ts
@@ -1,15 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestOrigin } from '../admission/mod.ts';
 import type { PublishedRoute } from '../contract/mod.ts';
-import type { RefusalError } from '../errors/mod.ts';
 import {
   createBulkSink, createCountedSink, createHttpServer, createResponseBuffer, createResponseSink,
   type HttpListener, type HttpServerOptions, isHalfOpen, renderMalformed, resetConnection,
 } from '../http/mod.ts';
+import { createCallerRefusals } from './_caller_refusals.ts';
 import { createCallerRequestReader, findTimeout } from './_caller_request.ts';
 import {
-  abortOnClose, createFirstRequestCheck, firstHeaderValue, formatRefusal, formatRetryAfter,
-  releaseHead, respondBeforeBody, respondToError, sendContinueIfExpected,
+  abortOnClose, createFirstRequestCheck, createRoomCheck, firstHeaderValue, respondToError,
+  sendContinueIfExpected,
 } from './_http_messages.ts';
 import {
   MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_HEADER_BYTES, MAX_KEPT_BODY_BYTES,
@@ -22,13 +22,11 @@
 import { findOrigin } from './_request_origin.ts';
 import { createBodyBudget } from './body_budget.ts';
 import type { CallerListenerOptions } from './caller_listener_options.ts';
-import { type AttemptOutcome, failureReason, isBulk } from './request.ts';
+import { failureReason, isBulk } from './request.ts';
 
 /** Requests in transit on open connections still get a response in this time. */
 const IDLE_GRACE_MS = 40;
 const NO_CONTRACT_RETRY_AFTER_S = '0.5';
-/** Approximate time until a restarted node accepts requests. */
-const STOPPING_RETRY_AFTER_S = '0.6';
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
@@ -56,37 +54,7 @@
 
   const toRequest = createCallerRequestReader(options);
 
-  const retryAfterHeader = (refusal: RefusalError) => formatRetryAfter(refusal, options.random);
-
-  const refuseWhileStopping = (
-    requestId: string | undefined,
-    route: PublishedRoute,
-    response: ServerResponse,
-  ) => {
-    const text = '{"error":"the node stops","outcome":"not run"}';
-    const retryAfter = ['retry-after', STOPPING_RETRY_AFTER_S];
-    respondBeforeBody(clock, response, STATUS_UNAVAILABLE, retryAfter, text);
-    logger.info({
-      request: requestId, route: route.name, notRun: true,
-    }, 'request refused: the node is stopping');
-  };
-
-  /** Refuses a request before its body is read, which costs less than to queue it. */
-  const refuseAtOnce = (
-    requestId: string | undefined,
-    { name, kind }: PublishedRoute,
-    response: ServerResponse,
-    { refusal }: Extract<AttemptOutcome, { kind: 'refused' }>,
-  ) => {
-    const headers = [headerNames.requestId, requestId ?? '', ...retryAfterHeader(refusal)];
-    respondBeforeBody(clock, response, refusal.status, headers, formatRefusal(refusal));
-    options.onRequestEnd?.({
-      route: name, kind, outcome: 'refused', reason: refusal.step, durationMs: 0,
-    });
-    logger.warn({
-      request: requestId, route: name, notRun: true, step: refusal.step, peer: refusal.peer,
-    }, `request refused: ${refusal.reason}`);
-  };
+  const { respond, refuseWhileStopping, refuseAtOnce } = createCallerRefusals(options, logger);
 
   const serve = async (
     message: IncomingMessage,
@@ -100,7 +68,7 @@
     const request = toRequest(message, route, arrivedAt, isNestedCall, abortOnClose(response));
     if (request === undefined) {
       const text = '{"error":"the route has no service"}';
-      respondBeforeBody(clock, response, STATUS_UNAVAILABLE, [], text);
+      respond(response, STATUS_UNAVAILABLE, [], text);
       return;
     }
     const early = options.sender.refuseEarly(request);
@@ -123,7 +91,7 @@
       const [status, text] = body === 'late'
         ? [STATUS_REQUEST_TIMEOUT, '{"error":"the body is late","outcome":"not run"}']
         : [STATUS_TOO_LARGE, '{"error":"the body is too large"}'];
-      respondBeforeBody(clock, response, status, [], text);
+      respond(response, status, [], text);
       return;
     }
     const bodyReadAt = clock.now();
@@ -198,6 +166,16 @@
       : 'not answered');
   };
 
+  const findRoute = ({ headers, url = '/' }: IncomingMessage) => (
+    options.routes()?.match(headers.host ?? '', url)
+  );
+
+  const refuseWithoutRoom = (message: IncomingMessage, response: ServerResponse) => {
+    response.shouldKeepAlive = false;
+    const requestId = firstHeaderValue(message, headerNames.requestId);
+    refuseAtOnce(requestId, findRoute(message), response, refuseForHeap());
+  };
+
   const handle: HttpServerOptions['handle'] = (message, response, expect, arrivedAt) => {
     const table = options.routes();
     const requestId = firstHeaderValue(message, headerNames.requestId);
@@ -206,10 +184,10 @@
       logger.warn(fields, 'request refused: no contract is known yet');
       const text = '{"error":"no contract is known yet","outcome":"not run"}';
       const retryAfter = ['retry-after', NO_CONTRACT_RETRY_AFTER_S];
-      respondBeforeBody(clock, response, STATUS_UNAVAILABLE, retryAfter, text);
+      respond(response, STATUS_UNAVAILABLE, retryAfter, text);
       return;
     }
-    const route = table.match(firstHeaderValue(message, 'host') ?? '', message.url ?? '/');
+    const route = findRoute(message);
     if (route === undefined) {
       logger.warn({
         request: requestId,
@@ -217,7 +195,7 @@
         host: message.headers.host,
         path: message.url,
       }, 'no route matches the request');
-      respondBeforeBody(clock, response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
+      respond(response, STATUS_NOT_FOUND, [], '{"error":"no route matches"}');
       return;
     }
     const deadlineAt = arrivedAt + findTimeout(message, headerNames, route);
@@ -244,9 +222,7 @@
       return;
     }
     if (options.heap?.mayAccept() === false) {
-      response.shouldKeepAlive = false;
-      refuseAtOnce(requestId, route, response, refuseForHeap());
-      releaseHead(message, headerNames.requestId);
+      refuseWithoutRoom(message, response);
       return;
     }
     response.once('close', options.shutdown.trackRequest(deadlineAt));
@@ -274,6 +250,8 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
+    hasRoom: createRoomCheck(options.heap, headerNames.requestId),
+    refuseWithoutRoom,
     // The calls of a run are proven by their connection until the run ends.
     mayEndAfter: ({ socket }) => (
       isStopping() && options.callDetector?.isCallConnection(socket) !== true
--- a/gateway/peer_listener.ts
+++ b/gateway/peer_listener.ts
@@ -9,8 +9,8 @@
   resetConnection,
 } from '../http/mod.ts';
 import {
-  abortOnClose, createFirstRequestCheck, firstHeaderValue, releaseHead, respondBeforeBody,
-  respondToError,
+  abortOnClose, createFirstRequestCheck, createRoomCheck, firstHeaderValue, releaseHead,
+  respondBeforeBody, respondToError,
 } from './_http_messages.ts';
 import { flushErrorHeads } from './_error_heads.ts';
 import { HOP_HEADER, parseHop } from './_hop_header.ts';
@@ -67,6 +67,12 @@
     return phase === 'running' || phase === 'leaving';
   };
 
+  /** Responds to a request whose head is not used any more. */
+  const respond = (response: ServerResponse, status: number, headers: readonly string[]) => {
+    respondBeforeBody(clock, response, status, headers, '');
+    releaseHead(response.req, options.requestIdHeader);
+  };
+
   const toRequest = (
     message: IncomingMessage,
     arrivedAt: number,
@@ -100,9 +106,14 @@
     }, 'refused request from peer');
     response.shouldKeepAlive = false;
     const headers = [...encodeRefusal(refusal), options.requestIdHeader, requestId];
-    respondBeforeBody(clock, response, refusal.status, headers, '');
+    respond(response, refusal.status, headers);
   };
 
+  const refuseWithoutRoom = (message: IncomingMessage, response: ServerResponse) => (
+    refuseUnread(message, response, refuseForHeap().refusal)
+  );
+  const hasRoom = createRoomCheck(options.heap, options.requestIdHeader);
+
   const forwardOrRefuse = async (
     request: GatewayRequest,
     sink: ResponseSink,
@@ -145,13 +156,13 @@
     }, 'refused request from peer');
     // Only the head of an error was sent before its instance failed.
     if (response.headersSent) resetConnection(response);
-    respondBeforeBody(clock, response, refusal.status, [
+    respond(response, refusal.status, [
       ...encodeRefusal(refusal),
       options.requestIdHeader, request.requestId,
       ...loadHeaders(local.load(), clock.now() - arrivedAt),
       ...(reachedInstance ? [hopHeaders.reached, '1'] : []),
       ...(isAccepting() ? [] : [hopHeaders.stopping, '1']),
-    ], '');
+    ]);
   };
 
   const serve = async (
@@ -171,7 +182,7 @@
       const from = message.socket.remoteAddress;
       logger.warn({ from, reason: refusal.message }, 'refused request from peer');
       const headers = [...encodeRefusal(refusal), ...nameRequest];
-      respondBeforeBody(clock, response, refusal.status, headers, '');
+      respond(response, refusal.status, headers);
       return;
     }
     // Not tracked, since a refused request must not delay the end of the requests in flight.
@@ -252,8 +263,7 @@
       return;
     }
     if (options.heap?.mayAccept() === false) {
-      refuseUnread(message, response, refuseForHeap().refusal);
-      releaseHead(message, options.requestIdHeader);
+      refuseWithoutRoom(message, response);
       return;
     }
     serve(message, response, arrivedAt).catch((error: unknown) => {
@@ -275,6 +285,8 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     idleGraceMs: IDLE_GRACE_MS,
     handle,
+    hasRoom: (message) => isControl(message) || hasRoom(message),
+    refuseWithoutRoom,
     // A new connection for each request would wait to be accepted, one in each turn.
     mayEndAfter: (message) => !isAccepting() && !isControl(message),
     renderMalformed,
--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -10,11 +10,12 @@
   readonly expect: Expectation;
   /** Time in ms at which the head was read. */
   readonly readAt: number;
+  /** Called once the request has its turn. */
+  readonly handle: HttpServerOptions['handle'];
 }
 
 /** Options of the turns of a connection. */
 export interface RequestTurnsOptions {
-  readonly handle: HttpServerOptions['handle'];
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter: (request: IncomingMessage) => boolean;
   /** Called when `handle` throws; without it, the error is thrown on. */
@@ -56,14 +57,14 @@
  * @returns The turns, without requests.
  *
  * @example
- * const turns = createRequestTurns(socket, { handle, mayEndAfter, onDiscard, onHandleError });
- * server.on('request', (request, response) => turns.add({ request, response, expect, readAt }));
+ * const turns = createRequestTurns(socket, { mayEndAfter, onDiscard, onHandleError });
+ * server.on('request', (request, response) => (
+ *   turns.add({ request, response, expect, readAt, handle })
+ * ));
  */
 export const createRequestTurns = (
   socket: Socket,
-  {
-    handle, mayEndAfter, onDiscard, onHandleError,
-  }: RequestTurnsOptions,
+  { mayEndAfter, onDiscard, onHandleError }: RequestTurnsOptions,
 ): RequestTurns => {
   let waiting: ReadRequest[] = [];
   let current: ReadRequest | undefined;
@@ -94,7 +95,7 @@
     }
     if (wasFull && !isFull()) socket.resume();
     const {
-      request, response, expect, readAt,
+      request, response, expect, readAt, handle,
     } = current;
     if (waiting.length === 0 && mayEndAfter(request)) response.shouldKeepAlive = false;
     response.once('close', () => {
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -116,13 +116,17 @@
       }
       markEnd();
     });
+    const { hasRoom, handle, refuseWithoutRoom = handle } = options;
     state.turns.add({
-      request, response, expect, readAt: clock.now(),
+      request,
+      response,
+      expect,
+      readAt: clock.now(),
+      handle: hasRoom?.(request) === false ? refuseWithoutRoom : handle,
     });
   };
 
   const turnsOptions = {
-    handle: options.handle,
     mayEndAfter: (request: IncomingMessage) => (
       isStopping || options.mayEndAfter?.(request) === true
     ),
--- a/http/http_server_options.ts
+++ b/http/http_server_options.ts
@@ -48,6 +48,13 @@
     expect: Expectation,
     readAt: number,
   ) => void;
+  /**
+   * Returns whether there is memory for a request, whose head may be cut down otherwise. Called as
+   * soon as the head is read, since many requests may be read before one of them is handled.
+   */
+  readonly hasRoom?: (request: IncomingMessage) => boolean;
+  /** Handles, in its turn, a request without room in place of `handle`. */
+  readonly refuseWithoutRoom?: (request: IncomingMessage, response: ServerResponse) => void;
   /** Decides on and records the ends of connections; by default, they are not recorded. */
   readonly ends?: ConnectionEnds;
   /** Called when `handle` throws, before status 500 is sent; without it, the error is thrown on. */
