Collect garbage before it reaches the limit of the heap guard

Cause: the guard collects at most once a second, and 28 MB of garbage a second, in a heap of 160 MB, reach the bound within that second.

From 72 % used on, a collection no longer waits for the interval of a second if the last one left less than 65 % in use. All collections still take at most a tenth of the time.

The new test of the guard fails without the change.

--- a/telemetry/heap_guard.ts
+++ b/telemetry/heap_guard.ts
@@ -44,12 +44,17 @@
  * generation.
  */
 const MAX_USED_FRACTION = 0.77;
+/**
+ * Used fraction from which a collection does not wait for its usual interval, so that garbage does
+ * not reach the fraction from which requests are refused.
+ */
+const SOON_FULL_FRACTION = 0.72;
 /** The old generation also shrinks by less than this fraction while it is swept. */
 const MIN_COLLECTED_FRACTION = 0.01;
 /** A sample is used for this time and number of requests, since each costs some microseconds. */
 const SAMPLE_AGE_MS = 10;
 const REQUESTS_PER_SAMPLE = 16;
-/** Least interval in ms of the collections that the guard causes, which stop the process. */
+/** Usual least interval in ms of the collections that the guard causes, which stop the process. */
 const MIN_COLLECT_INTERVAL_MS = 1000;
 /** Keeps these collections to a tenth of the time on a slow or busy host. */
 const COLLECT_INTERVAL_FACTOR = 10;
@@ -113,6 +118,9 @@
   let sampledAt = clock.now();
   let requestsSinceSample = 0;
   let collectAt = -Infinity;
+  /** Earliest time of a collection that prevents a refusal. */
+  let soonFullCollectAt = -Infinity;
+  let scheduledAt = Infinity;
   let cancelCollection: CancelTask | undefined;
   let refusingSince: number | undefined;
   let refused = 0;
@@ -163,7 +171,8 @@
     sample();
     survivingBytes = usage.usedBytes;
     const durationMs = sampledAt - startedAt;
-    collectAt = sampledAt + Math.max(MIN_COLLECT_INTERVAL_MS, durationMs * COLLECT_INTERVAL_FACTOR);
+    soonFullCollectAt = sampledAt + durationMs * COLLECT_INTERVAL_FACTOR;
+    collectAt = Math.max(sampledAt + MIN_COLLECT_INTERVAL_MS, soonFullCollectAt);
     logger.info({
       ...usageFields(),
       usedBeforeMegabytes: before.usedMegabytes,
@@ -171,9 +180,19 @@
     }, 'collected garbage');
   };
 
+  const nextCollectionAt = () => {
+    // A collection frees little if the last one has left most in use.
+    const isGarbage = survivingBytes / usage.limitBytes < MAX_SURVIVING_FRACTION;
+    return isGarbage && usedFraction() >= SOON_FULL_FRACTION ? soonFullCollectAt : collectAt;
+  };
+
   const scheduleCollection = () => {
-    if (cancelCollection !== undefined || usedFraction() < MAX_SURVIVING_FRACTION) return;
-    cancelCollection = clock.schedule(Math.max(0, collectAt - clock.now()), () => {
+    if (usedFraction() < MAX_SURVIVING_FRACTION) return;
+    const at = nextCollectionAt();
+    if (cancelCollection !== undefined && scheduledAt <= at) return;
+    cancelCollection?.();
+    scheduledAt = at;
+    cancelCollection = clock.schedule(Math.max(0, at - clock.now()), () => {
       cancelCollection = undefined;
       sample();
       if (usedFraction() >= MAX_SURVIVING_FRACTION) collect();
--- a/telemetry/heap_guard_test.ts
+++ b/telemetry/heap_guard_test.ts
@@ -48,6 +48,21 @@
   assert.equal(new Set(lines), new Set(['collected garbage']));
 });
 
+// Guards against a node that refuses requests between two collections with over half of its heap in
+// use: garbage reached the limit within the least interval of the collections.
+test('garbage that reaches the limit within a second leads to no refusal', async () => {
+  const {
+    clock, heap, guard, lines, collections,
+  } = setUp({ inUse: 59, collectionMs: 40 });
+  for (let step = 0; step < 1000; step += 1) {
+    heap.garbage += 0.35;
+    await clock.advance(10);
+    assert.ok(guard.mayAccept(), `step ${step}, ${heap.garbage} garbage`);
+  }
+  assert.ok(collections() * 400 <= clock.now(), `${collections()} collections`);
+  assert.equal(new Set(lines), new Set(['collected garbage']));
+});
+
 // Guards against refusals for garbage that last longer than until the next turn.
 test('garbage near the limit leads to refusals until the next turn collects it', async () => {
   const {
