Close a listening socket after one of the shortest turns of a busy process

Cause: what connects in the last turn before the close is reset. A stop waits for a turn of at most 0.1 ms, but after 100 ms closed after a turn of any length.

After 100 ms the stop now takes a turn of at most 1 ms for the last one, and one of any length only after 400 ms. The new test closed after a turn of 30 or 40 ms without the change, with turns of 0.6 ms between.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -34,13 +34,24 @@
 const QUIET_PAUSES = 3;
 /** Connections may be established while a turn lasts, so one that took longer is not the last. */
 const MAX_LAST_TURN_MS = 0.1;
-/** Limits the wait for a short turn in a process that is always busy. */
-const MAX_LAST_TURN_WAIT_MS = 100;
+/**
+ * Longest last turn in ms by the time that a short one has been waited for; later, it is of any
+ * length. A process with little processor time may have no turn of a tenth of a millisecond, but
+ * its longest ones take over a hundred times as long as its shortest ones.
+ */
+const LAST_TURNS = [
+  { waitedMs: 100, maxTurnMs: MAX_LAST_TURN_MS },
+  { waitedMs: 400, maxTurnMs: 1 },
+] as const;
 /** A request may be read in one turn, handled in the next one and answered in a third. */
 const QUIET_TURNS = 3;
 /** Limits the time for requests on idle connections that have arrived before their close. */
 const MAX_READ_MS = 100;
 
+const maxLastTurnMs = (waitedMs: number) => (
+  LAST_TURNS.find((step) => waitedMs < step.waitedMs)?.maxTurnMs ?? Infinity
+);
+
 /**
  * Creates the stop of a server. A connection that is closed with input that was not read is reset,
  * so all that has arrived is accepted and read before the listening socket, idle connections or the
@@ -59,11 +70,11 @@
   /** Closes the listening socket, and resolves once all connections have closed. */
   readonly close: () => Promise<void>;
 } => {
-  /** Runs one turn; returns whether it was short, so that little can have arrived in it unseen. */
+  /** Runs one turn; returns its duration in ms, in which connections may have arrived unseen. */
   const runTurn = async () => {
     const startedAt = clock.now();
     await nextTurn();
-    return clock.now() - startedAt <= MAX_LAST_TURN_MS;
+    return clock.now() - startedAt;
   };
 
   /**
@@ -75,11 +86,11 @@
     const countAtStart = acceptedCount();
     let areAllAccepted = false;
     let quietPauses = 0;
-    let lastTurnBy = Infinity;
+    let lastTurnSince = Infinity;
     gate.hold();
     while (clock.now() < endsBy) {
       const countBefore = acceptedCount();
-      const isShort = await runTurn();
+      const turnMs = await runTurn();
       const passedMs = clock.now() - startedAt;
       if (acceptedCount() > countBefore) {
         quietPauses = 0;
@@ -94,8 +105,8 @@
         continue;
       }
       // The socket is closed in the turn that has looked for connections.
-      if (isShort || clock.now() >= lastTurnBy) break;
-      lastTurnBy = Math.min(lastTurnBy, clock.now() + MAX_LAST_TURN_WAIT_MS);
+      lastTurnSince = Math.min(lastTurnSince, clock.now());
+      if (turnMs <= maxLastTurnMs(clock.now() - lastTurnSince)) break;
     }
     const closed = new Promise<void>((resolve) => {
       // `http.Server.close` would drop requests that are in transit on idle connections.
@@ -114,10 +125,10 @@
     let quietTurns = 0;
     while (options.openConnections() > 0 && clock.now() < endsBy) {
       const countBefore = readCount();
-      const isShort = await runTurn();
+      const turnMs = await runTurn();
       quietTurns = readCount() > countBefore ? 0 : quietTurns + 1;
       // Connections are closed in the turn that has looked for requests.
-      if (quietTurns >= QUIET_TURNS && isShort) break;
+      if (quietTurns >= QUIET_TURNS && turnMs <= MAX_LAST_TURN_MS) break;
     }
     return readCount() - readBefore;
   };
--- a/http/last_turn_test.ts
+++ b/http/last_turn_test.ts
@@ -1,10 +1,14 @@
 import { once } from 'node:events';
-import { type AddressInfo, connect, createServer } from 'node:net';
+import {
+  type AddressInfo, connect, createServer, Server,
+} from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createSystemClock } from '../clock/mod.ts';
 import { blockEventLoop } from '../testing/block_event_loop.ts';
 import { openConnection, type RawConnection } from '../testing/open_connection.ts';
+import { createAcceptGate } from './_accept_gate.ts';
+import { createServerStop } from './_server_stop.ts';
 import { createHttpServer, renderMalformed } from './mod.ts';
 
 const test = suite('last turn before a listening socket closes');
@@ -82,4 +86,43 @@
   assert.ok(served > 0);
 });
 
+/** Durations of turns in ms of a process with little processor time. */
+const BUSY_TURNS_MS = [40, 30, 20, 0.6, 40, 16, 25, 40, 30];
+
+// Guards against connections that a stop resets in a process with little processor time: without a
+// turn of a tenth of a millisecond, the socket was closed after one of any length, such as 43 ms.
+test('a process without short turns closes its socket after one of its shortest', async () => {
+  const server = new Server();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const systemClock = createSystemClock();
+  let nowMs = 0;
+  let turns = 0;
+  let turnMs = 0;
+  let isClosed = false;
+  const runTurn = () => {
+    if (isClosed) return;
+    turnMs = BUSY_TURNS_MS[turns % BUSY_TURNS_MS.length]!;
+    turns += 1;
+    nowMs += turnMs;
+    setImmediate(runTurn);
+  };
+  server.once('close', () => {
+    isClosed = true;
+  });
+  const { close } = createServerStop({
+    clock: { ...systemClock, now: () => nowMs },
+    server,
+    gate: createAcceptGate(server),
+    idleGraceMs: 1,
+    acceptedCount: () => 0,
+    readCount: () => 0,
+    openConnections: () => 0,
+    onIdleGraceOver: () => undefined,
+  });
+  runTurn();
+  await close();
+  assert.is(turnMs, 0.6);
+});
+
 test.run();
