Measure only the node's memory in the test of bodies in small chunks

Traced: the test read the memory 100 ms after the client had written, while the node still read: 8 bodies of 200 kB in chunks of 1 byte take 2.9 to 3.8 s at load 21 on 8 cores, so the chunks in transit, the blocks of the client and freed array buffers, which V8 counts until a later collection, were part of the growth. Bodies were also up to 5 % longer than stated, over the size from which their buffers are not counted at all.

--- a/gateway/_chunked_upload.ts
+++ b/gateway/_chunked_upload.ts
@@ -7,6 +7,9 @@
 
 /** A request with a body in chunks that is on its way. */
 export interface ChunkedUpload {
+  /** Local port of its connection. */
+  readonly port: number;
+  readonly writtenBytes: () => number;
   readonly received: () => string;
   /** Sends the end of the body. */
   readonly finish: () => void;
@@ -22,6 +25,15 @@
   readonly deadlineMs?: number;
 }
 
+const formatChunk = (bytes: number) => `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
+
+/** Formats a part of a body in chunks of one size, of which the last may be smaller. */
+const formatChunks = (bytes: number, chunkBytes: number) => {
+  const restBytes = bytes % chunkBytes;
+  const chunks = formatChunk(chunkBytes).repeat(Math.floor(bytes / chunkBytes));
+  return Buffer.from(restBytes === 0 ? chunks : chunks + formatChunk(restBytes), 'latin1');
+};
+
 /**
  * Sends a request with a body in chunks of one size, without its end. Resolves once all of it is
  * sent, or an answer or the end of the connection came before.
@@ -43,11 +55,12 @@
     'POST /unsafe/a HTTP/1.1', 'host: shop.example', `request-id: ${requestId}`,
     `deadline-ms: ${deadlineMs}`, 'transfer-encoding: chunked', '\r\n',
   ].join('\r\n'));
-  const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
-  const chunksPerBlock = Math.ceil(BLOCK_BYTES / chunk.length);
-  const block = Buffer.from(chunk.repeat(chunksPerBlock), 'latin1');
-  for (let sent = 0; sent < bodyBytes; sent += chunksPerBlock * chunkBytes) {
+  const bytesPerBlock = Math.ceil(BLOCK_BYTES / formatChunk(chunkBytes).length) * chunkBytes;
+  const fullBlock = formatChunks(bytesPerBlock, chunkBytes);
+  for (let sent = 0; sent < bodyBytes; sent += bytesPerBlock) {
     if (socket.destroyed || received !== '') break;
+    const leftBytes = bodyBytes - sent;
+    const block = leftBytes < bytesPerBlock ? formatChunks(leftBytes, chunkBytes) : fullBlock;
     await new Promise((done) => {
       socket.once('close', done);
       socket.write(block, done);
@@ -55,6 +68,8 @@
     socket.removeAllListeners('close');
   }
   return {
+    port: socket.localPort ?? 0,
+    writtenBytes: () => socket.bytesWritten,
     received: () => received,
     finish: () => socket.write('0\r\n\r\n'),
     isClosed: () => socket.destroyed,
