--- a/fleet/_test_large_heads.ts
+++ b/fleet/_test_large_heads.ts
@@ -12,7 +12,7 @@
 const BATCH_SIZE = 20;
 const BATCH_INTERVAL_MS = 20;
 /** Just below the limit of a head. */
-const FILLER = 'x'.repeat(60_000);
+export const FILLER = 'x'.repeat(60_000);
 
 /**
  * Sends requests whose bodies never arrive for a time.
--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Expectation, HttpServerOptions } from './http_server_options.ts';
+import { joinWaitingBody } from './_waiting_body.ts';
 import { resetConnection } from './response_sink.ts';
 
 /** A request whose head was read. */
@@ -10,11 +11,12 @@
   readonly expect: Expectation;
   /** Time in ms at which the head was read. */
   readonly readAt: number;
+  /** Called once the request has its turn. */
+  readonly handle: HttpServerOptions['handle'];
 }
 
 /** Options of the turns of a connection. */
 export interface RequestTurnsOptions {
-  readonly handle: HttpServerOptions['handle'];
   /** Returns whether the connection may end after this request, if no other one was read. */
   readonly mayEndAfter: (request: IncomingMessage) => boolean;
   /** Called when `handle` throws; without it, the error is thrown on. */
@@ -56,14 +58,14 @@
  * @returns The turns, without requests.
  *
  * @example
- * const turns = createRequestTurns(socket, { handle, mayEndAfter, onDiscard, onHandleError });
- * server.on('request', (request, response) => turns.add({ request, response, expect, readAt }));
+ * const turns = createRequestTurns(socket, { mayEndAfter, onDiscard, onHandleError });
+ * server.on('request', (request, response) => (
+ *   turns.add({ request, response, expect, readAt, handle })
+ * ));
  */
 export const createRequestTurns = (
   socket: Socket,
-  {
-    handle, mayEndAfter, onDiscard, onHandleError,
-  }: RequestTurnsOptions,
+  { mayEndAfter, onDiscard, onHandleError }: RequestTurnsOptions,
 ): RequestTurns => {
   let waiting: ReadRequest[] = [];
   let current: ReadRequest | undefined;
@@ -94,7 +96,7 @@
     }
     if (wasFull && !isFull()) socket.resume();
     const {
-      request, response, expect, readAt,
+      request, response, expect, readAt, handle,
     } = current;
     if (waiting.length === 0 && mayEndAfter(request)) response.shouldKeepAlive = false;
     response.once('close', () => {
@@ -123,6 +125,7 @@
       }
       // A request that can be read behind another one leaves no other reason to end.
       if (current?.response.headersSent === false) current.response.shouldKeepAlive = true;
+      if (current !== undefined || waiting.length > 0) joinWaitingBody(read.request);
       waiting.push(read);
       if (isFull()) socket.pause();
       if (current !== undefined || isScheduled) return;
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -116,13 +116,20 @@
       }
       markEnd();
     });
+    const { handle, refuseWithoutRoom = handle } = options;
+    const hasRoom = options.hasRoom?.(request) !== false;
+    // Its body would take room until its turn.
+    if (!hasRoom) request.resume();
     state.turns.add({
-      request, response, expect, readAt: clock.now(),
+      request,
+      response,
+      expect,
+      readAt: clock.now(),
+      handle: hasRoom ? handle : refuseWithoutRoom,
     });
   };
 
   const turnsOptions = {
-    handle: options.handle,
     mayEndAfter: (request: IncomingMessage) => (
       isStopping || options.mayEndAfter?.(request) === true
     ),
