Read held connections while a stop waits for a short turn

A stop of a busy server may wait up to 0.4 s for a short turn before it closes the listening socket, and the connections that it had accepted meanwhile were not read until then.

--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -99,6 +99,8 @@
         continue;
       }
       areAllAccepted = true;
+      // Those that were accepted have waited long enough to be read.
+      if (passedMs >= MAX_HANDSHAKE_WAIT_MS) gate.release();
       if (quietPauses < QUIET_PAUSES && passedMs < MAX_HANDSHAKE_WAIT_MS) {
         quietPauses += 1;
         await pause(ACCEPT_PAUSE_MS);
