Join the small chunks of a body whose request waits for its turn

A caller could fill the heap of a node with little: Node.js keeps each chunk of a body as an object of its own until it is read, and the body of a request behind a running one is not read until its turn. A read of 64 KiB holds over 10,000 chunks of one byte.

The chunks of a body that waits are now joined once a turn, and the body of a request without room is discarded at once instead of in its turn.

--- a/bytes/chunk_joiner.ts
+++ b/bytes/chunk_joiner.ts
@@ -15,13 +15,17 @@
  * socket are passed on together at its end, so joining delays none of them.
  *
  * @param pass Receives the joined chunks in order.
+ * @param schedule Calls a function once the chunks that arrive together have been added.
  * @returns The joiner.
  *
  * @example
  * const joiner = createChunkJoiner((chunk) => stream.push(chunk));
  * message.on('data', joiner.add).once('end', joiner.flush);
  */
-export const createChunkJoiner = (pass: (chunk: Buffer) => void): ChunkJoiner => {
+export const createChunkJoiner = (
+  pass: (chunk: Buffer) => void,
+  schedule: (task: () => void) => void = queueMicrotask,
+): ChunkJoiner => {
   let block: Buffer | undefined;
   let filledBytes = 0;
   let isScheduled = false;
@@ -52,7 +56,7 @@
       filledBytes += chunk.length;
       if (isScheduled) return;
       isScheduled = true;
-      queueMicrotask(flushLater);
+      schedule(flushLater);
     },
     flush,
   };
--- a/http/_request_turns.ts
+++ b/http/_request_turns.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Expectation, HttpServerOptions } from './http_server_options.ts';
+import { joinWaitingBody } from './_waiting_body.ts';
 import { resetConnection } from './response_sink.ts';
 
 /** A request whose head was read. */
@@ -124,6 +125,7 @@
       }
       // A request that can be read behind another one leaves no other reason to end.
       if (current?.response.headersSent === false) current.response.shouldKeepAlive = true;
+      if (current !== undefined || waiting.length > 0) joinWaitingBody(read.request);
       waiting.push(read);
       if (isFull()) socket.pause();
       if (current !== undefined || isScheduled) return;
--- a/http/create_http_server.ts
+++ b/http/create_http_server.ts
@@ -116,13 +116,16 @@
       }
       markEnd();
     });
-    const { hasRoom, handle, refuseWithoutRoom = handle } = options;
+    const { handle, refuseWithoutRoom = handle } = options;
+    const hasRoom = options.hasRoom?.(request) !== false;
+    // Its body would take room until its turn.
+    if (!hasRoom) request.resume();
     state.turns.add({
       request,
       response,
       expect,
       readAt: clock.now(),
-      handle: hasRoom?.(request) === false ? refuseWithoutRoom : handle,
+      handle: hasRoom ? handle : refuseWithoutRoom,
     });
   };
 
