Keep the time of a signal to stop for the host, not for one process

What the review showed on real sockets, with clients that end their side and wait: after an exception alone the next process kept half-open connections for 7.5 s, so instances worked for clients that had left; after an exception and a SIGTERM 2 s later it kept them too shortly, and a request sent 6.2 s after the signal got no byte; an exception in the next process, or a second next process, ended them at once; so did a store that took 0.5 s a call at the start.

Cause: the entry told when the shutdown began, once, and only the process after it knew. A stop by an exception alone leaves no time.

--- a/bytes/chunk_joiner.ts
+++ b/bytes/chunk_joiner.ts
@@ -35,12 +35,12 @@
     // A copy of the right size, as the block would keep its memory for a few bytes.
     const joined = Buffer.from(block.subarray(0, filledBytes));
     filledBytes = 0;
+    block = undefined;
     pass(joined);
   };
   const flushLater = () => {
     isScheduled = false;
     flush();
-    block = undefined;
   };
 
   return {
--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -38,8 +38,11 @@
   readonly failureDomain: string;
   /** True while the node is shutting down; it should get no new requests. */
   readonly isStopping: boolean;
-  /** Time at which the shutdown began, in ms since the Unix epoch; absent in a running node. */
-  readonly stoppingAt?: number | undefined;
+  /**
+   * Time in ms since the Unix epoch at which a process of the host got the signal to stop, this one
+   * or an earlier one; absent without one, or once the rules of that stop hold no more.
+   */
+  readonly signalledAt?: number | undefined;
   readonly instance: DirectoryInstance | undefined;
   /** Absent as long as the store has not been restored since the node started. */
   readonly storeEra?: StoreEraState | undefined;
@@ -64,7 +67,7 @@
   region: z.string().max(MAX_NAME_LENGTH),
   failureDomain: z.string().max(MAX_NAME_LENGTH),
   isStopping: z.boolean(),
-  stoppingAt: wallTime.optional(),
+  signalledAt: wallTime.optional(),
   storeEra: z.object({ contributed: z.int().min(0), isTrusted: z.boolean() }).optional(),
   instance: z.object({
     instance: name,
--- a/directory/node_registration.ts
+++ b/directory/node_registration.ts
@@ -32,6 +32,8 @@
   readonly entry: NodeEntry;
   /** Called with the entry that an earlier process of this node left, before it is replaced. */
   readonly onFormerEntry?: (entry: NodeEntry) => void;
+  /** Called when the entry is first written; its former value is known by then. */
+  readonly onFirstWrite?: () => void;
   /** View of the store that gets each entry after it is written, and that shows its presence. */
   readonly view?: Pick<StoreView, 'apply' | 'get' | 'onCurrent'>;
   /** Eras of the store; after a rise the lease and the entry are gone. */
@@ -121,6 +123,7 @@
     if (storedValue === undefined || revision === 0) createdRevision = written;
     revision = written;
     storedValue = text;
+    if (!hasWritten) options.onFirstWrite?.();
     hasWritten = true;
     confirmedAtMs = sent.at;
     right.confirm(sent);
--- a/fleet/_create_graceful_stop.ts
+++ b/fleet/_create_graceful_stop.ts
@@ -20,6 +20,8 @@
   readonly mayHaveCallers?: () => boolean;
   /** Announces that the node is stopping. */
   readonly announceStop: () => void;
+  /** Called with the time in ms since the signal when the stop is or becomes a planned one. */
+  readonly onSignal?: (sinceMs: number) => void;
   /** Longest delay in ms of the event loop before the stop; 0 by default. */
   readonly recentDelayMs?: () => number;
   readonly logger: Logger;
@@ -123,8 +125,10 @@
   };
 
   return (request) => {
-    if (request.isPlanned) shutdown.markPlanned();
-    else unplanned.abort();
+    if (request.isPlanned) {
+      shutdown.markPlanned();
+      runStep('signal', () => options.onSignal?.(request.sinceMs));
+    } else unplanned.abort();
     stopped ??= runInTime(request);
     return stopped;
   };
--- a/fleet/_state_services.ts
+++ b/fleet/_state_services.ts
@@ -32,6 +32,8 @@
 export interface LocalNode {
   readonly entry: () => NodeEntry;
   readonly setStopping: () => void;
+  /** Notes the time of a signal to stop in ms since the Unix epoch; the latest one counts. */
+  readonly noteSignal: (at: number) => void;
   readonly isStopping: () => boolean;
 }
 
@@ -46,8 +48,6 @@
 const AFTER_GRACE_MS = 1000;
 /** Time in ms that a request which is sent at the end of these takes to arrive with its body. */
 const ARRIVAL_MS = 500;
-/** Time in ms in which a node that starts learns from its former entry whether it was to stop. */
-const UNKNOWN_STOP_MS = 1000;
 
 /** Registers the services that hold state: the store, its views, the instance and its ranges. */
 export const registerStateServices = (
@@ -225,9 +225,9 @@
     needs: ['clock', 'registry'],
     start: (find) => {
       const registry = find<InstanceRegistry>('registry');
-      const clock = find<Clock>('clock');
-      const startedAt = clock.wallTime();
-      let stoppingAt: number | undefined;
+      const startedAt = find<Clock>('clock').wallTime();
+      let isStopping = false;
+      let signalledAt: number | undefined;
       return {
         service: {
           entry: () => ({
@@ -236,8 +236,8 @@
             peerAddress: settings.listen.peer,
             region: settings.region,
             failureDomain: settings.failureDomain,
-            isStopping: stoppingAt !== undefined,
-            stoppingAt,
+            isStopping,
+            signalledAt,
             instance: registry.describe(),
             // The recovery starts later; the era has not risen before.
             storeEra: kernel.isRunning('recovery')
@@ -245,9 +245,12 @@
               : undefined,
           }),
           setStopping: () => {
-            stoppingAt ??= clock.wallTime();
+            isStopping = true;
+          },
+          noteSignal: (at) => {
+            signalledAt = Math.max(signalledAt ?? at, at);
           },
-          isStopping: () => stoppingAt !== undefined,
+          isStopping: () => isStopping,
         },
       };
     },
@@ -263,8 +266,9 @@
       const { followStop } = find<ShutdownTracker>('progress');
       const startedAt = clock.now();
       const stopMs = settings.bounds.graceMs + AFTER_GRACE_MS + ARRIVAL_MS;
-      // The first start of all hosts follows no stop.
-      if (!settings.isFirstStart) followStop(startedAt + UNKNOWN_STOP_MS);
+      let earlierStopEndsAt = -Infinity;
+      // Until the former entry is known; the first start of all hosts follows no stop.
+      if (!settings.isFirstStart) followStop(startedAt + stopMs);
       const own = createNodeRegistration({
         clock,
         store: find<LeasedStore>('store'),
@@ -273,11 +277,14 @@
         eras: find<StoreEras>('eras'),
         entry: localNode.entry(),
         view: find<StoreView>('view'),
-        onFormerEntry: ({ instance, stoppingAt }) => {
-          if (stoppingAt !== undefined) {
-            const endsAt = clock.now() + stoppingAt + stopMs - clock.wallTime();
+        onFirstWrite: () => followStop(earlierStopEndsAt),
+        onFormerEntry: ({ instance, signalledAt }) => {
+          const leftMs = (signalledAt ?? -Infinity) + stopMs - clock.wallTime();
+          if (signalledAt !== undefined && leftMs > 0) {
             // The time of day may have been set since.
-            followStop(Math.min(endsAt, startedAt + stopMs));
+            earlierStopEndsAt = Math.min(clock.now() + leftMs, startedAt + stopMs);
+            localNode.noteSignal(signalledAt);
+            own.update(localNode.entry());
           }
           if (instance !== undefined) find<InstanceRegistry>('registry').restore(instance);
         },
--- a/fleet/start_fleet_node.ts
+++ b/fleet/start_fleet_node.ts
@@ -252,6 +252,7 @@
     metricsText: kernel.find<NodeMetrics>('metrics').text,
   });
   const shutdown = kernel.find<ShutdownTracker>('progress');
+  const { update } = kernel.find<NodeRegistration>('own-entry');
   const stop = createGracefulStop({
     clock,
     graceMs: settings.bounds.graceMs,
@@ -261,7 +262,11 @@
     mayHaveCallers: callers.isListening,
     announceStop: () => {
       localNode.setStopping();
-      kernel.find<NodeRegistration>('own-entry').update(localNode.entry());
+      update(localNode.entry());
+    },
+    onSignal: (sinceMs) => {
+      localNode.noteSignal(clock.wallTime() - sinceMs);
+      update(localNode.entry());
     },
     recentDelayMs: kernel.find<EventLoopMonitor>('event-loop').maxDelayMs,
     logger,
--- a/gateway/shutdown_tracker.ts
+++ b/gateway/shutdown_tracker.ts
@@ -18,13 +18,13 @@
   /** Marks the stop as planned, also one that was begun by an exception. */
   readonly markPlanned: () => void;
   /**
-   * Notes that an earlier process of the host got a signal to stop, whose rules hold on the host
-   * until a time in ms, monotonic.
+   * Sets the monotonic time in ms until which the rules of a stop hold on the host, for which an
+   * earlier process got the signal; there was none by default.
    */
   readonly followStop: (endsAt: number) => void;
   /**
    * Returns whether a client that ends its side of a connection still gets its responses: in a
-   * planned stop, and in a running process while the stop of an earlier one may last.
+   * planned stop, and while the stop of an earlier process may last.
    */
   readonly keepsHalfOpen: () => boolean;
   /**
@@ -94,9 +94,11 @@
       isPlanned = true;
     },
     followStop: (endsAt) => {
-      earlierStopEndsAt = Math.max(earlierStopEndsAt, endsAt);
+      earlierStopEndsAt = endsAt;
     },
-    keepsHalfOpen: () => (phase === 'running' ? clock.now() < earlierStopEndsAt : isPlanned),
+    keepsHalfOpen: () => (
+      clock.now() < earlierStopEndsAt || (isPlanned && phase !== 'running')
+    ),
     close: async () => {
       if (phase === 'closing' || phase === 'closed') return closed;
       phase = 'closing';
--- a/http/_accept_gate.ts
+++ b/http/_accept_gate.ts
@@ -44,10 +44,11 @@
     hold: () => setHolding(true),
     release: () => {
       setHolding(false);
-      for (const socket of held.splice(0)) {
-        if (socket.destroyed) continue;
-        handOver(socket);
-        socket.resume();
+      for (let socket = held.shift(); socket !== undefined; socket = held.shift()) {
+        if (!socket.destroyed) {
+          handOver(socket);
+          socket.resume();
+        }
       }
     },
   };
