--- a/fleet/_test_large_heads.ts
+++ b/fleet/_test_large_heads.ts
@@ -6,6 +6,8 @@
 
 /** Longer than the requests in flight take. */
 const LOAD_MS = 2300;
+/** Limits the load on a machine that is too busy to fill the heap in the usual time. */
+const MAX_LOAD_MS = 10_000;
 /** All heads together exceed the heap. */
 const LARGE_REQUESTS = 1800;
 /** Connections that are opened at once, so that the backlog of the listener has room for them. */
@@ -30,9 +32,14 @@
     readonly deadlineMs: number; readonly headers?: readonly string[];
   },
 ): Promise<readonly RawConnection[]> => {
-  const endsAt = performance.now() + LOAD_MS;
+  const startedAt = performance.now();
   const connections: RawConnection[] = [];
-  while (connections.length < LARGE_REQUESTS && performance.now() < endsAt) {
+  const isLasting = () => {
+    const passedMs = performance.now() - startedAt;
+    if (passedMs < LOAD_MS) return true;
+    return passedMs < MAX_LOAD_MS && connections.every(({ received }) => received() === '');
+  };
+  while (connections.length < LARGE_REQUESTS && isLasting()) {
     for (let index = 0; index < BATCH_SIZE; index += 1) {
       const connection = openConnection(address);
       // The body follows the head.
