--- a/directory/node_entry.ts
+++ b/directory/node_entry.ts
@@ -39,8 +39,8 @@
   /** True while the node is shutting down; it should get no new requests. */
   readonly isStopping: boolean;
   /**
-   * Time in ms since the Unix epoch at which a process of the host got the signal to stop, this one
-   * or an earlier one; absent without one, or once the rules of that stop hold no more.
+   * Time in ms since the Unix epoch at which this process, or one of the host shortly before it,
+   * last got the signal to stop.
    */
   readonly signalledAt?: number | undefined;
   readonly instance: DirectoryInstance | undefined;
--- a/http/_server_stop.ts
+++ b/http/_server_stop.ts
@@ -79,7 +79,8 @@
 
   /**
    * Accepts all connections that were established before the call, in the order in which they wait,
-   * and later ones for a limited time. Their requests are read once the socket has been closed.
+   * and later ones for a limited time. Their requests are read once the socket has been closed, or
+   * when that takes long.
    */
   const acceptAndClose = async (endsBy = Infinity) => {
     const startedAt = clock.now();
