--- a/fleet/fleet_node_test.ts
+++ b/fleet/fleet_node_test.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { request } from 'undici';
+import { sendUntilAccepted } from '../testing/send_until_accepted.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 
 const test = suite('fleet node');
@@ -52,20 +52,9 @@
 const runsOf = (id: string) => fleet.hosts
   .reduce((sum, { instance }) => sum + (instance.executionCounts.get(id) ?? 0), 0);
 
-/** Limits how often a request is sent again that was refused as not run. */
-const MAX_ATTEMPTS = 20;
-const RETRY_PAUSE_MS = 50;
-
-/** Sends a request as callers do, again after each refusal that says that it was not run. */
-const sendUntilAccepted = async (wanted: SentRequest) => {
-  for (let attempt = 1; ; attempt += 1) {
-    const answer = await send(wanted);
-    const isRefused = answer.status === 503 && answer.text.includes('"outcome":"not run"');
-    if (!isRefused || attempt === MAX_ATTEMPTS) return answer;
-    assert.is(runsOf(answer.id), 0, 'a refused request has run');
-    await sleep(RETRY_PAUSE_MS);
-  }
-};
+const requireNotRun = ({ id }: { readonly id: string }) => (
+  assert.is(runsOf(id), 0, 'a refused request has run')
+);
 
 const isServed = async (wanted: SentRequest) => (await send(wanted)).status === 200;
 
@@ -84,7 +73,7 @@
 test('requests for a key reach its single owner from every host', async () => {
   for (const key of [0, 20_000, 40_000, 65_535]) {
     const answers = await Promise.all([0, 1, 2, 3].map((host) => (
-      sendUntilAccepted({ path: '/keyed/x', key, host })
+      sendUntilAccepted(() => send({ path: '/keyed/x', key, host }), requireNotRun)
     )));
     const owners = new Set(answers.map(({ text }) => text.split(' ran at ')[1]));
     assert.is(owners.size, 1);
--- a/gateway/early_answer_test.ts
+++ b/gateway/early_answer_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { CallerAnswer } from './_test_caller.ts';
+import { sendUntilAccepted } from '../testing/send_until_accepted.ts';
 import { answerSoundly, type Respond, startPath } from './_test_path.ts';
 
 const test = suite('answer before the body of a request is read');
@@ -13,8 +13,6 @@
 const CALLER_COUNT = 2;
 const PAUSE_MS = 50;
 const TIMEOUT_MS = 5000;
-/** Limits how often a caller sends a request again that was refused as not run. */
-const MAX_ATTEMPTS = 20;
 
 /** Answers as soon as the head has arrived, and reads the body later. */
 const answerEarly: Respond = (socket, ...rest) => {
@@ -39,16 +37,6 @@
   return count;
 };
 
-/** Sends a request as callers do, again after each refusal that says that it was not run. */
-const callUntilAccepted = async (call: () => Promise<CallerAnswer>): Promise<CallerAnswer> => {
-  for (let attempt = 1; ; attempt += 1) {
-    const answer = await call();
-    const isRefused = answer.status === 503 && answer.text.includes('"outcome":"not run"');
-    if (!isRefused || attempt === MAX_ATTEMPTS) return answer;
-    await sleep(PAUSE_MS);
-  }
-};
-
 // Guards against a next request that is written where the rest of a body is due.
 for (const hop of ['local', 'peer'] as const) {
   for (const leaveAfterMs of [undefined, 20]) {
@@ -61,7 +49,7 @@
         for (let count = 0; count < REQUESTS_PER_CALLER; count += 1) {
           const isLeft = count === LEFT_REQUEST && leaveAfterMs !== undefined;
           const leave = isLeft ? { leaveAfterMs } : {};
-          own.push(await callUntilAccepted(() => path.call({ ...options, ...leave })));
+          own.push(await sendUntilAccepted(() => path.call({ ...options, ...leave })));
         }
         return own;
       }));
@@ -71,11 +59,12 @@
       const counts = instance!.received().map(countRequests);
       const answered = answers.flat().filter(({ text }) => text === 'sound').length;
       const runs = counts.reduce((sum, count) => sum + count, 0);
-      assert.ok(runs >= answered);
+      const seen = JSON.stringify({ counts, answers });
+      assert.ok(runs >= answered, seen);
       if (leaveAfterMs === undefined) {
-        assert.is(answered, CALLER_COUNT * REQUESTS_PER_CALLER);
+        assert.is(answered, CALLER_COUNT * REQUESTS_PER_CALLER, seen);
         // A request that was refused has not reached the instance.
-        assert.is(runs, answered);
+        assert.is(runs, answered, seen);
       }
       assert.ok(counts.some((count) => count > 1), 'no connection was used again');
     });
