Fail when the entry that a test waits for is not written

The wait polled through a callback that swallowed its errors, and went on without the entry at its time limit. It now reads in a loop and fails there.

--- a/fleet/following_process_test.ts
+++ b/fleet/following_process_test.ts
@@ -4,7 +4,6 @@
 import { createSystemClock } from '../clock/mod.ts';
 import { decodeNodeEntry, nodeKey } from '../directory/mod.ts';
 import { noopLogger } from '../telemetry/mod.ts';
-import { isMet } from '../testing/is_met.ts';
 import { openConnection } from '../testing/open_connection.ts';
 import { type LoopbackFleet, startLoopbackFleet } from './_test_loopback_fleet.ts';
 import { type FleetNode, startFleetNode } from './start_fleet_node.ts';
@@ -36,8 +35,8 @@
 };
 
 const readEntry = async () => {
-  const { value } = (await fleet.server.store.get(nodeKey('host-0')))._unsafeUnwrap()!;
-  return decodeNodeEntry(value)!;
+  const found = (await fleet.server.store.get(nodeKey('host-0')))._unsafeUnwrap();
+  return found === undefined ? undefined : decodeNodeEntry(found.value);
 };
 
 /** Sends a request whose client ends its side while it waits. */
@@ -65,16 +64,13 @@
   return received;
 };
 
-const isOwnEntry = async (startedAfter: number) => (await readEntry()).startedAt > startedAfter;
-
+/** Waits for the entry of a process that was started after a time in ms since the Unix epoch. */
 const untilWritten = async (startedAfter: number) => {
-  let isWritten = false;
-  await isMet(() => {
-    isOwnEntry(startedAfter).then((found) => {
-      isWritten ||= found;
-    }).catch(() => undefined);
-    return isWritten;
-  }, LIMIT_MS);
+  const endsAt = performance.now() + LIMIT_MS;
+  while (((await readEntry())?.startedAt ?? 0) <= startedAfter) {
+    assert.ok(performance.now() < endsAt, 'the entry is not written');
+    await sleep(POLL_MS);
+  }
 };
 
 test.before.each(async () => {
@@ -104,7 +100,7 @@
 // Guards against a process that takes a FIN for a leave while its host still has to answer.
 test('after a signal, clients that end their side are answered', async () => {
   const signalledAt = await stopHost({ isPlanned: true });
-  assert.ok(Math.abs((await readEntry()).signalledAt! - signalledAt) < MAX_CLOCK_DIFFERENCE_MS);
+  assert.ok(Math.abs((await readEntry())!.signalledAt! - signalledAt) < MAX_CLOCK_DIFFERENCE_MS);
   await restart();
   await untilWritten(signalledAt);
   assert.match(await sendOnceServed(), /^HTTP\/1\.1 200 /u);
@@ -115,7 +111,7 @@
   const signalledAt = await stopHost({ isPlanned: true });
   const following = await restart();
   await untilWritten(signalledAt);
-  const entry = await readEntry();
+  const entry = (await readEntry())!;
   assert.not(entry.isStopping);
   assert.ok(Math.abs(entry.signalledAt! - signalledAt) < MAX_CLOCK_DIFFERENCE_MS);
   await following.kill();
@@ -127,7 +123,7 @@
 // Guards against runs that go on for clients that have left, though nobody planned a stop.
 test('after an exception alone, clients that end their side have left', async () => {
   const endedAt = await stopHost({ isPlanned: false });
-  assert.is((await readEntry()).signalledAt, undefined);
+  assert.is((await readEntry())!.signalledAt, undefined);
   await restart();
   await untilWritten(endedAt);
   assert.is(await sendOnceServed(), '');
@@ -136,7 +132,7 @@
 // Guards against a window that begins with the exception and ends too early.
 test('a signal behind an exception counts from the signal', async () => {
   const signalledAt = await stopHost({ isPlanned: false }, { isPlanned: true });
-  const entry = await readEntry();
+  const entry = (await readEntry())!;
   assert.ok(entry.isStopping);
   assert.ok(Math.abs(entry.signalledAt! - signalledAt) < MAX_CLOCK_DIFFERENCE_MS);
 });
